--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision parts; see docs/measurements.md."""
--- /dev/null
+++ b/src/redwingswitch/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of redwingswitch; import the public packages instead."""
--- /dev/null
+++ b/src/redwingswitch/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the command-line programs."""
--- /dev/null
+++ b/src/redwingswitch/_internal/cli/status_codes.py
@@ -0,0 +1,11 @@
+"""Exit statuses of the command-line programs."""
+
+SUCCESS = 0
+ERROR = 1
+INVALID_INPUT = 2
+CONFLICT = 3
+STORE_UNAVAILABLE = 4
+NOT_IN_FORCE = 5
+BUDGET_BURNING = 6
+BUDGET_EXHAUSTED = 7
+INVARIANT_BROKEN = 8
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' file: parsing, checking, comparing and storing it."""
--- /dev/null
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -0,0 +1,62 @@
+"""Errors that redwingswitch raises, worded for the user and saying what to do."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple
+
+
+class Finding(NamedTuple):
+    """One fault in an input, with its place."""
+
+    file: str
+    line: int | None
+    key_path: str
+    problem: str
+    remedy: str
+
+    def __str__(self) -> str:
+        place = self.file if self.line is None else f"{self.file}:{self.line}"
+        return f"{place}: {self.key_path}: {self.problem}; {self.remedy}"
+
+
+class RedwingswitchError(Exception):
+    """Base class of all errors of this project."""
+
+
+class InvalidInputError(RedwingswitchError):
+    """One finding in a settings or configuration file."""
+
+    def __init__(self, *, finding: Finding) -> None:
+        super().__init__(str(finding))
+        self.finding = finding
+
+
+class InvalidInputGroup(ExceptionGroup[InvalidInputError]):
+    """All findings of one input, reported together."""
+
+    @classmethod
+    def from_findings(cls, *, subject: str, findings: Sequence[Finding]) -> InvalidInputGroup:
+        """Build the group for ``subject``, one error a finding."""
+        errors = [InvalidInputError(finding=finding) for finding in findings]
+        return cls(f"{subject} has {len(errors)} finding(s); nothing was changed", errors)
+
+
+class StoreUnavailableError(RedwingswitchError):
+    """The key-value service did not answer, and the call had no effect on reads."""
+
+
+class StoreOutcomeUnknownError(RedwingswitchError):
+    """The key-value service did not confirm a write; it may or may not be in effect."""
+
+
+class ConfigurationConflictError(RedwingswitchError):
+    """Another operator's configuration was accepted first."""
+
+
+class DecodeError(RedwingswitchError):
+    """A packet or message is malformed or has an unknown schema version."""
+
+
+class CapacityError(RedwingswitchError):
+    """A bounded table or queue is full."""
--- /dev/null
+++ b/src/redwingswitch/_internal/models/__init__.py
@@ -0,0 +1,1 @@
+"""Immutable models that the decision parts and the daemons exchange."""
--- /dev/null
+++ b/src/redwingswitch/_internal/models/actions.py
@@ -0,0 +1,148 @@
+"""Actions that an entry host asks its driver to carry out."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.identifiers import CallerAddress, FlowKey
+from redwingswitch._internal.models.messages import PeerMessage
+from redwingswitch._internal.models.requests import AnswerHeader
+
+
+class DropReason(StrEnum):
+    """Why a packet or message was dropped; the values are metric labels."""
+
+    NO_SERVICE = "no_service"
+    NO_BACKEND_SERVER = "no_backend_server"
+    WRONG_SERVICE = "wrong_service"
+    MALFORMED = "malformed"
+    HOLD_LIMIT = "hold_limit"
+    STALE_INCARNATION = "stale_incarnation"
+    OVERLOAD = "overload"
+
+
+class SendToBackendServer(NamedTuple):
+    """Send a caller's packet to a backend server's tunnel endpoint."""
+
+    service: str
+    backend_server: str
+    flow: FlowKey
+    payload: bytes
+
+
+class Drop(NamedTuple):
+    """Drop a packet or message and count it."""
+
+    reason: DropReason
+    subject: str = ""
+
+
+class DispatchRequest(NamedTuple):
+    """Send a whole request to a backend server; the attempt ends at ``deadline_ms``."""
+
+    service: str
+    backend_server: str
+    attempt_id: int
+    request_id: bytes
+    body: bytes
+    deadline_ms: int
+
+
+class CancelAttempt(NamedTuple):
+    """Tell a backend server that an attempt's answer is no longer wanted."""
+
+    backend_server: str
+    attempt_id: int
+
+
+class AnswerCaller(NamedTuple):
+    """Send one answer part, or an outcome without an answer, to a caller."""
+
+    caller: CallerAddress
+    header: AnswerHeader
+    body: bytes = b""
+
+
+class SendToPeer(NamedTuple):
+    """Send a message to another entry host."""
+
+    host: str
+    message: PeerMessage
+
+
+class ApplyDocument(NamedTuple):
+    """Parse an accepted document and hand the result to ``EntryHost.apply_configuration``."""
+
+    document: Document
+
+
+class AcquireLease(NamedTuple):
+    """Try to take or renew the lease on ``key``; answer with LeaseGranted or LeaseRefused."""
+
+    key: str
+    holder: str
+    ttl_ms: int
+
+
+class ReleaseLease(NamedTuple):
+    """Give the lease on ``key`` up."""
+
+    key: str
+
+
+class WatchStore(NamedTuple):
+    """Start (or stop) watching the configuration key."""
+
+    watching: bool
+
+
+class RestoreDocument(NamedTuple):
+    """Write a newer document back to a store that returned an older one.
+
+    The write must compare the configuration key with ``expected_version`` and the lease key with
+    ``fencing_version``; otherwise a paused former holder could overwrite a successor's work.
+    """
+
+    document: Document
+    expected_version: int
+    fencing_version: int
+
+
+class PollReport(NamedTuple):
+    """Ask a backend server's load endpoint for a report."""
+
+    backend_server: str
+
+
+class Log(NamedTuple):
+    """Write a log line with the fixed prefix of ``part``."""
+
+    part: str
+    level: str
+    text: str
+
+
+class StopCompleted(NamedTuple):
+    """The graceful stop is done; the process may exit with status 0."""
+
+    cut_off_requests: int
+
+
+Action = (
+    SendToBackendServer
+    | Drop
+    | DispatchRequest
+    | CancelAttempt
+    | AnswerCaller
+    | SendToPeer
+    | ApplyDocument
+    | AcquireLease
+    | ReleaseLease
+    | WatchStore
+    | RestoreDocument
+    | PollReport
+    | Log
+    | StopCompleted
+)
--- /dev/null
+++ b/src/redwingswitch/_internal/models/members.py
@@ -0,0 +1,76 @@
+"""Entry hosts as their peers see them."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+
+class MemberState(IntEnum):
+    """State of an entry host, ordered by precedence at equal incarnation."""
+
+    ALIVE = 0
+    SUSPECTED = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class MemberUpdate(NamedTuple):
+    """One piggybacked statement about a host."""
+
+    host: str
+    failure_domain: str
+    incarnation: int
+    state: MemberState
+
+
+class NeededRevision(NamedTuple):
+    """The oldest revision whose table a host's records still need, for one service."""
+
+    service_id: int
+    revision: int
+
+
+class WaitEstimate(NamedTuple):
+    """The wait that a dispatcher expects for new short work of one service."""
+
+    service_id: int
+    wait_ms: int
+
+
+class HostDigest(NamedTuple):
+    """What a host states about itself in each heartbeat.
+
+    ``ejected_servers`` holds wire ids. ``abstaining`` is true while the host grants no claims.
+    """
+
+    revision: int = 0
+    revision_digest: str = ""
+    needed_revisions: tuple[NeededRevision, ...] = ()
+    wait_estimates: tuple[WaitEstimate, ...] = ()
+    ejected_servers: tuple[int, ...] = ()
+    abstaining: bool = False
+
+
+class MemberView(NamedTuple):
+    """One host in a membership view."""
+
+    host: str
+    failure_domain: str
+    incarnation: int
+    state: MemberState
+    digest: HostDigest
+
+
+class MembershipView(NamedTuple):
+    """The hosts this host knows, itself included, sorted by name."""
+
+    members: tuple[MemberView, ...]
+
+    def serving(self) -> tuple[MemberView, ...]:
+        """Return the hosts that may own buckets and dispatch: alive or merely suspected."""
+        return tuple(m for m in self.members if m.state <= MemberState.SUSPECTED)
+
+    def find(self, host: str) -> MemberView | None:
+        """Return the view of ``host``, or None when it is not known."""
+        return next((m for m in self.members if m.host == host), None)
--- /dev/null
+++ b/src/redwingswitch/_internal/models/messages.py
@@ -0,0 +1,200 @@
+"""Messages between entry hosts.
+
+On the wire a message is a msgpack array: schema version, sender, incarnation, kind, fields. A field
+may be added at the end of a model with a default; older receivers ignore it.
+"""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.identifiers import CallerAddress, FlowKey, PacketKind
+from redwingswitch._internal.models.members import HostDigest, MemberUpdate
+from redwingswitch._internal.models.requests import RequestHeader
+
+MESSAGE_SCHEMA_VERSION = 1
+RECORD_HASH_BYTES = 8
+MAX_HOPS = 2
+
+
+class Ping(NamedTuple):
+    """Asks for an ``Ack``; ``on_behalf_of`` names the host an indirect probe is for."""
+
+    sequence: int
+    updates: tuple[MemberUpdate, ...]
+    digest: HostDigest
+    on_behalf_of: str = ""
+
+
+class Ack(NamedTuple):
+    """Answers a ``Ping``; ``subject`` is the host that is shown to be alive."""
+
+    sequence: int
+    subject: str
+    updates: tuple[MemberUpdate, ...]
+    digest: HostDigest
+
+
+class PingRequest(NamedTuple):
+    """Asks the receiver to probe ``target`` for the sender."""
+
+    sequence: int
+    target: str
+
+
+class RevisionOffer(NamedTuple):
+    """Tells a peer which configuration revision the sender holds."""
+
+    revision: int
+    digest: str
+
+
+class RevisionRequest(NamedTuple):
+    """Asks for the sender's document when it is newer than ``known_revision``."""
+
+    known_revision: int
+
+
+class RevisionDocument(NamedTuple):
+    """Carries an accepted document to a peer."""
+
+    document: Document
+
+
+class BatchPurpose(IntEnum):
+    """Why records are sent."""
+
+    REPLICA = 0
+    HAND_OVER = 1
+
+
+class RecordGroup(NamedTuple):
+    """Flow hashes that share a backend server, 8 bytes each, big-endian, concatenated."""
+
+    backend_server_id: int
+    hashes: bytes
+
+
+class RecordBatch(NamedTuple):
+    """Flow records of one service whose backend server differs from the oldest table's."""
+
+    service_id: int
+    sequence: int
+    purpose: BatchPurpose
+    groups: tuple[RecordGroup, ...]
+
+
+class RecordBatchAck(NamedTuple):
+    """Confirms that a batch was stored."""
+
+    sequence: int
+
+
+class RecordQuery(NamedTuple):
+    """Asks whether the receiver has a record of a flow."""
+
+    service_id: int
+    flow_hash: int
+
+
+class RecordReply(NamedTuple):
+    """Answers a ``RecordQuery``; ``backend_server_id`` is 0 when there is no record."""
+
+    service_id: int
+    flow_hash: int
+    backend_server_id: int
+
+
+class ForwardedPacket(NamedTuple):
+    """A caller's packet on its way to the owner of its bucket."""
+
+    flow: FlowKey
+    flow_hash: int
+    kind: PacketKind
+    hops: int
+    payload: bytes
+
+
+class ForwardedRequest(NamedTuple):
+    """A request (or one part of it) on its way to its collecting host or dispatcher."""
+
+    header: RequestHeader
+    body: bytes
+    caller: CallerAddress
+    hops: int
+
+
+class ClaimDecision(IntEnum):
+    """A witness's answer to a claim."""
+
+    GRANTED = 0
+    HELD = 1
+    ABSTAINS = 2
+    STALE_HOST_SET = 3
+
+
+class ClaimRequest(NamedTuple):
+    """Asks a witness to grant a request id to the sender.
+
+    ``host_set_revision`` is the revision that last changed the declared entry hosts.
+    """
+
+    request_id: bytes
+    host_set_revision: int
+
+
+class ClaimReply(NamedTuple):
+    """Answers a ``ClaimRequest``; the holder fields are set for ``HELD``."""
+
+    request_id: bytes
+    decision: ClaimDecision
+    holder: str = ""
+    holder_incarnation: int = 0
+    host_set_revision: int = 0
+
+
+class CancelRequest(NamedTuple):
+    """Passes a caller's cancellation on to the dispatcher."""
+
+    service: str
+    request_id: bytes
+
+
+PeerMessage = (
+    Ping
+    | Ack
+    | PingRequest
+    | RevisionOffer
+    | RevisionRequest
+    | RevisionDocument
+    | RecordBatch
+    | RecordBatchAck
+    | RecordQuery
+    | RecordReply
+    | ForwardedPacket
+    | ForwardedRequest
+    | ClaimRequest
+    | ClaimReply
+    | CancelRequest
+)
+
+# The position of a type is its kind on the wire; append new types at the end.
+MESSAGE_TYPES: tuple[type[PeerMessage], ...] = (
+    Ping,
+    Ack,
+    PingRequest,
+    RevisionOffer,
+    RevisionRequest,
+    RevisionDocument,
+    RecordBatch,
+    RecordBatchAck,
+    RecordQuery,
+    RecordReply,
+    ForwardedPacket,
+    ForwardedRequest,
+    ClaimRequest,
+    ClaimReply,
+    CancelRequest,
+)
--- /dev/null
+++ b/src/redwingswitch/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters between sockets and the decision parts."""
--- /dev/null
+++ b/src/redwingswitch/_internal/ports.py
@@ -0,0 +1,115 @@
+"""Protocols of everything that varies between a daemon, a test and an embedder."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple, Protocol, TypeVar
+
+from redwingswitch._internal.models.actions import Action
+from redwingswitch._internal.models.events import ListedHost
+from redwingswitch._internal.models.messages import PeerMessage
+from redwingswitch._internal.models.requests import BackendReport
+
+T = TypeVar("T")
+
+
+class Clock(Protocol):
+    """A monotonic clock of one host."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since an arbitrary point; never goes back."""
+
+
+class RandomSource(Protocol):
+    """The methods of ``random.Random`` that the decision parts use."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to, not including, 1."""
+
+    def randrange(self, stop: int, /) -> int:
+        """Return an integer from 0 up to, not including, ``stop``."""
+
+    def shuffle(self, x: list[T], /) -> None:
+        """Shuffle a list in place."""
+
+    def getrandbits(self, k: int, /) -> int:
+        """Return an integer of ``k`` random bits."""
+
+
+class StoredValue(NamedTuple):
+    """A value in the key-value service; ``version`` rises with each write to the key."""
+
+    value: bytes
+    version: int
+
+
+class KeyVersion(NamedTuple):
+    """A key and the version it is expected to have; 0 means that it must not exist."""
+
+    key: str
+    version: int
+
+
+class GrantedLease(NamedTuple):
+    """A lease in the key-value service and the version of the key it holds."""
+
+    lease_id: int
+    key_version: int
+
+
+class ConfigStore(Protocol):
+    """The platform's key-value service.
+
+    Every method raises ``StoreUnavailableError`` when the call certainly had no effect (or reads
+    nothing), and ``StoreOutcomeUnknownError`` when a write may have taken effect.
+    """
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of ``key``, or None when it does not exist."""
+
+    async def compare_and_swap(
+        self, *, key: str, value: bytes, expected: Sequence[KeyVersion]
+    ) -> int | None:
+        """Write ``value`` if every expectation holds; return the new version, or None."""
+
+    async def acquire_lease(self, *, key: str, holder: str, ttl_ms: int) -> GrantedLease | None:
+        """Create ``key`` under a new lease; return None while another holder has it."""
+
+    async def renew_lease(self, lease: GrantedLease) -> bool:
+        """Extend a lease; return False when it has lapsed."""
+
+    async def release_lease(self, lease: GrantedLease) -> None:
+        """Give a lease up, and with it the key."""
+
+    async def watch(
+        self, key: str, *, after_version: int, on_value: Callable[[StoredValue], None]
+    ) -> None:
+        """Call ``on_value`` for each later value until cancelled or the store fails."""
+
+
+class HostList(Protocol):
+    """The platform's lagging list of hosts."""
+
+    async def read(self) -> Sequence[ListedHost]:
+        """Return the hosts that the platform lists now."""
+
+
+class BackendHealthSource(Protocol):
+    """The load endpoint of a backend server."""
+
+    async def read(self, backend_server: str) -> BackendReport | None:
+        """Return the latest report, or None when the endpoint did not answer."""
+
+
+class PeerTransport(Protocol):
+    """Authenticated messages between entry hosts."""
+
+    def send(self, host: str, message: PeerMessage) -> bool:
+        """Queue a message; return False when the host is unknown or its queue is full."""
+
+
+class ActionSink(Protocol):
+    """A driver that carries actions out."""
+
+    def perform(self, actions: Sequence[Action]) -> Awaitable[None] | None:
+        """Carry the actions out in order."""
--- /dev/null
+++ b/src/redwingswitch/_internal/report/__init__.py
@@ -0,0 +1,1 @@
+"""The report on service-level burn."""
--- /dev/null
+++ b/src/redwingswitch/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers without knowledge of the product."""
