--- /dev/null
+++ b/src/redwingswitch/_internal/report/burn.py
@@ -0,0 +1,139 @@
+"""Error budgets and burn rates.
+
+Burn rate and the pairing of a long with a short window follow the published practice of alerting on
+service-level objectives (The Site Reliability Workbook, chapter 5).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from enum import IntEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.models.configuration import Objectives, Service
+from redwingswitch._internal.report.indicators import Indicator, Measure
+
+# Share of intervals in which the busy slots may be unbalanced.
+IMBALANCE_RATIO = 0.05
+
+
+class Severity(IntEnum):
+    """How urgent a row is, in rising order."""
+
+    OK = 0
+    BURNING = 1
+    EXHAUSTED = 2
+
+
+class Windows(NamedTuple):
+    """Lengths of the windows in seconds and the burn rate that counts as burning in both."""
+
+    short_s: int = 300
+    long_s: int = 3600
+    budget_s: int = 30 * 24 * 3600
+    burning_rate: float = 6.0
+
+
+class BurnRow(NamedTuple):
+    """Budget and burn of one service, failure domain and measure.
+
+    ``budget_left_ratio`` is 1 for an untouched budget and 0 or less for an exhausted one.
+    ``exhausted_in_s`` is None while the budget does not burn.
+    """
+
+    service: str
+    failure_domain: str
+    measure: Measure
+    objective_ratio: float
+    bad: float
+    total: float
+    budget_left_ratio: float
+    burn_short: float
+    burn_long: float
+    exhausted_in_s: int | None
+    severity: Severity
+
+
+class _Group(NamedTuple):
+    service: str
+    failure_domain: str
+    measure: Measure
+
+
+def burn_rows(
+    indicators: Iterable[Indicator],
+    *,
+    services: Sequence[Service],
+    windows: Windows,
+    now_ms: int,
+) -> list[BurnRow]:
+    """Return one row for each service, failure domain and measure with any events."""
+    objectives = {service.name: service.objectives for service in services}
+    grouped: dict[_Group, list[Indicator]] = {}
+    for item in indicators:
+        group = _Group(item.service, item.failure_domain, item.measure)
+        grouped.setdefault(group, []).append(item)
+    return [
+        _row(group, items, _objective(objectives[group.service], group.measure), windows, now_ms)
+        for group, items in sorted(grouped.items())
+    ]
+
+
+def _objective(objectives: Objectives, measure: Measure) -> float:
+    return {
+        Measure.BROKEN_FLOWS: objectives.broken_flows_ratio,
+        Measure.FAILED_REQUESTS: objectives.failed_requests_ratio,
+        Measure.SLOW_SHORT_REQUESTS: objectives.slow_short_requests_ratio,
+        Measure.IMBALANCE: IMBALANCE_RATIO,
+    }[measure]
+
+
+def _row(
+    group: _Group, items: list[Indicator], objective: float, windows: Windows, now_ms: int
+) -> BurnRow:
+    bad, total = _within(items, windows.budget_s, now_ms)
+    burn_short = _burn_rate(items, windows.short_s, objective, now_ms)
+    burn_long = _burn_rate(items, windows.long_s, objective, now_ms)
+    budget_left = 1.0 - (bad / total / objective if total else 0.0)
+    return BurnRow(
+        service=group.service,
+        failure_domain=group.failure_domain,
+        measure=group.measure,
+        objective_ratio=objective,
+        bad=bad,
+        total=total,
+        budget_left_ratio=budget_left,
+        burn_short=burn_short,
+        burn_long=burn_long,
+        exhausted_in_s=_exhausted_in_s(budget_left, burn_long, windows),
+        severity=_severity(budget_left, burn_short, burn_long, windows),
+    )
+
+
+def _within(items: Iterable[Indicator], window_s: int, now_ms: int) -> tuple[float, float]:
+    since_ms = now_ms - window_s * 1000
+    recent = [item for item in items if since_ms < item.at_ms <= now_ms]
+    return sum(item.bad for item in recent), sum(item.total for item in recent)
+
+
+def _burn_rate(items: Iterable[Indicator], window_s: int, objective: float, now_ms: int) -> float:
+    bad, total = _within(items, window_s, now_ms)
+    return bad / total / objective if total else 0.0
+
+
+def _exhausted_in_s(budget_left: float, burn_long: float, windows: Windows) -> int | None:
+    if budget_left <= 0:
+        return 0
+    if burn_long <= 0:
+        return None
+    return int(budget_left * windows.budget_s / burn_long)
+
+
+def _severity(
+    budget_left: float, burn_short: float, burn_long: float, windows: Windows
+) -> Severity:
+    if budget_left <= 0:
+        return Severity.EXHAUSTED
+    if min(burn_short, burn_long) >= windows.burning_rate:
+        return Severity.BURNING
+    return Severity.OK
--- /dev/null
+++ b/src/redwingswitch/_internal/report/indicators.py
@@ -0,0 +1,145 @@
+"""Turn scrapes into counts of good and bad events by service, failure domain and measure."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.models.configuration import Service, SizeClass
+from redwingswitch._internal.models.requests import Outcome
+from redwingswitch._internal.report import metric_names
+from redwingswitch._internal.report.scrapes import SampleKey, Scrape
+
+MIN_SERVERS_TO_COMPARE = 2
+
+
+class Measure(StrEnum):
+    """What an objective is about."""
+
+    BROKEN_FLOWS = "broken flows"
+    FAILED_REQUESTS = "failed requests"
+    SLOW_SHORT_REQUESTS = "slow short requests"
+    IMBALANCE = "imbalance"
+
+
+class Indicator(NamedTuple):
+    """Bad and total events of one measure between two scrapes, the later taken at ``at_ms``."""
+
+    service: str
+    failure_domain: str
+    measure: Measure
+    at_ms: int
+    bad: float
+    total: float
+
+
+class Interval(NamedTuple):
+    """Two consecutive scrapes of one host; ``earlier`` is None for the first one."""
+
+    earlier: Scrape | None
+    later: Scrape
+
+    def increase(self, key: SampleKey) -> float:
+        """Return how much a counter rose.
+
+        After a restart the counter began at zero, so that the later value is all of the increase;
+        events between the last scrape and the restart are not counted.
+        """
+        value = self.later.samples.get(key, 0.0)
+        if self.earlier is None:
+            return 0.0
+        if self.earlier.incarnation != self.later.incarnation:
+            return value
+        return max(0.0, value - self.earlier.samples.get(key, 0.0))
+
+
+def indicators(scrapes: Sequence[Scrape], services: Sequence[Service]) -> list[Indicator]:
+    """Return the indicators of all hosts, in order of time."""
+    result: list[Indicator] = []
+    for interval in _intervals(scrapes):
+        for service in services:
+            result += _of_service(interval, service)
+    return sorted(result, key=lambda indicator: indicator.at_ms)
+
+
+def _intervals(scrapes: Iterable[Scrape]) -> Iterator[Interval]:
+    last: dict[str, Scrape] = {}
+    for scrape in sorted(scrapes, key=lambda item: item.taken_ms):
+        yield Interval(last.get(scrape.host), scrape)
+        last[scrape.host] = scrape
+
+
+def _of_service(interval: Interval, service: Service) -> list[Indicator]:
+    counts = {
+        Measure.BROKEN_FLOWS: _broken_flows(interval, service),
+        Measure.FAILED_REQUESTS: _failed_requests(interval, service),
+        Measure.SLOW_SHORT_REQUESTS: _slow_short_requests(interval, service),
+        Measure.IMBALANCE: _imbalance(interval, service),
+    }
+    return [
+        Indicator(
+            service=service.name,
+            failure_domain=interval.later.failure_domain,
+            measure=measure,
+            at_ms=interval.later.taken_ms,
+            bad=bad,
+            total=total,
+        )
+        for measure, (bad, total) in counts.items()
+        if total > 0
+    ]
+
+
+def _keys(interval: Interval, name: str, service: Service) -> list[SampleKey]:
+    return [
+        key
+        for key in interval.later.samples
+        if key.name == name and key.label("service") == service.name
+    ]
+
+
+def _sum(interval: Interval, keys: Iterable[SampleKey]) -> float:
+    return sum(interval.increase(key) for key in keys)
+
+
+def _broken_flows(interval: Interval, service: Service) -> tuple[float, float]:
+    broken = _sum(interval, _keys(interval, metric_names.BROKEN_FLOWS, service))
+    opened = _sum(interval, _keys(interval, metric_names.FLOWS_OPENED, service))
+    return broken, max(opened, broken)
+
+
+def _failed_requests(interval: Interval, service: Service) -> tuple[float, float]:
+    keys = _keys(interval, metric_names.REQUESTS, service)
+    failed = [key for key in keys if key.label("outcome") != Outcome.ANSWERED]
+    return _sum(interval, failed), _sum(interval, keys)
+
+
+def _slow_short_requests(interval: Interval, service: Service) -> tuple[float, float]:
+    buckets = [
+        key
+        for key in _keys(interval, metric_names.REQUEST_LATENCY_BUCKET, service)
+        if key.label("size_class") == SizeClass.SHORT
+    ]
+    limit_ms = float(service.objectives.short_request_limit_ms)
+    total = _sum(interval, [key for key in buckets if float(key.label("le")) == float("inf")])
+    within = [key for key in buckets if limit_ms <= float(key.label("le")) < float("inf")]
+    if not within:
+        return 0.0, 0.0
+    # The smallest bucket bound at or above the limit counts a request slightly over the limit as
+    # within it, never the other way round.
+    nearest = min(within, key=lambda key: float(key.label("le")))
+    same_bound = [key for key in within if key.label("le") == nearest.label("le")]
+    return max(0.0, total - _sum(interval, same_bound)), total
+
+
+def _imbalance(interval: Interval, service: Service) -> tuple[float, float]:
+    busy = [
+        interval.later.samples[key] for key in _keys(interval, metric_names.BUSY_SLOTS, service)
+    ]
+    mean = sum(busy) / len(busy) if busy else 0.0
+    # With less than one busy slot a server, a single request is already an imbalance by ratio.
+    if len(busy) < MIN_SERVERS_TO_COMPARE or mean < 1.0:
+        return 0.0, 0.0
+    unbalanced = max(busy) / mean > service.objectives.imbalance_peak_over_mean
+    return float(unbalanced), 1.0
--- /dev/null
+++ b/src/redwingswitch/_internal/report/render.py
@@ -0,0 +1,81 @@
+"""Render burn rows as text for people and as JSON."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+
+from redwingswitch._internal.report.burn import BurnRow, Severity
+
+WIDTH_COLUMNS = 80
+_HEADINGS = ("service", "domain", "measure", "left", "short", "long", "gone in", "state")
+_LEFT_ALIGNED = (0, 1, 2, 7)
+_NAME_COLUMNS = (0, 1)
+_MIN_NAME_WIDTH = 8
+_SECONDS_PER_MINUTE = 60
+_SECONDS_PER_HOUR = 3600
+_SECONDS_PER_DAY = 86400
+
+
+def render_text(rows: Sequence[BurnRow]) -> str:
+    """Return an aligned table of at most 80 columns, worst rows first."""
+    if not rows:
+        return "No events were found in the scrapes; collect at least two of each entry host."
+    ordered = sorted(rows, key=lambda row: (-row.severity, -row.burn_long))
+    cells = [_HEADINGS, *(_cells(row) for row in ordered)]
+    widths = _widths(cells)
+    return "\n".join(_line(row, widths) for row in cells)
+
+
+def render_json(rows: Sequence[BurnRow]) -> str:
+    """Return the rows as a JSON array of objects."""
+    objects = [row._asdict() | {"severity": row.severity.name.lower()} for row in rows]
+    return msgspec.json.format(msgspec.json.encode(objects)).decode()
+
+
+def _cells(row: BurnRow) -> tuple[str, ...]:
+    return (
+        row.service,
+        row.failure_domain,
+        row.measure.value,
+        f"{row.budget_left_ratio:.0%}",
+        f"{row.burn_short:.1f}x",
+        f"{row.burn_long:.1f}x",
+        _duration(row.exhausted_in_s),
+        row.severity.name.lower(),
+    )
+
+
+def _duration(seconds: int | None) -> str:
+    if seconds is None:
+        return "-"
+    if seconds >= _SECONDS_PER_DAY:
+        return f"{seconds // _SECONDS_PER_DAY}d"
+    if seconds >= _SECONDS_PER_HOUR:
+        return f"{seconds // _SECONDS_PER_HOUR}h"
+    return f"{seconds // _SECONDS_PER_MINUTE}m"
+
+
+def _widths(cells: Sequence[Sequence[str]]) -> list[int]:
+    """Return column widths; long names are cut so that a line fits."""
+    widths = [max(len(row[column]) for row in cells) for column in range(len(_HEADINGS))]
+    while sum(widths) + len(widths) - 1 > WIDTH_COLUMNS:
+        widest = max(_NAME_COLUMNS, key=lambda column: widths[column])
+        if widths[widest] <= _MIN_NAME_WIDTH:
+            break
+        widths[widest] -= 1
+    return widths
+
+
+def _line(row: Sequence[str], widths: Sequence[int]) -> str:
+    parts = []
+    for column, (text, width) in enumerate(zip(row, widths, strict=True)):
+        cut = text[:width]
+        parts.append(cut.ljust(width) if column in _LEFT_ALIGNED else cut.rjust(width))
+    return " ".join(parts).rstrip()
+
+
+def worst(rows: Sequence[BurnRow]) -> Severity:
+    """Return the highest severity of any row."""
+    return max((row.severity for row in rows), default=Severity.OK)
--- /dev/null
+++ b/src/redwingswitch/_internal/report/scrapes.py
@@ -0,0 +1,90 @@
+"""Scrapes of the daemons' metrics: parsing, saving and loading them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from prometheus_client.parser import text_string_to_metric_families
+
+from redwingswitch._internal.exceptions import DecodeError
+
+FILE_SUFFIX = ".prom"
+IDENTITY_METRIC = "redwingswitch_host_info"
+
+
+class SampleKey(NamedTuple):
+    """Name and sorted labels of one sample."""
+
+    name: str
+    labels: tuple[tuple[str, str], ...]
+
+    def label(self, name: str) -> str:
+        """Return the value of a label, or an empty string."""
+        return dict(self.labels).get(name, "")
+
+
+class Scrape(NamedTuple):
+    """All samples of one daemon at one moment.
+
+    ``taken_ms`` is the wall clock of the machine that collects the scrapes, never a daemon's.
+    ``incarnation`` changes when the daemon restarts, and with it all its counters start at zero.
+    """
+
+    host: str
+    failure_domain: str
+    incarnation: str
+    taken_ms: int
+    samples: Mapping[SampleKey, float]
+
+
+def parse_scrape(text: str, *, taken_ms: int) -> Scrape:
+    """Parse the text exposition format of one daemon.
+
+    Raises ``DecodeError`` when the text is malformed or does not name its host.
+    """
+    try:
+        samples = dict(_samples(text))
+    except ValueError as error:
+        raise DecodeError(
+            f"the metrics text is malformed: {error}; scrape the host again"
+        ) from error
+    identity = next((key for key in samples if key.name == IDENTITY_METRIC), None)
+    if identity is None:
+        raise DecodeError(f"the metrics text lacks {IDENTITY_METRIC}; is this an entry host?")
+    return Scrape(
+        host=identity.label("host"),
+        failure_domain=identity.label("failure_domain"),
+        incarnation=identity.label("incarnation"),
+        taken_ms=taken_ms,
+        samples=samples,
+    )
+
+
+def save_scrape(directory: Path, text: str, scrape: Scrape) -> Path:
+    """Write a scrape's text under a name that carries its time and host."""
+    path = directory / f"{scrape.taken_ms}-{scrape.host}{FILE_SUFFIX}"
+    path.write_text(text, encoding="utf-8")
+    return path
+
+
+def load_scrapes(directory: Path) -> list[Scrape]:
+    """Read all saved scrapes of a directory, oldest first."""
+    return sorted(
+        (_load(path) for path in directory.glob(f"*{FILE_SUFFIX}")),
+        key=lambda scrape: (scrape.taken_ms, scrape.host),
+    )
+
+
+def _load(path: Path) -> Scrape:
+    taken, _, _ = path.name.partition("-")
+    if not taken.isdigit():
+        raise DecodeError(f"{path}: the name does not start with a time in ms; rename or remove it")
+    return parse_scrape(path.read_text(encoding="utf-8"), taken_ms=int(taken))
+
+
+def _samples(text: str) -> Iterable[tuple[SampleKey, float]]:
+    for family in text_string_to_metric_families(text):
+        for sample in family.samples:
+            yield SampleKey(sample.name, tuple(sorted(sample.labels.items()))), sample.value
