Add membership, backend health, convergence, lease and graceful stop

Cause: entry hosts need to know which peers and backend servers are usable and which configuration is the newest accepted one, also without the store.

AcquireLease and LeaseGranted carry asked_ms, because a late answer to an earlier call would otherwise extend a lease past its end at the store.

--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/digest_bounds.py
@@ -0,0 +1,59 @@
+"""Bounds on what a host states about itself in each heartbeat."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from redwingswitch._internal.models.members import HostDigest, NeededRevision, WaitEstimate
+
+DIGEST_ENTRIES = 64
+REVISION_DIGEST_CHARACTERS = 16
+OTHER_SERVICES_ID = 0
+
+
+def bound_digest(digest: HostDigest) -> HostDigest:
+    """Return ``digest`` within the wire bounds.
+
+    Needed revisions beyond the bound are merged into one entry for ``OTHER_SERVICES_ID`` with the
+    lowest of their revisions: peers may keep a table for longer, but never drop it too early. Of
+    the waits the shortest are kept, because only a short wait attracts work from elsewhere.
+    """
+    return digest._replace(
+        revision_digest=digest.revision_digest[:REVISION_DIGEST_CHARACTERS],
+        needed_revisions=_bound_needed(digest.needed_revisions),
+        wait_estimates=_shortest(digest.wait_estimates),
+        ejected_servers=digest.ejected_servers[:DIGEST_ENTRIES],
+    )
+
+
+def expand_digest(digest: HostDigest, service_ids: Iterable[int]) -> HostDigest:
+    """Replace the entry for ``OTHER_SERVICES_ID`` by one entry for each unnamed service."""
+    merged = [e.revision for e in digest.needed_revisions if e.service_id == OTHER_SERVICES_ID]
+    if not merged:
+        return digest
+    named = tuple(e for e in digest.needed_revisions if e.service_id != OTHER_SERVICES_ID)
+    known = {entry.service_id for entry in named}
+    others = (NeededRevision(each, min(merged)) for each in service_ids if each not in known)
+    return digest._replace(needed_revisions=named + tuple(others))
+
+
+def same_digest(left: str, right: str) -> bool:
+    """Compare two digests of a document, either of which may be shortened for the wire."""
+    length = min(len(left), len(right))
+    return left[:length] == right[:length]
+
+
+def _bound_needed(needed: tuple[NeededRevision, ...]) -> tuple[NeededRevision, ...]:
+    if len(needed) <= DIGEST_ENTRIES:
+        return needed
+    # The newest revisions are merged, so that the lowest of them stays as high as possible.
+    ordered = sorted(needed, key=lambda entry: entry.revision)
+    kept = ordered[: DIGEST_ENTRIES - 1]
+    lowest = ordered[DIGEST_ENTRIES - 1].revision
+    return (*kept, NeededRevision(OTHER_SERVICES_ID, lowest))
+
+
+def _shortest(waits: tuple[WaitEstimate, ...]) -> tuple[WaitEstimate, ...]:
+    if len(waits) <= DIGEST_ENTRIES:
+        return waits
+    return tuple(sorted(waits, key=lambda entry: entry.wait_ms)[:DIGEST_ENTRIES])
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/health.py
@@ -0,0 +1,168 @@
+"""Health of backend servers, from this host's own observations first and from reports as hints."""
+
+from __future__ import annotations
+
+import statistics
+
+from redwingswitch._internal.decisions.server_health import ServerHealth
+from redwingswitch._internal.models.actions import Action, PollReport
+from redwingswitch._internal.models.configuration import Configuration, ServerState, Service
+from redwingswitch._internal.models.requests import BackendReport, FailureKind
+from redwingswitch._internal.ports import RandomSource
+
+POLL_INTERVAL_MS = 1_000
+# Spreads the polls of large fleets; above 32 servers each is polled less often than every second.
+MIN_POLL_SPACING_MS = 31
+LATENCY_OUTLIER_RATIO = 8.0
+LATENCY_OUTLIER_WEIGHT = 0.25
+MIN_COMPARED_SERVERS = 3
+
+
+class BackendHealth:
+    """Decides which backend servers of the configuration may get new work, and how much.
+
+    Unknown names are treated as servers that may get none.
+    """
+
+    def __init__(self, *, random_source: RandomSource) -> None:
+        self._random = random_source
+        self._servers: dict[str, ServerHealth] = {}
+        self._by_service: dict[str, list[ServerHealth]] = {}
+        self._poll_order: list[str] = []
+        self._next_poll_ms: int | None = None
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Take a revision's servers; those that are new since an earlier one start slowly."""
+        first = not self._servers
+        previous = self._servers
+        self._servers = {}
+        self._by_service = {}
+        for service in configuration.services:
+            self._take_service(service, previous, first, now_ms)
+        self._poll_order = [name for name in self._poll_order if name in self._servers]
+        if self._next_poll_ms is None:
+            self._next_poll_ms = now_ms + self._random.randrange(POLL_INTERVAL_MS)
+        return []
+
+    def on_success(self, server: str, latency_ms: int, now_ms: int) -> list[Action]:
+        """Note a whole answer, or an accepted connection."""
+        health = self._servers.get(server)
+        if health is not None:
+            health.on_success(latency_ms, now_ms)
+        return []
+
+    def on_failure(self, server: str, kind: FailureKind, now_ms: int) -> list[Action]:
+        """Note a failed attempt; eject the server after several in a row, within the bound.
+
+        A shed is an answer of a live server: it only makes one slot count as busy for a while.
+        """
+        health = self._servers.get(server)
+        if health is None:
+            return []
+        if kind == FailureKind.SHED:
+            health.on_shed(now_ms)
+            return []
+        health.on_failure(now_ms, may_eject=self._may_eject(health, now_ms))
+        return []
+
+    def on_dispatched(self, server: str, now_ms: int) -> None:
+        """Note that an attempt was started, so that an ejected server gets one probe at a time."""
+        health = self._servers.get(server)
+        if health is not None:
+            health.on_dispatched(now_ms)
+
+    def on_report(self, report: BackendReport, now_ms: int) -> list[Action]:
+        """Take a report as a hint that is forgotten after 5 s."""
+        health = self._servers.get(report.backend_server)
+        if health is not None:
+            health.on_report(report, now_ms)
+        return []
+
+    def on_report_failed(self, server: str, now_ms: int) -> list[Action]:
+        """Ignore a silent load endpoint: its last report expires, and says nothing by itself."""
+        return []
+
+    def ejected(self, now_ms: int) -> frozenset[str]:
+        """Return the servers that get no new work until a probe has succeeded."""
+        for health in self._servers.values():
+            health.refresh(now_ms)
+        return frozenset(name for name, health in self._servers.items() if health.is_ejected)
+
+    def may_dispatch(self, server: str, idempotent: bool, now_ms: int) -> bool:
+        """Tell whether the server may get a request now, as ordinary work or as the one probe."""
+        health = self._servers.get(server)
+        if health is None:
+            return False
+        health.refresh(now_ms)
+        return health.may_dispatch(idempotent, now_ms)
+
+    def slots(self, server: str, now_ms: int) -> int:
+        """Return how many requests the server may run; never more than its slots in the file."""
+        health = self._servers.get(server)
+        if health is None:
+            return 0
+        health.refresh(now_ms)
+        return health.slots(now_ms)
+
+    def weight(self, server: str, now_ms: int) -> float:
+        """Return the share of new work, from 0 to 1, that the server is to get."""
+        health = self._servers.get(server)
+        if health is None or not self.may_dispatch(server, True, now_ms):
+            return 0.0
+        outlier = LATENCY_OUTLIER_WEIGHT if self._is_latency_outlier(health) else 1.0
+        return health.weight(now_ms) * outlier
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when the next report is to be asked for."""
+        return self._next_poll_ms if self._servers else None
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Ask one server for a report; all servers get their turn."""
+        if self._next_poll_ms is None or now_ms < self._next_poll_ms or not self._servers:
+            return []
+        spacing_ms = max(MIN_POLL_SPACING_MS, POLL_INTERVAL_MS // len(self._servers))
+        self._next_poll_ms = now_ms + spacing_ms
+        if not self._poll_order:
+            self._poll_order = list(self._servers)
+            self._random.shuffle(self._poll_order)
+        return [PollReport(self._poll_order.pop())]
+
+    def _take_service(
+        self, service: Service, previous: dict[str, ServerHealth], first: bool, now_ms: int
+    ) -> None:
+        rows = self._by_service.setdefault(service.name, [])
+        for server in service.backend_servers:
+            health = previous.get(server.name)
+            if health is None:
+                health = ServerHealth(random_source=self._random)
+            health.configure(server, probed_by_requests=_has_idempotent(service))
+            health.take_state(server.state, slow_start=not first, now_ms=now_ms)
+            self._servers[server.name] = health
+            rows.append(health)
+        self._keep_ejection_bound(rows, now_ms)
+
+    def _keep_ejection_bound(self, rows: list[ServerHealth], now_ms: int) -> None:
+        """Take servers back when fewer active ones are left than the ejections allow."""
+        active = [health for health in rows if health.state == ServerState.ACTIVE]
+        ejected = sorted((h for h in active if h.is_ejected), key=lambda h: h.probe_from_ms)
+        for health in ejected[: max(0, len(ejected) - len(active) // 2)]:
+            health.readmit_on_trial(now_ms)
+
+    def _may_eject(self, subject: ServerHealth, now_ms: int) -> bool:
+        rows = self._by_service[subject.service]
+        for health in rows:
+            health.refresh(now_ms)
+        active = [health for health in rows if health.state == ServerState.ACTIVE]
+        ejected = sum(1 for health in active if health.is_ejected and health is not subject)
+        return ejected < len(active) // 2
+
+    def _is_latency_outlier(self, subject: ServerHealth) -> bool:
+        rows = self._by_service[subject.service]
+        compared = [health.latency_ms for health in rows if health.latency_ms is not None]
+        if subject.latency_ms is None or len(compared) < MIN_COMPARED_SERVERS:
+            return False
+        return subject.latency_ms > LATENCY_OUTLIER_RATIO * max(1.0, statistics.median(compared))
+
+
+def _has_idempotent(service: Service) -> bool:
+    return service.takes_requests and service.idempotent
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/lease.py
@@ -0,0 +1,115 @@
+"""A lease in the store, held by the deadline on the local clock."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.actions import AcquireLease, Action, ReleaseLease
+from redwingswitch._internal.models.events import LeaseGranted
+from redwingswitch._internal.ports import RandomSource
+
+RENEWALS_PER_TTL = 3
+# Covers the drift between the local clock and the store's clock during one lease.
+SAFETY_MARGIN_RATIO = 0.1
+JITTER = 0.2
+FIRST_RETRY_MS = 500
+LAST_RETRY_MS = 4_000
+
+
+class LeaseHolder:
+    """Takes, renews and gives up one lease.
+
+    The lease counts from the moment it was asked for, never from the answer, so that it ends here
+    before it ends at the store. A holder that was paused therefore finds on waking that it no
+    longer holds the lease. Writes that the lease protects must carry ``fencing_version``, which
+    the store compares, because a pause can also fall between the check and the write.
+    """
+
+    def __init__(self, *, key: str, holder: str, ttl_ms: int, random_source: RandomSource) -> None:
+        self._key = key
+        self._holder = holder
+        self._ttl_ms = ttl_ms
+        self._random = random_source
+        self._wanted = False
+        self._held_until_ms: int | None = None
+        self._released_ms: int | None = None
+        self._granted_asked_ms = -1
+        self._next_ask_ms: int | None = None
+        self._failures = 0
+        self._fencing_version: int | None = None
+
+    @property
+    def fencing_version(self) -> int | None:
+        """Return the version of the lease key at the last grant, or None before the first one."""
+        return self._fencing_version
+
+    def holds(self, now_ms: int) -> bool:
+        """Tell whether the lease is certainly still held."""
+        return self._held_until_ms is not None and now_ms < self._held_until_ms
+
+    def held_until_ms(self) -> int | None:
+        """Return when the lease ends unless it is renewed."""
+        return self._held_until_ms
+
+    def want(self, now_ms: int, *, delay_ms: int = 0) -> None:
+        """Ask for the lease from ``delay_ms`` on, and keep it once it is granted."""
+        if not self._wanted:
+            self._wanted = True
+            self._next_ask_ms = now_ms + delay_ms
+
+    def release(self, now_ms: int) -> list[Action]:
+        """Give the lease up and stop asking for it."""
+        self._wanted = False
+        self._next_ask_ms = None
+        self._released_ms = now_ms
+        if self._held_until_ms is None:
+            return []
+        self._held_until_ms = None
+        return [ReleaseLease(self._key)]
+
+    def on_granted(self, event: LeaseGranted, now_ms: int) -> list[Action]:
+        """Take a grant; one that answers a call from before a release is given back."""
+        if not self._wanted or event.asked_ms <= (self._released_ms or -1):
+            return [] if self._wanted else [ReleaseLease(self._key)]
+        if event.asked_ms < self._granted_asked_ms:
+            return []
+        self._granted_asked_ms = event.asked_ms
+        self._fencing_version = event.fencing_version
+        self._held_until_ms = event.asked_ms + int(self._ttl_ms * (1 - SAFETY_MARGIN_RATIO))
+        self._failures = 0
+        self._next_ask_ms = max(now_ms, event.asked_ms + self._jittered(self._renewal_ms()))
+        return []
+
+    def on_refused(self, now_ms: int) -> list[Action]:
+        """Note that another host holds the lease, or that a renewal came too late."""
+        self._held_until_ms = None
+        if self._wanted:
+            self._next_ask_ms = now_ms + self._jittered(self._renewal_ms())
+        return []
+
+    def on_unavailable(self, now_ms: int) -> list[Action]:
+        """Note that the store failed; ask again after a doubling backoff."""
+        backoff_ms = min(LAST_RETRY_MS, FIRST_RETRY_MS << min(self._failures, 8))
+        self._failures += 1
+        if self._wanted:
+            self._next_ask_ms = now_ms + self._jittered(backoff_ms)
+        return []
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when to ask next, or when the lease ends."""
+        deadlines = (self._next_ask_ms, self._held_until_ms)
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Drop a lapsed lease and ask for the lease when that is due."""
+        if self._held_until_ms is not None and now_ms >= self._held_until_ms:
+            self._held_until_ms = None
+        if self._next_ask_ms is None or now_ms < self._next_ask_ms:
+            return []
+        # An answer sets an earlier time; this one applies when no answer ever comes.
+        self._next_ask_ms = now_ms + self._jittered(self._ttl_ms)
+        return [AcquireLease(self._key, self._holder, self._ttl_ms, now_ms)]
+
+    def _renewal_ms(self) -> int:
+        return self._ttl_ms // RENEWALS_PER_TTL
+
+    def _jittered(self, delay_ms: int) -> int:
+        return int(delay_ms * (1 - JITTER * self._random.random()))
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/member_table.py
@@ -0,0 +1,209 @@
+"""The members a host knows, the precedence of statements about them, and what to pass on."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+
+from redwingswitch._internal.models.members import HostDigest, MemberState, MemberUpdate
+
+MEMBER_LIMIT = 1_024
+SUSPICION_MS = 1_500
+REMOVAL_MS = 3_600_000
+GOSSIP_FACTOR = 3
+PRESUMED_INCARNATION = 0
+
+
+class Member:
+    """One host as the local host knows it.
+
+    A host that is only listed, and was never heard of, is presumed alive at incarnation 0, which is
+    lower than any real one.
+    """
+
+    __slots__ = (
+        "digest",
+        "failure_domain",
+        "host",
+        "incarnation",
+        "introduced_incarnation",
+        "remove_at_ms",
+        "state",
+        "suspicion_deadline_ms",
+        "suspicion_shortened",
+    )
+
+    def __init__(self, *, host: str, failure_domain: str, incarnation: int) -> None:
+        self.host = host
+        self.failure_domain = failure_domain
+        self.incarnation = incarnation
+        self.state = MemberState.ALIVE
+        self.digest = HostDigest()
+        self.introduced_incarnation = -1
+        self.suspicion_deadline_ms: int | None = None
+        self.suspicion_shortened = False
+        self.remove_at_ms: int | None = None
+
+    def update(self) -> MemberUpdate:
+        """Return the statement that passes this member on to peers."""
+        return MemberUpdate(self.host, self.failure_domain, self.incarnation, self.state)
+
+    def introduced(self) -> bool:
+        """Tell whether this incarnation of the member has acknowledged a probe of ours."""
+        return self.introduced_incarnation == self.incarnation
+
+
+class MemberTable:
+    """All members except the local host, with the queue of statements still to be passed on.
+
+    A statement replaces another one about the same host when its incarnation is higher, or equal
+    with a state of higher precedence (SWIM, section 4.2 of Das, Gupta, Motivala, DSN 2002).
+    """
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self._sends_left: dict[str, int] = {}
+        self._turn = 0
+        self.refused_members = 0
+        self.changed = True
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __iter__(self) -> Iterator[Member]:
+        return iter(self._members.values())
+
+    def get(self, host: str) -> Member | None:
+        """Return the member named ``host``, or None."""
+        return self._members.get(host)
+
+    def add(self, *, host: str, failure_domain: str) -> Member | None:
+        """Return the member, presumed alive when it is new; None when the table is full."""
+        member = self._members.get(host)
+        if member is not None:
+            member.failure_domain = failure_domain or member.failure_domain
+            return member
+        if len(self._members) >= MEMBER_LIMIT:
+            self.refused_members += 1
+            return None
+        member = Member(host=host, failure_domain=failure_domain, incarnation=PRESUMED_INCARNATION)
+        self._members[host] = member
+        self.changed = True
+        return member
+
+    def apply(self, update: MemberUpdate, now_ms: int) -> bool:
+        """Take a statement if it has precedence; return whether it changed anything."""
+        member = self._members.get(update.host)
+        if member is None:
+            member = self._add_stated(update)
+        elif (update.incarnation, update.state) <= (member.incarnation, member.state):
+            return False
+        if member is None:
+            return False
+        self._set(member, update.incarnation, update.state, now_ms)
+        self.pass_on(member.host)
+        return True
+
+    def suspect(self, member: Member, now_ms: int) -> bool:
+        """Start a suspicion; a leaving member keeps its state. Return whether it is new."""
+        if member.suspicion_deadline_ms is not None or member.state == MemberState.DEAD:
+            return False
+        if member.state == MemberState.ALIVE:
+            return self.apply(member.update()._replace(state=MemberState.SUSPECTED), now_ms)
+        member.suspicion_deadline_ms = now_ms + SUSPICION_MS
+        member.suspicion_shortened = False
+        return True
+
+    def shorten_suspicion(self, member: Member) -> None:
+        """Halve the length of a suspicion, once."""
+        if member.suspicion_deadline_ms is None or member.suspicion_shortened:
+            return
+        member.suspicion_deadline_ms -= SUSPICION_MS // 2
+        member.suspicion_shortened = True
+
+    def restart_suspicions(self, now_ms: int) -> None:
+        """Give suspected members the whole time again, after the local host was paused."""
+        for member in self:
+            if member.suspicion_deadline_ms is not None:
+                member.suspicion_deadline_ms = now_ms + SUSPICION_MS
+
+    def heard_directly(self, member: Member, incarnation: int, now_ms: int) -> None:
+        """Take a message from the member itself as a sign of life."""
+        if incarnation > member.incarnation:
+            stated = member.update()._replace(incarnation=incarnation, state=MemberState.ALIVE)
+            self.apply(stated, now_ms)
+        if member.state == MemberState.LEAVING:
+            member.suspicion_deadline_ms = None
+
+    def set_digest(self, member: Member, digest: HostDigest) -> None:
+        """Keep what the member states about itself."""
+        if member.digest != digest:
+            member.digest = digest
+            self.changed = True
+
+    def expire(self, now_ms: int, *, listed: frozenset[str]) -> None:
+        """Turn expired suspicions into deaths and remove members that are dead for long."""
+        for member in list(self):
+            self._expire_suspicion(member, now_ms)
+            self._expire_member(member, now_ms, listed=listed)
+
+    def suspicion_deadline_ms(self) -> int | None:
+        """Return the earliest end of a suspicion."""
+        deadlines = [m.suspicion_deadline_ms for m in self if m.suspicion_deadline_ms is not None]
+        return min(deadlines, default=None)
+
+    def pass_on(self, host: str) -> None:
+        """Queue the statement about ``host`` for a bounded number of sends."""
+        self._sends_left[host] = GOSSIP_FACTOR * math.ceil(math.log2(len(self._members) + 2))
+
+    def take_queued(self, count: int, *, excluded: frozenset[str]) -> list[str]:
+        """Return hosts whose statements are due, the least sent first, and count the sends."""
+        waiting = [host for host in self._sends_left if host not in excluded]
+        waiting.sort(key=lambda host: -self._sends_left[host])
+        chosen = waiting[:count]
+        for host in chosen:
+            self._count_send(host)
+        return chosen
+
+    def next_in_turn(self) -> Member | None:
+        """Return the members one after the other, to repair statements that were all lost."""
+        if not self._members:
+            return None
+        self._turn = (self._turn + 1) % len(self._members)
+        return list(self._members.values())[self._turn]
+
+    def _add_stated(self, update: MemberUpdate) -> Member | None:
+        if update.state == MemberState.DEAD:
+            # Otherwise hosts that remove a dead member at different times pass it on for ever.
+            return None
+        return self.add(host=update.host, failure_domain=update.failure_domain)
+
+    def _set(self, member: Member, incarnation: int, state: MemberState, now_ms: int) -> None:
+        if member.state == MemberState.DEAD:
+            # A host that comes back may be a new process, which has not applied any revision yet.
+            member.digest = HostDigest()
+        member.incarnation = incarnation
+        member.state = state
+        suspected = state == MemberState.SUSPECTED
+        member.suspicion_deadline_ms = now_ms + SUSPICION_MS if suspected else None
+        member.suspicion_shortened = False
+        member.remove_at_ms = now_ms + REMOVAL_MS if state == MemberState.DEAD else None
+        self.changed = True
+
+    def _expire_suspicion(self, member: Member, now_ms: int) -> None:
+        deadline_ms = member.suspicion_deadline_ms
+        if deadline_ms is not None and now_ms >= deadline_ms:
+            self.apply(member.update()._replace(state=MemberState.DEAD), now_ms)
+
+    def _expire_member(self, member: Member, now_ms: int, *, listed: frozenset[str]) -> None:
+        if member.remove_at_ms is None or member.host in listed:
+            return
+        if now_ms >= member.remove_at_ms:
+            del self._members[member.host]
+            self._sends_left.pop(member.host, None)
+            self.changed = True
+
+    def _count_send(self, host: str) -> None:
+        self._sends_left[host] -= 1
+        if self._sends_left[host] <= 0:
+            del self._sends_left[host]
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/server_health.py
@@ -0,0 +1,197 @@
+"""The health of one backend server: failures in a row, ejection, probe, slow start, reports."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.configuration import BackendServer, ServerState
+from redwingswitch._internal.models.requests import BackendReport
+from redwingswitch._internal.ports import RandomSource
+
+FAILURES_TO_EJECT = 5
+FIRST_BACKOFF_MS = 1_000
+LAST_BACKOFF_MS = 30_000
+BACKOFF_JITTER = 0.2
+SLOW_START_MS = 10_000
+SLOW_START_FIRST_WEIGHT = 0.1
+REPORT_MS = 5_000
+# A server that stated that it drains and then fell silent is most likely stopping.
+DRAINING_STATEMENT_MS = 60_000
+# Without an idempotent request to probe with, a healthy report or time itself ends an ejection.
+REPORT_INSTEAD_OF_PROBE_MS = 5_000
+TRIAL_WITHOUT_PROBE_MS = 30_000
+PROBE_MS = 30_000
+SHED_MS = 1_000
+HINT_WEIGHT = 0.5
+LATENCY_SMOOTHING = 0.2
+
+
+class ServerHealth:
+    """What the local host knows about one backend server.
+
+    It is healthy, or ejected until the backoff ends, or waits for the one probe after that.
+    """
+
+    def __init__(self, *, random_source: RandomSource) -> None:
+        self._random = random_source
+        self._server: BackendServer | None = None
+        self._probed_by_requests = True
+        self.state: ServerState | None = None
+        self.latency_ms: float | None = None
+        self.is_ejected = False
+        self._failures_in_row = 0
+        self._ejections_in_row = 0
+        self.probe_from_ms = 0
+        self._probe_deadline_ms: int | None = None
+        self._slow_start_ms: int | None = None
+        self._shed_deadlines_ms: list[int] = []
+        self._report: BackendReport | None = None
+        self._report_deadline_ms = 0
+        self._draining_until_ms: int | None = None
+
+    @property
+    def service(self) -> str:
+        """Return the name of the server's service."""
+        return "" if self._server is None else self._server.service
+
+    def configure(self, server: BackendServer, *, probed_by_requests: bool) -> None:
+        """Take the server's entry; ``probed_by_requests`` if idempotent requests reach it."""
+        self._server = server
+        self._probed_by_requests = probed_by_requests
+
+    def take_state(self, state: ServerState, *, slow_start: bool, now_ms: int) -> None:
+        """Take the operators' intent; a server that becomes active starts slowly."""
+        became_active = state == ServerState.ACTIVE and self.state != ServerState.ACTIVE
+        if became_active and slow_start:
+            self._slow_start_ms = now_ms
+        if became_active:
+            self._draining_until_ms = None
+        self.state = state
+
+    def on_success(self, latency_ms: int, now_ms: int) -> None:
+        """Note an answer, which ends an ejection if it answers the probe."""
+        self._failures_in_row = 0
+        self._smooth(latency_ms)
+        if not self.is_ejected:
+            self._forgive(now_ms)
+        elif now_ms >= self.probe_from_ms:
+            self._readmit(now_ms)
+
+    def on_failure(self, now_ms: int, *, may_eject: bool) -> None:
+        """Count a failure in a row; eject at the bound, or again when the probe failed."""
+        self._failures_in_row = min(FAILURES_TO_EJECT, self._failures_in_row + 1)
+        if self.is_ejected:
+            if now_ms >= self.probe_from_ms:
+                self._eject(now_ms)
+            return
+        if self._failures_in_row >= FAILURES_TO_EJECT and may_eject:
+            self._eject(now_ms)
+
+    def on_shed(self, now_ms: int) -> None:
+        """Count one slot as busy for a while."""
+        self._forget_sheds(now_ms)
+        if len(self._shed_deadlines_ms) < self._file_slots():
+            self._shed_deadlines_ms.append(now_ms + SHED_MS)
+
+    def on_dispatched(self, now_ms: int) -> None:
+        """Note an attempt; towards an ejected server it is the probe."""
+        if self.is_ejected:
+            self._probe_deadline_ms = now_ms + PROBE_MS
+
+    def on_report(self, report: BackendReport, now_ms: int) -> None:
+        """Keep a report until its deadline."""
+        self._report = report
+        self._report_deadline_ms = now_ms + REPORT_MS
+        self._draining_until_ms = now_ms + DRAINING_STATEMENT_MS if report.draining else None
+        self.refresh(now_ms)
+
+    def refresh(self, now_ms: int) -> None:
+        """Drop what has passed its deadline, and end an ejection that no probe can end."""
+        if self._probe_deadline_ms is not None and now_ms >= self._probe_deadline_ms:
+            self._probe_deadline_ms = None
+        if self.is_ejected and now_ms >= self._trial_from_ms(now_ms):
+            self.readmit_on_trial(now_ms)
+
+    def readmit_on_trial(self, now_ms: int) -> None:
+        """End an ejection without a proof of health: a single failure ejects again."""
+        self._readmit(now_ms)
+        self._failures_in_row = FAILURES_TO_EJECT - 1
+
+    def may_dispatch(self, idempotent: bool, now_ms: int) -> bool:
+        """Tell whether the server may get a request."""
+        if self.state != ServerState.ACTIVE or self._reports_draining(now_ms):
+            return False
+        if not self.is_ejected:
+            return True
+        probe_due = now_ms >= self.probe_from_ms and self._probe_deadline_ms is None
+        return idempotent and probe_due
+
+    def slots(self, now_ms: int) -> int:
+        """Return the usable slots: at most those in the file, one while a probe is due."""
+        if not self.may_dispatch(True, now_ms):
+            return 0
+        if self.is_ejected:
+            return min(1, self._file_slots())
+        self._forget_sheds(now_ms)
+        return min(self._file_slots(), max(1, self._file_slots() - len(self._shed_deadlines_ms)))
+
+    def weight(self, now_ms: int) -> float:
+        """Return the weight from slow start and fresh reports."""
+        hinted = HINT_WEIGHT if self._report_warns(now_ms) else 1.0
+        return hinted * self._slow_start_weight(now_ms)
+
+    def _eject(self, now_ms: int) -> None:
+        doubled_ms = min(LAST_BACKOFF_MS, FIRST_BACKOFF_MS << min(self._ejections_in_row, 8))
+        backoff_ms = int(doubled_ms * (1 - BACKOFF_JITTER * self._random.random()))
+        self._ejections_in_row += 1
+        self.is_ejected = True
+        self.probe_from_ms = now_ms + backoff_ms
+        self._probe_deadline_ms = None
+        self._slow_start_ms = None
+
+    def _readmit(self, now_ms: int) -> None:
+        self.is_ejected = False
+        self._probe_deadline_ms = None
+        self._slow_start_ms = now_ms
+
+    def _forgive(self, now_ms: int) -> None:
+        """Start the backoff from the beginning again after a whole slow start without ejection."""
+        if self._slow_start_ms is not None and now_ms >= self._slow_start_ms + SLOW_START_MS:
+            self._slow_start_ms = None
+            self._ejections_in_row = 0
+
+    def _trial_from_ms(self, now_ms: int) -> int:
+        if not self._report_is_fresh(now_ms) or self._report_warns(now_ms):
+            return self.probe_from_ms + TRIAL_WITHOUT_PROBE_MS
+        if self._probed_by_requests:
+            return self.probe_from_ms + REPORT_INSTEAD_OF_PROBE_MS
+        return self.probe_from_ms
+
+    def _report_is_fresh(self, now_ms: int) -> bool:
+        return self._report is not None and now_ms < self._report_deadline_ms
+
+    def _report_warns(self, now_ms: int) -> bool:
+        if self._report is None or self._server is None or not self._report_is_fresh(now_ms):
+            return False
+        return not self._report.healthy or (
+            self._report.open_connections >= self._server.connection_limit
+        )
+
+    def _reports_draining(self, now_ms: int) -> bool:
+        return self._draining_until_ms is not None and now_ms < self._draining_until_ms
+
+    def _slow_start_weight(self, now_ms: int) -> float:
+        if self._slow_start_ms is None:
+            return 1.0
+        share = min(1.0, (now_ms - self._slow_start_ms) / SLOW_START_MS)
+        return SLOW_START_FIRST_WEIGHT + (1 - SLOW_START_FIRST_WEIGHT) * share
+
+    def _smooth(self, latency_ms: int) -> None:
+        if self.latency_ms is None:
+            self.latency_ms = float(latency_ms)
+        else:
+            self.latency_ms += LATENCY_SMOOTHING * (latency_ms - self.latency_ms)
+
+    def _forget_sheds(self, now_ms: int) -> None:
+        self._shed_deadlines_ms = [each for each in self._shed_deadlines_ms if each > now_ms]
+
+    def _file_slots(self) -> int:
+        return 0 if self._server is None else self._server.slots
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/store_copy.py
@@ -0,0 +1,79 @@
+"""What a watcher knows of the document in the store, and when it writes a newer one back."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.actions import Action, RestoreDocument, WatchStore
+from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.ports import RandomSource
+
+FIRST_WATCH_RETRY_MS = 500
+LAST_WATCH_RETRY_MS = 4_000
+RESTORE_RETRY_MS = 2_000
+# A watch whose connection died without notice must not delay a change past its 9 s bound.
+REREAD_MS = 5_000
+JITTER = 0.2
+
+
+class StoreCopy:
+    """Watches while told to; watches again after a failure; restores by deadline."""
+
+    def __init__(self, *, random_source: RandomSource) -> None:
+        self._random = random_source
+        self._watching = False
+        self._failures = 0
+        self._next_watch_ms: int | None = None
+        self._revision: int | None = None
+        self._version = 0
+        self._next_restore_ms: int | None = None
+
+    def set_watching(self, watching: bool, now_ms: int) -> list[Action]:
+        """Start or stop the watch; what the store held is unknown after a stop."""
+        if watching == self._watching:
+            return []
+        self._watching = watching
+        self._next_watch_ms = now_ms + REREAD_MS if watching else None
+        self._revision = None
+        self._next_restore_ms = None
+        return [WatchStore(watching)]
+
+    def arrived(self, *, revision: int, version: int, now_ms: int) -> None:
+        """Note the revision and the key's version that the store delivered; 0 for no document."""
+        self._failures = 0
+        if self._watching:
+            self._next_watch_ms = now_ms + REREAD_MS
+        if version != self._version:
+            self._next_restore_ms = None
+        self._revision = revision
+        self._version = version
+
+    def unavailable(self, now_ms: int) -> None:
+        """Note that a call failed; the store may hold anything when it comes back."""
+        if not self._watching:
+            return
+        self._revision = None
+        backoff_ms = min(LAST_WATCH_RETRY_MS, FIRST_WATCH_RETRY_MS << min(self._failures, 8))
+        self._failures += 1
+        self._next_watch_ms = now_ms + int(backoff_ms * (1 - JITTER * self._random.random()))
+
+    def restore(self, document: Document, fencing_version: int, now_ms: int) -> list[Action]:
+        """Return the write that brings an older store up to ``document``, at most one at a time."""
+        if self._revision is None or self._revision >= document["revision"]:
+            self._next_restore_ms = None
+            return []
+        if self._next_restore_ms is not None and now_ms < self._next_restore_ms:
+            return []
+        self._next_restore_ms = now_ms + RESTORE_RETRY_MS
+        return [RestoreDocument(document, self._version, fencing_version)]
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when to watch again or to repeat a restoring write."""
+        pending_ms = self._next_restore_ms if self._revision is not None else None
+        deadlines = (self._next_watch_ms, pending_ms)
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Watch again when the watch was broken or has been silent for long."""
+        if self._next_watch_ms is None or now_ms < self._next_watch_ms:
+            return []
+        self._next_watch_ms = now_ms + REREAD_MS
+        return [WatchStore(True)]
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/transfers.py
@@ -0,0 +1,112 @@
+"""Transfers of the configuration document between entry hosts, one at a time in, paced out."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.actions import Action, SendToPeer
+from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.messages import RevisionDocument, RevisionRequest
+from redwingswitch._internal.ports import RandomSource
+
+REQUEST_JITTER_MS = 150
+TRANSFER_MS = 2_000
+# An empty host asks peers that may have no document either.
+UNSURE_MS = 500
+SOURCE_LIMIT = 8
+WAITING_LIMIT = 16
+SEND_SPACING_MS = 20
+SEND_BYTES_PER_MS = 10_000
+
+
+class IncomingTransfer:
+    """Asks one of the known sources for a newer document, again by deadline."""
+
+    def __init__(self, *, random_source: RandomSource) -> None:
+        self._random = random_source
+        self._sources: dict[str, int] = {}
+        self._near: frozenset[str] = frozenset()
+        self._asked: str | None = None
+        self._next_ms: int | None = None
+
+    def set_peers(self, *, near: frozenset[str], known: frozenset[str]) -> None:
+        """Forget sources that are gone; ``near`` ones are preferred."""
+        self._near = near
+        self._sources = {host: rev for host, rev in self._sources.items() if host in known}
+
+    def offer(self, source: str, revision: int, now_ms: int) -> None:
+        """Note that ``source`` has ``revision``, which is newer than the local one."""
+        if source not in self._sources and len(self._sources) >= SOURCE_LIMIT:
+            return
+        self._sources[source] = revision
+        if self._next_ms is None:
+            self._next_ms = self._soon(now_ms)
+
+    def adopted(self, revision: int, now_ms: int) -> None:
+        """Forget the sources that have nothing newer than ``revision``."""
+        self._sources = {host: rev for host, rev in self._sources.items() if rev > revision}
+        self._asked = None
+        self._next_ms = self._soon(now_ms) if self._sources else None
+
+    def declined(self, source: str, now_ms: int) -> None:
+        """Turn to another source at once when the one that was asked has nothing newer."""
+        self._sources.pop(source, None)
+        if self._asked == source:
+            self._asked = None
+            self._next_ms = self._soon(now_ms) if self._sources else None
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when to ask next."""
+        return self._next_ms
+
+    def on_timer(self, known_revision: int, now_ms: int) -> list[Action]:
+        """Ask a source, or another one when the transfer has passed its deadline."""
+        if self._next_ms is None or now_ms < self._next_ms:
+            return []
+        if self._asked is not None:
+            self._sources.pop(self._asked, None)
+        self._asked = self._choose()
+        if self._asked is None:
+            self._next_ms = None
+            return []
+        known_to_have = self._sources[self._asked] > known_revision
+        self._next_ms = self._soon(now_ms) + (TRANSFER_MS if known_to_have else UNSURE_MS)
+        return [SendToPeer(self._asked, RevisionRequest(known_revision))]
+
+    def _soon(self, now_ms: int) -> int:
+        return now_ms + self._random.randrange(REQUEST_JITTER_MS)
+
+    def _choose(self) -> str | None:
+        if not self._sources:
+            return None
+        newest = max(self._sources.values())
+        best = sorted(host for host, revision in self._sources.items() if revision == newest)
+        near = [host for host in best if host in self._near] or best
+        return near[self._random.randrange(len(near))]
+
+
+class OutgoingTransfers:
+    """Sends the document to the hosts that asked, spaced by its size."""
+
+    def __init__(self) -> None:
+        self._waiting: list[str] = []
+        self._next_ms: int | None = None
+
+    def ask(self, host: str, now_ms: int) -> None:
+        """Queue a host; beyond the bound it is left out and asks again by its own deadline."""
+        if host in self._waiting or len(self._waiting) >= WAITING_LIMIT:
+            return
+        self._waiting.append(host)
+        self._next_ms = max(now_ms, self._next_ms or now_ms)
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when the next document may be sent."""
+        return self._next_ms if self._waiting else None
+
+    def on_timer(self, document: Document | None, now_ms: int) -> list[Action]:
+        """Send the document to the next host."""
+        if not self._waiting or document is None:
+            return []
+        if self._next_ms is not None and now_ms < self._next_ms:
+            return []
+        spacing_ms = SEND_SPACING_MS + len(document["text"]) // SEND_BYTES_PER_MS
+        self._next_ms = now_ms + spacing_ms
+        return [SendToPeer(self._waiting.pop(0), RevisionDocument(document))]
--- a/src/redwingswitch/_internal/models/actions.py
+++ b/src/redwingswitch/_internal/models/actions.py
@@ -79,11 +79,16 @@
 
 
 class AcquireLease(NamedTuple):
-    """Try to take or renew the lease on ``key``; answer with LeaseGranted or LeaseRefused."""
+    """Try to take or renew the lease on ``key``; answer with LeaseGranted or LeaseRefused.
+
+    The driver copies ``asked_ms`` into LeaseGranted, so that a late answer is never taken for the
+    answer to a later call.
+    """
 
     key: str
     holder: str
     ttl_ms: int
+    asked_ms: int = 0
 
 
 class ReleaseLease(NamedTuple):
--- a/src/redwingswitch/_internal/models/events.py
+++ b/src/redwingswitch/_internal/models/events.py
@@ -99,10 +99,14 @@
 
 
 class LeaseGranted(NamedTuple):
-    """The store granted or renewed the watcher's lease; ``fencing_version`` fences its writes."""
+    """The store granted or renewed the watcher's lease; ``fencing_version`` fences its writes.
+
+    ``asked_ms`` is copied from the AcquireLease action that this event answers.
+    """
 
     lease_id: int
     fencing_version: int
+    asked_ms: int = 0
 
 
 class LeaseRefused(NamedTuple):
--- a/src/redwingswitch/_internal/models/members.py
+++ b/src/redwingswitch/_internal/models/members.py
@@ -24,6 +24,13 @@
     state: MemberState
 
 
+class Seed(NamedTuple):
+    """An entry host from the settings, asked before any configuration is known."""
+
+    host: str
+    failure_domain: str
+
+
 class NeededRevision(NamedTuple):
     """The oldest revision whose table a host's records still need, for one service."""
 
