Parse and check the operators' file

The cross checks cover names, references, wire ids, sockets, keys, services without an active backend server and domains without entry hosts.

--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/check.py
@@ -0,0 +1,188 @@
+"""Checks of an operators' file that span several entries."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple
+
+from redwingswitch._internal.configuration.sections import Located, Sections
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    EntryHostEntry,
+    FailureDomain,
+    ServerState,
+    Service,
+)
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.utils.toml_reader import TableReader
+
+NO_WIRE_ID = 0
+
+Named = Located[FailureDomain] | Located[EntryHostEntry] | Located[Service] | Located[BackendServer]
+
+
+class Endpoint(NamedTuple):
+    """A socket address that only one entry may use."""
+
+    transport: str
+    address: str
+    port: int
+
+
+def check_configuration(sections: Sections) -> None:
+    """Note every finding that concerns more than one entry."""
+    _check_names(sections)
+    _check_references(sections)
+    _check_wire_ids(sections.services)
+    _check_wire_ids(sections.backend_servers)
+    _check_services(sections)
+    _check_domains(sections)
+    _check_keys(sections.entry_hosts)
+    _check_endpoints(sections)
+
+
+def _check_names(sections: Sections) -> None:
+    groups: Sequence[Iterable[Named]] = (
+        sections.failure_domains,
+        sections.entry_hosts,
+        sections.services,
+        sections.backend_servers,
+    )
+    for group in groups:
+        first: dict[str, TableReader] = {}
+        for entry in group:
+            name = entry.value.name
+            if name and name in first:
+                entry.table.add(
+                    "name", f"{name!r} is also at {_place(first[name])}", "use another name"
+                )
+            first.setdefault(name, entry.table)
+
+
+def _check_references(sections: Sections) -> None:
+    domains = {d.value.name for d in sections.failure_domains}
+    services = {s.value.name for s in sections.services}
+    for host in sections.entry_hosts:
+        _check_reference(host.table, "failure_domain", host.value.failure_domain, domains)
+    for server in sections.backend_servers:
+        _check_reference(server.table, "failure_domain", server.value.failure_domain, domains)
+        _check_reference(server.table, "service", server.value.service, services)
+
+
+def _check_reference(table: TableReader, key: str, name: str, known: set[str]) -> None:
+    if name and name not in known:
+        table.add(key, f"{name!r} is not declared", f"declare a [[{key}s]] entry of that name")
+
+
+def _check_wire_ids(entries: Iterable[Located[Service]] | Iterable[Located[BackendServer]]) -> None:
+    names: dict[int, str] = {}
+    for entry in entries:
+        name = entry.value.name
+        if not name:
+            continue
+        identifier = wire_id(name)
+        other = names.setdefault(identifier, name)
+        if other != name:
+            entry.table.add("name", f"{name!r} has the wire id of {other!r}", "use another name")
+        if identifier == NO_WIRE_ID:
+            entry.table.add("name", f"{name!r} has the reserved wire id 0", "use another name")
+
+
+def _check_services(sections: Sections) -> None:
+    active = {
+        s.value.service for s in sections.backend_servers if s.value.state is ServerState.ACTIVE
+    }
+    destinations: dict[tuple[str, int], TableReader] = {}
+    for service in sections.services:
+        _check_traffic(service)
+        value, table = service
+        if value.name and value.name not in active:
+            table.add("", f"{value.name!r} has no active backend server", "add or activate one")
+        destination = (value.address, value.port)
+        if value.address and destination in destinations:
+            place = _place(destinations[destination])
+            table.add(
+                "port",
+                f"{value.address}:{value.port} is also at {place}",
+                "use another destination",
+            )
+        destinations.setdefault(destination, table)
+
+
+def _check_traffic(service: Located[Service]) -> None:
+    value, table = service
+    if not value.takes_streams and not value.takes_requests:
+        table.add("takes_streams", "the service takes nothing", "set one of takes_* to true")
+    if value.listen_port and not value.takes_streams:
+        table.add("listen_port", "a listener needs streams", "set takes_streams or remove the port")
+
+
+def _check_domains(sections: Sections) -> None:
+    inhabited = {h.value.failure_domain for h in sections.entry_hosts}
+    for domain in sections.failure_domains:
+        name = domain.value.name
+        if name and name not in inhabited:
+            domain.table.add("name", f"{name!r} has no entry host", "add one or remove the domain")
+
+
+def _check_keys(hosts: Iterable[Located[EntryHostEntry]]) -> None:
+    first: dict[str, TableReader] = {}
+    for value, table in hosts:
+        if value.public_key:
+            if value.public_key in first:
+                place = _place(first[value.public_key])
+                table.add("public_key", f"the key is also at {place}", "make a key for each host")
+            first.setdefault(value.public_key, table)
+        elif value.address and not ipaddress.IPv4Address(value.address).is_loopback:
+            table.add(
+                "public_key",
+                f"no key, and {value.address} is not a loopback address",
+                "add the host's CURVE public key",
+            )
+
+
+def _check_endpoints(sections: Sections) -> None:
+    owners: dict[Endpoint, str] = {}
+    for value, table in sections.entry_hosts:
+        _claim(owners, table, value.address, "tcp", ("peer_port", value.peer_port))
+        _claim(owners, table, value.address, "tcp", ("admin_port", value.admin_port))
+        _claim(owners, table, value.address, "udp", ("data_port", value.data_port))
+        _claim(owners, table, value.address, "udp", ("request_port", value.request_port))
+    for server, table in sections.backend_servers:
+        _claim(owners, table, server.address, "udp", ("tunnel_port", server.tunnel_port))
+        _claim(owners, table, server.address, "tcp", ("stream_port", server.stream_port))
+        _claim(owners, table, server.address, "tcp", ("request_port", server.request_port))
+        _claim(owners, table, server.address, "tcp", ("report_port", server.report_port))
+    # Each entry host opens the listeners of all services, so a port must be free on all of them.
+    for service, table in sections.services:
+        if service.listen_port:
+            for host in sections.entry_hosts:
+                field = ("listen_port", service.listen_port)
+                _claim(owners, table, host.value.address, "tcp", field)
+
+
+def _claim(
+    owners: dict[Endpoint, str],
+    table: TableReader,
+    address: str,
+    transport: str,
+    field: tuple[str, int],
+) -> None:
+    key, port = field
+    if not address or not table.has(key):
+        return
+    endpoint = Endpoint(transport, address, port)
+    other = owners.get(endpoint)
+    path = f"{table.path}.{key}"
+    if other == path:
+        problem = f"{transport} {address}:{port} is needed by two entry hosts"
+        table.add(key, problem, "give them two addresses or set the port to 0")
+    elif other is not None:
+        table.add(key, f"{transport} {address}:{port} is also {other}", "use another port")
+    else:
+        owners[endpoint] = path
+
+
+def _place(table: TableReader) -> str:
+    return table.path if table.line is None else f"line {table.line}"
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/differences.py
@@ -0,0 +1,154 @@
+"""Typed differences between two configurations, and the check of declared changes."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from enum import StrEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    Configuration,
+    EntryHostEntry,
+    FailureDomain,
+    ServerState,
+    Service,
+)
+
+Entry = FailureDomain | EntryHostEntry | Service | BackendServer
+
+
+class ChangeAction(StrEnum):
+    """What a change does to its target."""
+
+    ADD = "add"
+    REMOVE = "remove"
+    DRAIN = "drain"
+    ACTIVATE = "activate"
+    LEAVE = "leave"
+    ALTER = "alter"
+
+
+STATE_ACTIONS = {
+    ServerState.ACTIVE: ChangeAction.ACTIVATE,
+    ServerState.DRAINING: ChangeAction.DRAIN,
+    ServerState.LEAVING: ChangeAction.LEAVE,
+}
+
+
+class FieldDifference(NamedTuple):
+    """One field of an entry before and after."""
+
+    field: str
+    before: str
+    after: str
+
+
+class Difference(NamedTuple):
+    """One entry that differs; ``fields`` is empty for added and removed entries.
+
+    An entry that changes its state and other fields yields two differences.
+    """
+
+    action: ChangeAction
+    target: str
+    fields: tuple[FieldDifference, ...]
+
+    def __str__(self) -> str:
+        details = "; ".join(f"{f.field} {f.before} -> {f.after}" for f in self.fields)
+        return f"{self.action} {self.target}" + (f" ({details})" if details else "")
+
+
+def differences(*, before: Configuration | None, after: Configuration) -> tuple[Difference, ...]:
+    """Return what ``after`` changes, by section and name; before the first file all is added."""
+    found: list[Difference] = []
+    for section, old, new in _sections(before, after):
+        found.extend(_section_differences(section, old, new))
+    return tuple(found)
+
+
+def undeclared(
+    configuration: Configuration, found: Sequence[Difference]
+) -> tuple[tuple[Difference, ...], tuple[int, ...]]:
+    """Return the differences that no change declares and the positions of unmatched changes.
+
+    A file without declared changes may change anything.
+    """
+    if not configuration.changes:
+        return (), ()
+    declared = {(c.action, c.target) for c in configuration.changes}
+    actual = {(d.action.value, d.target) for d in found}
+    extra = tuple(d for d in found if (d.action.value, d.target) not in declared)
+    unmatched = tuple(
+        position
+        for position, change in enumerate(configuration.changes)
+        if (change.action, change.target) not in actual
+    )
+    return extra, unmatched
+
+
+def _sections(
+    before: Configuration | None, after: Configuration
+) -> Iterable[tuple[str, dict[str, Entry], dict[str, Entry]]]:
+    old = {} if before is None else _by_section(before)
+    for section, new in _by_section(after).items():
+        yield section, old.get(section, {}), new
+
+
+def _by_section(configuration: Configuration) -> dict[str, dict[str, Entry]]:
+    servers = [b for s in configuration.services for b in s.backend_servers]
+    # Backend servers are compared in their own section and not again as a field of the service.
+    services = [s._replace(backend_servers=()) for s in configuration.services]
+    return {
+        "failure_domains": {d.name: d for d in configuration.failure_domains},
+        "entry_hosts": {h.name: h for h in configuration.entry_hosts},
+        "services": {s.name: s for s in services},
+        "backend_servers": {b.name: b for b in servers},
+    }
+
+
+def _section_differences(
+    section: str, old: dict[str, Entry], new: dict[str, Entry]
+) -> Iterable[Difference]:
+    for name in sorted(old.keys() | new.keys()):
+        target = f"{section}.{name}"
+        if name not in old:
+            yield Difference(ChangeAction.ADD, target, ())
+        elif name not in new:
+            yield Difference(ChangeAction.REMOVE, target, ())
+        else:
+            yield from _entry_differences(target, old[name], new[name])
+
+
+def _entry_differences(target: str, old: Entry, new: Entry) -> Iterable[Difference]:
+    fields = tuple(_field_differences(old, new))
+    state = tuple(f for f in fields if f.field == "state")
+    others = tuple(f for f in fields if f.field != "state")
+    if state:
+        yield Difference(STATE_ACTIONS[ServerState(state[0].after)], target, state)
+    if others:
+        yield Difference(ChangeAction.ALTER, target, others)
+
+
+def _field_differences(old: Entry, new: Entry) -> Iterable[FieldDifference]:
+    for field, before, after in zip(old._fields, old, new, strict=True):
+        if before != after and isinstance(before, tuple):
+            yield from _nested_differences(field, before, after)
+        elif before != after:
+            yield FieldDifference(field, _shown(before), _shown(after))
+
+
+def _nested_differences(
+    prefix: str, before: tuple[object, ...], after: object
+) -> Iterable[FieldDifference]:
+    names: Sequence[str] = getattr(before, "_fields", ())
+    assert isinstance(after, tuple)
+    for name, old, new in zip(names, before, after, strict=True):
+        if old != new:
+            yield FieldDifference(f"{prefix}.{name}", _shown(old), _shown(new))
+
+
+def _shown(value: object) -> str:
+    if isinstance(value, bool):
+        return str(value).lower()
+    return str(value) or '""'
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/document.py
@@ -0,0 +1,78 @@
+"""The document that the platform's store holds under the configuration key."""
+
+from __future__ import annotations
+
+import msgspec
+import xxhash
+
+from redwingswitch._internal.exceptions import DecodeError, Finding, InvalidInputGroup
+from redwingswitch._internal.models.configuration import (
+    DOCUMENT_SCHEMA_VERSION,
+    MAX_DOCUMENT_BYTES,
+    RECENT_APPLY_IDS,
+    Document,
+)
+
+CONFIGURATION_KEY = "redwingswitch/configuration"
+
+_decoder = msgspec.json.Decoder(Document)
+
+
+def text_digest(text: str) -> str:
+    """Return the digest of a file's text, in 32 hexadecimal digits."""
+    return xxhash.xxh3_128_hexdigest(text.encode())
+
+
+def make_document(
+    *, text: str, revision: int, apply_id: str, operator: str, previous: Document | None
+) -> Document:
+    """Return the successor of ``previous``; it lists the last apply ids, its own included."""
+    earlier = [] if previous is None else previous["recent_apply_ids"]
+    return Document(
+        schema_version=DOCUMENT_SCHEMA_VERSION,
+        revision=revision,
+        apply_id=apply_id,
+        operator=operator,
+        digest=text_digest(text),
+        text=text,
+        recent_apply_ids=[*earlier, apply_id][-RECENT_APPLY_IDS:],
+    )
+
+
+def encode_document(document: Document) -> bytes:
+    """Return the JSON form; raise InvalidInputGroup when the store could not hold it."""
+    encoded = msgspec.json.encode(document)
+    if len(encoded) <= MAX_DOCUMENT_BYTES:
+        return encoded
+    finding = Finding(
+        file="(document)",
+        line=None,
+        key_path="(whole file)",
+        problem=f"the document has {len(encoded)} bytes with its escapes",
+        remedy=f"keep it to at most {MAX_DOCUMENT_BYTES} bytes",
+    )
+    raise InvalidInputGroup.from_findings(subject="the document", findings=[finding])
+
+
+def decode_document(encoded: bytes) -> Document:
+    """Return the document; raise DecodeError when it is damaged or of an unknown schema."""
+    try:
+        document = _decoder.decode(encoded)
+    except msgspec.MsgspecError as error:
+        raise DecodeError(
+            f"the stored document is malformed ({error}); apply a file again"
+        ) from None
+    version = document["schema_version"]
+    if version != DOCUMENT_SCHEMA_VERSION:
+        raise DecodeError(
+            f"the stored document has schema version {version} and this program reads "
+            f"{DOCUMENT_SCHEMA_VERSION}; use a program of the fleet's version"
+        )
+    if document["digest"] != text_digest(document["text"]):
+        raise DecodeError("the stored document does not match its digest; apply a file again")
+    return document
+
+
+def contains_apply(document: Document, apply_id: str) -> bool:
+    """Return whether the document or a recent predecessor was written under ``apply_id``."""
+    return apply_id == document["apply_id"] or apply_id in document["recent_apply_ids"]
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/parse.py
@@ -0,0 +1,261 @@
+"""Parsing of the operators' file into the typed configuration."""
+
+from __future__ import annotations
+
+import re
+
+from redwingswitch._internal.configuration.check import check_configuration
+from redwingswitch._internal.configuration.differences import ChangeAction
+from redwingswitch._internal.configuration.sections import Located, Sections
+from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.models.configuration import (
+    MAX_DOCUMENT_BYTES,
+    BackendServer,
+    Configuration,
+    EntryHostEntry,
+    FailureDomain,
+    IntendedChange,
+    Objectives,
+    ServerState,
+    Service,
+    SizeClass,
+)
+from redwingswitch._internal.utils.toml_reader import FindingCollector, TableReader, read_document
+
+MAX_FAILURE_DOMAINS = 64
+MAX_ENTRY_HOSTS = 1_024
+MAX_SERVICES = 4_096
+MAX_BACKEND_SERVERS = 16_384
+MAX_CHANGES = 16_384
+
+MAX_LINK_COST_MS = 10_000
+MAX_EXPECTED_SERVICE_MS = 30_000
+MAX_SHORT_REQUEST_LIMIT_MS = 30_000
+MAX_IDLE_LIMIT_S = 86_400
+MAX_SLOTS = 1_024
+MAX_CONNECTION_LIMIT = 1_000_000
+MAX_IMBALANCE_PEAK_OVER_MEAN = 100.0
+MAX_REASON_CHARACTERS = 200
+DEFAULT_EXPECTED_SERVICE_MS = 50
+DEFAULT_IDLE_LIMIT_S = 900
+DEFAULT_SLOTS = 2
+DEFAULT_CONNECTION_LIMIT = 2_000
+MS_PER_S = 1_000
+
+# The alphabet of Z85 (ZeroMQ RFC 32); a CURVE key of 32 bytes has 40 characters.
+Z85_KEY_PATTERN = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+
+
+TARGET_SECTIONS = ("failure_domains", "entry_hosts", "services", "backend_servers")
+
+
+def parse_configuration(*, text: str, file: str, revision: int, digest: str) -> Configuration:
+    """Return the checked configuration; raise InvalidInputGroup with all findings otherwise."""
+    collector = FindingCollector(file=file)
+    sections = _read(text, collector)
+    if sections is not None:
+        check_configuration(sections)
+    findings = collector.findings()
+    if findings or sections is None:
+        raise InvalidInputGroup.from_findings(subject=file, findings=findings)
+    return Configuration(
+        revision=revision,
+        digest=digest,
+        failure_domains=tuple(d.value for d in sections.failure_domains),
+        services=_services_with_servers(sections),
+        entry_hosts=tuple(h.value for h in sections.entry_hosts),
+        changes=tuple(c.value for c in sections.changes),
+    )
+
+
+def _read(text: str, collector: FindingCollector) -> Sections | None:
+    size_bytes = len(text.encode())
+    if size_bytes > MAX_DOCUMENT_BYTES:
+        collector.add(
+            None,
+            "(whole file)",
+            f"the file has {size_bytes} bytes",
+            f"keep it to at most {MAX_DOCUMENT_BYTES} bytes",
+        )
+        return None
+    root = read_document(text=text, collector=collector)
+    if root is None:
+        return None
+    sections = Sections(
+        root=root,
+        failure_domains=_domains(root),
+        entry_hosts=_entry_hosts(root),
+        services=_services(root),
+        backend_servers=_backend_servers(root),
+        changes=_changes(root),
+    )
+    root.finish()
+    return sections
+
+
+def _services_with_servers(sections: Sections) -> tuple[Service, ...]:
+    servers: dict[str, list[BackendServer]] = {}
+    for server in sections.backend_servers:
+        servers.setdefault(server.value.service, []).append(server.value)
+    return tuple(
+        s.value._replace(backend_servers=tuple(servers.get(s.value.name, ())))
+        for s in sections.services
+    )
+
+
+def _domains(root: TableReader) -> tuple[Located[FailureDomain], ...]:
+    tables = root.tables("failure_domains", minimum=1, maximum=MAX_FAILURE_DOMAINS)
+    return tuple(Located(_domain(table), table) for table in tables)
+
+
+def _domain(table: TableReader) -> FailureDomain:
+    domain = FailureDomain(
+        name=table.name("name"),
+        region=table.name("region"),
+        link_cost_ms=table.integer("link_cost_ms", minimum=0, maximum=MAX_LINK_COST_MS),
+    )
+    table.finish()
+    return domain
+
+
+def _entry_hosts(root: TableReader) -> tuple[Located[EntryHostEntry], ...]:
+    tables = root.tables("entry_hosts", minimum=1, maximum=MAX_ENTRY_HOSTS)
+    return tuple(Located(_entry_host(table), table) for table in tables)
+
+
+def _entry_host(table: TableReader) -> EntryHostEntry:
+    host = EntryHostEntry(
+        name=table.name("name"),
+        failure_domain=table.name("failure_domain"),
+        address=table.address("address"),
+        peer_port=table.port("peer_port"),
+        data_port=table.port("data_port"),
+        request_port=table.port("request_port"),
+        admin_port=table.port("admin_port"),
+        public_key=table.text("public_key", default=""),
+        state=table.choice(
+            "state",
+            among=(ServerState.ACTIVE, ServerState.LEAVING),
+            default=ServerState.ACTIVE,
+        ),
+    )
+    if host.public_key and not Z85_KEY_PATTERN.fullmatch(host.public_key):
+        table.add("public_key", "not a CURVE key in Z85", "use 40 characters of the Z85 alphabet")
+    table.finish()
+    return host
+
+
+def _services(root: TableReader) -> tuple[Located[Service], ...]:
+    tables = root.tables("services", minimum=1, maximum=MAX_SERVICES)
+    return tuple(Located(_service(table), table) for table in tables)
+
+
+def _service(table: TableReader) -> Service:
+    service = Service(
+        name=table.name("name"),
+        address=table.address("address"),
+        port=table.port("port"),
+        listen_port=table.port("listen_port", default=0),
+        takes_streams=table.boolean("takes_streams", default=True),
+        takes_requests=table.boolean("takes_requests", default=True),
+        idempotent=table.boolean("idempotent", default=False),
+        size_class=table.choice("size_class", among=tuple(SizeClass), default=SizeClass.SHORT),
+        expected_service_ms=table.integer(
+            "expected_service_ms",
+            minimum=1,
+            maximum=MAX_EXPECTED_SERVICE_MS,
+            default=DEFAULT_EXPECTED_SERVICE_MS,
+        ),
+        idle_limit_ms=MS_PER_S
+        * table.integer(
+            "idle_limit_s", minimum=1, maximum=MAX_IDLE_LIMIT_S, default=DEFAULT_IDLE_LIMIT_S
+        ),
+        objectives=_objectives(table.table("objectives")),
+        backend_servers=(),
+    )
+    table.finish()
+    return service
+
+
+def _objectives(table: TableReader | None) -> Objectives:
+    default = Objectives()
+    if table is None:
+        return default
+    objectives = Objectives(
+        broken_flows_ratio=_ratio(table, "broken_flows_ratio", default.broken_flows_ratio),
+        failed_requests_ratio=_ratio(table, "failed_requests_ratio", default.failed_requests_ratio),
+        slow_short_requests_ratio=_ratio(
+            table, "slow_short_requests_ratio", default.slow_short_requests_ratio
+        ),
+        short_request_limit_ms=table.integer(
+            "short_request_limit_ms",
+            minimum=1,
+            maximum=MAX_SHORT_REQUEST_LIMIT_MS,
+            default=default.short_request_limit_ms,
+        ),
+        imbalance_peak_over_mean=table.number(
+            "imbalance_peak_over_mean",
+            minimum=1.0,
+            maximum=MAX_IMBALANCE_PEAK_OVER_MEAN,
+            default=default.imbalance_peak_over_mean,
+        ),
+    )
+    table.finish()
+    return objectives
+
+
+def _ratio(table: TableReader, key: str, default: float) -> float:
+    return table.number(key, minimum=0.0, maximum=1.0, default=default)
+
+
+def _backend_servers(root: TableReader) -> tuple[Located[BackendServer], ...]:
+    tables = root.tables("backend_servers", minimum=1, maximum=MAX_BACKEND_SERVERS)
+    return tuple(Located(_backend_server(table), table) for table in tables)
+
+
+def _backend_server(table: TableReader) -> BackendServer:
+    server = BackendServer(
+        name=table.name("name"),
+        service=table.name("service"),
+        failure_domain=table.name("failure_domain"),
+        address=table.address("address"),
+        tunnel_port=table.port("tunnel_port"),
+        stream_port=table.port("stream_port"),
+        request_port=table.port("request_port"),
+        report_port=table.port("report_port"),
+        slots=table.integer("slots", minimum=1, maximum=MAX_SLOTS, default=DEFAULT_SLOTS),
+        connection_limit=table.integer(
+            "connection_limit",
+            minimum=1,
+            maximum=MAX_CONNECTION_LIMIT,
+            default=DEFAULT_CONNECTION_LIMIT,
+        ),
+        state=table.choice("state", among=tuple(ServerState), default=ServerState.ACTIVE),
+    )
+    table.finish()
+    return server
+
+
+def _changes(root: TableReader) -> tuple[Located[IntendedChange], ...]:
+    tables = root.tables("changes", maximum=MAX_CHANGES)
+    return tuple(Located(_change(table), table) for table in tables)
+
+
+def _change(table: TableReader) -> IntendedChange:
+    change = IntendedChange(
+        action=table.choice("action", among=tuple(ChangeAction)).value,
+        target=table.text("target"),
+        reason=table.text("reason"),
+    )
+    if len(change.reason) > MAX_REASON_CHARACTERS:
+        table.add("reason", "the reason is long", f"use at most {MAX_REASON_CHARACTERS} characters")
+    _check_target(table, change.target)
+    table.finish()
+    return change
+
+
+def _check_target(table: TableReader, target: str) -> None:
+    section, _, name = target.partition(".")
+    if target and (section not in TARGET_SECTIONS or not name):
+        sections = ", ".join(TARGET_SECTIONS)
+        table.add("target", f"{target!r} names no entry", f"write SECTION.NAME with {sections}")
