Read the operators' file with tomllib, and compress documents

Stored documents are compressed, because the escapes of JSON would take a 1 MB file over the store's limit.

--- a/src/redwingswitch/_internal/configuration/check.py
+++ b/src/redwingswitch/_internal/configuration/check.py
@@ -54,9 +54,8 @@
         for entry in group:
             name = entry.value.name
             if name and name in first:
-                entry.table.add(
-                    "name", f"{name!r} is also at {_place(first[name])}", "use another name"
-                )
+                other = first[name].describe("name")
+                entry.table.add("name", f"{name!r} is also {other}", "use another name")
             first.setdefault(name, entry.table)
 
 
@@ -101,12 +100,9 @@
             table.add("", f"{value.name!r} has no active backend server", "add or activate one")
         destination = (value.address, value.port)
         if value.address and destination in destinations:
-            place = _place(destinations[destination])
-            table.add(
-                "port",
-                f"{value.address}:{value.port} is also at {place}",
-                "use another destination",
-            )
+            other = destinations[destination].describe("port")
+            problem = f"{value.address}:{value.port} is also {other}"
+            table.add("port", problem, "use another destination")
         destinations.setdefault(destination, table)
 
 
@@ -131,10 +127,14 @@
     for value, table in hosts:
         if value.public_key:
             if value.public_key in first:
-                place = _place(first[value.public_key])
-                table.add("public_key", f"the key is also at {place}", "make a key for each host")
+                other = first[value.public_key].describe("public_key")
+                table.add("public_key", f"the key is also {other}", "make a key for each host")
             first.setdefault(value.public_key, table)
-        elif value.address and not ipaddress.IPv4Address(value.address).is_loopback:
+        elif (
+            value.address
+            and not table.text("public_key", default="")
+            and not ipaddress.IPv4Address(value.address).is_loopback
+        ):
             table.add(
                 "public_key",
                 f"no key, and {value.address} is not a loopback address",
@@ -174,7 +174,7 @@
         return
     endpoint = Endpoint(transport, address, port)
     other = owners.get(endpoint)
-    path = f"{table.path}.{key}"
+    path = table.describe(key)
     if other == path:
         problem = f"{transport} {address}:{port} is needed by two entry hosts"
         table.add(key, problem, "give them two addresses or set the port to 0")
@@ -182,7 +182,3 @@
         table.add(key, f"{transport} {address}:{port} is also {other}", "use another port")
     else:
         owners[endpoint] = path
-
-
-def _place(table: TableReader) -> str:
-    return table.path if table.line is None else f"line {table.line}"
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/declared.py
@@ -0,0 +1,34 @@
+"""The check that a file makes exactly the changes that it declares."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from redwingswitch._internal.configuration.differences import Difference, undeclared
+from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.models.configuration import Configuration
+from redwingswitch._internal.utils.toml_reader import FindingCollector
+
+
+def check_declared_changes(
+    *, text: str, file: str, configuration: Configuration, found: Sequence[Difference]
+) -> None:
+    """Raise InvalidInputGroup when ``[[changes]]`` are present and are not exactly ``found``."""
+    extra, unmatched = undeclared(configuration, found)
+    collector = FindingCollector(file=file)
+    for difference in extra:
+        collector.add(
+            ("changes",),
+            f"undeclared difference: {difference}",
+            "declare it, undo it or remove all [[changes]]",
+        )
+    for position in unmatched:
+        change = configuration.changes[position]
+        collector.add(
+            ("changes", position),
+            f"no such difference from the accepted file: {change.action} {change.target}",
+            "remove this change or make it",
+        )
+    findings = collector.findings(text)
+    if findings:
+        raise InvalidInputGroup.from_findings(subject=file, findings=findings)
--- a/src/redwingswitch/_internal/configuration/document.py
+++ b/src/redwingswitch/_internal/configuration/document.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import zlib
+
 import msgspec
 import xxhash
 
@@ -14,6 +16,8 @@
 )
 
 CONFIGURATION_KEY = "redwingswitch/configuration"
+# JSON escapes quotes and line ends, which can double a text; the rest is the other fields.
+MAX_DECOMPRESSED_BYTES = 2 * MAX_DOCUMENT_BYTES + 16_384
 
 _decoder = msgspec.json.Decoder(Document)
 
@@ -40,15 +44,19 @@
 
 
 def encode_document(document: Document) -> bytes:
-    """Return the JSON form; raise InvalidInputGroup when the store could not hold it."""
-    encoded = msgspec.json.encode(document)
+    """Return the compressed JSON form; raise InvalidInputGroup when the store cannot hold it.
+
+    A file of 1 MB would not fit into the store with the escapes of JSON, and its transfer to each
+    host would take a large part of the budget for control traffic.
+    """
+    encoded = zlib.compress(msgspec.json.encode(document))
     if len(encoded) <= MAX_DOCUMENT_BYTES:
         return encoded
     finding = Finding(
         file="(document)",
         line=None,
         key_path="(whole file)",
-        problem=f"the document has {len(encoded)} bytes with its escapes",
+        problem=f"the compressed document has {len(encoded)} bytes",
         remedy=f"keep it to at most {MAX_DOCUMENT_BYTES} bytes",
     )
     raise InvalidInputGroup.from_findings(subject="the document", findings=[finding])
@@ -57,8 +65,8 @@
 def decode_document(encoded: bytes) -> Document:
     """Return the document; raise DecodeError when it is damaged or of an unknown schema."""
     try:
-        document = _decoder.decode(encoded)
-    except msgspec.MsgspecError as error:
+        document = _decoder.decode(_decompress(encoded))
+    except (msgspec.MsgspecError, zlib.error) as error:
         raise DecodeError(
             f"the stored document is malformed ({error}); apply a file again"
         ) from None
@@ -73,6 +81,15 @@
     return document
 
 
+def _decompress(encoded: bytes) -> bytes:
+    """Return the JSON form, without letting a damaged value fill the memory."""
+    decompressor = zlib.decompressobj()
+    text = decompressor.decompress(encoded, MAX_DECOMPRESSED_BYTES)
+    if not decompressor.eof:
+        raise zlib.error("the value is cut off or longer than a document can be")
+    return text
+
+
 def contains_apply(document: Document, apply_id: str) -> bool:
     """Return whether the document or a recent predecessor was written under ``apply_id``."""
     return apply_id == document["apply_id"] or apply_id in document["recent_apply_ids"]
--- a/src/redwingswitch/_internal/configuration/parse.py
+++ b/src/redwingswitch/_internal/configuration/parse.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import re
-
 from redwingswitch._internal.configuration.check import check_configuration
 from redwingswitch._internal.configuration.differences import ChangeAction
 from redwingswitch._internal.configuration.sections import Located, Sections
@@ -42,10 +40,6 @@
 DEFAULT_CONNECTION_LIMIT = 2_000
 MS_PER_S = 1_000
 
-# The alphabet of Z85 (ZeroMQ RFC 32); a CURVE key of 32 bytes has 40 characters.
-Z85_KEY_PATTERN = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
-
-
 TARGET_SECTIONS = ("failure_domains", "entry_hosts", "services", "backend_servers")
 
 
@@ -55,7 +49,7 @@
     sections = _read(text, collector)
     if sections is not None:
         check_configuration(sections)
-    findings = collector.findings()
+    findings = collector.findings(text)
     if findings or sections is None:
         raise InvalidInputGroup.from_findings(subject=file, findings=findings)
     return Configuration(
@@ -72,8 +66,7 @@
     size_bytes = len(text.encode())
     if size_bytes > MAX_DOCUMENT_BYTES:
         collector.add(
-            None,
-            "(whole file)",
+            (),
             f"the file has {size_bytes} bytes",
             f"keep it to at most {MAX_DOCUMENT_BYTES} bytes",
         )
@@ -132,15 +125,13 @@
         data_port=table.port("data_port"),
         request_port=table.port("request_port"),
         admin_port=table.port("admin_port"),
-        public_key=table.text("public_key", default=""),
+        public_key=table.curve_key("public_key"),
         state=table.choice(
             "state",
             among=(ServerState.ACTIVE, ServerState.LEAVING),
             default=ServerState.ACTIVE,
         ),
     )
-    if host.public_key and not Z85_KEY_PATTERN.fullmatch(host.public_key):
-        table.add("public_key", "not a CURVE key in Z85", "use 40 characters of the Z85 alphabet")
     table.finish()
     return host
 
--- a/src/redwingswitch/_internal/utils/toml_reader.py
+++ b/src/redwingswitch/_internal/utils/toml_reader.py
@@ -4,83 +4,91 @@
 
 import ipaddress
 import re
-from collections.abc import Iterable, Sequence
+import tomllib
+from collections.abc import Sequence
 from enum import StrEnum
 from typing import TypeVar
 
-from tomlkit.container import Container
-from tomlkit.items import AoT, Array, Bool, Float, InlineTable, Integer, Item, String, Table
-
 from redwingswitch._internal.exceptions import Finding
-from redwingswitch._internal.utils.toml_lines import LineIndex, TomlSyntaxError, parse_toml
+from redwingswitch._internal.utils.toml_lines import Path, format_path, locate
 
 E = TypeVar("E", bound=StrEnum)
 
 MAX_PORT = 65535
 MAX_NAME_CHARACTERS = 63
 NAME_PATTERN = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9])?")
+# The alphabet of Z85 (ZeroMQ RFC 32); a CURVE key of 32 bytes has 40 characters.
+Z85_KEY_PATTERN = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+TOML_ERROR_LINE_PATTERN = re.compile(r"at line (\d+)")
+
+TYPE_NAMES = {
+    str: "a string",
+    bool: "true or false",
+    int: "an integer",
+    float: "a number",
+    dict: "a table",
+    list: "an array",
+}
 
 
 class FindingCollector:
-    """The findings of one file, in the order of their lines."""
+    """The findings of one file."""
 
     def __init__(self, *, file: str) -> None:
         self.file = file
-        self._findings: list[Finding] = []
+        self._findings: list[tuple[Path, Finding]] = []
 
-    def add(self, line: int | None, key_path: str, problem: str, remedy: str) -> None:
-        """Note one finding."""
-        self._findings.append(Finding(self.file, line, key_path, problem, remedy))
+    def add(self, path: Path, problem: str, remedy: str, *, line: int | None = None) -> None:
+        """Note one finding; its line is looked up by its path when it is not given."""
+        finding = Finding(self.file, line, format_path(path), problem, remedy)
+        self._findings.append((path, finding))
 
-    def findings(self) -> list[Finding]:
-        """Return the findings sorted by line; those without a line come first."""
-        return sorted(self._findings, key=lambda f: (f.line or 0, f.key_path))
+    def findings(self, text: str) -> list[Finding]:
+        """Return the findings with their lines in ``text``, in the order of lines."""
+        if not self._findings:
+            return []
+        lines = locate(text)
+        located = [
+            finding if finding.line else finding._replace(line=_nearest_line(lines, path))
+            for path, finding in self._findings
+        ]
+        return sorted(located, key=lambda f: (f.line or 0, f.key_path))
+
+
+def _nearest_line(lines: dict[Path, int], path: Path) -> int | None:
+    """Return the line of ``path`` or of the innermost table around it."""
+    for length in range(len(path), 0, -1):
+        line = lines.get(path[:length])
+        if line is not None:
+            return line
+    return None
 
 
 class TableReader:
-    """One TOML table; each method reads a key, notes what is wrong and returns a usable value.
-
-    A table may be written in several fragments of a file, so ``bodies`` holds them all.
-    """
-
-    def __init__(
-        self,
-        *,
-        bodies: Iterable[Container],
-        path: str,
-        line: int | None,
-        lines: LineIndex,
-        collector: FindingCollector,
-    ) -> None:
+    """One TOML table; each method reads a key, notes what is wrong and returns a usable value."""
+
+    def __init__(self, *, values: dict[str, object], path: Path, collector: FindingCollector):
         self.path = path
-        self.line = line
-        self._lines = lines
+        self._values = values
         self._collector = collector
         self._known: set[str] = set()
-        self._items: dict[str, list[Item]] = {}
-        for body in bodies:
-            for key, item in body.body:
-                if key is not None:
-                    self._items.setdefault(key.key, []).append(item)
 
     def has(self, key: str) -> bool:
         """Return whether the file states ``key``."""
-        return key in self._items
+        return key in self._values
+
+    def describe(self, key: str) -> str:
+        """Return the path of ``key`` as operators read it."""
+        return format_path((*self.path, key))
 
     def add(self, key: str, problem: str, remedy: str) -> None:
         """Note a finding at ``key``, or at the table itself when ``key`` is empty."""
-        line = self._line_of(key) or self.line
-        self._collector.add(line, self._path_of(key), problem, remedy)
+        self._collector.add((*self.path, key) if key else self.path, problem, remedy)
 
     def text(self, key: str, *, default: str | None = None) -> str:
         """Return a string."""
-        item = self._take(key, required=default is None)
-        if item is None:
-            return default or ""
-        if not isinstance(item, String):
-            self._wrong_type(key, item, "a string")
-            return default or ""
-        return str(item.unwrap())
+        value = self._take(key, str, required=default is None)
+        return value if isinstance(value, str) else default or ""
 
     def name(self, key: str, *, default: str | None = None) -> str:
         """Return a name of letters, digits, ``-`` and ``_``; empty when it is faulty."""
@@ -95,16 +103,20 @@
         )
         return ""
 
+    def curve_key(self, key: str) -> str:
+        """Return a CURVE key in Z85; empty when it is absent, empty or faulty."""
+        value = self.text(key, default="")
+        if not value or Z85_KEY_PATTERN.fullmatch(value):
+            return value
+        self.add(key, "not a CURVE key in Z85", "use 40 characters of the Z85 alphabet")
+        return ""
+
     def integer(self, key: str, *, minimum: int, maximum: int, default: int | None = None) -> int:
         """Return an integer from ``minimum`` to ``maximum``."""
         fallback = minimum if default is None else default
-        item = self._take(key, required=default is None)
-        if item is None:
+        value = self._take(key, int, required=default is None)
+        if not isinstance(value, int):
             return fallback
-        if not isinstance(item, Integer):
-            self._wrong_type(key, item, "an integer")
-            return fallback
-        value = int(item.unwrap())
         if minimum <= value <= maximum:
             return value
         self.add(key, f"{value} is out of bounds", f"use {minimum} to {maximum}")
@@ -112,27 +124,18 @@
 
     def number(self, key: str, *, minimum: float, maximum: float, default: float) -> float:
         """Return a number from ``minimum`` to ``maximum``."""
-        item = self._take(key, required=False)
-        if item is None:
-            return default
-        if not isinstance(item, Integer | Float):
-            self._wrong_type(key, item, "a number")
+        value = self._take(key, float, required=False)
+        if not isinstance(value, int | float):
             return default
-        value = float(item.unwrap())
         if minimum <= value <= maximum:
-            return value
+            return float(value)
         self.add(key, f"{value:g} is out of bounds", f"use {minimum:g} to {maximum:g}")
         return default
 
-    def boolean(self, key: str, *, default: bool | None = None) -> bool:
+    def boolean(self, key: str, *, default: bool) -> bool:
         """Return true or false."""
-        item = self._take(key, required=default is None)
-        if item is None:
-            return bool(default)
-        if not isinstance(item, Bool):
-            self._wrong_type(key, item, "true or false")
-            return bool(default)
-        return bool(item.value)
+        value = self._take(key, bool, required=False)
+        return value if isinstance(value, bool) else default
 
     def choice(self, key: str, *, among: Sequence[E], default: E | None = None) -> E:
         """Return one of the values ``among``."""
@@ -151,121 +154,82 @@
         minimum = 0 if default == 0 else 1
         return self.integer(key, minimum=minimum, maximum=MAX_PORT, default=default)
 
-    def address(self, key: str, *, default: str | None = None) -> str:
+    def address(self, key: str) -> str:
         """Return an IPv4 address that packets can be sent to; empty when it is faulty."""
-        value = self.text(key, default=default)
+        value = self.text(key)
         if not self._is_text(key):
-            return value
+            return ""
         problem = address_problem(value)
         if problem is None:
             return value
         self.add(key, problem, "use the IPv4 address of one host, such as 10.1.0.1")
         return ""
 
-    def texts(self, key: str) -> list[tuple[str, int | None]]:
-        """Return the strings of an array with their lines; an absent array is empty."""
-        item = self._take(key, required=False)
-        if item is None:
-            return []
-        if not isinstance(item, Array):
-            self._wrong_type(key, item, "an array of strings")
-            return []
-        found: list[tuple[str, int | None]] = []
-        for position, element in enumerate(item):
-            line = self._lines.line_of(element) or self._line_of(key)
+    def texts(self, key: str) -> list[str]:
+        """Return the strings of an array; an absent array is empty."""
+        found: list[str] = []
+        for position, element in enumerate(self._elements(key)):
             if isinstance(element, str):
-                found.append((str(element), line))
-                continue
-            path = f"{self._path_of(key)}[{position}]"
-            self._collector.add(line, path, "is not a string", "write a quoted string")
+                found.append(element)
+            else:
+                path = (*self.path, key, position)
+                self._collector.add(path, _found(element), "write a string")
         return found
 
     def table(self, key: str) -> TableReader | None:
         """Return the table under ``key``, or None when it is absent or not a table."""
-        self._known.add(key)
-        items = self._items.get(key)
-        if items is None:
-            return None
-        if not all(isinstance(item, Table | InlineTable) for item in items):
-            self._wrong_type(key, items[0], "a table")
-            return None
-        bodies = [item.value for item in items if isinstance(item, Table | InlineTable)]
-        return self._nested(bodies, self._path_of(key), self._line_of(key))
+        value = self._take(key, dict, required=False)
+        return self._nested(value, (*self.path, key)) if isinstance(value, dict) else None
 
     def tables(self, key: str, *, minimum: int = 0, maximum: int) -> list[TableReader]:
-        """Return the tables of an array of tables, named by position."""
-        found = self._array_of_tables(key)
-        if len(found) < minimum and self._is_empty_array(key):
-            self.add("", f"no [[{key}]] is declared", "declare one")
-        if len(found) > maximum:
-            self.add(key, f"{len(found)} entries are too many", f"declare at most {maximum}")
+        """Return the tables of an array of tables."""
+        elements = self._elements(key)
+        if len(elements) < minimum and not self._values.get(key):
+            self.add(key, f"no [[{key}]] is declared", "declare one")
+        if len(elements) > maximum:
+            self.add(key, f"{len(elements)} entries are too many", f"declare at most {maximum}")
+        found: list[TableReader] = []
+        for position, element in enumerate(elements):
+            path = (*self.path, key, position)
+            if isinstance(element, dict):
+                found.append(self._nested(element, path))
+            else:
+                self._collector.add(path, _found(element), f"write [[{key}]] tables")
         return found
 
     def finish(self) -> None:
         """Note a finding for each key that was never read."""
-        for key in self._items:
+        for key in self._values:
             if key not in self._known:
                 known = ", ".join(sorted(self._known))
                 self.add(key, "unknown key", f"remove it or use one of: {known}")
 
-    def _array_of_tables(self, key: str) -> list[TableReader]:
-        self._known.add(key)
-        items = self._items.get(key, [])
-        found: list[TableReader] = []
-        for item in items:
-            if not isinstance(item, AoT | Array):
-                self._wrong_type(key, item, f"an array of tables, [[{key}]]")
-                continue
-            for element in item.body if isinstance(item, AoT) else item:
-                path = f"{self._path_of(key)}[{len(found)}]"
-                line = self._lines.line_of(element) or self._line_of(key)
-                if isinstance(element, Table | InlineTable):
-                    found.append(self._nested([element.value], path, line))
-                else:
-                    self._collector.add(line, path, "is not a table", f"write [[{key}]] tables")
-        return found
+    def _elements(self, key: str) -> list[object]:
+        value = self._take(key, list, required=False)
+        return value if isinstance(value, list) else []
 
-    def _is_empty_array(self, key: str) -> bool:
-        items = self._items.get(key, [])
-        return all(isinstance(item, AoT | Array) and not len(item) for item in items)
-
-    def _nested(self, bodies: Iterable[Container], path: str, line: int | None) -> TableReader:
-        return TableReader(
-            bodies=bodies,
-            path=path,
-            line=line or self.line,
-            lines=self._lines,
-            collector=self._collector,
-        )
+    def _nested(self, values: dict[str, object], path: Path) -> TableReader:
+        return TableReader(values=values, path=path, collector=self._collector)
 
-    def _take(self, key: str, *, required: bool) -> Item | None:
+    def _take(self, key: str, wanted: type, *, required: bool) -> object | None:
+        """Return the value of ``key`` when it has the type ``wanted``."""
         self._known.add(key)
-        items = self._items.get(key)
-        if items:
-            return items[0]
-        if required:
-            self.add(key, "missing key", "add it")
+        if key not in self._values:
+            if required:
+                self.add(key, "missing key", "add it")
+            return None
+        value = self._values[key]
+        if type(value) is wanted or (wanted is float and type(value) is int):
+            return value
+        self.add(key, _found(value), f"write {TYPE_NAMES[wanted]}")
         return None
 
     def _is_text(self, key: str) -> bool:
-        return isinstance(self._items.get(key, [None])[0], String)
-
-    def _wrong_type(self, key: str, item: Item, wanted: str) -> None:
-        self.add(key, f"{type(item).__name__.lower()} found", f"write {wanted}")
+        return isinstance(self._values.get(key), str)
 
-    def _path_of(self, key: str) -> str:
-        if not self.path:
-            return key or "(whole file)"
-        return f"{self.path}.{key}" if key else self.path
 
-    def _line_of(self, key: str) -> int | None:
-        items = self._items.get(key)
-        if not items:
-            return None
-        first = items[0]
-        if isinstance(first, AoT) and first.body:
-            return self._lines.line_of(first.body[0])
-        return self._lines.line_of(first)
+def _found(value: object) -> str:
+    return f"{TYPE_NAMES.get(type(value), type(value).__name__)} found"
 
 
 def address_problem(value: str) -> str | None:
@@ -282,8 +246,10 @@
 def read_document(*, text: str, collector: FindingCollector) -> TableReader | None:
     """Return a reader of the whole file, or None with one finding when it is not TOML."""
     try:
-        document, lines = parse_toml(text)
-    except TomlSyntaxError as error:
-        collector.add(error.line, "(syntax)", str(error), "correct the TOML syntax")
+        values = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        place = TOML_ERROR_LINE_PATTERN.search(str(error))
+        line = int(place[1]) if place else text.count("\n") + 1
+        collector.add(("(syntax)",), str(error), "correct the TOML syntax", line=line)
         return None
-    return TableReader(bodies=[document], path="", line=None, lines=lines, collector=collector)
+    return TableReader(values=values, path=(), collector=collector)
--- a/tests/unit/configuration/test_parse.py
+++ b/tests/unit/configuration/test_parse.py
@@ -34,16 +34,22 @@
 
 # Text to replace (its first occurrence), replacement, key path, words of the problem, and the line.
 BAD_FILES = [
-    ('name = "job-1"', "name = 5", "backend_servers[0].name", "integer found", 37),
+    ('name = "job-1"', "name = 5", "backend_servers[0].name", "an integer found", 37),
     ('name = "job-1"', 'name = "job 1"', "backend_servers[0].name", "is not a name", 37),
     ('name = "job-1"', 'name = ""', "backend_servers[0].name", "is not a name", 37),
-    ("port = 443\n", "port = true\n", "services[0].port", "bool found", 32),
+    ("port = 443\n", "port = true\n", "services[0].port", "true or false found", 32),
     ("port = 443\n", "port = 0\n", "services[0].port", "out of bounds", 32),
     ("port = 443\n", "port = 65536\n", "services[0].port", "out of bounds", 32),
     ("port = 443\n", "", "services[0].port", "missing key", 29),
     ("port = 443\n", "port = 443\nprot = 1\n", "services[0].prot", "unknown key", 33),
     ("link_cost_ms = 5", "link_cost_ms = -1", "failure_domains[0].link_cost_ms", "bounds", 4),
-    ("link_cost_ms = 5", "link_cost_ms = 1.5", "failure_domains[0].link_cost_ms", "float", 4),
+    (
+        "link_cost_ms = 5",
+        "link_cost_ms = 1.5",
+        "failure_domains[0].link_cost_ms",
+        "a number found",
+        4,
+    ),
     ("expected_service_ms = 50", "idle_limit_s = 0", "services[0].idle_limit_s", "bounds", 34),
     (
         "expected_service_ms = 50",
@@ -52,7 +58,28 @@
         "'huge' is unknown",
         35,
     ),
-    ("expected_service_ms = 50", "objectives = 1", "services[0].objectives", "integer found", 34),
+    (
+        "expected_service_ms = 50",
+        '[[services]]\nname = "photos"\naddress = "10.1.0.1"\nport = 443',
+        "services[1].port",
+        "10.1.0.1:443 is also services[0].port",
+        37,
+    ),
+    (
+        "admin_port = 7401",
+        f'admin_port = 7401\npublic_key = "{"k" * 40}"\n[[entry_hosts]]\npublic_key = "{"k" * 40}"',
+        "entry_hosts[1].public_key",
+        "the key is also entry_hosts[0].public_key",
+        21,
+    ),
+    ('service = "job-board"', "service = 2001-01-01", "backend_servers[0].service", "date", 38),
+    (
+        "expected_service_ms = 50",
+        "objectives = 1",
+        "services[0].objectives",
+        "an integer found",
+        34,
+    ),
     (
         "expected_service_ms = 50",
         "  [services.objectives]\n  broken_flows_ratio = 2",
@@ -71,10 +98,16 @@
         "expected_service_ms = 50",
         "takes_streams = false\nlisten_port = 8443",
         "(syntax)",
-        'Key "listen_port" already exists',
+        "Cannot overwrite",
         35,
     ),
-    ("listen_port = 8443", "takes_streams = 'no'", "services[0].takes_streams", "string", 33),
+    (
+        "listen_port = 8443",
+        "takes_streams = 'no'",
+        "services[0].takes_streams",
+        "a string found",
+        33,
+    ),
     (
         "listen_port = 8443",
         "takes_streams = false\ntakes_requests = false",
@@ -171,9 +204,9 @@
         "has no entry host",
         7,
     ),
-    ('name = "job-2"', 'name = "job-1"', "backend_servers[1].name", "is also at line", 47),
-    ('name = "bruny"', 'name = "hobart"', "failure_domains[1].name", "is also at line", 7),
-    ('name = "entry-2"', 'name = "entry-1"', "entry_hosts[1].name", "is also at line", 21),
+    ('name = "job-2"', 'name = "job-1"', "backend_servers[1].name", "is also", 47),
+    ('name = "bruny"', 'name = "hobart"', "failure_domains[1].name", "is also", 7),
+    ('name = "entry-2"', 'name = "entry-1"', "entry_hosts[1].name", "is also", 21),
     (
         "report_port = 8401",
         'report_port = 8401\nstate = "leaving"',
@@ -183,7 +216,7 @@
     ),
     ("report_port = 8401", "slots = 0", "backend_servers[0].slots", "out of bounds", 44),
     ("[[services]]", "[[services", "(syntax)", "", 29),
-    ("[[services]]", "[services]", "services", "table found", 29),
+    ("[[services]]", "[services]", "services", "a table found", 29),
     ("[[services]]", 'colour = "red"\n[[services]]', "entry_hosts[1].colour", "unknown", 29),
 ]
 
@@ -229,16 +262,9 @@
 
 
 def test_names_that_share_a_wire_id_are_refused():
-    # 32-bit ids collide after about 80,000 names (the birthday bound), so a pair is found quickly.
-    seen = {}
-    pair = None
-    for number in range(400_000):
-        name = f"server-{number}"
-        other = seen.setdefault(wire_id(name), name)
-        if other != name:
-            pair = other, name
-            break
-    assert pair is not None
+    # Found by trying numbers in turn; 32-bit ids collide after about 80,000 names.
+    pair = ("server-64035", "server-152913")
+    assert wire_id(pair[0]) == wire_id(pair[1])
     text = VALID_FILE.replace('"job-1"', f'"{pair[0]}"').replace('"job-2"', f'"{pair[1]}"')
     problems = [f.problem for f in findings_of(text)]
     assert problems == [f"{pair[1]!r} has the wire id of {pair[0]!r}"]
