--- /dev/null
+++ b/src/redwingswitch/_internal/utils/toml_lines.py
@@ -0,0 +1,83 @@
+"""Lines of the values of a TOML text, for findings."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from tomlkit.exceptions import TOMLKitError
+from tomlkit.items import AoT, Array, InlineTable, Item, Key, Table
+from tomlkit.parser import Parser
+from tomlkit.toml_document import TOMLDocument
+
+Path = tuple[str | int, ...]
+
+
+def format_path(path: Path) -> str:
+    """Return a path as operators read it, such as ``services[0].port``."""
+    text = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in path)
+    return text.removeprefix(".") or "(whole file)"
+
+
+def locate(text: str) -> dict[Path, int]:
+    """Return the line, from 1, of each value and table of ``text``; empty when it has faults.
+
+    This takes several times as long as reading the values, so it is done only for findings.
+    """
+    parser = _LocatingParser(text)
+    try:
+        document = parser.parse()
+    except TOMLKitError:
+        return {}
+    return dict(_walk(document, (), parser))
+
+
+class _LocatingParser(Parser):
+    """The parser of tomlkit, which keeps no lines, with a line for each parsed item."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text)
+        # The item is kept with its line, so that its id is not reused while the parser lives.
+        self._lines: dict[int, tuple[object, int]] = {}
+        self._line = 1
+        self._counted = 0
+
+    def line_of(self, item: object) -> int | None:
+        """Return the line at which ``item`` starts, or None when it has none of its own."""
+        found = self._lines.get(id(item))
+        return None if found is None else found[1]
+
+    def _current_line(self) -> int:
+        position = self._src.idx
+        self._line += self._src.count("\n", self._counted, position)
+        self._counted = position
+        return self._line
+
+    def _parse_value(self) -> Item:
+        line = self._current_line()
+        item = super()._parse_value()
+        self._lines[id(item)] = (item, line)
+        return item
+
+    def _parse_table(
+        self, parent_name: Key | None = None, parent: Table | None = None
+    ) -> tuple[Key, Table | AoT]:
+        line = self._current_line()
+        key, item = super()._parse_table(parent_name, parent)
+        first = item.body[0] if isinstance(item, AoT) else item
+        self._lines[id(first)] = (first, line)
+        return key, item
+
+
+def _walk(item: object, path: Path, parser: _LocatingParser) -> Iterable[tuple[Path, int]]:
+    line = parser.line_of(item)
+    if line is not None:
+        yield path, line
+    if isinstance(item, AoT | Array):
+        elements = item.body if isinstance(item, AoT) else item
+        for position, element in enumerate(elements):
+            yield from _walk(element, (*path, position), parser)
+    if isinstance(item, Table | InlineTable | TOMLDocument):
+        body = item.body if isinstance(item, TOMLDocument) else item.value.body
+        for key, child in body:
+            if key is not None:
+                yield from _walk(child, (*path, key.key), parser)
