Add the network adapters

Peer messages are accepted only from a listed CURVE key and only under the name that the key is listed for; plaintext needs the setting and loopback addresses.

--- a/src/redwingswitch/_internal/models/actions.py
+++ b/src/redwingswitch/_internal/models/actions.py
@@ -48,6 +48,7 @@
     request_id: bytes
     body: bytes
     deadline_ms: int
+    idempotent: bool = False
 
 
 class CancelAttempt(NamedTuple):
--- /dev/null
+++ b/src/redwingswitch/_internal/network/datagrams.py
@@ -0,0 +1,74 @@
+"""UDP sockets on the tornado loop, read in bounded batches."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+
+from tornado.ioloop import IOLoop
+
+# A bounded batch keeps timers and other sockets served while packets keep coming.
+BATCH_DATAGRAMS = 64
+MAX_DATAGRAM_BYTES = 65_535
+RECEIVE_BUFFER_BYTES = 4_000_000
+
+OnDatagram = Callable[[bytes, tuple[str, int]], None]
+
+
+class DatagramEndpoint:
+    """A bound UDP socket that hands each datagram to ``on_datagram``."""
+
+    def __init__(self, *, address: str, port: int, on_datagram: OnDatagram) -> None:
+        self._on_datagram = on_datagram
+        self._socket = _bound_socket(address, port)
+        self._loop = IOLoop.current()
+        self._loop.add_handler(self._socket.fileno(), self._read_batch, IOLoop.READ)
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        port: int = self._socket.getsockname()[1]
+        return port
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        """Send a datagram; return False when the socket or the network refuses it."""
+        try:
+            self._socket.sendto(data, address)
+        except OSError:
+            return False
+        return True
+
+    def close(self) -> None:
+        """Close the socket; a second call has no effect."""
+        if self._socket.fileno() < 0:
+            return
+        self._loop.remove_handler(self._socket.fileno())
+        self._socket.close()
+
+    def _read_batch(self, _descriptor: int, _events: int) -> None:
+        for _ in range(BATCH_DATAGRAMS):
+            if self._socket.fileno() < 0 or not self._read_one():
+                return
+
+    def _read_one(self) -> bool:
+        try:
+            data, address = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except BlockingIOError:
+            return False
+        except OSError:
+            # An ICMP error of an earlier send is reported by the next receive.
+            return True
+        self._on_datagram(data, (address[0], address[1]))
+        return True
+
+
+def _bound_socket(address: str, port: int) -> socket.socket:
+    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    bound.setblocking(False)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+    try:
+        bound.bind((address, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
--- /dev/null
+++ b/src/redwingswitch/_internal/network/peers.py
@@ -0,0 +1,242 @@
+"""Authenticated messages between entry hosts: pyzmq ROUTER and DEALER sockets with CURVE keys."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections.abc import Callable, Iterable
+from typing import Any, NamedTuple
+
+import zmq
+from logbook import Logger
+from zmq.auth.asyncio import AsyncioAuthenticator
+from zmq.eventloop.zmqstream import ZMQStream
+
+from redwingswitch._internal.exceptions import DecodeError, RedwingswitchError
+from redwingswitch._internal.models.messages import PeerMessage
+from redwingswitch._internal.network.codec import Envelope, decode_message, encode_message
+
+log = Logger("peers")
+
+QUEUE_MESSAGES = 1_000
+MAX_MESSAGE_BYTES = 4_000_000
+RECONNECT_MS = 100
+RECONNECT_MAX_MS = 2_000
+# An unacknowledged connection is dropped after this time, so that a healed partition reconnects
+# without waiting for the retransmission timer of TCP.
+UNACKNOWLEDGED_LIMIT_MS = 5_000
+MESSAGE_FRAMES = 2
+
+OnMessage = Callable[[Envelope], None]
+OnRefused = Callable[[str], None]
+OnSent = Callable[[PeerMessage, int], None]
+
+
+class PeerAddress(NamedTuple):
+    """Where a peer listens; ``public_key`` is its CURVE key in Z85, empty for plaintext."""
+
+    host: str
+    address: str
+    port: int
+    public_key: str
+
+
+class PeerKeys(NamedTuple):
+    """The CURVE key pair of a host in Z85; both empty for plaintext on loopback."""
+
+    public_key: str = ""
+    secret_key: str = ""
+
+    @property
+    def encrypted(self) -> bool:
+        """Return whether messages are encrypted and authenticated."""
+        return bool(self.secret_key)
+
+
+class PeerSecurityError(RedwingswitchError):
+    """Plaintext was asked for where it is not allowed."""
+
+
+class _ListedKeys:
+    """The credentials callback of the authenticator: accepts the keys of the listed peers."""
+
+    def __init__(self, *, transport: PeerSockets) -> None:
+        self._transport = transport
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a peer with this public key is listed."""
+        return self._transport.lists_key(key.decode("ascii"))
+
+
+class PeerSockets:
+    """Implements ``ports.PeerTransport``.
+
+    Messages go out by one DEALER socket for each peer, connected by the first send, and come in by
+    one ROUTER socket. A full queue or a peer without a connection drops the message: every message
+    is periodic or acknowledged, and a late one would be useless.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        incarnation: int,
+        address: str,
+        port: int,
+        keys: PeerKeys,
+        allow_plaintext: bool,
+        on_message: OnMessage,
+        on_refused: OnRefused,
+        on_sent: OnSent,
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._keys = keys
+        self._allow_plaintext = allow_plaintext
+        self._on_message = on_message
+        self._on_refused = on_refused
+        self._on_sent = on_sent
+        self._peers: dict[str, PeerAddress] = {}
+        self._dealers: dict[str, zmq.Socket[bytes]] = {}
+        self._check_plaintext(address)
+        # The authenticator's address is unique within a context, hence a context for each host.
+        self._context = zmq.Context()
+        self._authenticator = self._start_authenticator()
+        self._router = self._bind_router(address, port)
+        self._stream = ZMQStream(self._router)
+        self._stream.on_recv(self._receive, copy=False)
+
+    @property
+    def port(self) -> int:
+        """Return the bound port."""
+        endpoint = self._router.getsockopt(zmq.LAST_ENDPOINT)
+        assert isinstance(endpoint, bytes)
+        return int(endpoint.rstrip(b"\0").rpartition(b":")[2])
+
+    def update_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Replace the listed peers; raise PeerSecurityError for plaintext beyond loopback."""
+        listed = {peer.host: peer for peer in peers if peer.host != self._host}
+        for peer in listed.values():
+            self._check_peer(peer)
+        for host, peer in self._peers.items():
+            if listed.get(host) != peer:
+                self._disconnect(host)
+        self._peers = listed
+
+    def lists_key(self, public_key: str) -> bool:
+        """Return whether a listed peer has this public key."""
+        return any(peer.public_key == public_key for peer in self._peers.values())
+
+    def send(self, host: str, message: PeerMessage) -> bool:
+        """Queue a message; return False when the host is unknown or its queue is full."""
+        peer = self._peers.get(host)
+        if peer is None:
+            return False
+        data = encode_message(sender=self._host, incarnation=self._incarnation, message=message)
+        try:
+            self._dealer(peer).send(data, flags=zmq.NOBLOCK)
+        except zmq.ZMQError:
+            return False
+        self._on_sent(message, len(data))
+        return True
+
+    def set_incarnation(self, incarnation: int) -> None:
+        """Send later messages under ``incarnation``, after a suspicion was refuted."""
+        self._incarnation = incarnation
+
+    def close(self) -> None:
+        """Close all sockets; queued messages are discarded."""
+        for host in list(self._dealers):
+            self._disconnect(host)
+        self._stream.close(linger=0)
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def _receive(self, frames: list[Any]) -> None:
+        if len(frames) != MESSAGE_FRAMES:
+            self._on_refused("a peer message must have one frame")
+            return
+        try:
+            envelope = decode_message(frames[1].bytes)
+        except DecodeError as error:
+            self._on_refused(str(error))
+            return
+        if not self._is_from(envelope.sender, frames[1]):
+            self._on_refused(f"the key of {envelope.sender} is not listed for it")
+            return
+        self._on_message(envelope)
+
+    def _is_from(self, sender: str, frame: Any) -> bool:
+        if not self._keys.encrypted:
+            return True
+        peer = self._peers.get(sender)
+        return peer is not None and bool(frame.get("User-Id") == peer.public_key)
+
+    def _dealer(self, peer: PeerAddress) -> zmq.Socket[bytes]:
+        dealer = self._dealers.get(peer.host)
+        if dealer is None:
+            dealer = self._connect(peer)
+            self._dealers[peer.host] = dealer
+        return dealer
+
+    def _connect(self, peer: PeerAddress) -> zmq.Socket[bytes]:
+        dealer = self._context.socket(zmq.DEALER)
+        _set_bounds(dealer)
+        dealer.setsockopt(zmq.IMMEDIATE, 1)
+        dealer.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        dealer.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        if self._keys.encrypted:
+            self._set_keys(dealer)
+            dealer.curve_serverkey = peer.public_key.encode("ascii")
+        dealer.connect(f"tcp://{peer.address}:{peer.port}")
+        return dealer
+
+    def _disconnect(self, host: str) -> None:
+        dealer = self._dealers.pop(host, None)
+        if dealer is not None:
+            dealer.close(linger=0)
+
+    def _bind_router(self, address: str, port: int) -> zmq.Socket[bytes]:
+        router = self._context.socket(zmq.ROUTER)
+        _set_bounds(router)
+        if self._keys.encrypted:
+            self._set_keys(router)
+            router.curve_server = True
+        router.bind(f"tcp://{address}:{port or '*'}")
+        return router
+
+    def _set_keys(self, socket: zmq.Socket[bytes]) -> None:
+        socket.curve_publickey = self._keys.public_key.encode("ascii")
+        socket.curve_secretkey = self._keys.secret_key.encode("ascii")
+
+    def _start_authenticator(self) -> AsyncioAuthenticator | None:
+        if not self._keys.encrypted:
+            return None
+        authenticator = AsyncioAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback(
+            domain="*", credentials_provider=_ListedKeys(transport=self)
+        )
+        return authenticator
+
+    def _check_peer(self, peer: PeerAddress) -> None:
+        if self._keys.encrypted and not peer.public_key:
+            raise PeerSecurityError(f"{peer.host} has no public key; add its CURVE key in Z85")
+        self._check_plaintext(peer.address)
+
+    def _check_plaintext(self, address: str) -> None:
+        if self._keys.encrypted:
+            return
+        if not self._allow_plaintext or not ipaddress.ip_address(address).is_loopback:
+            raise PeerSecurityError(
+                f"plaintext to {address} is refused; configure CURVE keys, or allow plaintext and "
+                "use loopback addresses only"
+            )
+
+
+def _set_bounds(socket: zmq.Socket[bytes]) -> None:
+    socket.setsockopt(zmq.SNDHWM, QUEUE_MESSAGES)
+    socket.setsockopt(zmq.RCVHWM, QUEUE_MESSAGES)
+    socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+    socket.setsockopt(zmq.TCP_MAXRT, UNACKNOWLEDGED_LIMIT_MS)
+    socket.setsockopt(zmq.LINGER, 0)
--- /dev/null
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -0,0 +1,142 @@
+"""TCP listener that splices opaque bytes between a caller and a backend server.
+
+It uses asyncio streams, because tornado's IOStream closes both directions at the end of input and
+so cannot pass a half-close on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import Callable
+
+from logbook import Logger
+
+from redwingswitch._internal.models.configuration import BackendServer
+from redwingswitch._internal.models.identifiers import FlowKey, flow_hash
+
+log = Logger("splice")
+
+CONNECT_TIMEOUT_S = 1.0
+CONNECT_ATTEMPTS = 2
+CHUNK_BYTES = 65_536
+MAX_CONNECTIONS = 4_000
+TCP_PROTOCOL = 6
+
+ChooseServer = Callable[[str, int], BackendServer | None]
+OnConnectFailed = Callable[[str], None]
+Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
+
+
+class SpliceListener:
+    """The listener of one service on one entry host."""
+
+    def __init__(
+        self, *, service: str, choose_server: ChooseServer, on_connect_failed: OnConnectFailed
+    ) -> None:
+        self._service = service
+        self._choose_server = choose_server
+        self._on_connect_failed = on_connect_failed
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    @property
+    def port(self) -> int:
+        """Return the bound port, or 0 when not listening."""
+        if self._server is None or not self._server.sockets:
+            return 0
+        port: int = self._server.sockets[0].getsockname()[1]
+        return port
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of callers' connections in progress."""
+        return len(self._tasks)
+
+    async def listen(self, *, address: str, port: int) -> None:
+        """Start to accept connections; raise OSError when the port is taken."""
+        self._server = await asyncio.start_server(self._accept, address, port)
+
+    def stop_listening(self) -> None:
+        """Accept no new connections; open ones continue."""
+        if self._server is not None:
+            self._server.close()
+
+    async def close(self) -> None:
+        """Cut every connection off."""
+        self.stop_listening()
+        tasks = list(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        if task is None or len(self._tasks) >= MAX_CONNECTIONS:
+            writer.transport.abort()
+            return
+        self._tasks.add(task)
+        try:
+            await self._serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            log.debug(f"splice: a connection of {self._service} ended: {error}")
+        except asyncio.CancelledError:
+            # Cancelled by close(); the streams' callback would log a cancelled task as an error.
+            writer.transport.abort()
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        backend = await self._connect(_hash_of(writer))
+        if backend is None:
+            # A reset tells the caller that the service is unavailable; a close would look like an
+            # empty answer.
+            writer.transport.abort()
+            return
+        backend_reader, backend_writer = backend
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(_copy(reader, backend_writer))
+                group.create_task(_copy(backend_reader, writer))
+        except* OSError:
+            # One side was reset, so the other one is reset as well.
+            writer.transport.abort()
+            backend_writer.transport.abort()
+        finally:
+            backend_writer.close()
+
+    async def _connect(self, connection_hash: int) -> Streams | None:
+        for _ in range(CONNECT_ATTEMPTS):
+            server = self._choose_server(self._service, connection_hash)
+            if server is None:
+                return None
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    return await asyncio.open_connection(server.address, server.stream_port)
+            except (OSError, TimeoutError):
+                log.warning(f"splice: cannot connect to {server.name}")
+                self._on_connect_failed(server.name)
+        return None
+
+
+async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while chunk := await reader.read(CHUNK_BYTES):
+        writer.write(chunk)
+        await writer.drain()
+    with contextlib.suppress(OSError):
+        writer.write_eof()
+
+
+def _hash_of(writer: asyncio.StreamWriter) -> int:
+    caller = writer.get_extra_info("peername")
+    service = writer.get_extra_info("sockname")
+    key = FlowKey(
+        TCP_PROTOCOL,
+        socket.inet_aton(caller[0]),
+        caller[1],
+        socket.inet_aton(service[0]),
+        service[1],
+    )
+    return flow_hash(key)
