--- a/src/redwingswitch/_internal/utils/toml_lines.py
+++ b/src/redwingswitch/_internal/utils/toml_lines.py
@@ -69,7 +69,7 @@
 
 
 def _walk(item: object, path: Path, parser: _LocatingParser) -> Iterable[tuple[Path, int]]:
-    line = parser.line_of(item)
+    line = parser.line_of(item.body[0] if isinstance(item, AoT) and item.body else item)
     if line is not None:
         yield path, line
     if isinstance(item, AoT | Array):
