--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/bucket_owners.py
@@ -0,0 +1,144 @@
+"""Which entry hosts own and replicate the records of a bucket."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from redwingswitch._internal.decisions.hashing import rendezvous_rank
+from redwingswitch._internal.models.members import MembershipView, MemberState
+
+# Independent of the table size, so that hosts with different histories agree on owners.
+OWNER_BUCKETS = 2003
+RANKED_HOSTS = 4
+CACHED_RANKS = 65_536
+# After this time, the records of a former owner have arrived or its queries were asked.
+OWNERSHIP_SETTLES_AFTER_MS = 10_000
+
+
+class OwnerRanking:
+    """Rank hosts for buckets, for one fixed set of hosts and their failure domains."""
+
+    def __init__(self, *, hosts: Mapping[str, str]) -> None:
+        self.hosts = dict(hosts)
+        self._by_domain: dict[str, list[str]] = {}
+        for host, domain in hosts.items():
+            self._by_domain.setdefault(domain, []).append(host)
+        self._cache: dict[tuple[int, int, str], tuple[str, ...]] = {}
+
+    def rank(self, service_id: int, flow_hash: int, near: str) -> tuple[str, ...]:
+        """Return the first hosts for a flow: those in the domain ``near``, then the others."""
+        key = (service_id, flow_hash % OWNER_BUCKETS, near)
+        ranked = self._cache.get(key)
+        if ranked is None:
+            ranked = self._compute(key)
+        return ranked
+
+    def _compute(self, key: tuple[int, int, str]) -> tuple[str, ...]:
+        service_id, bucket, near = key
+        weight_key = service_id.to_bytes(4, "big") + bucket.to_bytes(4, "big")
+        local = self._by_domain.get(near, [])
+        ranked = rendezvous_rank(weight_key, local)
+        if len(ranked) < RANKED_HOSTS:
+            others = (host for host, domain in self.hosts.items() if domain != near)
+            ranked += rendezvous_rank(weight_key, others)
+        if len(self._cache) >= CACHED_RANKS:
+            self._cache.clear()
+        self._cache[key] = result = tuple(ranked[:RANKED_HOSTS])
+        return result
+
+
+class BucketOwners:
+    """Follow the membership and tell who decides for a bucket."""
+
+    def __init__(self, *, host: str, failure_domain: str) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._leaving = False
+        self.ranking = OwnerRanking(hosts={host: failure_domain})
+        self.previous = self.ranking
+        self.suspected: frozenset[str] = frozenset()
+        self.reachable: frozenset[str] = frozenset({host})
+        self._changed_until_ms: dict[str, int] = {}
+        self._changed_ranking = OwnerRanking(hosts={})
+        self._completed_until_ms: dict[tuple[int, str], int] = {}
+
+    def leave(self, now_ms: int) -> None:
+        """Stop counting the local host as an owner."""
+        self._leaving = True
+        hosts = {h: d for h, d in self.ranking.hosts.items() if h != self._host}
+        self._replace(hosts, now_ms)
+
+    def update(self, view: MembershipView, now_ms: int) -> bool:
+        """Take over a membership view; return whether the set of owners changed."""
+        hosts = {member.host: member.failure_domain for member in view.serving()}
+        hosts[self._host] = self._failure_domain
+        if self._leaving:
+            del hosts[self._host]
+        self.suspected = frozenset(
+            m.host
+            for m in view.members
+            if m.state is MemberState.SUSPECTED and m.host != self._host
+        )
+        self.reachable = frozenset(
+            m.host for m in view.members if m.state is not MemberState.DEAD
+        ) | {self._host}
+        if hosts == self.ranking.hosts:
+            return False
+        self._replace(hosts, now_ms)
+        return True
+
+    def _replace(self, hosts: Mapping[str, str], now_ms: int) -> None:
+        self.previous = self.ranking
+        self.ranking = OwnerRanking(hosts=hosts)
+        added = hosts.keys() - self.previous.hosts.keys()
+        left = (self.previous.hosts.keys() - hosts.keys()) & self.reachable
+        for host in (added | left) - {self._host}:
+            self._changed_until_ms[host] = now_ms + OWNERSHIP_SETTLES_AFTER_MS
+        for host in self._changed_until_ms.keys() - self.reachable:
+            del self._changed_until_ms[host]
+        for key in [k for k in self._completed_until_ms if k[1] not in self.reachable]:
+            del self._completed_until_ms[key]
+        self._rank_changed()
+
+    def _rank_changed(self) -> None:
+        """Rank the hosts that joined or left lately, to find the former owner of a bucket."""
+        domains = self.previous.hosts | self.ranking.hosts
+        changed = {host: domains.get(host, "") for host in self._changed_until_ms}
+        if changed != self._changed_ranking.hosts:
+            self._changed_ranking = OwnerRanking(hosts=changed)
+
+    def note_decider(self, host: str, now_ms: int) -> None:
+        """Remember that another host decided for a bucket of the local host."""
+        self._changed_until_ms[host] = now_ms + OWNERSHIP_SETTLES_AFTER_MS
+        self._rank_changed()
+        for key in [k for k in self._completed_until_ms if k[1] == host]:
+            del self._completed_until_ms[key]
+
+    def note_complete(self, service_id: int, host: str, now_ms: int) -> None:
+        """Remember that a former owner has handed over all its records of a service."""
+        self._completed_until_ms[service_id, host] = now_ms + OWNERSHIP_SETTLES_AFTER_MS
+
+    def expire(self, now_ms: int) -> None:
+        """Forget changes that have settled."""
+        changed, completed = self._changed_until_ms, self._completed_until_ms
+        for host in [h for h, until_ms in changed.items() if until_ms <= now_ms]:
+            del changed[host]
+        for key in [k for k, until_ms in completed.items() if until_ms <= now_ms]:
+            del completed[key]
+        self._rank_changed()
+
+    def unsettled(self, service_id: int, flow_hash: int, near: str, now_ms: int) -> tuple[str, ...]:
+        """Return the former owner and replica that may hold a record which the owner lacks."""
+        if not self._changed_until_ms:
+            return ()
+        former = self._changed_ranking.rank(service_id, flow_hash, near)[:2]
+        return tuple(
+            host
+            for host in former
+            if self._changed_until_ms.get(host, now_ms) > now_ms
+            and (service_id, host) not in self._completed_until_ms
+        )
+
+    def first_usable(self, ranked: Iterable[str]) -> str | None:
+        """Return the first host that is not suspected."""
+        return next((host for host in ranked if host not in self.suspected), None)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/flow_decider.py
@@ -0,0 +1,204 @@
+"""Decides for flows of displaced buckets, as their owner."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.held_packets import HOLD_FOR_MS, HeldPacket, HeldPackets
+from redwingswitch._internal.decisions.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.models.actions import (
+    Action,
+    Drop,
+    DropReason,
+    SendToBackendServer,
+    SendToPeer,
+)
+from redwingswitch._internal.models.events import PacketArrived
+from redwingswitch._internal.models.identifiers import PacketKind
+from redwingswitch._internal.models.messages import (
+    MAX_HOPS,
+    ForwardedPacket,
+    RecordBatchAck,
+    RecordQuery,
+    RecordReply,
+)
+
+# Opening packets that would go to a server without new work are held this long before the
+# activation. Hosts reach the activation up to one message delay apart; without the hold, the last
+# of them would send a new flow to a leaving server after the bound.
+HOLD_BEFORE_ACTIVATION_MS = 100
+
+
+class FlowDecider:
+    """Choose the backend server of each flow and record it."""
+
+    def __init__(self, *, context: SteeringContext, exchange: RecordExchange) -> None:
+        self._context = context
+        self._exchange = exchange
+        self.held = HeldPackets()
+
+    def decide(
+        self, service: SteeredService, event: PacketArrived, now_ms: int, *, may_hold: bool = True
+    ) -> list[Action]:
+        """Return what happens to a packet of a displaced flow."""
+        self._context.counters.decided_packets += 1
+        number = service.records.get(event.flow_hash)
+        if number is not None:
+            if event.kind in (PacketKind.CLOSE, PacketKind.RESET):
+                service.records.close(event.flow_hash)
+            return self.send(service, event, number)
+        if event.kind is PacketKind.OPEN:
+            return self._open(service, event, now_ms, may_hold=may_hold)
+        number = service.records.get_closed(event.flow_hash)
+        if number is not None:
+            return self.send(service, event, number)
+        return self._without_record(service, event, now_ms, may_hold=may_hold)
+
+    def send(self, service: SteeredService, event: PacketArrived, number: int) -> list[Action]:
+        """Send a packet, unless its server belongs to another service by now."""
+        name = service.tables.index.names[number]
+        if service.tables.is_foreign(number):
+            self._context.counters.wrong_service_packets += 1
+            return [Drop(DropReason.WRONG_SERVICE, name)]
+        return [SendToBackendServer(service.name, name, event.flow, event.payload)]
+
+    # New flows.
+
+    def _open(
+        self, service: SteeredService, event: PacketArrived, now_ms: int, *, may_hold: bool
+    ) -> list[Action]:
+        tables, flow_hash = service.tables, event.flow_hash
+        number = tables.new_flow_choice(flow_hash, now_ms)
+        if number is None:
+            return [Drop(DropReason.NO_BACKEND_SERVER, service.name)]
+        if tables.pending() and not tables.takes_new_flows(number):
+            hold_from_ms = tables.newest.activate_at_ms - HOLD_BEFORE_ACTIVATION_MS
+            if now_ms >= hold_from_ms and may_hold:
+                return self._hold_for_activation(service, event)
+        closed = service.records.get_closed(flow_hash)
+        if not service.records.put(flow_hash, number):
+            return self._open_without_record(service, event)
+        if not service.differs(flow_hash, number) and closed in (None, number):
+            return self.send(service, event, number)
+        return self._share_and_send(service, event, number, now_ms, may_hold=may_hold)
+
+    def _open_without_record(self, service: SteeredService, event: PacketArrived) -> list[Action]:
+        """Keep the default, which needs no record, or refuse the flow at the record bound."""
+        self._context.counters.record_bound_hits += 1
+        default = service.tables.oldest.choice(event.flow_hash)
+        if default is None or not service.tables.takes_new_flows(default):
+            return [Drop(DropReason.OVERLOAD, service.name)]
+        return self.send(service, event, default)
+
+    def _hold_for_activation(self, service: SteeredService, event: PacketArrived) -> list[Action]:
+        if self.held.full():
+            return self._hold_limit(service)
+        self.held.hold(
+            ("activation", service.wire_id),
+            HeldPacket(service.name, event),
+            release_at_ms=service.tables.newest.activate_at_ms,
+        )
+        return []
+
+    def _hold_limit(self, service: SteeredService) -> list[Action]:
+        self._context.counters.hold_limit_hits += 1
+        return [Drop(DropReason.HOLD_LIMIT, service.name)]
+
+    def _share_and_send(
+        self,
+        service: SteeredService,
+        event: PacketArrived,
+        number: int,
+        now_ms: int,
+        *,
+        may_hold: bool,
+    ) -> list[Action]:
+        """Share the record; while a former owner may still decide, do so before sending."""
+        actions: list[Action] = [*self._exchange.share(service, event.flow_hash, number, now_ms)]
+        unsettled = self._context.unsettled(service, event.flow_hash, now_ms)
+        sequence = self._exchange.sender.last_sequence(unsettled[0]) if unsettled else None
+        if sequence is None or not may_hold:
+            return actions + self.send(service, event, number)
+        if self.held.full():
+            self._context.counters.hold_limit_hits += 1
+            return actions + self.send(service, event, number)
+        self.held.hold(
+            ("record", unsettled[0], sequence),
+            HeldPacket(service.name, event),
+            release_at_ms=now_ms + HOLD_FOR_MS,
+        )
+        return actions
+
+    # Flows that opened before the change, or at a former owner.
+
+    def _without_record(
+        self, service: SteeredService, event: PacketArrived, now_ms: int, *, may_hold: bool
+    ) -> list[Action]:
+        former = self._context.unsettled(service, event.flow_hash, now_ms) if may_hold else ()
+        if former:
+            return self._ask(service, event, former, now_ms)
+        number = service.tables.oldest.choice(event.flow_hash)
+        if number is None:
+            return [Drop(DropReason.NO_BACKEND_SERVER, service.name)]
+        self._context.counters.default_choices += 1
+        if event.kind is PacketKind.DATA and not service.records.put(event.flow_hash, number):
+            self._context.counters.record_bound_hits += 1
+        return self.send(service, event, number)
+
+    def _ask(
+        self, service: SteeredService, event: PacketArrived, former: tuple[str, ...], now_ms: int
+    ) -> list[Action]:
+        key = ("query", service.wire_id, event.flow_hash)
+        if self.held.full():
+            self._context.counters.hold_limit_hits += 1
+            if event.hops < MAX_HOPS:
+                return [forward(event, former[0], hops=MAX_HOPS)]
+            return self._without_record(service, event, now_ms, may_hold=False)
+        asked = self.held.waiting(key)
+        self.held.hold(
+            key,
+            HeldPacket(service.name, event),
+            release_at_ms=now_ms + HOLD_FOR_MS,
+            answers=len(former),
+        )
+        if asked:
+            return []
+        self._context.counters.record_queries += 1
+        query = RecordQuery(service.wire_id, event.flow_hash)
+        return [SendToPeer(host, query) for host in former]
+
+    # Answers that held packets wait for.
+
+    def on_ack(self, sender: str, ack: RecordBatchAck, now_ms: int) -> list[Action]:
+        """Release opening packets whose record is confirmed."""
+        return self._resume(self.held.answer(("record", sender, ack.sequence)), now_ms)
+
+    def on_reply(self, reply: RecordReply, now_ms: int, *, found: bool) -> list[Action]:
+        """Release packets whose record was asked for."""
+        key = ("query", reply.service_id, reply.flow_hash)
+        return self._resume(self.held.answer(key, final=found), now_ms)
+
+    def on_activation(self, service: SteeredService, now_ms: int) -> list[Action]:
+        """Release opening packets that waited for the newest table."""
+        return self._resume(self.held.answer(("activation", service.wire_id)), now_ms)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Release packets that were held long enough."""
+        return self._resume(self.held.overdue(now_ms), now_ms)
+
+    def _resume(self, packets: list[HeldPacket], now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for packet in packets:
+            service = self._context.by_name.get(packet.service)
+            if service is None:
+                actions.append(Drop(DropReason.NO_SERVICE, packet.service))
+                continue
+            actions += self.decide(service, packet.event, now_ms, may_hold=False)
+        return actions
+
+
+def forward(event: PacketArrived, host: str, *, hops: int) -> SendToPeer:
+    """Return the action that forwards a packet to another entry host."""
+    return SendToPeer(
+        host, ForwardedPacket(event.flow, event.flow_hash, event.kind, hops, event.payload)
+    )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/history_requests.py
@@ -0,0 +1,84 @@
+"""Asks peers for the tables that the local host did not learn in time."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.models.actions import SendToPeer
+from redwingswitch._internal.models.members import MembershipView, MemberState, MemberView
+from redwingswitch._internal.models.messages import TableHistoryRequest
+
+ASK_AGAIN_AFTER_MS = 500
+
+
+class HistoryRequests:
+    """Follow the services whose history is not known yet."""
+
+    def __init__(self, *, host: str) -> None:
+        self._host = host
+        self._asked_at_ms: dict[str, int] = {}
+        self._waiting: dict[str, SteeredService] = {}
+        self._view = MembershipView(members=())
+        self._view_known = False
+
+    def start(self, service: SteeredService, now_ms: int, *, fresh: bool) -> None:
+        """Begin to wait for the history of a service."""
+        service.await_history(now_ms, fresh=fresh)
+        self._waiting[service.name] = service
+
+    def forget(self, name: str) -> None:
+        """Stop waiting for a removed service."""
+        self._waiting.pop(name, None)
+        self._asked_at_ms.pop(name, None)
+
+    def set_view(self, view: MembershipView) -> None:
+        """Take over a membership view."""
+        self._view = view
+        self._view_known = True
+
+    def waiting(self) -> bool:
+        """Return whether any history is missing."""
+        return bool(self._waiting)
+
+    def complete(self, service: SteeredService) -> None:
+        """Note that the history of a service is known."""
+        service.history_complete()
+        self.forget(service.name)
+
+    def advance(self, revision: int, now_ms: int) -> list[SendToPeer]:
+        """Ask for missing histories, and stop waiting where no peer has one."""
+        actions: list[SendToPeer] = []
+        others = [
+            m for m in self._view.members if m.host != self._host and m.state != MemberState.DEAD
+        ]
+        for service in list(self._waiting.values()):
+            deadline_ms = service.history_wait_until_ms or now_ms
+            holder = next((m.host for m in others if _holds_history(m, service.wire_id)), None)
+            known = self._view_known and all(m.digest.revision >= revision for m in others)
+            if now_ms >= deadline_ms or (holder is None and known):
+                self.complete(service)
+            elif holder is not None and self._may_ask(service.name, now_ms):
+                self._asked_at_ms[service.name] = now_ms
+                actions.append(SendToPeer(holder, TableHistoryRequest(service.wire_id)))
+        return actions
+
+    def answer(
+        self, services: Mapping[int, SteeredService], sender: str, request: TableHistoryRequest
+    ) -> list[SendToPeer]:
+        """Send the history of a service, unless the local host waits for it as well."""
+        service = services.get(request.service_id)
+        if service is None or service.history_wait_until_ms is not None:
+            return []
+        return [SendToPeer(sender, service.tables.export(service.wire_id))]
+
+    def _may_ask(self, name: str, now_ms: int) -> bool:
+        asked_at_ms = self._asked_at_ms.get(name)
+        return asked_at_ms is None or now_ms >= asked_at_ms + ASK_AGAIN_AFTER_MS
+
+
+def _holds_history(member: MemberView, service_id: int) -> bool:
+    return any(
+        need.service_id == service_id and need.oldest_held_revision > 0
+        for need in member.digest.needed_revisions
+    )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -0,0 +1,154 @@
+"""Sends, receives and looks up flow records between entry hosts."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from redwingswitch._internal.decisions.record_moves import Ownership, RecordMoves, record_moves
+from redwingswitch._internal.decisions.record_sender import RecordSender, unpack_hashes
+from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.models.actions import SendToPeer
+from redwingswitch._internal.models.messages import (
+    BatchPurpose,
+    RecordBatch,
+    RecordBatchAck,
+    RecordQuery,
+    RecordReply,
+)
+
+
+class _Received(NamedTuple):
+    """Where a record came from; ``in_order`` is false when a later batch was seen before."""
+
+    sender: str
+    service: SteeredService
+    number: int
+    purpose: BatchPurpose
+    in_order: bool
+
+
+class RecordExchange:
+    """Keep the owner and the replica of each displaced flow informed."""
+
+    def __init__(self, *, context: SteeringContext, first_sequence: int) -> None:
+        self._context = context
+        self._latest_sequence: dict[str, int] = {}
+        self.sender = RecordSender(first_sequence=first_sequence)
+
+    def share(
+        self, service: SteeredService, flow_hash: int, number: int, now_ms: int
+    ) -> list[SendToPeer]:
+        """Send a decision to the flow's other holders.
+
+        It goes out at once when another host may decide for the same flow, else with the next
+        batch.
+        """
+        context = self._context
+        ranked = context.ranked(service, flow_hash)
+        unsettled = context.unsettled(service, flow_hash, now_ms)
+        targets = dict.fromkeys((*ranked[:2], *unsettled))
+        targets.pop(context.host, None)
+        server_id = service.tables.index.wire_ids[number]
+        for target in targets:
+            self.sender.add(target, service.wire_id, server_id, flow_hash, now_ms)
+        if not unsettled and ranked[:1] == (context.host,):
+            return []
+        return [action for target in targets for action in self.sender.flush(target, now_ms)]
+
+    def on_batch(self, sender: str, batch: RecordBatch, now_ms: int) -> list[SendToPeer]:
+        """Store the records of a peer and confirm them.
+
+        A batch of an unknown service is not confirmed, so that it comes again once the local host
+        has learned the configuration.
+        """
+        service = self._context.by_wire_id.get(batch.service_id)
+        if service is None:
+            return []
+        latest = self._latest_sequence.get(sender, 0)
+        in_order = batch.sequence > latest
+        self._latest_sequence[sender] = max(latest, batch.sequence)
+        for group in batch.groups:
+            number = service.tables.index.by_wire_id(group.backend_server_id)
+            if number is None:
+                self._context.counters.unknown_servers += 1
+                continue
+            received = _Received(sender, service, number, batch.purpose, in_order)
+            for flow_hash in unpack_hashes(group.hashes):
+                self._store(received, flow_hash, now_ms)
+        if batch.complete:
+            self._context.owners.note_complete(service.wire_id, sender, now_ms)
+        return [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+
+    def _store(self, received: _Received, flow_hash: int, now_ms: int) -> None:
+        """Store one record unless the local host knows better.
+
+        A default that was recorded for want of a record never wins over a peer's record.
+        """
+        context, service = self._context, received.service
+        context.counters.records_received += 1
+        owner = context.ranked(service, flow_hash)[:1] == (context.host,)
+        replica = received.purpose is BatchPurpose.REPLICA
+        if replica and owner:
+            context.owners.note_decider(received.sender, now_ms)
+        own = service.records.get(flow_hash)
+        known = own is not None and service.differs(flow_hash, own)
+        if known and not (replica and received.in_order and not owner):
+            return
+        if not replica and service.records.get_closed(flow_hash) is not None:
+            return
+        if not service.records.put(flow_hash, received.number):
+            context.counters.record_bound_hits += 1
+
+    def on_query(self, sender: str, query: RecordQuery) -> list[SendToPeer]:
+        """Answer whether there is a record of a flow."""
+        service = self._context.by_wire_id.get(query.service_id)
+        number = None if service is None else service.records.get(query.flow_hash)
+        server_id = 0
+        if service is not None and number is not None:
+            server_id = service.tables.index.wire_ids[number]
+        return [SendToPeer(sender, RecordReply(query.service_id, query.flow_hash, server_id))]
+
+    def on_reply(self, sender: str, reply: RecordReply, now_ms: int) -> bool:
+        """Store the answer to a query; return whether it named a server."""
+        service = self._context.by_wire_id.get(reply.service_id)
+        if service is None or not reply.backend_server_id:
+            return False
+        number = service.tables.index.by_wire_id(reply.backend_server_id)
+        if number is None:
+            self._context.counters.unknown_servers += 1
+            return False
+        received = _Received(sender, service, number, BatchPurpose.HAND_OVER, in_order=False)
+        self._store(received, reply.flow_hash, now_ms)
+        return True
+
+    def move(
+        self, service: SteeredService, before: Ownership, after: Ownership, now_ms: int
+    ) -> RecordMoves:
+        """Queue what a change of owners makes the local host send."""
+        context = self._context
+        moves = record_moves(
+            service=service,
+            host=context.host,
+            before=before,
+            after=after,
+            reachable=context.owners.reachable,
+        )
+        for target, records in moves.to_replica.items():
+            self.sender.hand_over(target, service.wire_id, records, BatchPurpose.REPLICA)
+        for target in moves.to_owner.keys() | moves.new_owners:
+            records = moves.to_owner.get(target, {})
+            complete = target in moves.new_owners
+            self.sender.close_batches(target)
+            self.sender.hand_over(
+                target, service.wire_id, records, BatchPurpose.HAND_OVER, complete=complete
+            )
+        if moves.any_owner_changed:
+            service.owner_changed_at_ms = now_ms
+        return moves
+
+    def keep_only(self, hosts: frozenset[str]) -> None:
+        """Forget peers that are gone."""
+        self.sender.keep_only(hosts)
+        for host in [h for h in self._latest_sequence if h not in hosts]:
+            del self._latest_sequence[host]
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/record_moves.py
@@ -0,0 +1,91 @@
+"""Which records have to move when the owners of buckets change."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from redwingswitch._internal.decisions.bucket_owners import OWNER_BUCKETS, OwnerRanking
+from redwingswitch._internal.decisions.steered_service import SteeredService
+
+HOLDERS = 2
+
+Near = Callable[[int], str]
+
+
+class Ownership:
+    """Owner and replica of each flow at one time: a ranking, and the domain to be near to."""
+
+    def __init__(self, *, ranking: OwnerRanking, near: Near) -> None:
+        self._ranking = ranking
+        self._near = near
+
+    def holders(self, service_id: int, flow_hash: int) -> tuple[str, ...]:
+        """Return the owner and the replica of a flow."""
+        return self._ranking.rank(service_id, flow_hash, self._near(flow_hash))[:HOLDERS]
+
+
+class RecordMoves:
+    """The records that the local host sends, and the hosts that take its ownership over."""
+
+    def __init__(self) -> None:
+        self.to_owner: dict[str, dict[int, list[int]]] = {}
+        self.to_replica: dict[str, dict[int, list[int]]] = {}
+        self.new_owners: set[str] = set()
+        self.former_owners: set[str] = set()
+        self.any_owner_changed = False
+
+
+def record_moves(
+    *,
+    service: SteeredService,
+    host: str,
+    before: Ownership,
+    after: Ownership,
+    reachable: frozenset[str],
+) -> RecordMoves:
+    """Compare two ownerships and collect what the local host has to send."""
+    moves = RecordMoves()
+    _note_owners(moves, service, host, before, after)
+    for number, hashes in service.records.by_value().items():
+        server_id = service.tables.index.wire_ids[number]
+        for flow_hash in hashes:
+            if not service.differs(flow_hash, number):
+                continue
+            old = before.holders(service.wire_id, flow_hash)
+            new = after.holders(service.wire_id, flow_hash)
+            if old == new or next((h for h in old if h in reachable), host) != host:
+                continue
+            _add_targets(moves, old, new, server_id, flow_hash)
+    return moves
+
+
+def _add_targets(
+    moves: RecordMoves, old: tuple[str, ...], new: tuple[str, ...], server_id: int, flow_hash: int
+) -> None:
+    for position, target in enumerate(new):
+        if target not in old:
+            group = moves.to_owner if position == 0 else moves.to_replica
+            group.setdefault(target, {}).setdefault(server_id, []).append(flow_hash)
+
+
+def _note_owners(
+    moves: RecordMoves, service: SteeredService, host: str, before: Ownership, after: Ownership
+) -> None:
+    for flow_hash in _displaced_samples(service):
+        old = before.holders(service.wire_id, flow_hash)[:1]
+        new = after.holders(service.wire_id, flow_hash)[:1]
+        if old == new:
+            continue
+        moves.any_owner_changed = True
+        if old == (host,):
+            moves.new_owners.update(new)
+        if new == (host,):
+            moves.former_owners.update(old)
+
+
+def _displaced_samples(service: SteeredService) -> Iterator[int]:
+    """Return one flow hash for each displaced bucket, or for every owner bucket."""
+    direct = service.tables.direct
+    if len(direct) == OWNER_BUCKETS:
+        return (bucket for bucket, server in enumerate(direct) if server is None)
+    return iter(range(max(OWNER_BUCKETS, len(direct)) if None in direct else 0))
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/record_sender.py
@@ -0,0 +1,253 @@
+"""Acknowledged batches of flow records to other entry hosts."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from typing import NamedTuple
+
+from redwingswitch._internal.models.actions import SendToPeer
+from redwingswitch._internal.models.messages import (
+    RECORD_HASH_BYTES,
+    BatchPurpose,
+    RecordBatch,
+    RecordGroup,
+)
+
+BATCH_INTERVAL_MS = 200
+BATCH_RECORDS = 512
+WINDOW_BATCHES = 8
+FIRST_RETRY_MS = 100
+MAX_RETRY_MS = 2_000
+# A replica batch is given up after about 5 s; a hand-over ends with the peer or the local host.
+REPLICA_ATTEMPTS = 6
+PENDING_RECORDS_PER_PEER = 400_000
+
+
+class _Outstanding:
+    """A batch that was sent and not confirmed."""
+
+    def __init__(self, *, batch: RecordBatch, retry_at_ms: int) -> None:
+        self.batch = batch
+        self.attempts = 1
+        self.retry_at_ms = retry_at_ms
+
+
+class _Waiting(NamedTuple):
+    """A batch without a sequence number yet."""
+
+    service_id: int
+    purpose: BatchPurpose
+    groups: tuple[RecordGroup, ...]
+    complete: bool
+
+
+class _Stream:
+    """Everything on its way to one peer."""
+
+    def __init__(self) -> None:
+        self.building: dict[int, dict[int, bytearray]] = {}
+        self.flush_at_ms: int | None = None
+        self.waiting: deque[_Waiting] = deque()
+        self.outstanding: dict[int, _Outstanding] = {}
+        self.pending_records = 0
+
+    def idle(self) -> bool:
+        """Return whether every record was confirmed or given up."""
+        return not (self.building or self.waiting or self.outstanding)
+
+
+class RecordSender:
+    """Send records to peers in batches, with a window and bounded retransmission."""
+
+    def __init__(self, *, first_sequence: int = 0) -> None:
+        self._streams: dict[str, _Stream] = {}
+        self._sequence = first_sequence
+        self.records_sent = 0
+        self.records_given_up = 0
+        self.retransmissions = 0
+
+    def add(self, host: str, service_id: int, server_id: int, flow_hash: int, now_ms: int) -> None:
+        """Put one record into the next replica batch to ``host``."""
+        stream = self._streams.setdefault(host, _Stream())
+        if stream.pending_records >= PENDING_RECORDS_PER_PEER:
+            self.records_given_up += 1
+            return
+        groups = stream.building.setdefault(service_id, {})
+        hashes = groups.setdefault(server_id, bytearray())
+        hashes += flow_hash.to_bytes(RECORD_HASH_BYTES, "big")
+        stream.pending_records += 1
+        if stream.flush_at_ms is None:
+            stream.flush_at_ms = now_ms + BATCH_INTERVAL_MS
+
+    def hand_over(
+        self,
+        host: str,
+        service_id: int,
+        records: Mapping[int, Collection[int]],
+        purpose: BatchPurpose,
+        *,
+        complete: bool = False,
+    ) -> None:
+        """Queue many records, as flow hashes by server id; ``pump`` sends them."""
+        stream = self._streams.setdefault(host, _Stream())
+        batches = list(_batches(records))
+        if complete and not batches:
+            batches = [()]
+        for position, groups in enumerate(batches):
+            last = position == len(batches) - 1
+            stream.waiting.append(_Waiting(service_id, purpose, groups, complete and last))
+            stream.pending_records += _count(groups)
+
+    def flush(self, host: str, now_ms: int) -> list[SendToPeer]:
+        """Send the batch that is being built for ``host`` at once."""
+        stream = self._streams.get(host)
+        if stream is None:
+            return []
+        self._close_batches(stream)
+        return self._pump(host, stream, now_ms)
+
+    def close_batches(self, host: str) -> None:
+        """Queue the batch that is being built for ``host`` before anything that follows."""
+        stream = self._streams.get(host)
+        if stream is not None:
+            self._close_batches(stream)
+
+    def flush_all(self, now_ms: int) -> list[SendToPeer]:
+        """Send every batch that is being built at once."""
+        for stream in self._streams.values():
+            self._close_batches(stream)
+        return self.pump(now_ms)
+
+    def pump(self, now_ms: int) -> list[SendToPeer]:
+        """Send what the windows allow."""
+        sent: list[SendToPeer] = []
+        for host, stream in self._streams.items():
+            sent += self._pump(host, stream, now_ms)
+        return sent
+
+    def last_sequence(self, host: str) -> int | None:
+        """Return the sequence of the latest batch to ``host`` that is not confirmed, or None."""
+        stream = self._streams.get(host)
+        if stream is None or not stream.outstanding:
+            return None
+        return next(reversed(stream.outstanding))
+
+    def on_ack(self, host: str, sequence: int, now_ms: int) -> list[SendToPeer]:
+        """Release a confirmed batch and send what the window then allows."""
+        stream = self._streams.get(host)
+        confirmed = None if stream is None else stream.outstanding.pop(sequence, None)
+        if stream is None or confirmed is None:
+            return []
+        stream.pending_records -= _count(confirmed.batch.groups)
+        return self._pump(host, stream, now_ms)
+
+    def keep_only(self, hosts: Collection[str]) -> None:
+        """Drop the streams to hosts that are gone."""
+        for host in [h for h in self._streams if h not in hosts]:
+            del self._streams[host]
+
+    def idle(self) -> bool:
+        """Return whether nothing is waiting or unconfirmed."""
+        return all(stream.idle() for stream in self._streams.values())
+
+    def next_deadline_ms(self) -> int | None:
+        """Return the time of the next batch or retransmission."""
+        deadlines = [s.flush_at_ms for s in self._streams.values() if s.flush_at_ms is not None]
+        for stream in self._streams.values():
+            deadlines += [item.retry_at_ms for item in stream.outstanding.values()]
+        return min(deadlines, default=None)
+
+    def on_timer(self, now_ms: int) -> list[SendToPeer]:
+        """Send due batches and retransmit unconfirmed ones."""
+        sent: list[SendToPeer] = []
+        for host, stream in self._streams.items():
+            if stream.flush_at_ms is not None and stream.flush_at_ms <= now_ms:
+                self._close_batches(stream)
+            sent += self._retransmit(host, stream, now_ms)
+            sent += self._pump(host, stream, now_ms)
+        return sent
+
+    def _close_batches(self, stream: _Stream) -> None:
+        for service_id, groups in stream.building.items():
+            for batch in _split(groups):
+                stream.waiting.append(_Waiting(service_id, BatchPurpose.REPLICA, batch, False))
+        stream.building = {}
+        stream.flush_at_ms = None
+
+    def _pump(self, host: str, stream: _Stream, now_ms: int) -> list[SendToPeer]:
+        sent: list[SendToPeer] = []
+        while stream.waiting and len(stream.outstanding) < WINDOW_BATCHES:
+            sent.append(self._send(host, stream, stream.waiting.popleft(), now_ms))
+        return sent
+
+    def _send(self, host: str, stream: _Stream, waiting: _Waiting, now_ms: int) -> SendToPeer:
+        self._sequence += 1
+        batch = RecordBatch(
+            service_id=waiting.service_id,
+            sequence=self._sequence,
+            purpose=waiting.purpose,
+            groups=waiting.groups,
+            complete=waiting.complete,
+        )
+        stream.outstanding[batch.sequence] = _Outstanding(
+            batch=batch, retry_at_ms=now_ms + FIRST_RETRY_MS
+        )
+        self.records_sent += _count(batch.groups)
+        return SendToPeer(host, batch)
+
+    def _retransmit(self, host: str, stream: _Stream, now_ms: int) -> list[SendToPeer]:
+        sent: list[SendToPeer] = []
+        for sequence, item in list(stream.outstanding.items()):
+            if item.retry_at_ms > now_ms:
+                continue
+            if item.batch.purpose is BatchPurpose.REPLICA and item.attempts >= REPLICA_ATTEMPTS:
+                self._give_up(stream, sequence)
+                continue
+            delay_ms = min(FIRST_RETRY_MS << item.attempts, MAX_RETRY_MS)
+            item.attempts += 1
+            item.retry_at_ms = now_ms + delay_ms
+            self.retransmissions += 1
+            sent.append(SendToPeer(host, item.batch))
+        return sent
+
+    def _give_up(self, stream: _Stream, sequence: int) -> None:
+        records = _count(stream.outstanding.pop(sequence).batch.groups)
+        stream.pending_records -= records
+        self.records_given_up += records
+
+
+def unpack_hashes(hashes: bytes) -> Iterable[int]:
+    """Return the flow hashes of a record group; a trailing partial hash is ignored."""
+    whole = len(hashes) - len(hashes) % RECORD_HASH_BYTES
+    for start in range(0, whole, RECORD_HASH_BYTES):
+        yield int.from_bytes(hashes[start : start + RECORD_HASH_BYTES], "big")
+
+
+def _count(groups: Iterable[RecordGroup]) -> int:
+    return sum(len(group.hashes) for group in groups) // RECORD_HASH_BYTES
+
+
+def _batches(records: Mapping[int, Collection[int]]) -> Iterator[tuple[RecordGroup, ...]]:
+    packed = {
+        server_id: bytearray().join(h.to_bytes(RECORD_HASH_BYTES, "big") for h in hashes)
+        for server_id, hashes in records.items()
+    }
+    return _split(packed)
+
+
+def _split(groups: Mapping[int, bytearray]) -> Iterator[tuple[RecordGroup, ...]]:
+    """Cut groups into batches of at most ``BATCH_RECORDS`` records."""
+    room = BATCH_RECORDS * RECORD_HASH_BYTES
+    batch: list[RecordGroup] = []
+    for server_id, hashes in groups.items():
+        rest = bytes(hashes)
+        while rest:
+            batch.append(RecordGroup(server_id, rest[:room]))
+            room -= len(batch[-1].hashes)
+            rest = rest[len(batch[-1].hashes) :]
+            if room == 0:
+                yield tuple(batch)
+                batch, room = [], BATCH_RECORDS * RECORD_HASH_BYTES
+    if batch:
+        yield tuple(batch)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/service_tables.py
@@ -0,0 +1,325 @@
+"""The history of lookup tables of one service, and the buckets that it displaces."""
+
+from __future__ import annotations
+
+from array import array
+from collections.abc import Collection, Iterable
+
+from redwingswitch._internal.decisions.hashing import (
+    TABLE_SIZES,
+    maglev_table,
+    rendezvous_rank,
+)
+from redwingswitch._internal.decisions.server_index import ServerIndex
+from redwingswitch._internal.models.configuration import BackendServer, ServerState, Service
+from redwingswitch._internal.models.messages import HistoricTable, TableHistory
+
+MAX_TABLES = 8
+ACTIVATE_AFTER_MS = 3_000
+EJECTION_SETTLES_AFTER_MS = 1_000
+
+
+class HistoryEntry:
+    """One lookup table; ``choices`` holds the server number of each bucket."""
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        servers: tuple[str, ...],
+        choices: array[int],
+        activate_at_ms: int,
+        activated_at_ms: int | None,
+    ) -> None:
+        self.revision = revision
+        self.servers = servers
+        self.choices = choices
+        self.activate_at_ms = activate_at_ms
+        self.activated_at_ms = activated_at_ms
+
+    def choice(self, flow_hash: int) -> int | None:
+        """Return the server number of a flow, or None when the table has no servers."""
+        size = len(self.choices)
+        return self.choices[flow_hash % size] if size else None
+
+
+class ServiceTables:
+    """Tables of one service, oldest first; the last one may still be in preparation."""
+
+    def __init__(self, *, service: Service, revision: int, now_ms: int) -> None:
+        self.name = service.name
+        self.index = ServerIndex()
+        self.entries: list[HistoryEntry] = []
+        self.direct: list[str | None] = []
+        self.size = TABLE_SIZES[0]
+        self.synchronised = True
+        self._foreign: frozenset[int] = frozenset()
+        self._ejected_at_ms: dict[int, int] = {}
+        self._held_until_ms: dict[int, int] = {}
+        self._learn_servers(service.backend_servers)
+        self._append(revision, active_servers(service), now_ms, activated_at_ms=now_ms)
+        self.rebuild()
+
+    @property
+    def oldest(self) -> HistoryEntry:
+        """The table that flows without a record follow."""
+        return self.entries[0]
+
+    @property
+    def newest(self) -> HistoryEntry:
+        """The table of the latest revision."""
+        return self.entries[-1]
+
+    def newest_activated(self) -> HistoryEntry:
+        """Return the table that new flows follow."""
+        return next(e for e in reversed(self.entries) if e.activated_at_ms is not None)
+
+    def pending(self) -> bool:
+        """Return whether the newest table is in preparation."""
+        return self.newest.activated_at_ms is None
+
+    # Changes.
+
+    def prepare(self, service: Service, revision: int, now_ms: int, activate_at_ms: int) -> bool:
+        """Take over a revision of the service; return whether its table differs."""
+        self._learn_servers(service.backend_servers)
+        servers = active_servers(service)
+        if servers == self.newest.servers:
+            return False
+        self._append(revision, servers, activate_at_ms, activated_at_ms=None)
+        if not self.oldest.servers:
+            # No flow can have followed a table without servers.
+            del self.entries[0]
+            self._activate_single(now_ms)
+        self.rebuild()
+        return True
+
+    def activate(self, now_ms: int) -> None:
+        """Give new flows the newest choice from now on."""
+        for entry in self.entries:
+            if entry.activated_at_ms is None:
+                entry.activated_at_ms = now_ms
+
+    def drop_oldest(self, now_ms: int) -> HistoryEntry:
+        """Remove the oldest table from the history and return it."""
+        dropped = self.entries.pop(0)
+        self._activate_single(now_ms)
+        self.rebuild()
+        return dropped
+
+    def forget_servers(self, service: Service) -> None:
+        """Drop the numbers of servers that only an older history used; needs no live records."""
+        entry = self.newest
+        self.index.reset(service.backend_servers)
+        entry.choices = self._choices(entry.servers)
+        self._ejected_at_ms = {}
+        self._held_until_ms = {}
+        self.rebuild()
+
+    def _activate_single(self, now_ms: int) -> None:
+        if len(self.entries) == 1 and self.pending():
+            self.activate(now_ms)
+
+    def _append(
+        self,
+        revision: int,
+        servers: tuple[str, ...],
+        activate_at_ms: int,
+        *,
+        activated_at_ms: int | None,
+    ) -> None:
+        self.entries.append(
+            HistoryEntry(
+                revision=revision,
+                servers=servers,
+                choices=self._choices(servers),
+                activate_at_ms=activate_at_ms,
+                activated_at_ms=activated_at_ms,
+            )
+        )
+
+    def _choices(self, servers: tuple[str, ...]) -> array[int]:
+        table = maglev_table(service=self.name, servers=servers)
+        numbers = [self.index.number(name) for name in table.servers]
+        return array("H", [numbers[i] or 0 for i in table.buckets])
+
+    def _learn_servers(self, servers: Iterable[BackendServer]) -> None:
+        for server in servers:
+            self.index.add(server)
+
+    # History from a peer.
+
+    def export(self, service_id: int) -> TableHistory:
+        """Describe the history for a peer that did not learn it in time."""
+        tables = tuple(
+            HistoricTable(
+                revision=entry.revision,
+                activated=entry.activated_at_ms is not None,
+                servers=entry.servers,
+            )
+            for entry in self.entries
+        )
+        named = {name for entry in self.entries for name in entry.servers}
+        held = [self.index.names[number] for number in self.soft()]
+        servers = tuple(s for s in self.index.details if s.name in named or s.name in held)
+        return TableHistory(
+            service_id=service_id, tables=tables, servers=servers, held_servers=tuple(held)
+        )
+
+    def merge(self, history: TableHistory, now_ms: int, hold_until_ms: int) -> None:
+        """Insert the tables that a peer has and this host did not learn in time."""
+        own = {server.name for server in self.index.details}
+        self._learn_servers(s for s in history.servers if s.name not in own)
+        newest_revision = self.newest.revision
+        by_revision = {entry.revision: entry for entry in self.entries}
+        for table in history.tables:
+            if table.revision < newest_revision and table.revision not in by_revision:
+                by_revision[table.revision] = self._historic(table, now_ms)
+        ordered = [by_revision[revision] for revision in sorted(by_revision)]
+        self.entries = _without_repeats(ordered)[-MAX_TABLES:]
+        self._activate_single(now_ms)
+        for name in history.held_servers:
+            number = self.index.number(name)
+            if number is not None:
+                self._held_until_ms[number] = hold_until_ms
+        self.rebuild()
+
+    def _historic(self, table: HistoricTable, now_ms: int) -> HistoryEntry:
+        known = tuple(name for name in table.servers if self.index.number(name) is not None)
+        return HistoryEntry(
+            revision=table.revision,
+            servers=known,
+            choices=self._choices(known),
+            activate_at_ms=now_ms + ACTIVATE_AFTER_MS,
+            activated_at_ms=now_ms if table.activated else None,
+        )
+
+    # Ejection.
+
+    def set_ejected(self, ejected: Collection[str], now_ms: int, hold_until_ms: int) -> bool:
+        """Take over the ejected servers, at most half of the active ones; return changes."""
+        numbers = {n for n in map(self.index.number, ejected) if n is not None}
+        limit = len(self.newest.servers) // 2
+        # A server that is ejected already stays so, to keep the set stable at the limit.
+        ordered = sorted(numbers, key=lambda n: (n not in self._ejected_at_ms, self.index.names[n]))
+        accepted = set(ordered[:limit])
+        if accepted == self._ejected_at_ms.keys():
+            return False
+        for number in self._ejected_at_ms.keys() - accepted:
+            del self._ejected_at_ms[number]
+            self._held_until_ms[number] = hold_until_ms
+        for number in accepted:
+            self._ejected_at_ms.setdefault(number, now_ms)
+            self._held_until_ms.pop(number, None)
+        self.rebuild()
+        return True
+
+    def soft(self) -> set[int]:
+        """Return the servers whose buckets an ejection, present or past, displaces."""
+        return self._ejected_at_ms.keys() | self._held_until_ms.keys()
+
+    def extend_holds(self, until_ms: int) -> None:
+        """Keep the buckets of formerly ejected servers displaced until ``until_ms``."""
+        for number, held_until_ms in self._held_until_ms.items():
+            self._held_until_ms[number] = max(held_until_ms, until_ms)
+
+    def end_holds(self, now_ms: int) -> bool:
+        """Let go of the holds that have ended; return whether there were any."""
+        ended = [n for n, until_ms in self._held_until_ms.items() if until_ms <= now_ms]
+        for number in ended:
+            del self._held_until_ms[number]
+        if ended:
+            self.rebuild()
+        return bool(ended)
+
+    # Lookup.
+
+    def set_foreign(self, foreign: frozenset[int]) -> None:
+        """Name the servers that by now belong to another service."""
+        if foreign != self._foreign:
+            self._foreign = foreign
+            self.rebuild()
+
+    def is_foreign(self, number: int) -> bool:
+        """Return whether a server belongs to another service by now."""
+        return number in self._foreign
+
+    def takes_new_flows(self, number: int) -> bool:
+        """Return whether the newest revision lets a server take new flows."""
+        return self.index.names[number] in self.newest.servers
+
+    def agreed_choice(self, flow_hash: int) -> int | None:
+        """Return the server on which all tables agree, or None for a displaced flow."""
+        first = self.oldest.choice(flow_hash)
+        if first is None or first in self.soft() or not self.synchronised:
+            return None
+        agreed = all(entry.choice(flow_hash) == first for entry in self.entries[1:])
+        return first if agreed else None
+
+    def agreed_after_drop(self, flow_hash: int) -> int | None:
+        """Return the choice on which all tables but the oldest agree, or None."""
+        first = self.entries[1].choice(flow_hash)
+        agreed = all(entry.choice(flow_hash) == first for entry in self.entries[2:])
+        return first if agreed and first not in self.soft() else None
+
+    def new_flow_choice(self, flow_hash: int, now_ms: int) -> int | None:
+        """Return the server number for a new flow, or None when there is no active server."""
+        return self._choice_in(self.newest_activated(), flow_hash, now_ms)
+
+    def choice_for_connection(self, flow_hash: int, now_ms: int) -> int | None:
+        """Return the server number by the newest table, activated or not."""
+        return self._choice_in(self.newest, flow_hash, now_ms)
+
+    def _choice_in(self, entry: HistoryEntry, flow_hash: int, now_ms: int) -> int | None:
+        choice = entry.choice(flow_hash)
+        ejected_at_ms = None if choice is None else self._ejected_at_ms.get(choice)
+        if ejected_at_ms is None or now_ms < ejected_at_ms + EJECTION_SETTLES_AFTER_MS:
+            return choice
+        return self._healthy_choice(entry, flow_hash)
+
+    def _healthy_choice(self, entry: HistoryEntry, flow_hash: int) -> int | None:
+        """Choose a healthy server by rendezvous, for a flow whose own choice is ejected."""
+        numbers = {name: self.index.number(name) for name in entry.servers}
+        healthy = [name for name, n in numbers.items() if n not in self._ejected_at_ms]
+        if not healthy:
+            return entry.choice(flow_hash)
+        return numbers[rendezvous_rank(flow_hash.to_bytes(8, "big"), healthy)[0]]
+
+    def rebuild(self) -> None:
+        """Recompute the server of each undisplaced bucket."""
+        sizes = {len(entry.choices) for entry in self.entries}
+        self.size = len(self.newest.choices) or TABLE_SIZES[0]
+        if len(sizes) > 1 or sizes == {0} or not self.synchronised:
+            self.direct = [None] * self.size
+            return
+        names: dict[int, str | None] = dict(enumerate(self.index.names))
+        for number in self.soft() | self._foreign:
+            names[number] = None
+        others = [entry.choices for entry in self.entries[1:]]
+        direct = [names[number] for number in self.oldest.choices]
+        for choices in others:
+            for bucket, number in enumerate(self.oldest.choices):
+                if choices[bucket] != number:
+                    direct[bucket] = None
+        self.direct = direct
+
+    def displaced_buckets(self) -> int:
+        """Return how many buckets need records."""
+        return self.direct.count(None)
+
+
+def active_servers(service: Service) -> tuple[str, ...]:
+    """Return the names of the servers that take new flows, sorted."""
+    return tuple(sorted(s.name for s in service.backend_servers if s.state is ServerState.ACTIVE))
+
+
+def _without_repeats(entries: list[HistoryEntry]) -> list[HistoryEntry]:
+    """Merge neighbours with the same servers; the earlier one keeps its revision."""
+    kept: list[HistoryEntry] = []
+    for entry in entries:
+        if kept and kept[-1].servers == entry.servers:
+            if kept[-1].activated_at_ms is None:
+                kept[-1].activated_at_ms = entry.activated_at_ms
+            continue
+        kept.append(entry)
+    return kept
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/steered_service.py
@@ -0,0 +1,153 @@
+"""Everything that flow steering holds for one service."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from redwingswitch._internal.decisions.flow_records import FlowRecords, RecordUsage
+from redwingswitch._internal.decisions.service_tables import HistoryEntry, ServiceTables
+from redwingswitch._internal.models.configuration import Service
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.members import NeededRevision
+
+# Hosts activate and learn of needs at slightly different times; the last report must arrive first.
+DROP_GRACE_MS = 30_000
+SCAN_INTERVAL_MS = 60_000
+HISTORY_WAIT_MS = 3_000
+
+
+class SteeredService:
+    """The tables, the records and the deadlines of one service."""
+
+    def __init__(self, *, service: Service, revision: int, usage: RecordUsage, now_ms: int) -> None:
+        self.service = service
+        self.name = service.name
+        self.wire_id = wire_id(service.name)
+        self.tables = ServiceTables(service=service, revision=revision, now_ms=now_ms)
+        self.records = FlowRecords(
+            bound=usage.bound, idle_limit_ms=service.idle_limit_ms, now_ms=now_ms, usage=usage
+        )
+        self.owner_changed_at_ms = now_ms
+        self.fresh = False
+        self.history_wait_until_ms: int | None = None
+        self._oldest_needed = True
+        self._ejection_records = True
+        self._scan_at_ms = now_ms
+
+    # History that this host did not learn in time.
+
+    def await_history(self, now_ms: int, *, fresh: bool) -> None:
+        """Treat every bucket as displaced until a peer's history arrived or none exists.
+
+        A ``fresh`` host also leaves decisions to others, because it does not know older tables.
+        """
+        self.fresh = self.fresh or fresh
+        self.history_wait_until_ms = now_ms + HISTORY_WAIT_MS
+        self.tables.synchronised = False
+        self.tables.rebuild()
+
+    def history_complete(self) -> None:
+        """Return to normal operation."""
+        self.fresh = False
+        self.history_wait_until_ms = None
+        if not self.tables.synchronised:
+            self.tables.synchronised = True
+            self.tables.rebuild()
+
+    # Servers of other services.
+
+    def update_foreign(
+        self, owner_of_name: Mapping[str, str], owner_of_endpoint: Mapping[tuple[str, int], str]
+    ) -> None:
+        """Find former servers of this service whose name or endpoint another service has now."""
+        current = {server.name for server in self.service.backend_servers}
+        foreign = set()
+        for number, server in enumerate(self.tables.index.details):
+            if server.name in current:
+                continue
+            endpoint = (server.address, server.tunnel_port)
+            owners = {owner_of_name.get(server.name), owner_of_endpoint.get(endpoint)}
+            if owners - {None, self.name}:
+                foreign.add(number)
+        self.tables.set_foreign(frozenset(foreign))
+
+    # Ownership.
+
+    def near(self, flow_hash: int) -> str:
+        """Return the failure domain that the owner of a flow should be in."""
+        return self.near_by(self.tables.oldest, flow_hash)
+
+    def near_by(self, entry: HistoryEntry, flow_hash: int) -> str:
+        """Return the failure domain of the server that ``entry`` names for a flow."""
+        choice = entry.choice(flow_hash)
+        return "" if choice is None else self.tables.index.details[choice].failure_domain
+
+    # Needs.
+
+    def need(self, now_ms: int) -> NeededRevision | None:
+        """Return what this host states about its tables; None when there is nothing to state."""
+        tables = self.tables
+        several = len(tables.entries) > 1
+        if not several and not tables.soft():
+            return None
+        remaining_ms = max(1, tables.newest.activate_at_ms - now_ms) if tables.pending() else 0
+        return NeededRevision(
+            service_id=self.wire_id,
+            revision=tables.oldest.revision if several and self._oldest_needed else 0,
+            oldest_held_revision=tables.oldest.revision,
+            activates_in_ms=remaining_ms,
+            records_needed=self._ejection_records and len(self.records) > 0,
+        )
+
+    def tables_changed(self, now_ms: int) -> None:
+        """Start over with the assumption that records need the oldest table."""
+        self._oldest_needed = True
+        self._ejection_records = True
+        self._scan_at_ms = now_ms
+
+    def drop_due_ms(self) -> int | None:
+        """Return the earliest time at which the oldest table may be dropped."""
+        entries = self.tables.entries
+        if len(entries) == 1 or entries[1].activated_at_ms is None:
+            return None
+        since_ms = max(entries[1].activated_at_ms, self.owner_changed_at_ms)
+        return since_ms + self.service.idle_limit_ms + DROP_GRACE_MS
+
+    def oldest_needed(self, now_ms: int) -> bool:
+        """Return whether a live record would lose its server with the oldest table."""
+        if now_ms >= self._scan_at_ms:
+            self._scan(now_ms)
+        return self._oldest_needed
+
+    def ejection_needed(self, now_ms: int) -> bool:
+        """Return whether a live record is in a bucket that only an ejection displaces."""
+        if now_ms >= self._scan_at_ms:
+            self._scan(now_ms)
+        return self._ejection_records
+
+    def _scan(self, now_ms: int) -> None:
+        self._scan_at_ms = now_ms + SCAN_INTERVAL_MS
+        tables, records = self.tables, self.records
+        several = len(tables.entries) > 1
+        self._oldest_needed = several and any(
+            tables.agreed_after_drop(flow_hash) not in (None, value)
+            for flow_hash, value in records.items()
+        )
+        self._ejection_records = bool(tables.soft()) and any(
+            self.differs(flow_hash, value) and tables.oldest.choice(flow_hash) in tables.soft()
+            for flow_hash, value in records.items()
+        )
+
+    # Records.
+
+    def differs(self, flow_hash: int, number: int) -> bool:
+        """Return whether a record differs from the default that hosts use without one."""
+        return self.tables.oldest.choice(flow_hash) != number
+
+    def drop_settled_records(self) -> int:
+        """Remove the records of undisplaced flows; return how many."""
+        agreed = self.tables.agreed_choice
+        settled = [h for h, _ in self.records.items() if agreed(h) is not None]
+        for flow_hash in settled:
+            self.records.drop(flow_hash)
+        return len(settled)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -0,0 +1,365 @@
+"""Steers the packets of stream flows to backend servers (design, section 3)."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from functools import singledispatchmethod
+from ipaddress import ip_address
+
+from redwingswitch._internal.decisions.activation import ActivationClock
+from redwingswitch._internal.decisions.flow_decider import FlowDecider, forward
+from redwingswitch._internal.decisions.history_requests import HistoryRequests
+from redwingswitch._internal.decisions.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.record_moves import Ownership
+from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.steering_context import (
+    SteeringContext,
+    SteeringStatistics,
+)
+from redwingswitch._internal.decisions.table_retention import TableRetention
+from redwingswitch._internal.models.actions import (
+    Action,
+    Drop,
+    DropReason,
+    SendToBackendServer,
+)
+from redwingswitch._internal.models.configuration import BackendServer, Configuration, Service
+from redwingswitch._internal.models.events import PacketArrived
+from redwingswitch._internal.models.members import MembershipView, NeededRevision
+from redwingswitch._internal.models.messages import (
+    MAX_HOPS,
+    ForwardedPacket,
+    PeerMessage,
+    RecordBatch,
+    RecordBatchAck,
+    RecordQuery,
+    RecordReply,
+    TableHistory,
+    TableHistoryRequest,
+)
+from redwingswitch._internal.ports import RandomSource
+
+SWEEP_INTERVAL_MS = 1_000
+FIRST_SEQUENCES = 1 << 16
+NO_SERVICE = Drop(DropReason.NO_SERVICE)
+
+
+class FlowSteering:
+    """Choose the backend server, or the next entry host, of each packet.
+
+    Records are kept per flow key. A late packet of an older flow with the same key reaches the
+    older flow's server until the newer flow opens and, when no table displaces the flow, also
+    afterwards, because both flows then have the same server. Once a newer flow has opened on
+    another server, packets of the two flows cannot be told apart, and late ones reach the newer
+    flow's server.
+    """
+
+    def __init__(self, *, host: str, failure_domain: str, random_source: RandomSource) -> None:
+        self._context = SteeringContext(host=host, failure_domain=failure_domain)
+        self._exchange = RecordExchange(
+            context=self._context, first_sequence=random_source.randrange(FIRST_SEQUENCES)
+        )
+        self._decider = FlowDecider(context=self._context, exchange=self._exchange)
+        self._retention = TableRetention(context=self._context, exchange=self._exchange)
+        self._activation = ActivationClock()
+        self._history = HistoryRequests(host=host)
+        self._pending: dict[str, SteeredService] = {}
+        self._ejected: frozenset[str] = frozenset()
+        self._revision = 0
+        self._stopping = False
+        self._now_ms = 0
+        self._sweep_at_ms: int | None = None
+
+    # Packets.
+
+    def on_packet(self, event: PacketArrived, now_ms: int) -> list[Action]:
+        """Return where a packet goes: a backend server, another entry host, or nowhere."""
+        service = self._context.by_address.get(event.flow[3:])
+        if service is None:
+            return [NO_SERVICE]
+        tables = service.tables
+        server = tables.direct[event.flow_hash % tables.size]
+        if server is not None:
+            return [SendToBackendServer(service.name, server, event.flow, event.payload)]
+        return self._on_displaced(service, event, now_ms)
+
+    def _on_displaced(
+        self, service: SteeredService, event: PacketArrived, now_ms: int
+    ) -> list[Action]:
+        agreed = service.tables.agreed_choice(event.flow_hash)
+        if agreed is not None:
+            return self._decider.send(service, event, agreed)
+        if event.hops >= MAX_HOPS:
+            return self._decider.decide(service, event, now_ms)
+        context = self._context
+        owner = context.owners.first_usable(context.ranked(service, event.flow_hash))
+        if service.fresh and owner == context.host:
+            owner = self._informed_host(service, event.flow_hash)
+        if owner is None or owner == context.host:
+            return self._decider.decide(service, event, now_ms)
+        context.counters.forwarded_packets += 1
+        return [forward(event, owner, hops=event.hops + 1)]
+
+    def _informed_host(self, service: SteeredService, flow_hash: int) -> str | None:
+        """Return another host to decide in place of this one, which lacks older tables."""
+        ranked = self._context.ranked(service, flow_hash)
+        others = (host for host in ranked if host != self._context.host)
+        if service.records.get(flow_hash) is not None:
+            return None
+        return self._context.owners.first_usable(others)
+
+    def choose_for_connection(self, service: str, flow_hash: int, now_ms: int) -> str | None:
+        """Return the server for a new connection of the TCP listener, or None.
+
+        A connection lives in one process, so it follows the newest table at once.
+        """
+        steered = self._context.by_name.get(service)
+        if steered is None:
+            return None
+        tables = steered.tables
+        number = tables.choice_for_connection(flow_hash, now_ms)
+        return None if number is None else tables.index.names[number]
+
+    def server(self, service: str, name: str) -> BackendServer | None:
+        """Return the details of a server that packets may be sent to, removed ones included."""
+        steered = self._context.by_name.get(service)
+        number = None if steered is None else steered.tables.index.number(name)
+        if steered is None or number is None:
+            return None
+        return steered.tables.index.details[number]
+
+    # Configuration.
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Prepare the tables of a newer revision; an older or equal one is ignored."""
+        self._now_ms = now_ms
+        if configuration.revision <= self._revision:
+            return []
+        fresh = self._revision == 0
+        skipped = configuration.revision > self._revision + 1
+        self._revision = configuration.revision
+        services = [service for service in configuration.services if service.takes_streams]
+        self._remove_services(services)
+        actions: list[Action] = []
+        for service in services:
+            actions += self._apply_service(service, now_ms, fresh=fresh, skipped=skipped)
+        self._index_services(configuration)
+        self._sweep_at_ms = self._sweep_at_ms or now_ms + SWEEP_INTERVAL_MS
+        actions += self._history.advance(self._revision, now_ms)
+        return actions + self._activate_due(now_ms) + self._exchange.sender.pump(now_ms)
+
+    def _apply_service(
+        self, service: Service, now_ms: int, *, fresh: bool, skipped: bool
+    ) -> list[Action]:
+        known = self._context.by_name.get(service.name)
+        if known is None:
+            known = SteeredService(
+                service=service,
+                revision=self._revision,
+                usage=self._context.usage,
+                now_ms=now_ms,
+            )
+            self._context.by_name[service.name] = known
+            self._context.by_wire_id[known.wire_id] = known
+        else:
+            self._prepare(known, service, now_ms)
+        if fresh or skipped:
+            self._history.start(known, now_ms, fresh=fresh)
+        return [*self._retention.enforce_limit(known, now_ms)]
+
+    def _prepare(self, known: SteeredService, service: Service, now_ms: int) -> None:
+        known.service = service
+        deadline_ms = self._activation.deadline_ms(known.wire_id, self._revision, now_ms)
+        if not known.tables.prepare(service, self._revision, now_ms, deadline_ms):
+            return
+        known.tables_changed(now_ms)
+        if known.tables.pending():
+            self._pending[known.name] = known
+
+    def _remove_services(self, services: Iterable[Service]) -> None:
+        kept = {service.name for service in services}
+        for name in [n for n in self._context.by_name if n not in kept]:
+            removed = self._context.by_name.pop(name)
+            del self._context.by_wire_id[removed.wire_id]
+            removed.records.clear()
+            self._pending.pop(name, None)
+            self._history.forget(name)
+
+    def _index_services(self, configuration: Configuration) -> None:
+        """Rebuild the address lookup and name the servers that changed their service."""
+        self._context.by_address = {
+            (ip_address(steered.service.address).packed, steered.service.port): steered
+            for steered in self._context.by_name.values()
+        }
+        owner_of_name: dict[str, str] = {}
+        owner_of_endpoint: dict[tuple[str, int], str] = {}
+        for service in configuration.services:
+            for server in service.backend_servers:
+                owner_of_name[server.name] = service.name
+                owner_of_endpoint[server.address, server.tunnel_port] = service.name
+        for steered in self._context.by_name.values():
+            steered.update_foreign(owner_of_name, owner_of_endpoint)
+
+    # Members and health.
+
+    def set_members(self, view: MembershipView, now_ms: int) -> list[Action]:
+        """Take over a membership view; hand records over where owners changed."""
+        self._now_ms = now_ms
+        owners = self._context.owners
+        changed = owners.update(view, now_ms)
+        self._exchange.keep_only(owners.reachable)
+        self._retention.set_view(view)
+        self._history.set_view(view)
+        self._activation.update(view, self._context.host, now_ms)
+        for service in self._pending.values():
+            self._activation.shorten(service, self._revision)
+        actions: list[Action] = [*self._history.advance(self._revision, now_ms)]
+        actions += self._activate_due(now_ms)
+        if changed:
+            self._move_records(now_ms)
+        return actions + self._exchange.sender.pump(now_ms)
+
+    def _move_records(self, now_ms: int) -> None:
+        owners = self._context.owners
+        for service in self._context.by_name.values():
+            if None in service.tables.direct:
+                before = Ownership(ranking=owners.previous, near=service.near)
+                after = Ownership(ranking=owners.ranking, near=service.near)
+                self._exchange.move(service, before, after, now_ms)
+
+    def set_ejected(self, servers: frozenset[str], now_ms: int) -> list[Action]:
+        """Take over which backend servers get no new flow for ill health."""
+        self._now_ms = now_ms
+        if servers == self._ejected:
+            return []
+        self._ejected = servers
+        for service in self._context.by_name.values():
+            hold_until_ms = now_ms + service.service.idle_limit_ms
+            if service.tables.set_ejected(servers, now_ms, hold_until_ms):
+                service.tables_changed(now_ms)
+        return []
+
+    def needed_revisions(self) -> tuple[NeededRevision, ...]:
+        """Return what the next heartbeat states about the tables of this host."""
+        needs = (service.need(self._now_ms) for service in self._context.by_name.values())
+        return tuple(need for need in needs if need is not None)
+
+    # Messages.
+
+    def on_message(self, sender: str, message: PeerMessage, now_ms: int) -> list[Action]:
+        """Handle a message about records, tables or a forwarded packet."""
+        self._now_ms = now_ms
+        return self._handle(message, sender, now_ms)
+
+    @singledispatchmethod
+    def _handle(self, message: PeerMessage, sender: str, now_ms: int) -> list[Action]:
+        return []
+
+    @_handle.register
+    def _(self, message: ForwardedPacket, sender: str, now_ms: int) -> list[Action]:
+        event = PacketArrived(
+            message.flow, message.flow_hash, message.kind, message.payload, message.hops
+        )
+        return self.on_packet(event, now_ms)
+
+    @_handle.register
+    def _(self, message: RecordBatch, sender: str, now_ms: int) -> list[Action]:
+        return [*self._exchange.on_batch(sender, message, now_ms)]
+
+    @_handle.register
+    def _(self, message: RecordBatchAck, sender: str, now_ms: int) -> list[Action]:
+        sent = self._exchange.sender.on_ack(sender, message.sequence, now_ms)
+        return [*sent, *self._decider.on_ack(sender, message, now_ms)]
+
+    @_handle.register
+    def _(self, message: RecordQuery, sender: str, now_ms: int) -> list[Action]:
+        return [*self._exchange.on_query(sender, message)]
+
+    @_handle.register
+    def _(self, message: RecordReply, sender: str, now_ms: int) -> list[Action]:
+        found = self._exchange.on_reply(sender, message, now_ms)
+        return self._decider.on_reply(message, now_ms, found=found)
+
+    @_handle.register
+    def _(self, message: TableHistoryRequest, sender: str, now_ms: int) -> list[Action]:
+        return [*self._history.answer(self._context.by_wire_id, sender, message)]
+
+    @_handle.register
+    def _(self, message: TableHistory, sender: str, now_ms: int) -> list[Action]:
+        service = self._context.by_wire_id.get(message.service_id)
+        if service is None or service.history_wait_until_ms is None:
+            return []
+        service.tables.merge(message, now_ms, now_ms + service.service.idle_limit_ms)
+        service.tables_changed(now_ms)
+        self._history.complete(service)
+        if service.tables.pending():
+            self._pending[service.name] = service
+        return []
+
+    # Time.
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is due next, or None."""
+        deadlines = [
+            self._sweep_at_ms,
+            self._exchange.sender.next_deadline_ms(),
+            self._decider.held.next_deadline_ms(),
+            *(service.tables.newest.activate_at_ms for service in self._pending.values()),
+        ]
+        return min((at_ms for at_ms in deadlines if at_ms is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Do what is due: activation, batches, retransmission, held packets and clean-up."""
+        self._now_ms = now_ms
+        actions = self._activate_due(now_ms)
+        actions += self._decider.on_timer(now_ms)
+        if self._sweep_at_ms is not None and now_ms >= self._sweep_at_ms:
+            self._sweep_at_ms = now_ms + SWEEP_INTERVAL_MS
+            actions += self._history.advance(self._revision, now_ms)
+            self._sweep(now_ms)
+        return actions + self._exchange.sender.on_timer(now_ms)
+
+    def _activate_due(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for service in [s for s in self._pending.values() if self._activation.due(s, now_ms)]:
+            service.tables.activate(now_ms)
+            del self._pending[service.name]
+            actions += self._decider.on_activation(service, now_ms)
+        return actions
+
+    def _sweep(self, now_ms: int) -> None:
+        self._context.owners.expire(now_ms)
+        for service in self._context.by_name.values():
+            service.records.rotate(now_ms)
+            self._retention.sweep(service, now_ms)
+
+    # Planned stop.
+
+    def begin_stop(self, now_ms: int) -> list[Action]:
+        """Stop owning buckets and hand the records over; packets are forwarded from now on."""
+        self._now_ms = now_ms
+        if self._stopping:
+            return []
+        self._stopping = True
+        self._context.owners.leave(now_ms)
+        self._move_records(now_ms)
+        return [*self._exchange.sender.flush_all(now_ms)]
+
+    def hand_over_done(self) -> bool:
+        """Return whether every record was confirmed by its new holders."""
+        return self._stopping and self._exchange.sender.idle()
+
+    def statistics(self) -> SteeringStatistics:
+        """Return counters and gauges."""
+        context, sender = self._context, self._exchange.sender
+        services = context.by_name.values()
+        return SteeringStatistics(
+            services=len(context.by_name),
+            records=context.usage.used,
+            displaced_buckets=sum(s.tables.displaced_buckets() for s in services),
+            held_packets=len(self._decider.held),
+            records_sent=sender.records_sent,
+            records_given_up=sender.records_given_up,
+            retransmissions=sender.retransmissions,
+            **vars(context.counters),
+        )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/steering_context.py
@@ -0,0 +1,73 @@
+"""State that the parts of flow steering share."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from redwingswitch._internal.decisions.bucket_owners import BucketOwners
+from redwingswitch._internal.decisions.flow_records import RecordUsage
+from redwingswitch._internal.decisions.steered_service import SteeredService
+
+RECORD_BOUND = 400_000
+
+
+class SteeringStatistics(NamedTuple):
+    """Counters since the start of the process, and gauges of the present state."""
+
+    services: int = 0
+    records: int = 0
+    displaced_buckets: int = 0
+    held_packets: int = 0
+    decided_packets: int = 0
+    forwarded_packets: int = 0
+    wrong_service_packets: int = 0
+    default_choices: int = 0
+    record_bound_hits: int = 0
+    hold_limit_hits: int = 0
+    record_queries: int = 0
+    records_sent: int = 0
+    records_received: int = 0
+    records_given_up: int = 0
+    retransmissions: int = 0
+    unknown_servers: int = 0
+    tables_dropped: int = 0
+    tables_dropped_early: int = 0
+
+
+class SteeringCounters:
+    """The counters that decisions increase."""
+
+    def __init__(self) -> None:
+        self.decided_packets = 0
+        self.forwarded_packets = 0
+        self.wrong_service_packets = 0
+        self.default_choices = 0
+        self.record_bound_hits = 0
+        self.hold_limit_hits = 0
+        self.record_queries = 0
+        self.records_received = 0
+        self.unknown_servers = 0
+        self.tables_dropped = 0
+        self.tables_dropped_early = 0
+
+
+class SteeringContext:
+    """The local host, its services and the owners of buckets."""
+
+    def __init__(self, *, host: str, failure_domain: str) -> None:
+        self.host = host
+        self.owners = BucketOwners(host=host, failure_domain=failure_domain)
+        self.usage = RecordUsage(bound=RECORD_BOUND)
+        self.by_name: dict[str, SteeredService] = {}
+        self.by_wire_id: dict[int, SteeredService] = {}
+        self.by_address: dict[tuple[bytes, int], SteeredService] = {}
+        self.counters = SteeringCounters()
+
+    def ranked(self, service: SteeredService, flow_hash: int) -> tuple[str, ...]:
+        """Return the hosts for a flow, owner first, suspected ones included."""
+        return self.owners.ranking.rank(service.wire_id, flow_hash, service.near(flow_hash))
+
+    def unsettled(self, service: SteeredService, flow_hash: int, now_ms: int) -> tuple[str, ...]:
+        """Return the hosts that may hold a record of a flow which its owner lacks."""
+        near = service.near(flow_hash)
+        return self.owners.unsettled(service.wire_id, flow_hash, near, now_ms)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/table_retention.py
@@ -0,0 +1,101 @@
+"""Drops tables and ejection holds that no host needs any more."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.record_moves import Ownership
+from redwingswitch._internal.decisions.service_tables import MAX_TABLES, HistoryEntry
+from redwingswitch._internal.decisions.steered_service import SCAN_INTERVAL_MS, SteeredService
+from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.models.actions import Log
+from redwingswitch._internal.models.members import MembershipView, MemberState
+from redwingswitch._internal.models.messages import BatchPurpose
+
+
+class TableRetention:
+    """Follow what the members need, and shorten histories accordingly."""
+
+    def __init__(self, *, context: SteeringContext, exchange: RecordExchange) -> None:
+        self._context = context
+        self._exchange = exchange
+        self._needed: dict[int, int] = {}
+        self._records_needed: set[int] = set()
+
+    def set_view(self, view: MembershipView) -> None:
+        """Take over what the other members state."""
+        self._needed = {}
+        self._records_needed = set()
+        for member in view.members:
+            if member.host == self._context.host or member.state is MemberState.DEAD:
+                continue
+            for need in member.digest.needed_revisions:
+                if need.revision:
+                    known = self._needed.get(need.service_id, need.revision)
+                    self._needed[need.service_id] = min(known, need.revision)
+                if need.records_needed:
+                    self._records_needed.add(need.service_id)
+
+    def sweep(self, service: SteeredService, now_ms: int) -> None:
+        """Drop what has become unnecessary for one service."""
+        tables = service.tables
+        due_ms = service.drop_due_ms()
+        if due_ms is not None and now_ms >= due_ms and not self._still_needed(service, now_ms):
+            self._drop_oldest(service, now_ms)
+            self._context.counters.tables_dropped += 1
+        if tables.soft():
+            if service.wire_id in self._records_needed or service.ejection_needed(now_ms):
+                tables.extend_holds(now_ms + SCAN_INTERVAL_MS)
+            if tables.end_holds(now_ms):
+                service.drop_settled_records()
+        settled = len(tables.entries) == 1 and not tables.soft() and len(service.records) == 0
+        if settled and len(tables.index.names) > len(service.service.backend_servers):
+            tables.forget_servers(service.service)
+
+    def enforce_limit(self, service: SteeredService, now_ms: int) -> list[Log]:
+        """Drop the oldest tables beyond the limit of the history."""
+        logs: list[Log] = []
+        while len(service.tables.entries) > MAX_TABLES:
+            dropped = self._drop_oldest(service, now_ms)
+            self._context.counters.tables_dropped_early += 1
+            text = (
+                f"{service.name}: dropped the table of revision {dropped.revision}; the history "
+                f"is limited to {MAX_TABLES} tables, and flows that opened under it may break"
+            )
+            logs.append(Log("steering", "warning", text))
+        return logs
+
+    def _still_needed(self, service: SteeredService, now_ms: int) -> bool:
+        needed = self._needed.get(service.wire_id)
+        if needed is not None and needed <= service.tables.oldest.revision:
+            # The own statement has to become exact as well, or two hosts wait for each other.
+            service.oldest_needed(now_ms)
+            return True
+        return service.oldest_needed(now_ms)
+
+    def _drop_oldest(self, service: SteeredService, now_ms: int) -> HistoryEntry:
+        ranking = self._context.owners.ranking
+        dropped = service.tables.drop_oldest(now_ms)
+        service.drop_settled_records()
+        before = Ownership(ranking=ranking, near=lambda h: service.near_by(dropped, h))
+        after = Ownership(ranking=ranking, near=service.near)
+        moves = self._exchange.move(service, before, after, now_ms)
+        for host in moves.former_owners:
+            self._context.owners.note_decider(host, now_ms)
+        self._replicate_former_defaults(service, dropped)
+        service.tables_changed(now_ms)
+        return dropped
+
+    def _replicate_former_defaults(self, service: SteeredService, dropped: HistoryEntry) -> None:
+        """Send the replica the records that were the default and are no longer."""
+        host = self._context.host
+        by_replica: dict[str, dict[int, list[int]]] = {}
+        for flow_hash, number in service.records.items():
+            if dropped.choice(flow_hash) != number or not service.differs(flow_hash, number):
+                continue
+            ranked = self._context.ranked(service, flow_hash)
+            if ranked[:1] == (host,) and len(ranked) > 1:
+                groups = by_replica.setdefault(ranked[1], {})
+                server_id = service.tables.index.wire_ids[number]
+                groups.setdefault(server_id, []).append(flow_hash)
+        for replica, records in by_replica.items():
+            self._exchange.sender.hand_over(replica, service.wire_id, records, BatchPurpose.REPLICA)
--- a/src/redwingswitch/_internal/models/messages.py
+++ b/src/redwingswitch/_internal/models/messages.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.configuration import BackendServer, Document
 from redwingswitch._internal.models.identifiers import CallerAddress, FlowKey, PacketKind
 from redwingswitch._internal.models.members import HostDigest, MemberUpdate
 from redwingswitch._internal.models.requests import RequestHeader
@@ -78,12 +78,16 @@
 
 
 class RecordBatch(NamedTuple):
-    """Flow records of one service whose backend server differs from the oldest table's."""
+    """Flow records of one service whose backend server differs from the oldest table's.
+
+    ``complete`` is true on the last batch of a hand-over: the sender has nothing more to hand over.
+    """
 
     service_id: int
     sequence: int
     purpose: BatchPurpose
     groups: tuple[RecordGroup, ...]
+    complete: bool = False
 
 
 class RecordBatchAck(NamedTuple):
@@ -162,6 +166,33 @@
     request_id: bytes
 
 
+class HistoricTable(NamedTuple):
+    """One lookup table, described by the servers that it was computed from."""
+
+    revision: int
+    activated: bool
+    servers: tuple[str, ...]
+
+
+class TableHistoryRequest(NamedTuple):
+    """Asks for the tables of a service that the sender did not learn in time."""
+
+    service_id: int
+
+
+class TableHistory(NamedTuple):
+    """Answers a ``TableHistoryRequest``, oldest table first.
+
+    ``servers`` describes every server that the tables name, removed ones included.
+    ``held_servers`` names those whose buckets stay displaced after an ejection.
+    """
+
+    service_id: int
+    tables: tuple[HistoricTable, ...]
+    servers: tuple[BackendServer, ...]
+    held_servers: tuple[str, ...] = ()
+
+
 PeerMessage = (
     Ping
     | Ack
@@ -178,6 +209,8 @@
     | ClaimRequest
     | ClaimReply
     | CancelRequest
+    | TableHistoryRequest
+    | TableHistory
 )
 
 # The position of a type is its kind on the wire; append new types at the end.
@@ -197,4 +230,6 @@
     ClaimRequest,
     ClaimReply,
     CancelRequest,
+    TableHistoryRequest,
+    TableHistory,
 )
