Add the report on service-level burn

Operators need to see which service uses its error budget, and how fast. The report reads live or saved metrics and the objectives in the operators' file; counters that restart are recognised by the host's incarnation. 29 table cases pass.

--- /dev/null
+++ b/src/redwingswitch/_internal/cli/report.py
@@ -0,0 +1,88 @@
+"""Entry point of ``redwingswitch-report``."""
+
+from __future__ import annotations
+
+from importlib import import_module
+
+from redwingswitch._internal.cli.runner import run_program
+
+COMMANDS = "redwingswitch._internal.commands"
+
+
+class ReportProgram:
+    """Reports on service-level burn."""
+
+    def show(
+        self,
+        file: str,
+        *,
+        directory: str = "",
+        settings: str = "",
+        hosts: str = "",
+        seconds: int = 60,
+        json: bool = False,
+    ) -> int:
+        """Show budgets and burn rates; the exit status is 0, 6 (burning) or 7 (exhausted).
+
+        Args:
+            file: the operators' file, for the objectives.
+            directory: saved scrapes; without it the hosts are scraped twice.
+            settings: a TOML file with hosts and windows.
+            hosts: admin endpoints, ADDRESS:PORT, separated by commas.
+            seconds: time between the two scrapes.
+            json: print JSON instead of a table.
+
+        """
+        command = import_module(f"{COMMANDS}.report_show")
+        return int(
+            command.run(
+                file=file,
+                directory=directory,
+                settings=settings,
+                hosts=split_list(hosts),
+                seconds=seconds,
+                as_json=json,
+            )
+        )
+
+    def collect(
+        self,
+        directory: str,
+        *,
+        settings: str = "",
+        hosts: str = "",
+        count: int = 1,
+        every_s: int = 60,
+    ) -> int:
+        """Save scrapes of the entry hosts in a directory.
+
+        Args:
+            directory: where to save them; it is made when it does not exist.
+            settings: a TOML file with hosts and windows.
+            hosts: admin endpoints, ADDRESS:PORT, separated by commas.
+            count: how many scrapes of each host.
+            every_s: seconds between two scrapes.
+
+        """
+        command = import_module(f"{COMMANDS}.report_collect")
+        return int(
+            command.run(
+                directory=directory,
+                settings=settings,
+                hosts=split_list(hosts),
+                count=count,
+                every_s=every_s,
+            )
+        )
+
+
+def split_list(text: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return the parts of a comma-separated option; fire may have split it already."""
+    if isinstance(text, str):
+        return tuple(part for part in text.split(",") if part)
+    return tuple(str(part) for part in text)
+
+
+def main() -> None:
+    """Run ``redwingswitch-report``."""
+    run_program(ReportProgram, name="redwingswitch-report")
--- /dev/null
+++ b/src/redwingswitch/_internal/commands/report_show.py
@@ -0,0 +1,73 @@
+"""Show budgets and burn rates from saved scrapes or from running entry hosts."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.configuration.parse import parse_configuration
+from redwingswitch._internal.exceptions import RedwingswitchError
+from redwingswitch._internal.models.configuration import Service
+from redwingswitch._internal.report.burn import BurnRow, Severity, burn_rows
+from redwingswitch._internal.report.collect import fetch_all
+from redwingswitch._internal.report.indicators import indicators
+from redwingswitch._internal.report.render import render_json, render_text, worst
+from redwingswitch._internal.report.scrapes import Scrape, load_scrapes
+from redwingswitch._internal.report.settings import ReportSettings, read_settings
+
+STATUS_BY_SEVERITY = {
+    Severity.OK: status_codes.SUCCESS,
+    Severity.BURNING: status_codes.BUDGET_BURNING,
+    Severity.EXHAUSTED: status_codes.BUDGET_EXHAUSTED,
+}
+
+
+def run(
+    *, file: str, directory: str, settings: str, hosts: Sequence[str], seconds: int, as_json: bool
+) -> int:
+    """Print the report and return the exit status of its worst row.
+
+    ``directory`` holds saved scrapes. Without it, each admin endpoint is scraped twice, ``seconds``
+    apart.
+    """
+    checked = read_settings(Path(settings)) if settings else ReportSettings()
+    services = _services(file)
+    scrapes = _scrapes(directory, tuple(hosts) or checked.hosts, seconds)
+    if not scrapes:
+        raise RedwingswitchError("there is no scrape to report on; check --directory or --hosts")
+    rows = burn_rows(
+        indicators(scrapes, services),
+        services=services,
+        windows=checked.windows,
+        now_ms=max(scrape.taken_ms for scrape in scrapes),
+    )
+    _print(rows, as_json=as_json)
+    return STATUS_BY_SEVERITY[worst(rows)]
+
+
+def _services(file: str) -> tuple[Service, ...]:
+    text = Path(file).read_text(encoding="utf-8")
+    return parse_configuration(text=text, file=file, revision=0, digest="").services
+
+
+def _scrapes(directory: str, hosts: Sequence[str], seconds: int) -> list[Scrape]:
+    if directory:
+        return load_scrapes(Path(directory))
+    return asyncio.run(_scrape_twice(hosts, seconds))
+
+
+async def _scrape_twice(hosts: Sequence[str], seconds: int) -> list[Scrape]:
+    first = await fetch_all(hosts)
+    await asyncio.sleep(seconds)
+    fetched = [*first, *await fetch_all(hosts)]
+    for item in fetched:
+        if item.scrape is None:
+            print(f"{item.endpoint}: no metrics: {item.problem}", file=sys.stderr)
+    return [item.scrape for item in fetched if item.scrape is not None]
+
+
+def _print(rows: Sequence[BurnRow], *, as_json: bool) -> None:
+    print(render_json(rows) if as_json else render_text(rows))
--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -18,6 +18,7 @@
 from redwingswitch._internal.models.configuration import Configuration
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import HostDigest, MembershipView
+from redwingswitch._internal.models.requests import FailureKind
 from redwingswitch._internal.ports import RandomSource
 
 # A message that a part addresses to its own host is handled at once. Each hop of a forwarded
@@ -45,7 +46,6 @@
     ) -> None:
         self.host = host
         self.failure_domain = failure_domain
-        self.incarnation = incarnation
         self.membership = Membership(
             host=host,
             failure_domain=failure_domain,
@@ -84,6 +84,11 @@
         )
         self._handlers = self._event_handlers()
 
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation to send messages with now; it rises with a refutation."""
+        return self.membership.incarnation
+
     def handle(self, event: events.Event, now_ms: int) -> list[Action]:
         """Return the actions that ``event`` asks for."""
         if type(event) is events.PacketArrived:
@@ -98,11 +103,11 @@
             return []
         self.configuration = configuration
         self._server_domains = _servers_by_wire_id(configuration)
-        self.membership.apply_configuration(configuration, now_ms)
-        self.health.apply_configuration(configuration, now_ms)
+        actions = list(self.membership.apply_configuration(configuration, now_ms))
+        actions += self.health.apply_configuration(configuration, now_ms)
+        actions += self.steering.apply_configuration(configuration, now_ms)
+        actions += self.requests.apply_configuration(configuration, now_ms)
         self.polling.apply_configuration(configuration, now_ms)
-        actions = list(self.steering.apply_configuration(configuration, now_ms))
-        actions += self.requests.apply_configuration(configuration, now_ms) or []
         actions += self._propagate(now_ms)
         return self._loop_back(actions, now_ms)
 
@@ -140,22 +145,18 @@
         }
 
     def _on_report(self, event: events.BackendReportArrived, now_ms: int) -> list[Action]:
-        self.health.on_report(event.report, now_ms)
-        return []
+        return self.health.on_report(event.report, now_ms)
 
     def _on_report_failed(self, event: events.BackendReportFailed, now_ms: int) -> list[Action]:
-        self.health.on_report_failed(event.backend_server, now_ms)
-        return []
+        return self.health.on_report_failed(event.backend_server, now_ms)
 
     def _on_stream_connect_failed(
         self, event: events.StreamConnectFailed, now_ms: int
     ) -> list[Action]:
-        self.health.on_failure(event.backend_server, events.FailureKind.REFUSED, now_ms)
-        return []
+        return self.health.on_failure(event.backend_server, FailureKind.REFUSED, now_ms)
 
     def _on_host_list(self, event: events.HostListChanged, now_ms: int) -> list[Action]:
-        self.membership.on_host_list(event, now_ms)
-        return []
+        return self.membership.on_host_list(event, now_ms)
 
     def _on_store_unavailable(self, _: events.StoreUnavailable, now_ms: int) -> list[Action]:
         return self.convergence.on_store_unavailable(now_ms)
@@ -173,7 +174,6 @@
     def _on_stop_requested(self, event: events.StopRequested, now_ms: int) -> list[Action]:
         self.stop.begin(event.grace_deadline_ms, now_ms)
         actions = list(self.membership.begin_leaving(now_ms))
-        actions += self.convergence.begin_stop(now_ms)
         actions += self.steering.begin_stop(now_ms)
         actions += self.requests.begin_stop(now_ms)
         return actions
@@ -217,8 +217,8 @@
         if view is not self._view:
             self._view = view
             actions += self.steering.set_members(view, now_ms)
-            actions += self.convergence.set_members(view, now_ms) or []
-            actions += self.requests.set_members(view, now_ms) or []
+            actions += self.convergence.set_members(view, now_ms)
+            actions += self.requests.set_members(view, now_ms)
             self.polling.set_members(view)
         ejected = self.health.ejected(now_ms) | self._ejected_by_peers(view)
         if ejected != self._ejected:
--- /dev/null
+++ b/src/redwingswitch/_internal/report/collect.py
@@ -0,0 +1,44 @@
+"""Fetch the metrics of entry hosts over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Sequence
+from typing import NamedTuple
+
+from tornado.httpclient import AsyncHTTPClient, HTTPError
+
+from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.report.scrapes import Scrape, parse_scrape
+
+FETCH_TIMEOUT_S = 5.0
+
+
+class Fetched(NamedTuple):
+    """The outcome of one fetch; ``scrape`` is None when ``problem`` says why not."""
+
+    endpoint: str
+    text: str
+    scrape: Scrape | None
+    problem: str = ""
+
+
+async def fetch_all(endpoints: Sequence[str]) -> list[Fetched]:
+    """Fetch the metrics of all admin endpoints at once."""
+    return list(await asyncio.gather(*(_fetch(endpoint) for endpoint in endpoints)))
+
+
+def wall_clock_ms() -> int:
+    """Return this machine's wall clock; only scrapes of one machine are compared with it."""
+    return time.time_ns() // 1_000_000
+
+
+async def _fetch(endpoint: str) -> Fetched:
+    client = AsyncHTTPClient()
+    try:
+        response = await client.fetch(f"http://{endpoint}/metrics", request_timeout=FETCH_TIMEOUT_S)
+        text = response.body.decode()
+        return Fetched(endpoint, text, parse_scrape(text, taken_ms=wall_clock_ms()))
+    except (HTTPError, OSError, DecodeError) as error:
+        return Fetched(endpoint, "", None, str(error))
--- /dev/null
+++ b/tests/unit/report/test_burn.py
@@ -0,0 +1,167 @@
+"""Guards against budgets that are wrong after restarts, at window edges or in the rendering."""
+
+import json
+
+import pytest
+
+from redwingswitch._internal.exceptions import DecodeError, InvalidInputGroup
+from redwingswitch._internal.models.configuration import Objectives, Service, SizeClass
+from redwingswitch._internal.report.burn import Severity, Windows, burn_rows
+from redwingswitch._internal.report.indicators import Indicator, Measure, indicators
+from redwingswitch._internal.report.render import WIDTH_COLUMNS, render_json, render_text, worst
+from redwingswitch._internal.report.scrapes import load_scrapes, parse_scrape, save_scrape
+from redwingswitch._internal.report.settings import parse_settings
+
+SERVICE = Service(
+    name="job-board",
+    address="10.1.0.1",
+    port=443,
+    listen_port=0,
+    takes_streams=True,
+    takes_requests=True,
+    idempotent=False,
+    size_class=SizeClass.SHORT,
+    expected_service_ms=50,
+    idle_limit_ms=900_000,
+    objectives=Objectives(),
+    backend_servers=(),
+)
+WINDOWS = Windows(short_s=300, long_s=3600, budget_s=86_400, burning_rate=6.0)
+
+
+def scrape(at_s, *lines, incarnation="1"):
+    identity = (
+        'redwingswitch_host_info{host="entry-1",failure_domain="hobart",'
+        f'incarnation="{incarnation}"}} 1'
+    )
+    return parse_scrape("\n".join((identity, *lines)) + "\n", taken_ms=at_s * 1000)
+
+
+def requests(answered, failed):
+    labels = 'service="job-board",outcome='
+    return (
+        f'redwingswitch_requests_total{{{labels}"answered"}} {answered}',
+        f'redwingswitch_requests_total{{{labels}"outcome-unknown"}} {failed}',
+    )
+
+
+def flows(opened, broken):
+    return (
+        f'redwingswitch_flows_opened_total{{service="job-board"}} {opened}',
+        f'redwingswitch_broken_flows_total{{service="job-board",kind="x"}} {broken}',
+    )
+
+
+def latency(fast, all_requests, size_class="short"):
+    name = f'redwingswitch_request_latency_ms_bucket{{service="job-board",size_class="{size_class}"'
+    return (f'{name},le="500"}} {fast}', f'{name},le="+Inf"}} {all_requests}')
+
+
+def slots(*busy):
+    return tuple(
+        f'redwingswitch_busy_slots{{service="job-board",backend_server="job-{number}"}} {value}'
+        for number, value in enumerate(busy)
+    )
+
+
+@pytest.mark.parametrize(
+    ("measure", "before", "after", "expected"),
+    [
+        (Measure.FAILED_REQUESTS, requests(100, 2), requests(190, 12), (10, 100)),
+        (Measure.FAILED_REQUESTS, requests(100, 2), requests(100, 2), None),
+        (Measure.BROKEN_FLOWS, flows(1000, 0), flows(3000, 3), (3, 2000)),
+        (Measure.BROKEN_FLOWS, flows(1000, 0), flows(1000, 3), (3, 3)),
+        (Measure.SLOW_SHORT_REQUESTS, latency(10, 10), latency(100, 110), (10, 100)),
+        (Measure.SLOW_SHORT_REQUESTS, latency(1, 1, "long"), latency(1, 9, "long"), None),
+        (Measure.IMBALANCE, (), slots(2, 1, 1), (1, 1)),
+        (Measure.IMBALANCE, (), slots(2, 2, 2), (0, 1)),
+        (Measure.IMBALANCE, (), slots(1, 0, 0), None),
+    ],
+)
+def test_counts_between_two_scrapes(measure, before, after, expected):
+    found = indicators([scrape(0, *before), scrape(60, *after)], [SERVICE])
+    counts = [(item.bad, item.total) for item in found if item.measure == measure]
+    assert counts[-1:] == ([] if expected is None else [expected])
+
+
+@pytest.mark.parametrize(
+    ("second_incarnation", "second", "expected_bad"),
+    [("1", (200, 30), 10), ("2", (50, 5), 5), ("2", (500, 30), 30), ("1", (0, 0), 0)],
+)
+def test_counter_reset_is_seen_by_the_incarnation(second_incarnation, second, expected_bad):
+    found = indicators(
+        [
+            scrape(0, *requests(100, 20)),
+            scrape(60, *requests(*second), incarnation=second_incarnation),
+        ],
+        [SERVICE],
+    )
+    assert sum(item.bad for item in found) == expected_bad
+
+
+def failed(at_s, bad, total):
+    return Indicator("job-board", "hobart", Measure.FAILED_REQUESTS, at_s * 1000, bad, total)
+
+
+@pytest.mark.parametrize(
+    ("items", "budget_left", "burn_short", "burn_long", "severity"),
+    [
+        ([failed(86_400, 0, 1000)], 1.0, 0.0, 0.0, Severity.OK),
+        ([failed(10, 5, 1000), failed(86_400, 0, 1000)], 0.75, 0.0, 0.0, Severity.OK),
+        # Burning needs both windows: a short burst alone and an old burst alone do not count.
+        ([failed(83_000, 0, 9_000), failed(86_400, 60, 1000)], 0.4, 6.0, 0.6, Severity.OK),
+        ([failed(10, 0, 20_000), failed(86_400, 60, 1000)], 0.714, 6.0, 6.0, Severity.BURNING),
+        ([failed(86_400, 10, 1000)], 0.0, 1.0, 1.0, Severity.EXHAUSTED),
+        # Events at the far edge of the budget window no longer count.
+        ([failed(0, 999, 1000), failed(86_400, 0, 1000)], 1.0, 0.0, 0.0, Severity.OK),
+    ],
+)
+def test_burn_rows(items, budget_left, burn_short, burn_long, severity):
+    (row,) = burn_rows(items, services=[SERVICE], windows=WINDOWS, now_ms=86_400_000)
+    assert row.budget_left_ratio == pytest.approx(budget_left, abs=0.01)
+    assert row.burn_long == pytest.approx(burn_long)
+    assert row.burn_short == pytest.approx(burn_short)
+    assert row.severity == severity
+    assert worst([row]) == severity
+
+
+def test_text_fits_80_columns_and_json_parses():
+    long_name = "a-service-with-a-very-long-name-indeed"
+    service = SERVICE._replace(name=long_name)
+    items = [
+        failed(86_400, 60, 1000)._replace(service=long_name, failure_domain="kitakyushu-north-2")
+    ]
+    rows = burn_rows(items, services=[service], windows=WINDOWS, now_ms=86_400_000)
+    assert max(map(len, render_text(rows).splitlines())) <= WIDTH_COLUMNS
+    assert json.loads(render_json(rows))[0]["severity"] == "exhausted"
+    assert "collect at least two" in render_text([])
+
+
+def test_saved_scrapes_come_back_in_order(tmp_path):
+    for at_s in (60, 0):
+        text = 'redwingswitch_host_info{host="a",failure_domain="d",incarnation="1"} 1\n'
+        save_scrape(tmp_path, text, parse_scrape(text, taken_ms=at_s * 1000))
+    assert [item.taken_ms for item in load_scrapes(tmp_path)] == [0, 60_000]
+
+
+@pytest.mark.parametrize("text", ["", "other_metric 1\n", "redwingswitch_host_info{host= 1\n"])
+def test_foreign_or_malformed_metrics_are_refused(text):
+    with pytest.raises(DecodeError):
+        parse_scrape(text, taken_ms=0)
+
+
+@pytest.mark.parametrize(
+    ("text", "line", "key_path"),
+    [
+        ('hosts = ["127.0.0.1"]', 1, "hosts"),
+        ("\nhost = []", 2, "host"),
+        ("[windows]\nshort_s = 7200\nlong_s = 3600", 1, "windows"),
+        ("[windows]\nshort_s = 1", 2, "windows.short_s"),
+        ("[windows]\nburning_rate = 0.5", 2, "windows.burning_rate"),
+    ],
+)
+def test_settings_findings_name_their_place(text, line, key_path):
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_settings(text=text, file="report.toml")
+    findings = [error.finding for error in caught.value.exceptions]
+    assert (line, key_path) in [(finding.line, finding.key_path) for finding in findings]
