--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -206,6 +206,8 @@
                 | messages.RecordBatchAck()
                 | messages.RecordQuery()
                 | messages.RecordReply()
+                | messages.TableHistory()
+                | messages.TableHistoryRequest()
             ):
                 return self.steering.on_message(event.sender, message, now_ms)
         return self.requests.on_message(event.sender, event.incarnation, message, now_ms)
