Identify claimants by process and answers by attempt

The incarnation in a message's envelope rises when a host refutes a suspicion, so a witness could take a repeated claim for another claimant's. A claim now names its process and the revision it holds, and a reply says whether a change of the entry hosts is in progress.

--- a/src/redwingswitch/_internal/models/messages.py
+++ b/src/redwingswitch/_internal/models/messages.py
@@ -142,21 +142,31 @@
 class ClaimRequest(NamedTuple):
     """Asks a witness to grant a request id to the sender.
 
-    ``host_set_revision`` is the revision that last changed the declared entry hosts.
+    ``host_set_revision`` is the revision from which the sender knows the declared entry hosts, and
+    ``revision`` is the configuration revision that it holds. ``claimant_incarnation`` identifies
+    the sender's process: the incarnation in the envelope may rise when a suspicion is refuted.
     """
 
     request_id: bytes
     host_set_revision: int
+    revision: int = 0
+    claimant_incarnation: int = 0
 
 
 class ClaimReply(NamedTuple):
-    """Answers a ``ClaimRequest``; the holder fields are set for ``HELD``."""
+    """Answers a ``ClaimRequest``; the holder fields are set for ``GRANTED`` and ``HELD``.
+
+    ``settled`` is true when the witness knows that no change of the declared entry hosts is in
+    progress at ``revision``, the configuration revision that it holds.
+    """
 
     request_id: bytes
     decision: ClaimDecision
     holder: str = ""
     holder_incarnation: int = 0
     host_set_revision: int = 0
+    revision: int = 0
+    settled: bool = False
 
 
 class CancelRequest(NamedTuple):
--- a/src/redwingswitch/_internal/models/requests.py
+++ b/src/redwingswitch/_internal/models/requests.py
@@ -42,7 +42,8 @@
 class AnswerHeader(NamedTuple):
     """The header of one answer part to a caller.
 
-    ``retry_after_ms`` is a hint for ``NOT_RUN``; 0 means none.
+    ``retry_after_ms`` is a hint for a refused request; 0 means none. Callers put an answer together
+    from parts with the same ``answer_id`` only: an idempotent request may have run twice.
     """
 
     request_id: bytes
@@ -51,6 +52,7 @@
     parts: int = 1
     retry_after_ms: int = 0
     reason: str = ""
+    answer_id: int = 0
 
 
 class FailureKind(StrEnum):
