Add claims on request ids

A non-idempotent request must run at most once although any entry host may receive a copy. Each id has three witnesses among the declared entry hosts; a majority of grants is a claim. While the declared hosts change, a claim needs a majority in the old and the new set until 90 s after all but one of the old hosts reported, because a claim under the old set stays in force for that long. A host that cannot know the earlier sets counts only grants of witnesses that do.

--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/host_sets.py
@@ -0,0 +1,146 @@
+"""The declared entry hosts, and the joint phase while they change."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.hashing import rendezvous_rank
+from redwingswitch._internal.models.configuration import Configuration
+from redwingswitch._internal.models.members import MembershipView
+
+WITNESSES = 3
+CLAIM_RETENTION_MS = 90_000
+MAX_EARLIER_SETS = 8
+MAX_UNREPORTED_HOSTS = 1
+FIRST_REVISION = 1
+
+HostDomains = tuple[tuple[str, str], ...]
+
+
+def witnesses(request_id: bytes, hosts: HostDomains) -> tuple[str, ...]:
+    """Return the witnesses of an id: the first three by rendezvous, in distinct domains first."""
+    domains = dict(hosts)
+    ranked = rendezvous_rank(request_id, domains)
+    chosen: list[str] = []
+    used: set[str] = set()
+    for host in ranked:
+        if domains[host] not in used:
+            chosen.append(host)
+            used.add(domains[host])
+    chosen.extend(host for host in ranked if host not in chosen)
+    return tuple(chosen[:WITNESSES])
+
+
+class EarlierSet:
+    """A host set that was replaced, with the hosts that have reported its replacement.
+
+    ``hosts`` is empty when the replaced set is not known; then ``reporting`` names the hosts of
+    the replacement.
+    """
+
+    def __init__(self, *, hosts: HostDomains, reporting: frozenset[str], revision: int) -> None:
+        self.hosts = hosts
+        self.revision = revision
+        self.ends_at_ms: int | None = None
+        self._unreported = set(reporting)
+
+    def note_report(self, host: str, revision: int) -> None:
+        """Record that a host holds a revision."""
+        if revision >= self.revision:
+            self._unreported.discard(host)
+
+    def start_end(self, now_ms: int) -> None:
+        """Schedule the end of the phase once at most one host has not reported.
+
+        The phase lasts for the claim retention beyond that, because a claim made under the replaced
+        set just before its witnesses reported stays in force for that long.
+        """
+        if self.ends_at_ms is None and len(self._unreported) <= MAX_UNREPORTED_HOSTS:
+            self.ends_at_ms = now_ms + CLAIM_RETENTION_MS
+
+
+class DeclaredHostSets:
+    """Tracks which host sets a claim needs.
+
+    A claim needs a majority of the witnesses in the current set and in every earlier set whose
+    joint phase lasts. A host that starts, or that skips a revision, cannot know all earlier sets;
+    until its own phase ends it counts only grants of witnesses that report to be settled.
+    """
+
+    def __init__(self, *, host: str) -> None:
+        self.revision = 0
+        self.introduced_revision = 0
+        self._host = host
+        self._current: HostDomains = ()
+        self._earlier: list[EarlierSet] = []
+        self._overflowed_until_ms = 0
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> None:
+        """Take the declared entry hosts of a newer revision."""
+        if configuration.revision <= self.revision:
+            return
+        hosts = tuple(sorted((h.name, h.failure_domain) for h in configuration.entry_hosts))
+        skipped = configuration.revision > self.revision + 1
+        changed = bool(self._current) and hosts != self._current
+        if changed:
+            self._add(self._current, configuration.revision, now_ms)
+        if skipped and configuration.revision > FIRST_REVISION:
+            names = frozenset(name for name, _ in hosts)
+            phase = EarlierSet(hosts=(), reporting=names, revision=configuration.revision)
+            self._append(phase, now_ms)
+        if changed or skipped or not self._current:
+            self.introduced_revision = configuration.revision
+        self._current = hosts
+        self.revision = configuration.revision
+        self._note(self._host, self.revision)
+        self.on_timer(now_ms)
+
+    def set_members(self, view: MembershipView, now_ms: int) -> None:
+        """Take the revisions that the members report."""
+        if not self._earlier:
+            return
+        for member in view.members:
+            if member.host != self._host:
+                self._note(member.host, member.digest.revision)
+        self.on_timer(now_ms)
+
+    def on_timer(self, now_ms: int) -> None:
+        """End the joint phases whose deadline has passed."""
+        for earlier in self._earlier:
+            earlier.start_end(now_ms)
+        self._earlier = [e for e in self._earlier if e.ends_at_ms is None or e.ends_at_ms > now_ms]
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when the next joint phase ends."""
+        ends = [e.ends_at_ms for e in self._earlier if e.ends_at_ms is not None]
+        return min(ends, default=None)
+
+    def settled(self) -> bool:
+        """Return whether no joint phase is in progress."""
+        return bool(self._current) and not self._earlier
+
+    def needs_settled_witnesses(self) -> bool:
+        """Return whether an earlier host set may exist that this host does not know."""
+        return any(not earlier.hosts for earlier in self._earlier)
+
+    def can_claim(self, now_ms: int) -> bool:
+        """Return whether all earlier sets fit in the table, so that claims are safe."""
+        return bool(self._current) and now_ms >= self._overflowed_until_ms
+
+    def witness_sets(self, request_id: bytes) -> tuple[tuple[str, ...], ...]:
+        """Return the witnesses of an id in each host set that a claim needs, current set first."""
+        sets = [self._current, *(e.hosts for e in self._earlier if e.hosts)]
+        return tuple(witnesses(request_id, hosts) for hosts in sets)
+
+    def _add(self, hosts: HostDomains, revision: int, now_ms: int) -> None:
+        names = frozenset(name for name, _ in hosts)
+        self._append(EarlierSet(hosts=hosts, reporting=names, revision=revision), now_ms)
+
+    def _append(self, earlier: EarlierSet, now_ms: int) -> None:
+        self._earlier.append(earlier)
+        if len(self._earlier) > MAX_EARLIER_SETS:
+            # A forgotten set could hold a claim, so nothing is claimed until it has lapsed.
+            self._overflowed_until_ms = now_ms + CLAIM_RETENTION_MS
+            self._earlier.pop(0)
+
+    def _note(self, host: str, revision: int) -> None:
+        for earlier in self._earlier:
+            earlier.note_report(host, revision)
