Add the admission queue

Without admission, work that misses its deadline occupies slots under overload, and long requests hold up short ones. The queue refuses what cannot finish in time, reserves half of the slots for short work, gives long work a minimum share and a turn after ageing, and lets callers take turns.

--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/admission.py
@@ -0,0 +1,225 @@
+"""The bounded queue of one service at its dispatcher.
+
+The queue has one lane for each size class. Callers take turns within a lane. Some slots are
+reserved for short work, long work has a minimum share, and a request that cannot start in time is
+refused at once.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from redwingswitch._internal.decisions.service_times import ServiceTimes
+from redwingswitch._internal.models.configuration import SizeClass
+
+QUEUE_BOUND = 1_024
+CALLER_SHARE = 4
+RESERVED_SHARE = 2
+LONG_MINIMUM_SHARE = 4
+LONG_AGEING_MS = 2_000
+MAX_AGED_TURNS = 1
+MIN_RETRY_AFTER_MS = 50
+MAX_RETRY_AFTER_MS = 10_000
+
+
+class QueuedRequest(NamedTuple):
+    """A request that waits for a slot."""
+
+    request_id: bytes
+    caller: str
+    size: SizeClass
+    queued_at_ms: int
+    deadline_ms: int
+
+
+class SlotUse(NamedTuple):
+    """The slots of a dispatcher: all of them, and those that each class occupies."""
+
+    total: int
+    short: int
+    long: int
+
+    @property
+    def free(self) -> int:
+        """Return the number of unoccupied slots."""
+        return max(0, self.total - self.short - self.long)
+
+    @property
+    def reserved(self) -> int:
+        """Return the number of slots reserved for short work."""
+        return self.total // RESERVED_SHARE
+
+    @property
+    def long_minimum(self) -> int:
+        """Return the number of slots that long work may always have."""
+        return max(1, self.total // LONG_MINIMUM_SHARE) if self.total > 1 else 0
+
+
+class Refusal(NamedTuple):
+    """Why a request was not queued, and when trying again is worth while."""
+
+    reason: str
+    retry_after_ms: int
+
+
+class _Lane:
+    """The requests of one class, one queue a caller, served in turn."""
+
+    def __init__(self) -> None:
+        self._callers: OrderedDict[str, deque[QueuedRequest]] = OrderedDict()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        for waiting in self._callers.values():
+            yield from waiting
+
+    def count(self, caller: str) -> int:
+        return len(self._callers.get(caller, ()))
+
+    def push(self, request: QueuedRequest) -> None:
+        self._callers.setdefault(request.caller, deque()).append(request)
+        self._size += 1
+
+    def push_front(self, request: QueuedRequest) -> None:
+        self._callers.setdefault(request.caller, deque()).appendleft(request)
+        self._callers.move_to_end(request.caller, last=False)
+        self._size += 1
+
+    def pop(self) -> QueuedRequest:
+        caller, waiting = self._callers.popitem(last=False)
+        request = waiting.popleft()
+        if waiting:
+            self._callers[caller] = waiting
+        self._size -= 1
+        return request
+
+    def remove(self, request: QueuedRequest) -> None:
+        waiting = self._callers[request.caller]
+        waiting.remove(request)
+        self._size -= 1
+        if not waiting:
+            del self._callers[request.caller]
+
+    def oldest_ms(self) -> int | None:
+        return min((q[0].queued_at_ms for q in self._callers.values()), default=None)
+
+
+class AdmissionQueue:
+    """Admits, orders and expires the waiting requests of one service."""
+
+    def __init__(self, *, times: ServiceTimes, bound: int = QUEUE_BOUND) -> None:
+        self._times = times
+        self._bound = bound
+        self._lanes = {size: _Lane() for size in SizeClass}
+        self._by_id: dict[bytes, QueuedRequest] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_id)
+
+    def __contains__(self, request_id: bytes) -> bool:
+        return request_id in self._by_id
+
+    def ids(self) -> tuple[bytes, ...]:
+        """Return the ids of all waiting requests."""
+        return tuple(self._by_id)
+
+    def waiting(self, size: SizeClass) -> int:
+        """Return the number of waiting requests of a class."""
+        return len(self._lanes[size])
+
+    def offer(self, request: QueuedRequest, use: SlotUse, now_ms: int) -> Refusal | None:
+        """Queue a request, or say why it is refused."""
+        wait_ms = self.wait_ms(request.size, use)
+        if len(self._by_id) >= self._bound:
+            return Refusal("the queue is full", _retry_after_ms(wait_ms))
+        if self._caller_count(request.caller) >= max(1, self._bound // CALLER_SHARE):
+            return Refusal("the caller's share of the queue is full", _retry_after_ms(wait_ms))
+        finish_ms = now_ms + wait_ms + self._times.cautious_ms(request.size)
+        if finish_ms > request.deadline_ms:
+            return Refusal("the deadline is too near", _retry_after_ms(wait_ms))
+        self._by_id[request.request_id] = request
+        self._lanes[request.size].push(request)
+        return None
+
+    def put_back(self, request: QueuedRequest) -> None:
+        """Return a request that did not start to the head of its lane."""
+        self._by_id[request.request_id] = request
+        self._lanes[request.size].push_front(request)
+
+    def remove(self, request_id: bytes) -> QueuedRequest | None:
+        """Take a request out of the queue."""
+        request = self._by_id.pop(request_id, None)
+        if request is not None:
+            self._lanes[request.size].remove(request)
+        return request
+
+    def take(self, use: SlotUse, now_ms: int) -> QueuedRequest | None:
+        """Return the request that may have the next free slot."""
+        size = self._next_class(use, now_ms)
+        if size is None:
+            return None
+        request = self._lanes[size].pop()
+        del self._by_id[request.request_id]
+        return request
+
+    def last_start_ms(self, request: QueuedRequest) -> int:
+        """Return the latest time at which a request can start and still finish in time."""
+        return request.deadline_ms - round(self._times.mean_ms(request.size))
+
+    def next_aged_ms(self) -> int | None:
+        """Return when the oldest long request may take a reserved slot."""
+        oldest_ms = self._lanes[SizeClass.LONG].oldest_ms()
+        return None if oldest_ms is None else oldest_ms + LONG_AGEING_MS
+
+    def wait_ms(self, size: SizeClass, use: SlotUse) -> float:
+        """Estimate how long a new request of a class would wait for a slot."""
+        ahead = len(self._lanes[size])
+        slots, open_slots = _slots_for(size, use, self.waiting(_other(size)) > 0)
+        if ahead < open_slots:
+            return 0.0
+        return (ahead - open_slots + 1) * self._times.mean_ms(size) / slots
+
+    def _caller_count(self, caller: str) -> int:
+        return sum(lane.count(caller) for lane in self._lanes.values())
+
+    def _next_class(self, use: SlotUse, now_ms: int) -> SizeClass | None:
+        if use.free <= 0:
+            return None
+        short, long = self._lanes[SizeClass.SHORT], self._lanes[SizeClass.LONG]
+        if long and use.long < use.long_minimum:
+            return SizeClass.LONG
+        if short:
+            return SizeClass.SHORT
+        if long and use.long < self._long_limit(use, now_ms):
+            return SizeClass.LONG
+        return None
+
+    def _long_limit(self, use: SlotUse, now_ms: int) -> int:
+        limit = use.total - use.reserved
+        aged_ms = self.next_aged_ms()
+        if aged_ms is not None and aged_ms <= now_ms:
+            limit += MAX_AGED_TURNS
+        return limit
+
+
+def _other(size: SizeClass) -> SizeClass:
+    return SizeClass.LONG if size is SizeClass.SHORT else SizeClass.SHORT
+
+
+def _slots_for(size: SizeClass, use: SlotUse, other_waits: bool) -> tuple[int, int]:
+    """Return the slots that a class can count on, and how many of them are open now."""
+    if size is SizeClass.SHORT:
+        kept_for_long = use.long_minimum if other_waits else 0
+        slots = max(1, use.total - max(use.long, kept_for_long))
+        return slots, min(use.free, max(0, slots - use.short))
+    slots = max(1, use.total - use.reserved)
+    return slots, min(use.free, max(0, slots - use.long))
+
+
+def _retry_after_ms(wait_ms: float) -> int:
+    return round(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms)))
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/service_times.py
@@ -0,0 +1,54 @@
+"""Observed service times, which correct the declared size class."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.configuration import SizeClass
+from redwingswitch._internal.models.requests import SizeHint
+
+SMOOTHING = 1 / 32
+DEVIATIONS = 2.0
+LONG_FACTOR = 8
+MIN_MEAN_MS = 1.0
+LONG_EXPECTED_FACTOR = 20
+
+
+class ServiceTimes:
+    """Smoothed mean and deviation of the service time of each size class.
+
+    The smoothing is that of TCP's round-trip estimator (Jacobson, SIGCOMM 1988).
+    """
+
+    def __init__(self, *, expected_ms: int, declared: SizeClass) -> None:
+        self._declared = declared
+        short_ms = float(expected_ms)
+        long_ms = float(expected_ms * LONG_EXPECTED_FACTOR)
+        if declared is SizeClass.LONG:
+            short_ms, long_ms = expected_ms / LONG_EXPECTED_FACTOR, float(expected_ms)
+        self._mean_ms = {SizeClass.SHORT: short_ms, SizeClass.LONG: long_ms}
+        self._deviation_ms = {SizeClass.SHORT: short_ms / 4, SizeClass.LONG: long_ms / 4}
+
+    def classify(self, hint: SizeHint) -> SizeClass:
+        """Return the class of a request that has not run yet."""
+        if hint is SizeHint.SHORT:
+            return SizeClass.SHORT
+        if hint is SizeHint.LONG:
+            return SizeClass.LONG
+        return self._declared
+
+    def long_after_ms(self) -> int:
+        """Return the run time after which a short request counts as long."""
+        return round(LONG_FACTOR * max(MIN_MEAN_MS, self._mean_ms[SizeClass.SHORT]))
+
+    def mean_ms(self, size: SizeClass) -> float:
+        """Return the smoothed service time of a class."""
+        return max(MIN_MEAN_MS, self._mean_ms[size])
+
+    def cautious_ms(self, size: SizeClass) -> float:
+        """Return a service time that most requests of a class stay below."""
+        return self.mean_ms(size) + DEVIATIONS * self._deviation_ms[size]
+
+    def observe(self, size: SizeClass, elapsed_ms: float) -> None:
+        """Take the service time of a request that ran to its end."""
+        error_ms = elapsed_ms - self._mean_ms[size]
+        self._mean_ms[size] += SMOOTHING * error_ms
+        self._deviation_ms[size] += SMOOTHING * (abs(error_ms) - self._deviation_ms[size])
