Add placement of requests

The dispatcher counts the slots of its backend servers exactly and prefers the least occupied, then the least used one. Requests move to another failure domain in small steps and rest within a margin, because advertised waits are 1 s old and all hosts read the same ones.

--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/placement.py
@@ -0,0 +1,230 @@
+"""Choice of the backend server and of the failure domain."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple, Protocol
+
+from redwingswitch._internal.decisions.retry import backoff_ms
+from redwingswitch._internal.models.configuration import BackendServer, ServerState
+from redwingswitch._internal.models.requests import FailureKind
+from redwingswitch._internal.ports import RandomSource
+
+WARM_UP_MS = 1_000
+WARM_UP_SLOTS = 1
+USAGE_MEMORY_MS = 10_000
+DOMAIN_MARGIN_MS = 20
+DOMAIN_ADJUST_INTERVAL_MS = 250
+DOMAIN_STEP = 0.05
+DOMAIN_FULL_STEP_MS = 100
+
+
+class ServerHealth(Protocol):
+    """What request dispatch needs to know about the health of backend servers."""
+
+    def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
+        """Note a whole answer."""
+
+    def on_failure(self, server: str, kind: FailureKind, now_ms: int) -> None:
+        """Note a failed attempt."""
+
+    def ejected(self, now_ms: int) -> frozenset[str]:
+        """Return the servers that take no ordinary work."""
+
+    def may_dispatch(self, server: str, idempotent: bool, now_ms: int) -> bool:
+        """Return whether a server may get a request now; may count it as a probe."""
+
+    def slots(self, server: str, now_ms: int) -> int:
+        """Return the usable slots of a server."""
+
+    def weight(self, server: str, now_ms: int) -> float:
+        """Return the share of its normal work that a server should get."""
+
+
+class _ServerUse:
+    def __init__(self, *, server: BackendServer) -> None:
+        self.server = server
+        self.busy = 0
+        self.sheds = 0
+        self.blocked_until_ms = 0
+        self.usage_ms = 0.0
+        self.counted_at_ms = 0
+
+    def count(self, now_ms: int) -> None:
+        """Bring the decayed busy time up to date."""
+        elapsed_ms = max(0, now_ms - self.counted_at_ms)
+        kept = math.exp(-elapsed_ms / USAGE_MEMORY_MS)
+        self.usage_ms = self.usage_ms * kept + self.busy * USAGE_MEMORY_MS * (1 - kept)
+        self.counted_at_ms = now_ms
+
+
+class ServerSlots:
+    """Counts the occupied slots of the backend servers of one service in one failure domain."""
+
+    def __init__(self, *, health: ServerHealth, random_source: RandomSource) -> None:
+        self._health = health
+        self._random_source = random_source
+        self._servers: dict[str, _ServerUse] = {}
+        self._warm_at_ms = 0
+
+    def apply(self, servers: Sequence[BackendServer], now_ms: int) -> None:
+        """Take the declared servers; keep the counts of those that stay."""
+        kept: dict[str, _ServerUse] = {}
+        for server in servers:
+            use = self._servers.get(server.name)
+            if use is None:
+                use = _ServerUse(server=server)
+                use.counted_at_ms = now_ms
+            use.server = server
+            kept[server.name] = use
+        self._servers = kept
+
+    def begin_warm_up(self, now_ms: int) -> None:
+        """Limit every server to one slot for a while, as requests in flight are not known."""
+        self._warm_at_ms = now_ms + WARM_UP_MS
+
+    def total(self, now_ms: int) -> int:
+        """Return the usable slots of all servers."""
+        ejected = self._health.ejected(now_ms)
+        return sum(
+            self._capacity(use, now_ms)
+            for name, use in self._servers.items()
+            if name not in ejected and use.server.state is ServerState.ACTIVE
+        )
+
+    def busy(self, server: str) -> int:
+        """Return the occupied slots of a server."""
+        use = self._servers.get(server)
+        return 0 if use is None else use.busy
+
+    def choose(self, *, idempotent: bool, exclude: frozenset[str], now_ms: int) -> str | None:
+        """Return a server with a free slot: the least occupied, then the least used lately."""
+        ranked = sorted(
+            (self._score(use, now_ms), name)
+            for name, use in self._servers.items()
+            if name not in exclude and self._is_open(use, now_ms)
+        )
+        for _, name in ranked:
+            if self._health.may_dispatch(name, idempotent, now_ms):
+                return name
+        return None
+
+    def occupy(self, server: str, now_ms: int) -> None:
+        """Count a request that starts at a server."""
+        use = self._servers[server]
+        use.count(now_ms)
+        use.busy += 1
+
+    def release(self, server: str, now_ms: int) -> None:
+        """Count a request that ended at a server."""
+        use = self._servers.get(server)
+        if use is None:
+            return
+        use.count(now_ms)
+        use.busy = max(0, use.busy - 1)
+
+    def note_answer(self, server: str) -> None:
+        """Note that a server took and answered a request."""
+        use = self._servers.get(server)
+        if use is not None:
+            use.sheds = 0
+
+    def note_refusal(self, server: str, now_ms: int) -> None:
+        """Pause a server that did not start a request: its slots are busy elsewhere."""
+        use = self._servers.get(server)
+        if use is None:
+            return
+        use.sheds += 1
+        use.blocked_until_ms = now_ms + backoff_ms(use.sheds, self._random_source)
+
+    def _capacity(self, use: _ServerUse, now_ms: int) -> int:
+        slots = min(use.server.slots, self._health.slots(use.server.name, now_ms))
+        return min(slots, WARM_UP_SLOTS) if now_ms < self._warm_at_ms else slots
+
+    def _is_open(self, use: _ServerUse, now_ms: int) -> bool:
+        if use.server.state is not ServerState.ACTIVE or now_ms < use.blocked_until_ms:
+            return False
+        # An ejected server has no usable slot, but may get a probe.
+        return use.busy < max(1, self._capacity(use, now_ms))
+
+    def _score(self, use: _ServerUse, now_ms: int) -> tuple[float, float]:
+        use.count(now_ms)
+        weight = max(0.01, self._health.weight(use.server.name, now_ms))
+        capacity = max(1, use.server.slots) * weight
+        return use.busy / capacity, use.usage_ms / capacity
+
+
+class DomainLoad(NamedTuple):
+    """The advertised wait of a failure domain's dispatcher, the link's cost, and its slots."""
+
+    wait_ms: int
+    link_cost_ms: int
+    slots: int
+
+    @property
+    def cost_ms(self) -> int:
+        """Return the wait as seen from the near failure domain."""
+        return self.wait_ms + self.link_cost_ms
+
+
+class DomainChooser:
+    """Divides one service's new requests among failure domains.
+
+    Advertised waits are about 1 s old and every entry host reads the same ones. The shares
+    therefore move in small steps and rest within a margin: switching all requests at once would
+    make the load swing between failure domains.
+    """
+
+    def __init__(self, *, near: str, random_source: RandomSource) -> None:
+        self._near = near
+        self._random_source = random_source
+        self._shares: dict[str, float] = {}
+        self._adjust_at_ms = 0
+
+    def shares(self) -> dict[str, float]:
+        """Return the present share of each failure domain."""
+        return dict(self._shares)
+
+    def choose(self, loads: Mapping[str, DomainLoad], now_ms: int) -> str | None:
+        """Return the failure domain for one request; None when no domain has servers."""
+        if not loads:
+            return None
+        if self._shares.keys() != loads.keys():
+            self._shares = self._first_shares(loads)
+            self._adjust_at_ms = now_ms + DOMAIN_ADJUST_INTERVAL_MS
+        elif now_ms >= self._adjust_at_ms:
+            self._adjust(loads)
+            self._adjust_at_ms = now_ms + DOMAIN_ADJUST_INTERVAL_MS
+        return self._draw()
+
+    def _first_shares(self, loads: Mapping[str, DomainLoad]) -> dict[str, float]:
+        if self._near in loads:
+            return {name: float(name == self._near) for name in loads}
+        total = sum(load.slots for load in loads.values())
+        if total == 0:
+            return {name: 1 / len(loads) for name in loads}
+        return {name: load.slots / total for name, load in loads.items()}
+
+    def _adjust(self, loads: Mapping[str, DomainLoad]) -> None:
+        used = [name for name, share in self._shares.items() if share > 0]
+        worst = max(used, key=lambda name: (loads[name].cost_ms, name != self._near))
+        best = min(loads, key=lambda name: (loads[name].cost_ms, name != self._near))
+        gap_ms = loads[worst].cost_ms - loads[best].cost_ms
+        if gap_ms > DOMAIN_MARGIN_MS:
+            self._move(worst, best, DOMAIN_STEP * min(1.0, gap_ms / DOMAIN_FULL_STEP_MS))
+        elif best == self._near and worst != best:
+            self._move(worst, best, DOMAIN_STEP / 4)
+
+    def _move(self, source: str, target: str, share: float) -> None:
+        moved = min(share, self._shares[source])
+        self._shares[source] -= moved
+        self._shares[target] += moved
+
+    def _draw(self) -> str:
+        left = self._random_source.random()
+        for name, share in self._shares.items():
+            left -= share
+            if left < 0:
+                return name
+        return max(self._shares, key=lambda name: self._shares[name])
