Add the request coordinator

The coordinator collects request parts, routes requests to the dispatcher, claims non-idempotent ids, runs attempts and brings each request to one outcome.

--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/request_dispatch.py
@@ -0,0 +1,184 @@
+"""The dispatcher of one service in one failure domain: its queue, slots and running attempts."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Sequence
+
+from redwingswitch._internal.decisions.admission import AdmissionQueue, QueuedRequest, SlotUse
+from redwingswitch._internal.decisions.placement import ServerHealth, ServerSlots
+from redwingswitch._internal.decisions.request_ledger import Attempt, RequestEntry
+from redwingswitch._internal.decisions.retry import RetryBudget
+from redwingswitch._internal.decisions.service_times import ServiceTimes
+from redwingswitch._internal.models.configuration import Service, SizeClass
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.members import WaitEstimate
+from redwingswitch._internal.ports import RandomSource
+
+RETRY_RATIO = 0.1
+RETRY_BURST = 10
+STALLED_POLL_MS = 20
+WAIT_SMOOTHING_MS = 500
+
+
+class ServiceDispatch:
+    """Holds what a dispatcher needs to start and end attempts of one service in one domain."""
+
+    def __init__(
+        self,
+        *,
+        service: Service,
+        domain: str,
+        health: ServerHealth,
+        random_source: RandomSource,
+    ) -> None:
+        self.service = service
+        self.domain = domain
+        self.serving = False
+        self.times = ServiceTimes(
+            expected_ms=service.expected_service_ms, declared=service.size_class
+        )
+        self.queue = AdmissionQueue(times=self.times)
+        self.slots = ServerSlots(health=health, random_source=random_source)
+        self.budget = RetryBudget(ratio=RETRY_RATIO, burst=RETRY_BURST)
+        self.poll_at_ms: int | None = None
+        self._running: dict[int, tuple[Attempt, RequestEntry]] = {}
+        self._smoothed_wait_ms = 0.0
+        self._smoothed_at_ms = 0
+
+    def apply(self, service: Service, now_ms: int) -> None:
+        """Take the declared servers of the service in this failure domain."""
+        self.service = service
+        servers = [s for s in service.backend_servers if s.failure_domain == self.domain]
+        self.slots.apply(servers, now_ms)
+
+    def set_serving(self, serving: bool, now_ms: int) -> None:
+        """Start or end being the dispatcher; a new one warms up."""
+        if serving and not self.serving:
+            self.slots.begin_warm_up(now_ms)
+        self.serving = serving
+
+    def idle(self) -> bool:
+        """Return whether nothing waits or runs here."""
+        return not self._running and not len(self.queue)
+
+    def use(self, now_ms: int) -> SlotUse:
+        """Return the occupied slots by class; a short request that overruns counts as long."""
+        long_after_ms = self.times.long_after_ms()
+        long = sum(
+            1
+            for attempt, entry in self._running.values()
+            if entry.size is SizeClass.LONG or now_ms - attempt.started_at_ms > long_after_ms
+        )
+        return SlotUse(self.slots.total(now_ms), len(self._running) - long, long)
+
+    def start(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> None:
+        """Count an attempt that starts."""
+        self.slots.occupy(attempt.backend_server, now_ms)
+        self._running[attempt.attempt_id] = (attempt, entry)
+        entry.attempts[attempt.attempt_id] = attempt
+        entry.attempts_made += 1
+        if entry.queued is not None and entry.size is SizeClass.SHORT:
+            self._smooth(float(now_ms - entry.queued.queued_at_ms), now_ms)
+
+    def end(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> None:
+        """Count an attempt that ended."""
+        if self._running.pop(attempt.attempt_id, None) is None:
+            return
+        self.slots.release(attempt.backend_server, now_ms)
+        del entry.attempts[attempt.attempt_id]
+
+    def note_answer(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> None:
+        """Learn from a whole answer."""
+        elapsed_ms = now_ms - attempt.started_at_ms
+        overran = elapsed_ms > self.times.long_after_ms()
+        self.times.observe(SizeClass.LONG if overran else entry.size, elapsed_ms)
+        self.slots.note_answer(attempt.backend_server)
+
+    def next_request(self, now_ms: int) -> QueuedRequest | None:
+        """Return the request that may have the next free slot."""
+        return self.queue.take(self.use(now_ms), now_ms)
+
+    def plan_poll(self, now_ms: int, *, stalled: bool) -> None:
+        """Set when the queue may move without another event."""
+        aged_ms = self.queue.next_aged_ms()
+        if stalled:
+            self.poll_at_ms = now_ms + STALLED_POLL_MS
+        elif aged_ms is not None and aged_ms > now_ms:
+            self.poll_at_ms = aged_ms
+        else:
+            self.poll_at_ms = None
+
+    def wait_estimate_ms(self, now_ms: int) -> int:
+        """Return the smoothed wait of short work, which is advertised to the other hosts."""
+        self._smooth(self.queue.wait_ms(SizeClass.SHORT, self.use(now_ms)), now_ms)
+        return round(self._smoothed_wait_ms)
+
+    def _smooth(self, wait_ms: float, now_ms: int) -> None:
+        elapsed_ms = max(1, now_ms - self._smoothed_at_ms)
+        gain = min(1.0, elapsed_ms / WAIT_SMOOTHING_MS)
+        self._smoothed_wait_ms += gain * (wait_ms - self._smoothed_wait_ms)
+        self._smoothed_at_ms = now_ms
+
+
+class DispatchTable:
+    """The queues and slots of a host, one for each service and failure domain."""
+
+    def __init__(self, *, health: ServerHealth, random_source: RandomSource) -> None:
+        self._health = health
+        self._random_source = random_source
+        self._dispatches: dict[tuple[str, str], ServiceDispatch] = {}
+
+    def __iter__(self) -> Iterator[ServiceDispatch]:
+        return iter(self._dispatches.values())
+
+    def of(self, entry: RequestEntry) -> ServiceDispatch:
+        """Return the queue and slots that an entry belongs to."""
+        return self._dispatches[(entry.header.service, entry.domain)]
+
+    def get(self, service: Service, domain: str, now_ms: int) -> ServiceDispatch:
+        """Return the queue and slots of a service in a failure domain."""
+        key = (service.name, domain)
+        if key not in self._dispatches:
+            dispatch = ServiceDispatch(
+                service=service,
+                domain=domain,
+                health=self._health,
+                random_source=self._random_source,
+            )
+            dispatch.apply(service, now_ms)
+            self._dispatches[key] = dispatch
+        return self._dispatches[key]
+
+    def apply(self, services: Sequence[Service], live: Sequence[RequestEntry], now_ms: int) -> None:
+        """Take the declared services; drop what is neither declared nor needed by live requests."""
+        declared = {
+            (service.name, server.failure_domain)
+            for service in services
+            for server in service.backend_servers
+        }
+        needed = declared | {(entry.header.service, entry.domain) for entry in live}
+        self._dispatches = {k: d for k, d in self._dispatches.items() if k in needed}
+        for service in services:
+            for domain in {server.failure_domain for server in service.backend_servers}:
+                self.get(service, domain, now_ms)
+            for dispatch in self:
+                if dispatch.service.name == service.name:
+                    dispatch.apply(service, now_ms)
+
+    def shortest(self, service: Service, domains: Sequence[str], now_ms: int) -> str:
+        """Return the failure domain, among ``domains``, with the shortest wait."""
+        return min(domains, key=lambda domain: self._wait_ms(service, domain, now_ms))
+
+    def wait_estimates(self, now_ms: int) -> tuple[WaitEstimate, ...]:
+        """Return the wait of short work for each service that this host dispatches."""
+        waits: dict[int, int] = {}
+        for dispatch in self:
+            if dispatch.serving:
+                service_id = wire_id(dispatch.service.name)
+                wait_ms = dispatch.wait_estimate_ms(now_ms)
+                waits[service_id] = min(wait_ms, waits.get(service_id, wait_ms))
+        return tuple(WaitEstimate(*item) for item in sorted(waits.items()))
+
+    def _wait_ms(self, service: Service, domain: str, now_ms: int) -> float:
+        dispatch = self.get(service, domain, now_ms)
+        return dispatch.queue.wait_ms(service.size_class, dispatch.use(now_ms))
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/request_ledger.py
@@ -0,0 +1,257 @@
+"""The requests that a dispatcher knows: live ones, finished ones and kept answers."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from enum import Enum, auto
+
+import xxhash
+
+from redwingswitch._internal.decisions.admission import QueuedRequest, Refusal
+from redwingswitch._internal.decisions.claims import ClaimHolder
+from redwingswitch._internal.decisions.host_sets import CLAIM_RETENTION_MS
+from redwingswitch._internal.decisions.request_answers import AnswerAssembly
+from redwingswitch._internal.models.configuration import SizeClass
+from redwingswitch._internal.models.identifiers import CallerAddress
+from redwingswitch._internal.models.messages import ForwardedRequest
+from redwingswitch._internal.models.requests import AnswerHeader, Outcome, RequestHeader
+
+MAX_LIVE_REQUESTS = 8_192
+MAX_FINISHED_REQUESTS = 65_536
+MAX_LIVE_BYTES = 32_000_000
+MAX_KEPT_BYTES = 8_000_000
+ANSWER_KEPT_MS = 30_000
+MAX_CALLERS = 4
+
+
+class RequestState(Enum):
+    """Where a request stands at its dispatcher.
+
+    ``PARKED`` is a request whose turn came before its claim was decided. ``REFUSING`` is one that
+    will not run and waits for its claim, so that "not run" is certain. ``RESTING`` waits for a
+    retry. ``MOVED`` is held by another host.
+    """
+
+    QUEUED = auto()
+    PARKED = auto()
+    REFUSING = auto()
+    RUNNING = auto()
+    RESTING = auto()
+    DONE = auto()
+    MOVED = auto()
+
+
+class Attempt:
+    """One dispatch of a request to a backend server."""
+
+    def __init__(self, *, attempt_id: int, backend_server: str, started_at_ms: int) -> None:
+        self.attempt_id = attempt_id
+        self.backend_server = backend_server
+        self.started_at_ms = started_at_ms
+        self.answer = AnswerAssembly()
+
+
+class RequestEntry:
+    """All that a dispatcher knows about one request."""
+
+    __slots__ = (
+        "answer",
+        "attempts",
+        "attempts_made",
+        "body",
+        "body_digest",
+        "callers",
+        "claimed",
+        "deadline_ms",
+        "domain",
+        "expires_at_ms",
+        "header",
+        "holder",
+        "hops",
+        "idempotent",
+        "non_starts",
+        "outcome",
+        "partial",
+        "queued",
+        "refusal",
+        "size",
+        "state",
+    )
+
+    def __init__(
+        self,
+        *,
+        copy: ForwardedRequest,
+        idempotent: bool,
+        domain: str,
+        size: SizeClass,
+        deadline_ms: int,
+    ) -> None:
+        self.header = copy.header
+        self.idempotent = idempotent
+        self.body = copy.body
+        self.body_digest = xxhash.xxh3_128_digest(copy.body)
+        self.callers = [copy.caller]
+        self.domain = domain
+        self.size = size
+        self.deadline_ms = deadline_ms
+        self.hops = copy.hops
+        self.state = RequestState.QUEUED
+        self.claimed = False
+        self.refusal: Refusal | None = None
+        self.queued: QueuedRequest | None = None
+        self.attempts: dict[int, Attempt] = {}
+        self.attempts_made = 0
+        self.non_starts = 0
+        self.partial = False
+        self.holder: ClaimHolder | None = None
+        self.outcome: AnswerHeader | None = None
+        self.answer: tuple[bytes, ...] | None = None
+        self.expires_at_ms = 0
+
+    @property
+    def live(self) -> bool:
+        """Return whether the request has no outcome yet."""
+        return self.state not in (RequestState.DONE, RequestState.MOVED)
+
+    def same_request(self, header: RequestHeader, body: bytes) -> bool:
+        """Return whether a copy belongs to this request and not to a reused id."""
+        same_service = header.service == self.header.service
+        return same_service and xxhash.xxh3_128_digest(body) == self.body_digest
+
+    def copies(self, now_ms: int) -> list[ForwardedRequest]:
+        """Return the request as it is passed on, one copy for each caller address."""
+        header = self.header._replace(remaining_ms=self.deadline_ms - now_ms)
+        return [ForwardedRequest(header, self.body, c, self.hops) for c in self.callers]
+
+    def add_caller(self, caller: CallerAddress) -> None:
+        """Remember where a copy came from, the latest first."""
+        if caller in self.callers:
+            self.callers.remove(caller)
+        self.callers = [caller, *self.callers][:MAX_CALLERS]
+
+
+class RequestLedger:
+    """Holds live entries, remembers finished ones, and keeps whole answers within a byte bound.
+
+    A finished non-idempotent request is remembered for the claim retention: the witnesses would
+    grant its id to this host again, so only this memory prevents a second dispatch. When it is
+    full, new requests are refused; nothing is evicted but kept answers.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[bytes, RequestEntry] = {}
+        self._finished: dict[bool, OrderedDict[bytes, int]] = {
+            True: OrderedDict(),
+            False: OrderedDict(),
+        }
+        self._kept: OrderedDict[bytes, int] = OrderedDict()
+        self._kept_bytes = 0
+        self._live_bytes = 0
+        self._live = 0
+
+    def get(self, request_id: bytes) -> RequestEntry | None:
+        """Return the entry of an id."""
+        return self._entries.get(request_id)
+
+    def live(self) -> list[RequestEntry]:
+        """Return the requests without an outcome."""
+        return [entry for entry in self._entries.values() if entry.live]
+
+    def live_count(self) -> int:
+        """Return the number of requests without an outcome."""
+        return self._live
+
+    def add(self, entry: RequestEntry) -> bool:
+        """Take a new live entry; return False when a bound is reached."""
+        finished = len(self._entries) - self._live
+        if self._live >= MAX_LIVE_REQUESTS or finished >= MAX_FINISHED_REQUESTS:
+            return False
+        if self._live_bytes + len(entry.body) > MAX_LIVE_BYTES:
+            return False
+        self._entries[entry.header.request_id] = entry
+        self._live += 1
+        self._live_bytes += len(entry.body)
+        return True
+
+    def forget(self, entry: RequestEntry) -> None:
+        """Remove a finished entry whose id may be tried again."""
+        request_id = entry.header.request_id
+        self._entries.pop(request_id, None)
+        self._finished[entry.idempotent].pop(request_id, None)
+        self._drop_answer(request_id)
+
+    def finish(
+        self,
+        entry: RequestEntry,
+        outcome: AnswerHeader | None,
+        now_ms: int,
+        *,
+        answer: tuple[bytes, ...] | None = None,
+        state: RequestState = RequestState.DONE,
+    ) -> None:
+        """Record the outcome of a live entry and keep its answer."""
+        request_id = entry.header.request_id
+        self._live -= 1
+        self._live_bytes -= len(entry.body)
+        entry.body = b""
+        entry.queued = None
+        entry.state = state
+        entry.outcome = outcome
+        retention_ms = ANSWER_KEPT_MS if entry.idempotent else CLAIM_RETENTION_MS
+        entry.expires_at_ms = now_ms + retention_ms
+        self._finished[entry.idempotent][request_id] = entry.expires_at_ms
+        if answer is not None:
+            self._keep(entry, answer, now_ms)
+
+    def expire(self, now_ms: int) -> None:
+        """Forget what is past its retention."""
+        for finished in self._finished.values():
+            for request_id in _due(finished, now_ms):
+                del finished[request_id]
+                self._drop_answer(request_id)
+                self._entries.pop(request_id, None)
+        for request_id in _due(self._kept, now_ms):
+            self._drop_answer(request_id)
+
+    def next_expiry_ms(self) -> int | None:
+        """Return when the next entry or kept answer goes away."""
+        queues = [*self._finished.values(), self._kept]
+        return min((next(iter(q.values())) for q in queues if q), default=None)
+
+    def _keep(self, entry: RequestEntry, answer: tuple[bytes, ...], now_ms: int) -> None:
+        entry.answer = answer
+        self._kept[entry.header.request_id] = now_ms + ANSWER_KEPT_MS
+        self._kept_bytes += _size(answer)
+        while self._kept_bytes > MAX_KEPT_BYTES:
+            self._drop_answer(next(iter(self._kept)))
+
+    def _drop_answer(self, request_id: bytes) -> None:
+        if self._kept.pop(request_id, None) is None:
+            return
+        entry = self._entries[request_id]
+        if entry.answer is not None:
+            self._kept_bytes -= _size(entry.answer)
+            entry.answer = None
+
+
+def outcome_header(
+    entry: RequestEntry, outcome: Outcome, reason: str, retry_after_ms: int = 0
+) -> AnswerHeader:
+    """Return the header that tells a caller an outcome without an answer."""
+    return AnswerHeader(
+        entry.header.request_id, outcome, retry_after_ms=retry_after_ms, reason=reason
+    )
+
+
+def _due(queue: OrderedDict[bytes, int], now_ms: int) -> list[bytes]:
+    due = []
+    for request_id, expires_at_ms in queue.items():
+        if expires_at_ms > now_ms:
+            break
+        due.append(request_id)
+    return due
+
+
+def _size(answer: tuple[bytes, ...]) -> int:
+    return sum(len(part) for part in answer)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/request_routing.py
@@ -0,0 +1,126 @@
+"""Which entry host collects, dispatches or cancels a request."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.hashing import rendezvous_rank
+from redwingswitch._internal.decisions.placement import DomainChooser, DomainLoad
+from redwingswitch._internal.models.configuration import Configuration, ServerState, Service
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.members import MembershipView, MemberView
+from redwingswitch._internal.ports import RandomSource
+
+
+class RequestRouting:
+    """Maps requests to entry hosts by the configuration and the membership view."""
+
+    def __init__(self, *, host: str, failure_domain: str, random_source: RandomSource) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._random_source = random_source
+        self._services: dict[str, Service] = {}
+        self._link_costs_ms: dict[str, int] = {}
+        self._members: tuple[MemberView, ...] = ()
+        self._choosers: dict[str, DomainChooser] = {}
+        self._dispatchers: dict[tuple[str, str], str | None] = {}
+        self._leaving = False
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take the services and link costs of a revision."""
+        self._services = {s.name: s for s in configuration.services}
+        self._link_costs_ms = {d.name: d.link_cost_ms for d in configuration.failure_domains}
+        self._choosers = {n: c for n, c in self._choosers.items() if n in self._services}
+        self._dispatchers.clear()
+
+    def set_members(self, view: MembershipView) -> None:
+        """Take the live hosts and their advertised waits."""
+        before = [(m.host, m.failure_domain) for m in self._members]
+        self._members = view.serving()
+        if before != [(m.host, m.failure_domain) for m in self._members]:
+            self._dispatchers.clear()
+
+    def leave(self) -> None:
+        """Stop naming the local host."""
+        self._leaving = True
+        self._dispatchers.clear()
+
+    def service(self, name: str) -> Service | None:
+        """Return a service that takes requests."""
+        service = self._services.get(name)
+        return service if service is not None and service.takes_requests else None
+
+    def services(self) -> tuple[Service, ...]:
+        """Return the services that take requests."""
+        return tuple(s for s in self._services.values() if s.takes_requests)
+
+    def is_serving(self, host: str) -> bool:
+        """Return whether a host is alive or merely suspected."""
+        return any(member.host == host for member in self._hosts())
+
+    def collector(self, request_id: bytes) -> str | None:
+        """Return the host that collects the parts of a request."""
+        ranked = rendezvous_rank(request_id, [m.host for m in self._hosts()])
+        return ranked[0] if ranked else None
+
+    def dispatcher(self, service: str, domain: str) -> str | None:
+        """Return the only host that dispatches a service in a failure domain."""
+        key = (service, domain)
+        if key not in self._dispatchers:
+            self._dispatchers[key] = self._rank_dispatcher(service, domain)
+        return self._dispatchers[key]
+
+    def domains(self, service: Service) -> dict[str, int]:
+        """Return the slots of active backend servers in each failure domain."""
+        slots: dict[str, int] = {}
+        for server in service.backend_servers:
+            if server.state is ServerState.ACTIVE:
+                slots[server.failure_domain] = slots.get(server.failure_domain, 0) + server.slots
+        return slots
+
+    def choose_domain(self, service: Service, now_ms: int) -> str | None:
+        """Return the failure domain for a new request of a service."""
+        chooser = self._choosers.get(service.name)
+        if chooser is None:
+            chooser = DomainChooser(near=self._failure_domain, random_source=self._random_source)
+            self._choosers[service.name] = chooser
+        loads = {
+            domain: DomainLoad(self._wait_ms(service, domain), self._link_cost_ms(domain), slots)
+            for domain, slots in self.domains(service).items()
+        }
+        return chooser.choose(loads, now_ms)
+
+    def own_domains(self, service: Service) -> list[str]:
+        """Return the failure domains in which the local host dispatches, the near one first."""
+        own = [d for d in self.domains(service) if self.dispatcher(service.name, d) == self._host]
+        return sorted(own, key=lambda domain: (domain != self._failure_domain, domain))
+
+    def dispatchers(self, service: Service) -> list[str]:
+        """Return every host that may know a request of a service."""
+        names = (self.dispatcher(service.name, domain) for domain in self.domains(service))
+        return list(dict.fromkeys(name for name in names if name is not None))
+
+    def _hosts(self) -> tuple[MemberView, ...]:
+        if not self._leaving:
+            return self._members
+        return tuple(m for m in self._members if m.host != self._host)
+
+    def _rank_dispatcher(self, service: str, domain: str) -> str | None:
+        hosts = self._hosts()
+        near = [m.host for m in hosts if m.failure_domain == domain]
+        names = near or [m.host for m in hosts]
+        ranked = rendezvous_rank(f"{service}\0{domain}".encode(), names)
+        return ranked[0] if ranked else None
+
+    def _wait_ms(self, service: Service, domain: str) -> int:
+        host = self.dispatcher(service.name, domain)
+        member = next((m for m in self._members if m.host == host), None)
+        if member is None:
+            return 0
+        service_id = wire_id(service.name)
+        waits = (w.wait_ms for w in member.digest.wait_estimates if w.service_id == service_id)
+        return next(waits, 0)
+
+    def _link_cost_ms(self, domain: str) -> int:
+        if domain == self._failure_domain:
+            return 0
+        costs = (self._link_costs_ms.get(d, 0) for d in (domain, self._failure_domain))
+        return max(costs)
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/request_runs.py
@@ -0,0 +1,367 @@
+"""Admission, attempts and outcomes of the requests that this host dispatches."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.admission import QueuedRequest, Refusal
+from redwingswitch._internal.decisions.claims import Claimant
+from redwingswitch._internal.decisions.placement import ServerHealth
+from redwingswitch._internal.decisions.request_answers import AssemblyState
+from redwingswitch._internal.decisions.request_attempts import AttemptTable
+from redwingswitch._internal.decisions.request_dispatch import DispatchTable, ServiceDispatch
+from redwingswitch._internal.decisions.request_ledger import (
+    Attempt,
+    RequestEntry,
+    RequestLedger,
+    RequestState,
+    outcome_header,
+)
+from redwingswitch._internal.decisions.retry import backoff_ms
+from redwingswitch._internal.decisions.timers import Timer, TimerKind, Timers
+from redwingswitch._internal.models.actions import (
+    Action,
+    AnswerCaller,
+    CancelAttempt,
+    DispatchRequest,
+)
+from redwingswitch._internal.models.configuration import SizeClass
+from redwingswitch._internal.models.events import AnswerPartArrived, AttemptFailed
+from redwingswitch._internal.models.identifiers import CallerAddress
+from redwingswitch._internal.models.requests import AnswerHeader, FailureKind, Outcome
+from redwingswitch._internal.ports import RandomSource
+
+MAX_RUNS = 4
+MAX_NON_STARTS = 8
+
+NON_STARTS = (FailureKind.REFUSED, FailureKind.SHED)
+WAITING_STATES = (RequestState.QUEUED, RequestState.PARKED, RequestState.RESTING)
+
+
+class RequestRuns:
+    """Runs requests on backend servers and tells callers their outcomes."""
+
+    def __init__(
+        self,
+        *,
+        ledger: RequestLedger,
+        claimant: Claimant,
+        dispatches: DispatchTable,
+        health: ServerHealth,
+        random_source: RandomSource,
+    ) -> None:
+        self._timers = Timers()
+        self._dispatches = dispatches
+        self._ledger = ledger
+        self._claimant = claimant
+        self._health = health
+        self._random_source = random_source
+        self._attempts = AttemptTable(dispatches=dispatches, random_source=random_source)
+
+    def admit(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        """Queue a new entry, or refuse it."""
+        dispatch = self._dispatches.of(entry)
+        self._timers.add(entry.deadline_ms, TimerKind.DEADLINE, entry.header.request_id)
+        queued = QueuedRequest(
+            entry.header.request_id,
+            entry.callers[0].address,
+            entry.size,
+            now_ms,
+            entry.deadline_ms,
+        )
+        refusal = dispatch.queue.offer(queued, dispatch.use(now_ms), now_ms)
+        if refusal is not None:
+            return self.refuse(entry, refusal, now_ms)
+        entry.queued = queued
+        last_start_ms = dispatch.queue.last_start_ms(queued)
+        self._timers.add(last_start_ms + 1, TimerKind.LATE, entry.header.request_id)
+        return self.pump(dispatch, now_ms)
+
+    def refuse(self, entry: RequestEntry, refusal: Refusal, now_ms: int) -> list[Action]:
+        """Decide not to run a waiting entry.
+
+        "Not run" is said only under a claim. Without one another host may run a copy, so an
+        idempotent request gets "outcome unknown" with the same hint.
+        """
+        self._dispatches.of(entry).queue.remove(entry.header.request_id)
+        entry.refusal = refusal
+        if entry.idempotent:
+            return self._tell(entry, Outcome.UNKNOWN, refusal, now_ms)
+        if entry.claimed:
+            return self._tell(entry, Outcome.NOT_RUN, refusal, now_ms)
+        entry.state = RequestState.REFUSING
+        return []
+
+    def on_claim_held(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        """Go on with an entry whose claim is held."""
+        entry.claimed = True
+        self._claimant.forget(entry.header.request_id)
+        if entry.state is RequestState.REFUSING and entry.refusal is not None:
+            return self._tell(entry, Outcome.NOT_RUN, entry.refusal, now_ms)
+        dispatch = self._dispatches.of(entry)
+        if entry.state is RequestState.PARKED:
+            self._requeue(entry)
+        return self.pump(dispatch, now_ms)
+
+    def pump(self, dispatch: ServiceDispatch, now_ms: int) -> list[Action]:
+        """Start as many waiting requests as there are slots."""
+        actions: list[Action] = []
+        stalled = False
+        while not stalled:
+            request = dispatch.next_request(now_ms)
+            if request is None:
+                break
+            entry = self._ledger.get(request.request_id)
+            if entry is None or entry.state is not RequestState.QUEUED:
+                continue
+            if now_ms > dispatch.queue.last_start_ms(request):
+                actions.extend(self._refuse_late(entry, now_ms))
+            elif not entry.idempotent and not entry.claimed:
+                entry.state = RequestState.PARKED
+            else:
+                started = self._start(dispatch, entry, now_ms)
+                stalled = not started
+                actions.extend(started)
+        dispatch.plan_poll(now_ms, stalled=stalled)
+        return actions
+
+    def on_answer_part(self, event: AnswerPartArrived, now_ms: int) -> list[Action]:
+        """Take an answer part; parts of ended attempts are ignored."""
+        found = self._attempts.find(event.attempt_id, event.backend_server)
+        if found is None:
+            return []
+        entry, attempt = found
+        state = attempt.answer.add(event.part, event.parts, event.body)
+        if state is AssemblyState.BROKEN:
+            cancel = CancelAttempt(attempt.backend_server, attempt.attempt_id)
+            return [cancel, *self._fail(entry, attempt, FailureKind.RESET, now_ms)]
+        if state is AssemblyState.PARTIAL:
+            return []
+        return self._answered(entry, attempt, now_ms)
+
+    def on_attempt_failed(self, event: AttemptFailed, now_ms: int) -> list[Action]:
+        """Take the end of an attempt without a whole answer."""
+        found = self._attempts.find(event.attempt_id, event.backend_server)
+        if found is None:
+            return []
+        return self._fail(*found, event.kind, now_ms)
+
+    def cancel(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        """Give up a request that its caller no longer wants."""
+        if entry.state in WAITING_STATES:
+            return self.refuse(entry, Refusal("cancelled", 0), now_ms)
+        if entry.state is not RequestState.RUNNING:
+            return []
+        reason = Refusal("cancelled while it ran", 0)
+        return self._tell(entry, Outcome.UNKNOWN, reason, now_ms)
+
+    def abandon(self, entry: RequestEntry, reason: str, now_ms: int) -> list[Action]:
+        """End an entry that another host may have run."""
+        return self._tell(entry, Outcome.UNKNOWN, Refusal(reason, 0), now_ms)
+
+    def answer_again(self, entry: RequestEntry, caller: CallerAddress) -> list[Action]:
+        """Send the outcome of a finished entry to a caller that resent its request."""
+        if entry.outcome is None:
+            return []
+        if entry.answer is not None:
+            return _answer_actions([caller], entry.outcome, entry.answer)
+        if entry.outcome.outcome is Outcome.ANSWERED:
+            reason = "it ran, but its answer is no longer kept"
+            return [AnswerCaller(caller, outcome_header(entry, Outcome.INCOMPLETE, reason))]
+        return [AnswerCaller(caller, entry.outcome)]
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Handle due deadlines and queues."""
+        actions: list[Action] = []
+        for timer in self._timers.due(now_ms):
+            entry = self._ledger.get(timer.request_id)
+            if entry is not None and entry.live:
+                actions.extend(self._on_due(entry, timer, now_ms))
+        for dispatch in self._dispatches:
+            if dispatch.poll_at_ms is not None and dispatch.poll_at_ms <= now_ms:
+                actions.extend(self.pump(dispatch, now_ms))
+        return actions
+
+    def next_deadline_ms(self) -> int | None:
+        """Return the nearest deadline."""
+        polls = [d.poll_at_ms for d in self._dispatches]
+        times = [t for t in (self._timers.next_ms(), *polls) if t is not None]
+        return min(times, default=None)
+
+    def _on_due(self, entry: RequestEntry, timer: Timer, now_ms: int) -> list[Action]:
+        if timer.kind is TimerKind.DEADLINE:
+            return self._on_deadline(entry, now_ms)
+        if timer.kind is TimerKind.LATE:
+            return self._on_late(entry, now_ms)
+        if timer.kind is TimerKind.RETRY:
+            return self._on_retry(entry, now_ms)
+        return self._hedge(entry, now_ms)
+
+    def _on_deadline(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        # A copy under the same id may have been admitted anew with a later deadline.
+        if entry.deadline_ms > now_ms:
+            return []
+        reason = Refusal("the deadline passed", 0)
+        if entry.state is not RequestState.RUNNING:
+            outcome = Outcome.NOT_RUN if entry.claimed else Outcome.UNKNOWN
+            return self._tell(entry, outcome, reason, now_ms)
+        for attempt in entry.attempts.values():
+            self._health.on_failure(attempt.backend_server, FailureKind.TIMEOUT, now_ms)
+        return self._tell(entry, _outcome_after_run(entry), reason, now_ms)
+
+    def _on_late(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        if entry.state not in (RequestState.QUEUED, RequestState.PARKED):
+            return []
+        return self._refuse_late(entry, now_ms)
+
+    def _refuse_late(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        dispatch = self._dispatches.of(entry)
+        wait_ms = round(dispatch.queue.wait_ms(entry.size, dispatch.use(now_ms)))
+        refusal = Refusal("it cannot finish by its deadline", max(1, wait_ms))
+        return self.refuse(entry, refusal, now_ms)
+
+    def _on_retry(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        if entry.state is not RequestState.RESTING:
+            return []
+        self._requeue(entry)
+        return self.pump(self._dispatches.of(entry), now_ms)
+
+    def _hedge(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        dispatch = self._dispatches.of(entry)
+        if entry.state is not RequestState.RUNNING or len(entry.attempts) != 1:
+            return []
+        if len(dispatch.queue) or dispatch.use(now_ms).free <= 0:
+            return []
+        if entry.attempts_made >= MAX_RUNS or not dispatch.budget.take():
+            return []
+        return self._start(dispatch, entry, now_ms, hedge=True)
+
+    def _requeue(self, entry: RequestEntry) -> None:
+        entry.state = RequestState.QUEUED
+        if entry.queued is not None:
+            self._dispatches.of(entry).queue.put_back(entry.queued)
+
+    def _start(
+        self, dispatch: ServiceDispatch, entry: RequestEntry, now_ms: int, *, hedge: bool = False
+    ) -> list[Action]:
+        """Start an attempt, or put the entry back when no server takes it."""
+        tried = frozenset(a.backend_server for a in entry.attempts.values())
+        server = dispatch.slots.choose(idempotent=entry.idempotent, exclude=tried, now_ms=now_ms)
+        if server is None:
+            if not hedge:
+                self._requeue(entry)
+            return []
+        if entry.attempts_made == 0 and entry.non_starts == 0:
+            dispatch.budget.note_first_attempt()
+        attempt = self._attempts.start(entry, server, now_ms)
+        entry.state = RequestState.RUNNING
+        if entry.idempotent and entry.size is SizeClass.SHORT and not hedge:
+            hedge_ms = now_ms + dispatch.times.long_after_ms()
+            self._timers.add(hedge_ms, TimerKind.HEDGE, entry.header.request_id)
+        return [
+            DispatchRequest(
+                entry.header.service,
+                server,
+                attempt.attempt_id,
+                entry.header.request_id,
+                entry.body,
+                entry.deadline_ms,
+            )
+        ]
+
+    def _answered(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> list[Action]:
+        dispatch = self._dispatches.of(entry)
+        self._health.on_success(attempt.backend_server, now_ms - attempt.started_at_ms, now_ms)
+        dispatch.note_answer(entry, attempt, now_ms)
+        self._attempts.end(entry, attempt, now_ms)
+        actions: list[Action] = list(self._attempts.cancel_all(entry, now_ms))
+        answer = attempt.answer.parts()
+        header = AnswerHeader(
+            entry.header.request_id,
+            Outcome.ANSWERED,
+            parts=len(answer),
+            answer_id=attempt.attempt_id,
+        )
+        self._ledger.finish(entry, header, now_ms, answer=answer)
+        actions.extend(_answer_actions(entry.callers, header, answer))
+        actions.extend(self.pump(dispatch, now_ms))
+        return actions
+
+    def _fail(
+        self, entry: RequestEntry, attempt: Attempt, kind: FailureKind, now_ms: int
+    ) -> list[Action]:
+        dispatch = self._dispatches.of(entry)
+        self._health.on_failure(attempt.backend_server, kind, now_ms)
+        self._attempts.end(entry, attempt, now_ms)
+        entry.partial = entry.partial or attempt.answer.started
+        if kind in NON_STARTS and not attempt.answer.started:
+            entry.attempts_made -= 1
+            entry.non_starts += 1
+            dispatch.slots.note_refusal(attempt.backend_server, now_ms)
+            actions = self._after_non_start(entry, now_ms)
+        else:
+            actions = self._after_run(entry, kind, now_ms)
+        return [*actions, *self.pump(dispatch, now_ms)]
+
+    def _after_non_start(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        if entry.attempts:
+            return []
+        if entry.non_starts >= MAX_NON_STARTS:
+            refusal = Refusal("no backend server took it", MAX_NON_STARTS * 10)
+            return self._refuse_run(entry, refusal, now_ms)
+        self._requeue(entry)
+        return []
+
+    def _refuse_run(self, entry: RequestEntry, refusal: Refusal, now_ms: int) -> list[Action]:
+        """End an entry whose attempts all ended without a start."""
+        if entry.idempotent and entry.attempts_made > 0:
+            return self._tell(entry, _outcome_after_run(entry), refusal, now_ms)
+        return self.refuse(entry, refusal, now_ms)
+
+    def _after_run(self, entry: RequestEntry, kind: FailureKind, now_ms: int) -> list[Action]:
+        if entry.attempts:
+            return []
+        reason = Refusal(f"the backend server's connection ended: {kind.value}", 0)
+        if not entry.idempotent or not self._may_retry(entry, now_ms):
+            return self._tell(entry, _outcome_after_run(entry), reason, now_ms)
+        delay_ms = backoff_ms(entry.attempts_made, self._random_source)
+        entry.state = RequestState.RESTING
+        self._timers.add(now_ms + delay_ms, TimerKind.RETRY, entry.header.request_id)
+        return []
+
+    def _may_retry(self, entry: RequestEntry, now_ms: int) -> bool:
+        dispatch = self._dispatches.of(entry)
+        if entry.attempts_made >= MAX_RUNS or entry.queued is None:
+            return False
+        if now_ms > dispatch.queue.last_start_ms(entry.queued):
+            return False
+        return dispatch.budget.take()
+
+    def _tell(
+        self, entry: RequestEntry, outcome: Outcome, reason: Refusal, now_ms: int
+    ) -> list[Action]:
+        """Finish an entry without an answer."""
+        dispatch = self._dispatches.of(entry)
+        dispatch.queue.remove(entry.header.request_id)
+        self._claimant.forget(entry.header.request_id)
+        had_slots = bool(entry.attempts)
+        actions: list[Action] = list(self._attempts.cancel_all(entry, now_ms))
+        header = outcome_header(entry, outcome, reason.reason, reason.retry_after_ms)
+        self._ledger.finish(entry, header, now_ms)
+        actions.extend(AnswerCaller(caller, header) for caller in entry.callers)
+        if had_slots:
+            actions.extend(self.pump(dispatch, now_ms))
+        return actions
+
+
+def _outcome_after_run(entry: RequestEntry) -> Outcome:
+    started = entry.partial or any(a.answer.started for a in entry.attempts.values())
+    return Outcome.INCOMPLETE if started else Outcome.UNKNOWN
+
+
+def _answer_actions(
+    callers: list[CallerAddress], header: AnswerHeader, answer: tuple[bytes, ...]
+) -> list[Action]:
+    return [
+        AnswerCaller(caller, header._replace(part=part), body)
+        for caller in callers
+        for part, body in enumerate(answer)
+    ]
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/requests.py
@@ -0,0 +1,400 @@
+"""The request side of an entry host: collection, routing, claims and dispatch."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.admission import Refusal
+from redwingswitch._internal.decisions.claims import (
+    Claimant,
+    ClaimHolder,
+    ClaimState,
+    WitnessRegister,
+)
+from redwingswitch._internal.decisions.host_sets import DeclaredHostSets
+from redwingswitch._internal.decisions.placement import ServerHealth
+from redwingswitch._internal.decisions.request_dispatch import DispatchTable
+from redwingswitch._internal.decisions.request_ledger import (
+    RequestEntry,
+    RequestLedger,
+    RequestState,
+)
+from redwingswitch._internal.decisions.request_parts import MAX_PARTS, PartCollector
+from redwingswitch._internal.decisions.request_routing import RequestRouting
+from redwingswitch._internal.decisions.request_runs import WAITING_STATES, RequestRuns
+from redwingswitch._internal.models.actions import (
+    Action,
+    AnswerCaller,
+    Drop,
+    DropReason,
+    SendToPeer,
+)
+from redwingswitch._internal.models.configuration import Configuration, Service
+from redwingswitch._internal.models.events import (
+    AnswerPartArrived,
+    AttemptFailed,
+    CancelArrived,
+    RequestPartArrived,
+)
+from redwingswitch._internal.models.identifiers import REQUEST_ID_BYTES
+from redwingswitch._internal.models.members import MembershipView, WaitEstimate
+from redwingswitch._internal.models.messages import (
+    CancelRequest,
+    ClaimReply,
+    ClaimRequest,
+    ForwardedRequest,
+    PeerMessage,
+)
+from redwingswitch._internal.models.requests import AnswerHeader, Outcome, RequestHeader
+from redwingswitch._internal.ports import RandomSource
+
+MAX_REQUEST_LIFETIME_MS = 30_000
+MAX_REQUEST_HOPS = 4
+OVERLOAD_RETRY_AFTER_MS = 1_000
+TICK_MS = 1_000
+PAUSE_MS = 30_000
+DISTRUST_AFTER_PAUSE_MS = 2_000
+STOP_RETRY_AFTER_MS = 50
+STOP_REFUSAL = Refusal("the entry host stops", STOP_RETRY_AFTER_MS)
+
+
+class RequestCoordinator:
+    """Takes requests from callers and peers and brings each to one outcome.
+
+    Messages to the local host are returned as ``SendToPeer`` with its own name; the composing part
+    hands them back to ``on_message``.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        failure_domain: str,
+        incarnation: int,
+        random_source: RandomSource,
+        health: ServerHealth,
+        abstain_until_ms: int,
+    ) -> None:
+        self._host = host
+        self._routing = RequestRouting(
+            host=host, failure_domain=failure_domain, random_source=random_source
+        )
+        self._host_sets = DeclaredHostSets(host=host)
+        self._witness = WitnessRegister(host=host, abstain_until_ms=abstain_until_ms)
+        self._claimant = Claimant(
+            host=host,
+            incarnation=incarnation,
+            host_sets=self._host_sets,
+            random_source=random_source,
+        )
+        self._collector = PartCollector()
+        self._ledger = RequestLedger()
+        self._dispatches = DispatchTable(health=health, random_source=random_source)
+        self._runs = RequestRuns(
+            ledger=self._ledger,
+            claimant=self._claimant,
+            dispatches=self._dispatches,
+            health=health,
+            random_source=random_source,
+        )
+        self._stopping = False
+        self._seen_at_ms: int | None = None
+        self._distrust_until_ms = 0
+        self._tick_at_ms: int | None = None
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Take a newer accepted configuration."""
+        self._note_time(now_ms)
+        self._host_sets.apply_configuration(configuration, now_ms)
+        self._routing.apply_configuration(configuration)
+        self._dispatches.apply(self._routing.services(), self._ledger.live(), now_ms)
+        return self._update_serving(now_ms)
+
+    def set_members(self, view: MembershipView, now_ms: int) -> list[Action]:
+        """Take the live hosts, their revisions and their advertised waits."""
+        self._note_time(now_ms)
+        self._routing.set_members(view)
+        self._host_sets.set_members(view, now_ms)
+        return self._update_serving(now_ms)
+
+    def on_part(self, event: RequestPartArrived, now_ms: int) -> list[Action]:
+        """Take a request part from a caller."""
+        self._note_time(now_ms)
+        copy = ForwardedRequest(event.header, event.body, event.caller, hops=0)
+        return self._take_part(copy, now_ms)
+
+    def on_answer_part(self, event: AnswerPartArrived, now_ms: int) -> list[Action]:
+        """Take an answer part from a backend server."""
+        self._note_time(now_ms)
+        return self._runs.on_answer_part(event, now_ms)
+
+    def on_attempt_failed(self, event: AttemptFailed, now_ms: int) -> list[Action]:
+        """Take the end of an attempt that has no whole answer."""
+        self._note_time(now_ms)
+        return self._runs.on_attempt_failed(event, now_ms)
+
+    def on_cancel(self, event: CancelArrived, now_ms: int) -> list[Action]:
+        """Pass a caller's cancellation on to every host that may know the request."""
+        self._note_time(now_ms)
+        service = self._routing.service(event.service)
+        hosts = [] if service is None else self._routing.dispatchers(service)
+        collector = self._routing.collector(event.request_id)
+        targets = dict.fromkeys([self._host, *hosts, *([collector] if collector else [])])
+        message = CancelRequest(event.service, event.request_id)
+        return [SendToPeer(host, message) for host in targets]
+
+    def on_message(
+        self, sender: str, incarnation: int, message: PeerMessage, now_ms: int
+    ) -> list[Action]:
+        """Take a message of another entry host, or a looped-back one."""
+        self._note_time(now_ms)
+        match message:
+            case ForwardedRequest():
+                return self._take_part(message, now_ms)
+            case ClaimRequest():
+                reply = self._witness.on_claim(
+                    sender, incarnation, message, self._host_sets, now_ms
+                )
+                return [SendToPeer(sender, reply)]
+            case ClaimReply():
+                return self._on_claim_reply(sender, message, now_ms)
+            case CancelRequest():
+                return self._on_cancel_request(message, now_ms)
+            case _:
+                return []
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Handle everything that is due."""
+        self._note_time(now_ms)
+        self._tick_at_ms = now_ms + TICK_MS
+        actions = self._on_lapsed_collections(now_ms)
+        actions.extend(self._claimant.on_timer(now_ms))
+        actions.extend(self._runs.on_timer(now_ms))
+        self._host_sets.on_timer(now_ms)
+        self._witness.expire(now_ms)
+        self._ledger.expire(now_ms)
+        return actions
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is to be called next."""
+        times = (
+            self._tick_at_ms,
+            self._collector.next_deadline_ms(),
+            self._claimant.next_deadline_ms(),
+            self._runs.next_deadline_ms(),
+        )
+        return min((t for t in times if t is not None), default=None)
+
+    def wait_estimates(self, now_ms: int) -> tuple[WaitEstimate, ...]:
+        """Return the wait of short work for each service that this host dispatches."""
+        return self._dispatches.wait_estimates(now_ms)
+
+    def in_progress(self) -> int:
+        """Return the number of requests that a graceful stop waits for."""
+        return self._ledger.live_count() + len(self._collector)
+
+    def abstaining(self, now_ms: int) -> bool:
+        """Return whether this host grants no claims yet."""
+        return self._witness.abstaining(now_ms)
+
+    def begin_stop(self, now_ms: int) -> list[Action]:
+        """Refuse or pass on what waits; what runs goes on to its end."""
+        self._note_time(now_ms)
+        self._stopping = True
+        self._routing.leave()
+        actions: list[Action] = []
+        for entry in self._ledger.live():
+            if entry.state in WAITING_STATES:
+                actions.extend(self._stop_waiting(entry, now_ms))
+        for copy in self._collector.drain(now_ms):
+            actions.extend(self._take_part(copy, now_ms))
+        return actions
+
+    def _take_part(self, copy: ForwardedRequest, now_ms: int) -> list[Action]:
+        header = copy.header
+        if not _is_sound(header):
+            return [Drop(DropReason.MALFORMED, "request part")]
+        service = self._routing.service(header.service)
+        if service is None:
+            return [_unknown(copy, "the service is not configured here")]
+        remaining_ms = min(header.remaining_ms, MAX_REQUEST_LIFETIME_MS)
+        copy = copy._replace(header=header._replace(remaining_ms=remaining_ms))
+        if header.parts == 1:
+            return self._take_request(service, copy, now_ms)
+        collector = self._routing.collector(header.request_id)
+        if collector not in (None, self._host) and copy.hops < MAX_REQUEST_HOPS:
+            return [_forward(collector, copy)]
+        return self._collect(service, copy, now_ms)
+
+    def _collect(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
+        deadline_ms = now_ms + copy.header.remaining_ms
+        collected = self._collector.add(
+            copy.header, copy.body, copy.caller, deadline_ms=deadline_ms, now_ms=now_ms
+        )
+        if collected.refusal:
+            return [_unknown(copy, collected.refusal, OVERLOAD_RETRY_AFTER_MS)]
+        if collected.body is None:
+            return []
+        whole = copy._replace(header=copy.header._replace(part=0, parts=1), body=collected.body)
+        return self._route(service, whole, now_ms)
+
+    def _take_request(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
+        own = self._routing.own_domains(service)
+        known = self._ledger.get(copy.header.request_id) is not None
+        if copy.hops > 0 and own and not known:
+            domain = self._dispatches.shortest(service, own, now_ms)
+            return self._admit(service, domain, copy, now_ms)
+        return self._route(service, copy, now_ms)
+
+    def _route(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
+        entry = self._ledger.get(copy.header.request_id)
+        if entry is not None:
+            return self._take_copy(service, entry, copy, now_ms)
+        domain = self._routing.choose_domain(service, now_ms)
+        if domain is None:
+            return [_unknown(copy, "no backend server takes requests", OVERLOAD_RETRY_AFTER_MS)]
+        target = self._routing.dispatcher(service.name, domain)
+        if target not in (None, self._host) and copy.hops < MAX_REQUEST_HOPS:
+            return [_forward(target, copy)]
+        return self._admit(service, domain, copy, now_ms)
+
+    def _take_copy(
+        self, service: Service, entry: RequestEntry, copy: ForwardedRequest, now_ms: int
+    ) -> list[Action]:
+        """Handle a repeated request without a second run."""
+        if not entry.same_request(copy.header, copy.body):
+            return [_unknown(copy, "the request id is in use for another request")]
+        if entry.live:
+            entry.add_caller(copy.caller)
+            return []
+        if entry.state is RequestState.MOVED:
+            return self._send_to_holder(entry.holder, copy)
+        if entry.idempotent and entry.answer is None:
+            self._ledger.forget(entry)
+            return self._route(service, copy, now_ms)
+        return self._runs.answer_again(entry, copy.caller)
+
+    def _admit(
+        self, service: Service, domain: str, copy: ForwardedRequest, now_ms: int
+    ) -> list[Action]:
+        dispatch = self._dispatches.get(service, domain, now_ms)
+        idempotent = service.idempotent and copy.header.idempotent
+        if not idempotent and now_ms < self._distrust_until_ms:
+            return [_unknown(copy, "the entry host was paused")]
+        entry = RequestEntry(
+            copy=copy,
+            idempotent=idempotent,
+            domain=domain,
+            size=dispatch.times.classify(copy.header.size_hint),
+            deadline_ms=now_ms + copy.header.remaining_ms,
+        )
+        if not self._ledger.add(entry):
+            return [_unknown(copy, "the entry host is overloaded", OVERLOAD_RETRY_AFTER_MS)]
+        return self._begin(entry, now_ms)
+
+    def _begin(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        if not entry.idempotent:
+            asked = self._claimant.begin(entry.header.request_id, entry.deadline_ms, now_ms)
+            if asked is None:
+                return self._runs.abandon(entry, "too many claims are open", now_ms)
+            actions.extend(asked)
+        actions.extend(self._runs.admit(entry, now_ms))
+        if self._stopping and entry.state in WAITING_STATES:
+            actions.extend(self._runs.refuse(entry, STOP_REFUSAL, now_ms))
+        return actions
+
+    def _on_claim_reply(self, sender: str, reply: ClaimReply, now_ms: int) -> list[Action]:
+        entry = self._ledger.get(reply.request_id)
+        state = self._claimant.on_reply(sender, reply, now_ms)
+        if entry is None or not entry.live:
+            self._claimant.forget(reply.request_id)
+            return []
+        if state is ClaimState.HELD:
+            return self._runs.on_claim_held(entry, now_ms)
+        if state is ClaimState.DENIED:
+            return self._on_claim_denied(entry, now_ms)
+        return []
+
+    def _on_claim_denied(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        holder = self._claimant.holder(entry.header.request_id)
+        if holder is None or not self._can_reach(holder, entry.hops):
+            return self._runs.abandon(entry, "another entry host had claimed it", now_ms)
+        actions: list[Action] = [_forward(holder.host, copy) for copy in entry.copies(now_ms)]
+        entry.holder = holder
+        self._claimant.forget(entry.header.request_id)
+        self._dispatches.of(entry).queue.remove(entry.header.request_id)
+        self._ledger.finish(entry, None, now_ms, state=RequestState.MOVED)
+        return actions
+
+    def _send_to_holder(self, holder: ClaimHolder | None, copy: ForwardedRequest) -> list[Action]:
+        if holder is None or not self._can_reach(holder, copy.hops):
+            return [_unknown(copy, "another entry host had claimed it")]
+        return [_forward(holder.host, copy)]
+
+    def _can_reach(self, holder: ClaimHolder, hops: int) -> bool:
+        if holder.host == self._host or hops >= MAX_REQUEST_HOPS:
+            return False
+        return self._routing.is_serving(holder.host)
+
+    def _on_cancel_request(self, message: CancelRequest, now_ms: int) -> list[Action]:
+        self._collector.cancel(message.request_id)
+        entry = self._ledger.get(message.request_id)
+        if entry is None or entry.header.service != message.service:
+            return []
+        if entry.state is RequestState.MOVED and entry.holder is not None:
+            return [SendToPeer(entry.holder.host, message)]
+        return self._runs.cancel(entry, now_ms)
+
+    def _stop_waiting(self, entry: RequestEntry, now_ms: int) -> list[Action]:
+        """Pass an idempotent request on; refuse any other."""
+        target = self._routing.dispatcher(entry.header.service, entry.domain)
+        if not entry.idempotent or entry.attempts_made or target in (None, self._host):
+            return self._runs.refuse(entry, STOP_REFUSAL, now_ms)
+        actions: list[Action] = [_forward(target, copy) for copy in entry.copies(now_ms)]
+        self._dispatches.of(entry).queue.remove(entry.header.request_id)
+        self._ledger.finish(entry, None, now_ms)
+        return actions
+
+    def _on_lapsed_collections(self, now_ms: int) -> list[Action]:
+        return [
+            _unknown(lapsed.copy, "parts of the request are missing")
+            for lapsed in self._collector.on_timer(now_ms)
+            if not lapsed.repeated
+        ]
+
+    def _note_time(self, now_ms: int) -> None:
+        """Notice a pause of this host.
+
+        Copies that waited in a socket during a long pause may be older than the claim retention,
+        so the witnesses may no longer know that their ids ran.
+        """
+        if self._seen_at_ms is not None and now_ms - self._seen_at_ms > PAUSE_MS:
+            self._distrust_until_ms = now_ms + DISTRUST_AFTER_PAUSE_MS
+        if self._tick_at_ms is None:
+            self._tick_at_ms = now_ms + TICK_MS
+        self._seen_at_ms = now_ms
+
+    def _update_serving(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for dispatch in self._dispatches:
+            target = self._routing.dispatcher(dispatch.service.name, dispatch.domain)
+            dispatch.set_serving(target == self._host, now_ms)
+            actions.extend(self._runs.pump(dispatch, now_ms))
+        return actions
+
+
+def _is_sound(header: RequestHeader) -> bool:
+    if len(header.request_id) != REQUEST_ID_BYTES or header.remaining_ms <= 0:
+        return False
+    return 0 <= header.part < header.parts <= MAX_PARTS
+
+
+def _forward(host: str | None, copy: ForwardedRequest) -> SendToPeer:
+    assert host is not None
+    return SendToPeer(host, copy._replace(hops=copy.hops + 1))
+
+
+def _unknown(copy: ForwardedRequest, reason: str, retry_after_ms: int = 0) -> AnswerCaller:
+    outcome = AnswerHeader(
+        copy.header.request_id, Outcome.UNKNOWN, retry_after_ms=retry_after_ms, reason=reason
+    )
+    return AnswerCaller(copy.caller, outcome)
