Compose the decision parts in EntryHost and report its status

Membership, health, steering, convergence and requests had no common owner. EntryHost routes events and peer messages to them, hands changes of one part to the others, loops messages to itself back, and builds /status.

--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -9,8 +9,8 @@
 from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
 from redwingswitch._internal.decisions.drain import GracefulStop
 from redwingswitch._internal.decisions.health import BackendHealth
+from redwingswitch._internal.decisions.host_status import member_statuses, server_statuses
 from redwingswitch._internal.decisions.membership import Membership
-from redwingswitch._internal.decisions.report_polling import ReportPolling
 from redwingswitch._internal.decisions.requests import RequestCoordinator
 from redwingswitch._internal.decisions.steering import FlowSteering
 from redwingswitch._internal.models import events, messages
@@ -19,6 +19,7 @@
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import HostDigest, MembershipView
 from redwingswitch._internal.models.requests import FailureKind
+from redwingswitch._internal.models.status import HostStatus
 from redwingswitch._internal.ports import RandomSource
 
 # A message that a part addresses to its own host is handled at once. Each hop of a forwarded
@@ -67,7 +68,6 @@
             health=self.health,
             abstain_until_ms=abstain_until_ms,
         )
-        self.polling = ReportPolling(host=host, random_source=random_source)
         self.stop = GracefulStop()
         self.configuration: Configuration | None = None
         self._view = MembershipView(members=())
@@ -78,7 +78,6 @@
             self.steering,
             self.convergence,
             self.requests,
-            self.polling,
             self.health,
             self.stop,
         )
@@ -107,7 +106,6 @@
         actions += self.health.apply_configuration(configuration, now_ms)
         actions += self.steering.apply_configuration(configuration, now_ms)
         actions += self.requests.apply_configuration(configuration, now_ms)
-        self.polling.apply_configuration(configuration, now_ms)
         actions += self._propagate(now_ms)
         return self._loop_back(actions, now_ms)
 
@@ -125,6 +123,30 @@
         deadlines.append(self.membership.next_deadline_ms())
         return min((deadline for deadline in deadlines if deadline is not None), default=None)
 
+    def status(self, now_ms: int) -> HostStatus:
+        """Return what this host knows, for operators."""
+        configuration = self.configuration
+        return HostStatus(
+            host=self.host,
+            failure_domain=self.failure_domain,
+            incarnation=self.incarnation,
+            revision=configuration.revision if configuration else 0,
+            digest=configuration.digest if configuration else "",
+            conflict=self.convergence.conflict(),
+            ready=configuration is not None and not self.stop.stopping,
+            stopping=self.stop.stopping,
+            abstaining=self.requests.abstaining(now_ms),
+            members=member_statuses(self.membership.view()),
+            services=self.steering.service_statuses(),
+            servers=server_statuses(
+                configuration,
+                ejected=self._ejected,
+                records=self.steering.records_by_server(),
+                busy_slots=self.requests.busy_slots(),
+                connections=lambda name: self.health.reported_connections(name, now_ms),
+            ),
+        )
+
     def _event_handlers(self) -> dict[type, Handler]:
         return {
             events.RequestPartArrived: self.requests.on_part,
@@ -153,7 +175,8 @@
     def _on_stream_connect_failed(
         self, event: events.StreamConnectFailed, now_ms: int
     ) -> list[Action]:
-        return self.health.on_failure(event.backend_server, FailureKind.REFUSED, now_ms)
+        self.health.on_failure(event.backend_server, FailureKind.REFUSED, now_ms)
+        return []
 
     def _on_host_list(self, event: events.HostListChanged, now_ms: int) -> list[Action]:
         return self.membership.on_host_list(event, now_ms)
@@ -221,7 +244,6 @@
             actions += self.steering.set_members(view, now_ms)
             actions += self.convergence.set_members(view, now_ms)
             actions += self.requests.set_members(view, now_ms)
-            self.polling.set_members(view)
         ejected = self.health.ejected(now_ms) | self._ejected_by_peers(view)
         if ejected != self._ejected:
             self._ejected = ejected
--- a/src/redwingswitch/_internal/decisions/health.py
+++ b/src/redwingswitch/_internal/decisions/health.py
@@ -44,26 +44,24 @@
             self._next_poll_ms = now_ms + self._random.randrange(POLL_INTERVAL_MS)
         return []
 
-    def on_success(self, server: str, latency_ms: int, now_ms: int) -> list[Action]:
+    def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
         """Note a whole answer, or an accepted connection."""
         health = self._servers.get(server)
         if health is not None:
             health.on_success(latency_ms, now_ms)
-        return []
 
-    def on_failure(self, server: str, kind: FailureKind, now_ms: int) -> list[Action]:
+    def on_failure(self, server: str, kind: FailureKind, now_ms: int) -> None:
         """Note a failed attempt; eject the server after several in a row, within the bound.
 
         A shed is an answer of a live server: it only makes one slot count as busy for a while.
         """
         health = self._servers.get(server)
         if health is None:
-            return []
+            return
         if kind == FailureKind.SHED:
             health.on_shed(now_ms)
-            return []
+            return
         health.on_failure(now_ms, may_eject=self._may_eject(health, now_ms))
-        return []
 
     def on_dispatched(self, server: str, now_ms: int) -> None:
         """Note that an attempt was started, so that an ejected server gets one probe at a time."""
@@ -112,6 +110,11 @@
         outlier = LATENCY_OUTLIER_WEIGHT if self._is_latency_outlier(health) else 1.0
         return health.weight(now_ms) * outlier
 
+    def reported_connections(self, server: str, now_ms: int) -> int:
+        """Return the connections in the server's last report; -1 without a fresh one."""
+        health = self._servers.get(server)
+        return -1 if health is None else health.reported_connections(now_ms)
+
     def next_deadline_ms(self) -> int | None:
         """Return when the next report is to be asked for."""
         return self._next_poll_ms if self._servers else None
--- a/src/redwingswitch/_internal/decisions/placement.py
+++ b/src/redwingswitch/_internal/decisions/placement.py
@@ -98,6 +98,10 @@
         use = self._servers.get(server)
         return 0 if use is None else use.busy
 
+    def busy_by_server(self) -> dict[str, int]:
+        """Return the occupied slots of each server."""
+        return {name: use.busy for name, use in self._servers.items()}
+
     def choose(self, *, idempotent: bool, exclude: frozenset[str], now_ms: int) -> str | None:
         """Return a server with a free slot: the least occupied, then the least used lately."""
         ranked = sorted(
--- a/src/redwingswitch/_internal/decisions/request_dispatch.py
+++ b/src/redwingswitch/_internal/decisions/request_dispatch.py
@@ -179,6 +179,13 @@
                 waits[service_id] = min(wait_ms, waits.get(service_id, wait_ms))
         return tuple(WaitEstimate(*item) for item in sorted(waits.items()))
 
+    def busy_slots(self) -> dict[str, int]:
+        """Return the occupied slots of each backend server."""
+        busy: dict[str, int] = {}
+        for dispatch in self:
+            busy.update(dispatch.slots.busy_by_server())
+        return busy
+
     def _wait_ms(self, service: Service, domain: str, now_ms: int) -> float:
         dispatch = self.get(service, domain, now_ms)
         return dispatch.queue.wait_ms(service.size_class, dispatch.use(now_ms))
--- a/src/redwingswitch/_internal/decisions/requests.py
+++ b/src/redwingswitch/_internal/decisions/requests.py
@@ -191,6 +191,10 @@
         """Return the number of requests that a graceful stop waits for."""
         return self._ledger.live_count() + len(self._collector)
 
+    def busy_slots(self) -> dict[str, int]:
+        """Return how many requests this host has dispatched to each backend server."""
+        return self._dispatches.busy_slots()
+
     def abstaining(self, now_ms: int) -> bool:
         """Return whether this host grants no claims yet."""
         return self._witness.abstaining(now_ms)
--- a/src/redwingswitch/_internal/decisions/server_health.py
+++ b/src/redwingswitch/_internal/decisions/server_health.py
@@ -133,6 +133,12 @@
         self._forget_sheds(now_ms)
         return min(self._file_slots(), max(1, self._file_slots() - len(self._shed_deadlines_ms)))
 
+    def reported_connections(self, now_ms: int) -> int:
+        """Return the connections in the last report; -1 without a fresh one."""
+        if self._report is None or not self._report_is_fresh(now_ms):
+            return -1
+        return self._report.open_connections
+
     def weight(self, now_ms: int) -> float:
         """Return the weight from slow start and fresh reports."""
         hinted = HINT_WEIGHT if self._report_warns(now_ms) else 1.0
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -37,6 +37,7 @@
     TableHistory,
     TableHistoryRequest,
 )
+from redwingswitch._internal.models.status import ServiceStatus
 from redwingswitch._internal.ports import RandomSource
 
 SWEEP_INTERVAL_MS = 1_000
@@ -349,6 +350,26 @@
         """Return whether every record was confirmed by its new holders."""
         return self._stopping and self._exchange.sender.idle()
 
+    def service_statuses(self) -> list[ServiceStatus]:
+        """Return the displaced buckets and the records of each service."""
+        return [
+            ServiceStatus(
+                name=service.name,
+                displaced_buckets=service.tables.displaced_buckets(),
+                records=len(service.records),
+            )
+            for service in self._context.by_name.values()
+        ]
+
+    def records_by_server(self) -> dict[str, int]:
+        """Return how many records name each backend server."""
+        counts: dict[str, int] = {}
+        for service in self._context.by_name.values():
+            names = service.tables.index.names
+            for number, hashes in service.records.by_value().items():
+                counts[names[number]] = counts.get(names[number], 0) + len(hashes)
+        return counts
+
     def statistics(self) -> SteeringStatistics:
         """Return counters and gauges."""
         context, sender = self._context, self._exchange.sender
