Believe statements against a host only from its own or the local domain

Cause: probing every member that any peer claimed to be dead slowed down the detection of a lost failure domain to one member each 300 ms and host.

Change: a suspicion or death counts when its sender is in the failure domain of the subject or of the local host; any other one is a claim to verify.

--- a/src/redwingswitch/_internal/decisions/member_gossip.py
+++ b/src/redwingswitch/_internal/decisions/member_gossip.py
@@ -21,13 +21,16 @@
         self._table = table
         self.incarnation = incarnation
         self.leaving = False
-        self._table.pass_on(host)
 
     def own_update(self) -> MemberUpdate:
         """Return what the local host states about itself."""
         state = MemberState.LEAVING if self.leaving else MemberState.ALIVE
         return MemberUpdate(self._host, self._failure_domain, self.incarnation, state)
 
+    def introduce(self) -> None:
+        """Pass the own statement on again, because there are members that may not know it."""
+        self._table.pass_on(self._host)
+
     def begin_leaving(self) -> bool:
         """State from now on that the host is leaving; return False when it already does."""
         if self.leaving:
@@ -41,25 +44,26 @@
         self.leaving = False
         self._raise_incarnation(self.incarnation)
 
-    def receive(self, updates: Iterable[MemberUpdate], now_ms: int) -> None:
+    def receive(self, sender: str, updates: Iterable[MemberUpdate], now_ms: int) -> None:
         """Take the statements of a message."""
         for update in updates:
             if update.host == self._host:
                 self._defend(update)
             else:
-                self._table.apply(update, now_ms)
+                trusted = self._is_witness(sender, update)
+                self._table.apply(update, now_ms, trusted=trusted)
 
-    def updates_for(self, target: str) -> tuple[MemberUpdate, ...]:
+    def updates_for(self, target: str, *, state_known: bool = False) -> tuple[MemberUpdate, ...]:
         """Return the statements for a message to ``target`` and count them as sent.
 
-        A host that is not believed alive is told so first, so that it can refute.
+        A host that is not believed alive is told so first, so that it can refute. With
+        ``state_known`` it is told in any case what is known of it.
         """
         member = self._table.get(target)
         chosen: dict[str, MemberUpdate] = {}
-        if member is not None and member.disputed():
-            claim = max(member.incarnation, member.claimed_dead_incarnation or 0)
-            chosen[target] = member.update()._replace(incarnation=claim, state=MemberState.DEAD)
-        elif member is not None and member.state != MemberState.ALIVE:
+        if member is not None and member.claim is not None and member.disputed():
+            chosen[target] = member.claim
+        elif member is not None and (state_known or member.state != MemberState.ALIVE):
             chosen[target] = member.update()
         if self.leaving or member is None or not member.introduced():
             chosen[self._host] = self.own_update()
@@ -70,6 +74,18 @@
             self._add_next_in_turn(chosen)
         return tuple(chosen.values())
 
+    def _is_witness(self, sender: str, update: MemberUpdate) -> bool:
+        """Tell whether the sender's view of a host is as good as the local one.
+
+        That holds for senders in the failure domain of the host or of the local host. Any other
+        one may have been cut off from the host alone; after a partition each side would otherwise
+        believe the other one's view of its own members.
+        """
+        member = self._table.get(sender)
+        if member is None:
+            return False
+        return member.failure_domain in (update.failure_domain, self._failure_domain)
+
     def _defend(self, update: MemberUpdate) -> None:
         own = self.own_update()
         if (update.incarnation, update.state) > (own.incarnation, own.state):
--- a/src/redwingswitch/_internal/decisions/member_table.py
+++ b/src/redwingswitch/_internal/decisions/member_table.py
@@ -22,7 +22,7 @@
     """
 
     __slots__ = (
-        "claimed_dead_incarnation",
+        "claim",
         "digest",
         "failure_domain",
         "host",
@@ -42,7 +42,8 @@
         self.state = MemberState.ALIVE
         self.digest = HostDigest()
         self.introduced_incarnation = -1
-        self.claimed_dead_incarnation: int | None = None
+        # A statement against the member that is to be verified before it is believed.
+        self.claim: MemberUpdate | None = None
         self.suspicion_deadline_ms: int | None = None
         self.suspicion_shortened = False
         self.remove_at_ms: int | None = None
@@ -50,9 +51,10 @@
         self.row: MemberView | None = None
 
     def disputed(self) -> bool:
-        """Tell whether a peer claims that this member, alive for the local host, is dead."""
-        claim = self.claimed_dead_incarnation
-        return claim is not None and claim >= self.incarnation and self.state != MemberState.DEAD
+        """Tell whether there is a claim that the member has not refuted yet."""
+        if self.claim is None or self.state == MemberState.DEAD:
+            return False
+        return (self.claim.incarnation, self.claim.state) > (self.incarnation, self.state)
 
     def update(self) -> MemberUpdate:
         """Return the statement that passes this member on to peers."""
@@ -107,12 +109,11 @@
         self.changed = True
         return member
 
-    def apply(self, update: MemberUpdate, now_ms: int) -> bool:
-        """Take a peer's statement if it has precedence; return whether it changed anything.
+    def apply(self, update: MemberUpdate, now_ms: int, *, trusted: bool = True) -> bool:
+        """Take a statement if it has precedence; return whether it changed anything.
 
-        A death is not taken over from a peer, unless nothing is known of the member. The peer may
-        have been cut off from it, and after a partition each side would believe the other one's
-        view of its own members. The member is probed instead.
+        A suspicion or death that is not ``trusted`` only becomes a claim to verify, unless nothing
+        is known of the member.
         """
         member = self._members.get(update.host)
         if member is None:
@@ -121,14 +122,15 @@
             return False
         if member is None:
             return False
-        if update.state == MemberState.DEAD and member.incarnation != PRESUMED_INCARNATION:
-            self._dispute(member, update.incarnation)
+        against = update.state in (MemberState.SUSPECTED, MemberState.DEAD)
+        if against and not trusted and member.incarnation != PRESUMED_INCARNATION:
+            self._dispute(member, update)
             return False
         return self._take(member, update, now_ms)
 
-    def _dispute(self, member: Member, incarnation: int) -> None:
+    def _dispute(self, member: Member, claim: MemberUpdate) -> None:
         if member.state != MemberState.DEAD:
-            member.claimed_dead_incarnation = incarnation
+            member.claim = claim
             self._disputed.add(member.host)
 
     def _take(self, member: Member, update: MemberUpdate, now_ms: int) -> bool:
@@ -190,7 +192,7 @@
         return [self._members[host] for host in sorted(self._suspected)]
 
     def disputed(self) -> list[Member]:
-        """Return the members that a peer claims to be dead, by name."""
+        """Return the members with a claim against them, by name."""
         settled = {host for host in self._disputed if not self._members[host].disputed()}
         self._disputed -= settled
         return [self._members[host] for host in sorted(self._disputed)]
--- a/src/redwingswitch/_internal/decisions/membership.py
+++ b/src/redwingswitch/_internal/decisions/membership.py
@@ -8,18 +8,11 @@
 
 from collections.abc import Iterable
 
-from redwingswitch._internal.decisions.dead_probes import DeadProbes
 from redwingswitch._internal.decisions.digest_bounds import bound_digest, expand_digest
 from redwingswitch._internal.decisions.member_gossip import MemberGossip
 from redwingswitch._internal.decisions.member_table import Member, MemberTable
-from redwingswitch._internal.decisions.probes import (
-    RELAY_MS,
-    PendingProbe,
-    PendingProbes,
-    ProbeOrder,
-    Relay,
-    Relays,
-)
+from redwingswitch._internal.decisions.platform_hints import PlatformHints
+from redwingswitch._internal.decisions.prober import Prober
 from redwingswitch._internal.models.actions import Action, Drop, DropReason, SendToPeer
 from redwingswitch._internal.models.configuration import Configuration, ServerState
 from redwingswitch._internal.models.events import HostListChanged
@@ -28,20 +21,12 @@
     HostDigest,
     MembershipView,
     MemberState,
-    MemberUpdate,
     MemberView,
     Seed,
 )
 from redwingswitch._internal.models.messages import Ack, PeerMessage, Ping, PingRequest
 from redwingswitch._internal.ports import RandomSource
 
-NEAR_PROBE_INTERVAL_MS = 300
-FAR_PROBE_INTERVAL_MS = 1_000
-NEAR_ACK_MS = 150
-FAR_ACK_MS = 400
-NEAR_INDIRECT_MS = 300
-FAR_INDIRECT_MS = 800
-INDIRECT_PROBES = 2
 # No timer is ever further away than a near probe, so a longer gap means that this host was paused.
 PAUSE_MS = 1_000
 LEAVING_ANNOUNCEMENTS = 8
@@ -63,19 +48,15 @@
             host=host, failure_domain=failure_domain, incarnation=incarnation, table=self._table
         )
         self._host = host
-        self._failure_domain = failure_domain
-        self._digest = HostDigest()
+        self._hints = PlatformHints()
+        self._prober = Prober(
+            failure_domain=failure_domain,
+            table=self._table,
+            gossip=self._gossip,
+            hints=self._hints,
+            random_source=random_source,
+        )
         self._configuration: Configuration | None = None
-        self._listed: frozenset[str] = frozenset()
-        self._platform_running: frozenset[str] | None = None
-        self._sequence = 0
-        self._pending = PendingProbes()
-        self._relays = Relays()
-        self._near_order = ProbeOrder(random_source=random_source)
-        self._far_order = ProbeOrder(random_source=random_source)
-        self._dead_probes = DeadProbes(random_source=random_source)
-        self._next_near_ms: int | None = None
-        self._next_far_ms: int | None = None
         self._last_call_ms: int | None = None
         self._stop_requested = False
         self._view: MembershipView | None = None
@@ -107,18 +88,18 @@
     def set_digest(self, digest: HostDigest) -> None:
         """Set what this host states about itself; entries beyond the bounds are merged or left."""
         bounded = bound_digest(digest)
-        if bounded != self._digest:
-            self._digest = bounded
+        if bounded != self._prober.digest:
+            self._prober.digest = bounded
             self._table.changed = True
 
     def on_host_list(self, event: HostListChanged, now_ms: int) -> list[Action]:
         """Use the platform's list as a hint: probe dead hosts sooner, shorten suspicions."""
         self._enter(now_ms)
-        self._platform_running = frozenset(row.host for row in event.hosts if not row.leaving)
-        for member in self._table:
-            self._shorten_if_unlisted(member)
-        if self._platform_running.intersection(self._dead_listed()):
-            self._dead_probes.hinted(now_ms)
+        self._hints.take(event, now_ms)
+        for member in self._table.suspected():
+            if self._hints.omits(member.host, now_ms):
+                self._table.shorten_suspicion(member)
+        self._prober.hinted(now_ms)
         return []
 
     def on_message(
@@ -130,16 +111,18 @@
             return self._on_stale(sender, message)
         previous = self.incarnation
         if isinstance(message, Ping | Ack):
-            self._gossip.receive(message.updates, now_ms)
+            self._gossip.receive(sender, message.updates, now_ms)
             self._heard(sender, incarnation, now_ms)
         if isinstance(message, Ping):
             return self._on_ping(sender, message)
         if isinstance(message, Ack):
             # The sender learns of a refutation at once, and not when its turn comes again.
             refuted = self.incarnation != previous
-            return self._on_ack(sender, message) + (self._ping_now(sender) if refuted else [])
-        if isinstance(message, PingRequest):
-            return self._on_ping_request(sender, message, now_ms)
+            return self._on_ack(sender, message) + (
+                self._prober.ping_now(sender) if refuted else []
+            )
+        if isinstance(message, PingRequest) and message.target != self._host:
+            return self._prober.on_ping_request(sender, message, now_ms)
         return []
 
     def accepts(self, sender: str, incarnation: int) -> bool:
@@ -161,43 +144,31 @@
 
     def next_deadline_ms(self) -> int | None:
         """Return when ``on_timer`` is to be called next."""
-        deadlines = (
-            self._next_near_ms,
-            self._next_far_ms,
-            self._dead_probes.next_deadline_ms(),
-            self._pending.deadline_ms(),
-            self._table.suspicion_deadline_ms(),
-        )
+        deadlines = (self._prober.next_deadline_ms(), self._table.suspicion_deadline_ms())
         return min((each for each in deadlines if each is not None), default=None)
 
     def on_timer(self, now_ms: int) -> list[Action]:
         """Send the probes that are due and act on those without an answer."""
         self._enter(now_ms)
-        actions: list[Action] = []
-        for probe in self._pending.take_due(now_ms):
-            actions += self._on_overdue(probe, now_ms)
-        self._table.expire(now_ms, listed=self._listed)
-        self._relays.expire(now_ms)
-        actions += self._near_tick(now_ms)
-        actions += self._far_tick(now_ms)
-        actions += self._dead_tick(now_ms)
-        return actions
+        self._table.expire(now_ms, listed=self._prober.listed)
+        return self._prober.on_timer(now_ms)
 
     def _list(self, hosts: Iterable[Seed], now_ms: int) -> None:
         others = [seed for seed in hosts if seed.host != self._host]
-        self._listed = frozenset(seed.host for seed in others)
+        self._prober.listed = frozenset(seed.host for seed in others)
+        known = len(self._table)
         for seed in others:
             self._table.add(host=seed.host, failure_domain=seed.failure_domain)
+        if len(self._table) > known:
+            self._gossip.introduce()
         self._enter(now_ms)
 
     def _enter(self, now_ms: int) -> None:
         """Note the call; after a pause, give all others the whole time to answer again."""
-        if self._next_near_ms is None:
-            self._next_near_ms = now_ms + self._random.randrange(NEAR_PROBE_INTERVAL_MS)
-            self._next_far_ms = now_ms + self._random.randrange(FAR_PROBE_INTERVAL_MS)
+        self._prober.begin(now_ms)
         previous_ms = now_ms if self._last_call_ms is None else self._last_call_ms
         if now_ms - previous_ms > PAUSE_MS:
-            self._pending.clear()
+            self._prober.forget_pending()
             self._table.restart_suspicions(now_ms)
         self._last_call_ms = now_ms
 
@@ -208,19 +179,21 @@
         was_dead = member.state == MemberState.DEAD
         self._table.heard_directly(member, incarnation, now_ms)
         if was_dead and member.state != MemberState.DEAD:
-            self._dead_probes.returned(now_ms)
+            self._prober.returned(now_ms)
 
     def _on_stale(self, sender: str, message: PeerMessage) -> list[Action]:
         dropped = Drop(DropReason.STALE_INCARNATION, sender)
         if not isinstance(message, Ping):
             return [dropped]
         # A restarted host whose clock went back learns from this answer which incarnation to pass.
-        answer = Ack(message.sequence, self._host, self._updates(sender), self._digest)
+        updates = self._gossip.updates_for(sender, state_known=True)
+        answer = Ack(message.sequence, self._host, updates, self._prober.digest)
         return [dropped, SendToPeer(sender, answer)]
 
     def _on_ping(self, sender: str, message: Ping) -> list[Action]:
         self._keep_digest(sender, message.digest)
-        answer = Ack(message.sequence, self._host, self._updates(sender), self._digest)
+        updates = self._gossip.updates_for(sender)
+        answer = Ack(message.sequence, self._host, updates, self._prober.digest)
         return [SendToPeer(sender, answer)]
 
     def _on_ack(self, sender: str, message: Ack) -> list[Action]:
@@ -228,116 +201,7 @@
         member = self._table.get(sender)
         if member is not None:
             member.introduced_incarnation = member.incarnation
-        relay = self._relays.take(message.sequence, sender)
-        if relay is not None:
-            updates = self._updates(relay.requester)
-            answer = Ack(relay.requester_sequence, sender, updates, self._digest)
-            return [SendToPeer(relay.requester, answer)]
-        self._pending.answered(message.subject, message.sequence)
-        return []
-
-    def _on_ping_request(self, sender: str, message: PingRequest, now_ms: int) -> list[Action]:
-        if message.target == self._host:
-            return []
-        sequence = self._next_sequence()
-        relay = Relay(sender, message.sequence, message.target, now_ms + RELAY_MS)
-        if not self._relays.put(sequence, relay, now_ms):
-            return [Drop(DropReason.OVERLOAD, sender)]
-        return [self._ping(message.target, sequence, on_behalf_of=sender)]
-
-    def _on_overdue(self, probe: PendingProbe, now_ms: int) -> list[Action]:
-        member = self._table.get(probe.target)
-        if member is None or member.state == MemberState.DEAD:
-            return []
-        if not probe.indirect:
-            return self._probe_indirectly(probe, now_ms)
-        if not self._table.suspect(member, now_ms):
-            return []
-        self._shorten_if_unlisted(member)
-        # The suspected host is told at once, so that it can refute within the suspicion.
-        return self._ping_now(member.host)
-
-    def _probe_indirectly(self, probe: PendingProbe, now_ms: int) -> list[Action]:
-        wait_ms = NEAR_INDIRECT_MS if probe.near else FAR_INDIRECT_MS
-        self._pending.put(probe._replace(indirect=True, deadline_ms=now_ms + wait_ms))
-        request = PingRequest(probe.sequence, probe.target)
-        helpers = self._helpers(probe.target)
-        # The direct probe is repeated, because one lost message is the most frequent cause.
-        repeated: list[Action] = [self._ping(probe.target, probe.sequence)]
-        return repeated + [SendToPeer(helper, request) for helper in helpers]
-
-    def _helpers(self, target: str) -> list[str]:
-        subject = self._table.get(target)
-        domain = subject.failure_domain if subject is not None else ""
-        alive = [m for m in self._table if m.state == MemberState.ALIVE and m.host != target]
-        self._random.shuffle(alive)
-        alive.sort(key=lambda member: member.failure_domain != domain)
-        return [member.host for member in alive[:INDIRECT_PROBES]]
-
-    def _near_tick(self, now_ms: int) -> list[Action]:
-        if self._next_near_ms is None or now_ms < self._next_near_ms:
-            return []
-        self._next_near_ms = now_ms + NEAR_PROBE_INTERVAL_MS
-        actions = self._probe_next(self._near_order, now_ms, near=True)
-        return actions + self._ping_suspected() + self._probe_disputed(now_ms)
-
-    def _far_tick(self, now_ms: int) -> list[Action]:
-        if self._next_far_ms is None or now_ms < self._next_far_ms:
-            return []
-        self._next_far_ms = now_ms + FAR_PROBE_INTERVAL_MS
-        return self._probe_next(self._far_order, now_ms, near=False)
-
-    def _dead_tick(self, now_ms: int) -> list[Action]:
-        dead = self._dead_listed()
-        self._dead_probes.died(dead, now_ms)
-        target = self._dead_probes.take_due(dead, now_ms)
-        return [] if target is None else self._ping_now(target)
-
-    def _probe_next(self, order: ProbeOrder, now_ms: int, *, near: bool) -> list[Action]:
-        target = order.next(m.host for m in self._table if self._probed(m, near=near))
-        if target is None:
-            return []
-        return self._probe(target, now_ms, near=near)
-
-    def _probe(self, target: str, now_ms: int, *, near: bool) -> list[Action]:
-        if target in self._pending:
-            return []
-        sequence = self._next_sequence()
-        deadline_ms = now_ms + (NEAR_ACK_MS if near else FAR_ACK_MS)
-        self._pending.put(PendingProbe(target, sequence, near, False, deadline_ms))
-        return [self._ping(target, sequence)]
-
-    def _probed(self, member: Member, *, near: bool) -> bool:
-        if member.state == MemberState.DEAD:
-            return False
-        return (member.failure_domain == self._failure_domain) == near
-
-    def _ping_suspected(self) -> list[Action]:
-        suspected = [member.host for member in self._table.suspected()]
-        if not suspected:
-            return []
-        return self._ping_now(suspected[self._random.randrange(len(suspected))])
-
-    def _probe_disputed(self, now_ms: int) -> list[Action]:
-        disputed = self._table.disputed()
-        if not disputed:
-            return []
-        member = disputed[self._random.randrange(len(disputed))]
-        near = member.failure_domain == self._failure_domain
-        return self._probe(member.host, now_ms, near=near)
-
-    def _ping_now(self, target: str) -> list[Action]:
-        return [self._ping(target, self._next_sequence())]
-
-    def _dead_listed(self) -> list[str]:
-        return [member.host for member in self._table.dead() if self._is_listed(member)]
-
-    def _is_listed(self, member: Member) -> bool:
-        return member.host in self._listed or member.host in (self._platform_running or ())
-
-    def _shorten_if_unlisted(self, member: Member) -> None:
-        if self._platform_running is not None and member.host not in self._platform_running:
-            self._table.shorten_suspicion(member)
+        return self._prober.on_ack(sender, message)
 
     def _announce_leaving(self, now_ms: int) -> list[Action]:
         if not self._gossip.begin_leaving():
@@ -346,28 +210,19 @@
         self._table.changed = True
         targets = [m.host for m in self._table if m.state <= MemberState.SUSPECTED]
         self._random.shuffle(targets)
-        return [self._ping(h, self._next_sequence()) for h in targets[:LEAVING_ANNOUNCEMENTS]]
+        announced = targets[:LEAVING_ANNOUNCEMENTS]
+        return [action for host in announced for action in self._prober.ping_now(host)]
 
     def _keep_digest(self, sender: str, digest: HostDigest) -> None:
         member = self._table.get(sender)
         if member is not None and member.state != MemberState.DEAD:
             self._table.set_digest(member, digest)
 
-    def _ping(self, target: str, sequence: int, *, on_behalf_of: str = "") -> SendToPeer:
-        updates = self._updates(target)
-        return SendToPeer(target, Ping(sequence, updates, self._digest, on_behalf_of))
-
-    def _updates(self, target: str) -> tuple[MemberUpdate, ...]:
-        return self._gossip.updates_for(target)
-
-    def _next_sequence(self) -> int:
-        self._sequence += 1
-        return self._sequence
-
     def _build_view(self) -> MembershipView:
         own = self._gossip.own_update()
         service_ids = self._service_ids()
-        rows = [MemberView(own.host, own.failure_domain, own.incarnation, own.state, self._digest)]
+        digest = self._prober.digest
+        rows = [MemberView(own.host, own.failure_domain, own.incarnation, own.state, digest)]
         rows += [_row(member, service_ids) for member in self._table]
         rows.sort(key=lambda row: row.host)
         return MembershipView(tuple(rows))
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/prober.py
@@ -0,0 +1,216 @@
+"""Probes of other entry hosts: regular ones, indirect ones, and those for special reasons."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.dead_probes import DeadProbes
+from redwingswitch._internal.decisions.member_gossip import MemberGossip
+from redwingswitch._internal.decisions.member_table import Member, MemberTable
+from redwingswitch._internal.decisions.platform_hints import PlatformHints
+from redwingswitch._internal.decisions.probes import (
+    RELAY_MS,
+    PendingProbe,
+    PendingProbes,
+    ProbeOrder,
+    Relay,
+    Relays,
+)
+from redwingswitch._internal.models.actions import Action, Drop, DropReason, SendToPeer
+from redwingswitch._internal.models.members import HostDigest, MemberState
+from redwingswitch._internal.models.messages import Ack, Ping, PingRequest
+from redwingswitch._internal.ports import RandomSource
+
+NEAR_PROBE_INTERVAL_MS = 300
+FAR_PROBE_INTERVAL_MS = 1_000
+NEAR_ACK_MS = 150
+FAR_ACK_MS = 400
+NEAR_INDIRECT_MS = 300
+FAR_INDIRECT_MS = 800
+INDIRECT_PROBES = 2
+
+
+class Prober:
+    """Sends probes by timer and suspects the members that do not answer.
+
+    ``digest`` goes with every probe. ``listed`` names the hosts that are probed even when dead.
+    """
+
+    def __init__(
+        self,
+        *,
+        failure_domain: str,
+        table: MemberTable,
+        gossip: MemberGossip,
+        hints: PlatformHints,
+        random_source: RandomSource,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._table = table
+        self._gossip = gossip
+        self._hints = hints
+        self._random = random_source
+        self.digest = HostDigest()
+        self.listed: frozenset[str] = frozenset()
+        self._sequence = 0
+        self._pending = PendingProbes()
+        self._relays = Relays()
+        self._near_order = ProbeOrder(random_source=random_source)
+        self._far_order = ProbeOrder(random_source=random_source)
+        self._dead_probes = DeadProbes(random_source=random_source)
+        self._next_near_ms: int | None = None
+        self._next_far_ms: int | None = None
+
+    def begin(self, now_ms: int) -> None:
+        """Plan the first probes, unless that was done."""
+        if self._next_near_ms is None:
+            self._next_near_ms = now_ms + self._random.randrange(NEAR_PROBE_INTERVAL_MS)
+            self._next_far_ms = now_ms + self._random.randrange(FAR_PROBE_INTERVAL_MS)
+
+    def forget_pending(self) -> None:
+        """Forget the probes without an answer, because answers may have been missed."""
+        self._pending.clear()
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is to be called next."""
+        deadlines = (
+            self._next_near_ms,
+            self._next_far_ms,
+            self._dead_probes.next_deadline_ms(),
+            self._pending.deadline_ms(),
+        )
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Send the probes that are due and act on those without an answer."""
+        actions: list[Action] = []
+        for probe in self._pending.take_due(now_ms):
+            actions += self._on_overdue(probe, now_ms)
+        self._relays.expire(now_ms)
+        actions += self._near_tick(now_ms)
+        actions += self._far_tick(now_ms)
+        actions += self._dead_tick(now_ms)
+        return actions
+
+    def on_ack(self, sender: str, message: Ack) -> list[Action]:
+        """Note the answer to a probe, or pass it on when the probe was made for another host."""
+        relay = self._relays.take(message.sequence, sender)
+        if relay is None:
+            self._pending.answered(message.subject, message.sequence)
+            return []
+        updates = self._gossip.updates_for(relay.requester)
+        answer = Ack(relay.requester_sequence, sender, updates, self.digest)
+        return [SendToPeer(relay.requester, answer)]
+
+    def on_ping_request(self, sender: str, message: PingRequest, now_ms: int) -> list[Action]:
+        """Probe a host for the sender, within a bound."""
+        sequence = self._next_sequence()
+        relay = Relay(sender, message.sequence, message.target, now_ms + RELAY_MS)
+        if not self._relays.put(sequence, relay, now_ms):
+            return [Drop(DropReason.OVERLOAD, sender)]
+        return [self._ping(message.target, sequence, on_behalf_of=sender)]
+
+    def ping_now(self, target: str) -> list[Action]:
+        """Return a ping outside of the regular order."""
+        return [self._ping(target, self._next_sequence())]
+
+    def returned(self, now_ms: int) -> None:
+        """Probe dead hosts faster, because one of them was heard of again."""
+        self._dead_probes.returned(now_ms)
+
+    def hinted(self, now_ms: int) -> None:
+        """Probe sooner if the platform lists a dead host as running."""
+        if any(self._hints.lists(member.host, now_ms) for member in self._table.dead()):
+            self._dead_probes.hinted(now_ms)
+
+    def _on_overdue(self, probe: PendingProbe, now_ms: int) -> list[Action]:
+        member = self._table.get(probe.target)
+        if member is None or member.state == MemberState.DEAD:
+            return []
+        if not probe.indirect:
+            return self._probe_indirectly(probe, now_ms)
+        if not self._table.suspect(member, now_ms):
+            return []
+        if self._hints.omits(member.host, now_ms):
+            self._table.shorten_suspicion(member)
+        # The suspected host is told at once, so that it can refute within the suspicion.
+        return self.ping_now(member.host)
+
+    def _probe_indirectly(self, probe: PendingProbe, now_ms: int) -> list[Action]:
+        wait_ms = NEAR_INDIRECT_MS if probe.near else FAR_INDIRECT_MS
+        self._pending.put(probe._replace(indirect=True, deadline_ms=now_ms + wait_ms))
+        request = PingRequest(probe.sequence, probe.target)
+        helpers = self._helpers(probe.target)
+        # The direct probe is repeated, because one lost message is the most frequent cause.
+        repeated: list[Action] = [self._ping(probe.target, probe.sequence)]
+        return repeated + [SendToPeer(helper, request) for helper in helpers]
+
+    def _helpers(self, target: str) -> list[str]:
+        subject = self._table.get(target)
+        domain = subject.failure_domain if subject is not None else ""
+        alive = [m for m in self._table if m.state == MemberState.ALIVE and m.host != target]
+        self._random.shuffle(alive)
+        alive.sort(key=lambda member: member.failure_domain != domain)
+        return [member.host for member in alive[:INDIRECT_PROBES]]
+
+    def _near_tick(self, now_ms: int) -> list[Action]:
+        if self._next_near_ms is None or now_ms < self._next_near_ms:
+            return []
+        self._next_near_ms = now_ms + NEAR_PROBE_INTERVAL_MS
+        actions = self._probe_next(self._near_order, now_ms, near=True)
+        return actions + self._ping_suspected() + self._probe_disputed(now_ms)
+
+    def _far_tick(self, now_ms: int) -> list[Action]:
+        if self._next_far_ms is None or now_ms < self._next_far_ms:
+            return []
+        self._next_far_ms = now_ms + FAR_PROBE_INTERVAL_MS
+        return self._probe_next(self._far_order, now_ms, near=False)
+
+    def _dead_tick(self, now_ms: int) -> list[Action]:
+        dead = self._dead_listed(now_ms)
+        self._dead_probes.died(dead, now_ms)
+        target = self._dead_probes.take_due(dead, now_ms)
+        return [] if target is None else self.ping_now(target)
+
+    def _probe_next(self, order: ProbeOrder, now_ms: int, *, near: bool) -> list[Action]:
+        target = order.next(m.host for m in self._table if self._probed(m, near=near))
+        if target is None:
+            return []
+        return self._probe(target, now_ms, near=near)
+
+    def _probe(self, target: str, now_ms: int, *, near: bool) -> list[Action]:
+        if target in self._pending:
+            return []
+        sequence = self._next_sequence()
+        deadline_ms = now_ms + (NEAR_ACK_MS if near else FAR_ACK_MS)
+        self._pending.put(PendingProbe(target, sequence, near, False, deadline_ms))
+        return [self._ping(target, sequence)]
+
+    def _probed(self, member: Member, *, near: bool) -> bool:
+        if member.state == MemberState.DEAD:
+            return False
+        return (member.failure_domain == self._failure_domain) == near
+
+    def _ping_suspected(self) -> list[Action]:
+        suspected = [member.host for member in self._table.suspected()]
+        if not suspected:
+            return []
+        return self.ping_now(suspected[self._random.randrange(len(suspected))])
+
+    def _probe_disputed(self, now_ms: int) -> list[Action]:
+        disputed = self._table.disputed()
+        if not disputed:
+            return []
+        member = disputed[self._random.randrange(len(disputed))]
+        near = member.failure_domain == self._failure_domain
+        return self._probe(member.host, now_ms, near=near)
+
+    def _dead_listed(self, now_ms: int) -> list[str]:
+        dead = (member.host for member in self._table.dead())
+        return [host for host in dead if host in self.listed or self._hints.lists(host, now_ms)]
+
+    def _ping(self, target: str, sequence: int, *, on_behalf_of: str = "") -> SendToPeer:
+        updates = self._gossip.updates_for(target)
+        return SendToPeer(target, Ping(sequence, updates, self.digest, on_behalf_of))
+
+    def _next_sequence(self) -> int:
+        self._sequence += 1
+        return self._sequence
