Test membership against fault tables and a state machine

Cause: wrong views break the ownership of displaced buckets.

Change: tables for precedence, refutation, hints and pauses; a state machine with loss, duplication, reordering, partitions, pauses, crashes and restarts.

--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -57,6 +57,7 @@
         self.name = name
         self.domain = domain
         self.cluster = cluster
+        self.process = incarnation
         self.membership = Membership(
             host=name, failure_domain=domain, incarnation=incarnation, random_source=source
         )
--- /dev/null
+++ b/tests/unit/decisions/test_membership.py
@@ -0,0 +1,246 @@
+"""Guards against hosts that stay dead, or stay alive, wrongly in the view of another host."""
+
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from redwingswitch._internal.decisions.membership import Membership
+from redwingswitch._internal.models.events import HostListChanged, ListedHost
+from redwingswitch._internal.models.members import (
+    HostDigest,
+    MemberState,
+    MemberUpdate,
+    NeededRevision,
+    Seed,
+    WaitEstimate,
+)
+from redwingswitch._internal.models.messages import Ack, Ping
+from tests.lib.cluster import Cluster, Link
+
+ALIVE, SUSPECTED, LEAVING, DEAD = MemberState
+HOSTS = {"entry-1": "a", "entry-2": "a", "entry-3": "b", "entry-4": "b", "entry-5": "c"}
+SETTLING_MS = 60_000
+
+
+def started(hosts=None, seed=1, link=None) -> Cluster:
+    cluster = Cluster(hosts=hosts or HOSTS, seed=seed, link=link)
+    for name in cluster.declared:
+        cluster.start(name)
+    cluster.run_ms(5_000)
+    return cluster
+
+
+def alone(incarnation=100) -> Membership:
+    member = Membership(
+        host="entry-1", failure_domain="a", incarnation=incarnation, random_source=random.Random(1)
+    )
+    member.set_seeds([Seed("entry-2", "a"), Seed("entry-3", "b"), Seed("entry-4", "c")], 0)
+    return member
+
+
+def told(member, sender, incarnation, *updates, now_ms=10):
+    message = Ping(1, tuple(MemberUpdate(*update) for update in updates), HostDigest())
+    return member.on_message(sender, incarnation, message, now_ms)
+
+
+# Each row: statements in order of arrival (sender, its incarnation, statement), expected state and
+# incarnation of entry-3, which is in failure domain b.
+PRECEDENCE = [
+    ("a late alive does not resurrect a leaving host", LEAVING, 7, [(7, LEAVING), (7, ALIVE)]),
+    ("an older incarnation changes nothing", ALIVE, 9, [(9, ALIVE), (8, DEAD)]),
+    ("suspicion at equal incarnation", SUSPECTED, 9, [(9, ALIVE), (9, SUSPECTED)]),
+    ("reordered suspicion and refutation", ALIVE, 10, [(10, ALIVE), (9, SUSPECTED)]),
+    ("a new process follows a dead one", ALIVE, 10, [(9, DEAD), (10, ALIVE)]),
+    ("a duplicate changes nothing", DEAD, 9, [(9, DEAD), (9, DEAD), (9, ALIVE)]),
+    ("a leaving host that died stays dead", DEAD, 9, [(9, LEAVING), (9, DEAD), (9, LEAVING)]),
+]
+
+
+@pytest.mark.parametrize(("state", "incarnation", "statements"), [row[1:] for row in PRECEDENCE])
+def test_precedence_of_statements(state, incarnation, statements):
+    member = alone()
+    for stated in statements:
+        told(member, "entry-2", 50, ("entry-3", "b", *stated))
+    row = member.view().find("entry-3")
+    assert (row.state, row.incarnation) == (state, incarnation)
+
+
+@pytest.mark.parametrize(
+    ("sender", "expected"), [("entry-2", DEAD), ("entry-3", DEAD), ("entry-4", ALIVE)]
+)
+def test_death_is_believed_only_from_the_own_or_the_subjects_domain(sender, expected):
+    # Otherwise a healed partition makes connected hosts dead in each other's view.
+    member = alone()
+    told(member, sender, 50, ("entry-9", "b", 9, ALIVE))
+    told(member, sender, 50, ("entry-9", "b", 9, DEAD))
+    assert member.view().find("entry-9").state == expected
+
+
+@pytest.mark.parametrize(
+    ("stated", "expected"),
+    [
+        ((100, SUSPECTED), 101),
+        ((100, DEAD), 101),
+        ((250, ALIVE), 251),
+        ((99, DEAD), 100),
+        ((100, ALIVE), 100),
+    ],
+)
+def test_host_refutes_statements_about_itself(stated, expected):
+    member = alone()
+    told(member, "entry-2", 50, ("entry-1", "a", *stated))
+    assert member.incarnation == expected
+
+
+def test_host_with_a_clock_that_went_back_learns_its_former_incarnation():
+    member = alone()
+    told(member, "entry-2", 50)
+    _, answer = told(member, "entry-2", 40)
+    restarted = Membership(
+        host="entry-2", failure_domain="a", incarnation=40, random_source=random.Random(2)
+    )
+    restarted.set_seeds([Seed("entry-1", "a")], 0)
+    restarted.on_message("entry-1", 100, answer.message, 20)
+    assert restarted.incarnation > 50
+    assert not member.accepts("entry-2", 40)
+
+
+def test_digest_is_bounded_and_never_hides_a_needed_revision():
+    member = alone()
+    needed = tuple(NeededRevision(service + 1, 1_000 - service) for service in range(200))
+    waits = tuple(WaitEstimate(service, service) for service in range(200))
+    member.set_digest(HostDigest(5, "f" * 64, needed, waits))
+    digest = member.view().find("entry-1").digest
+    assert (len(digest.needed_revisions), len(digest.wait_estimates)) == (64, 64)
+    assert max(entry.wait_ms for entry in digest.wait_estimates) == 63
+    stated = dict(digest.needed_revisions)
+    assert all(stated.get(each.service_id, stated[0]) <= each.revision for each in needed)
+
+
+@pytest.mark.parametrize(("listed", "died_within_ms"), [(None, 1_600), (False, 850), (True, 1_600)])
+def test_platform_list_only_shortens_a_suspicion(listed, died_within_ms):
+    member = alone()
+    told(member, "entry-2", 50, ("entry-3", "b", 9, SUSPECTED))
+    if listed is not None:
+        rows = tuple(ListedHost(name, not listed) for name in ("entry-2", "entry-3"))
+        member.on_host_list(HostListChanged(rows), 20)
+    assert member.view().find("entry-2").state == ALIVE
+    times = [t for t in range(20, 2_000, 10) if member.on_timer(t) is not None and _dead(member)]
+    assert died_within_ms - 150 <= times[0] <= died_within_ms
+
+
+def _dead(member) -> bool:
+    return member.view().find("entry-3").state == DEAD
+
+
+def test_indirect_probe_prevents_a_suspicion_when_one_link_is_broken():
+    cluster = started()
+    blocked = {("entry-1", "entry-2"), ("entry-2", "entry-1")}
+    send = cluster.send
+    cluster.send = lambda host, target, message: (
+        None if (host.name, target) in blocked else send(host, target, message)
+    )
+    for _ in range(100):
+        cluster.run_ms(100)
+        assert set(cluster.states_of("entry-2").values()) == {ALIVE}
+
+
+def test_host_that_wakes_from_a_long_pause_suspects_nobody():
+    cluster = started()
+    cluster.pause("entry-1")
+    cluster.run_ms(30_000)
+    assert cluster.states_of("entry-1")["entry-2"] == DEAD
+    cluster.resume("entry-1")
+    assert cluster.run_until(cluster.all_agree, limit_ms=10_000) is not None
+    states = {row.state for row in cluster.hosts["entry-1"].membership.view().members}
+    assert states == {ALIVE}
+
+
+def test_leaving_host_is_announced_at_once_and_not_resurrected():
+    cluster = started()
+    leaving = cluster.hosts["entry-1"]
+    leaving.after(leaving.membership.begin_leaving(cluster.now()))
+    cluster.run_ms(1_000)
+    assert set(cluster.states_of("entry-1").values()) == {LEAVING}
+    cluster.crash("entry-1")
+    cluster.run_ms(20_000)
+    assert set(cluster.states_of("entry-1").values()) == {DEAD}
+
+
+class MembershipMachine(RuleBasedStateMachine):
+    """Random faults; afterwards every view must name exactly the running hosts as alive."""
+
+    names = st.sampled_from(sorted(HOSTS))
+
+    @initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed):
+        self.cluster = started(seed=seed)
+        self.incarnations = {}
+
+    @rule(duration_ms=st.sampled_from([100, 700, 3_000, 12_000]))
+    def pass_time(self, duration_ms):
+        self.cluster.run_ms(duration_ms)
+
+    @rule(
+        loss=st.sampled_from([0.0, 0.05, 0.5]),
+        duplication=st.sampled_from([0.0, 0.3]),
+        delay_ms=st.sampled_from([10.0, 200.0, 2_000.0]),
+    )
+    def change_links(self, loss, duplication, delay_ms):
+        self.cluster.link = Link((0.5, delay_ms), (5.0, delay_ms + 5), loss, duplication)
+
+    @rule(domains=st.sets(st.sampled_from(["a", "b", "c"]), max_size=2))
+    def separate(self, domains):
+        self.cluster.separate(domains)
+
+    @rule(name=names)
+    def crash_or_restart(self, name):
+        if name in self.cluster.hosts:
+            self.cluster.crash(name)
+        else:
+            self.cluster.start(name)
+
+    @rule(name=names)
+    def pause_or_resume(self, name):
+        host = self.cluster.hosts.get(name)
+        if host is not None:
+            (self.cluster.resume if host.paused else self.cluster.pause)(name)
+
+    @invariant()
+    def incarnations_never_fall(self):
+        for host in getattr(self, "cluster", Cluster(hosts={}, seed=0)).hosts.values():
+            for row in host.membership.view().members:
+                key = (host.process, row.host)
+                assert row.incarnation >= self.incarnations.get(key, 0)
+                self.incarnations[key] = row.incarnation
+
+    def teardown(self):
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.separate(set())
+        self.cluster.link = Link()
+        for host in [each for each in self.cluster.hosts.values() if each.paused]:
+            self.cluster.resume(host.name)
+        assert self.cluster.run_until(self._settled, limit_ms=SETTLING_MS) is not None
+        self.cluster.run_ms(5_000)
+        assert self._settled()
+
+    def _settled(self):
+        views = [host.membership.view().members for host in self.cluster.hosts.values()]
+        running = set(self.cluster.hosts)
+        return all((row.state == ALIVE) == (row.host in running) for v in views for row in v)
+
+
+MembershipMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=20)
+TestMembershipMachine = MembershipMachine.TestCase
+
+
+def test_ack_of_a_restarted_process_is_not_taken_for_the_former_one():
+    member = alone()
+    told(member, "entry-2", 50)
+    assert member.accepts("entry-2", 50)
+    member.on_message("entry-2", 60, Ack(1, "entry-2", (), HostDigest()), 20)
+    assert not member.accepts("entry-2", 50)
