Test convergence against fault tables and a state machine

Cause: a configuration must never revert on a host, and a paused watcher must not overwrite a successor's work.

Change: tables for orders of arrival, transfers, restoring writes and the 9 s bound under four faults; a state machine with outages, lost answers, older content, partitions, pauses, crashes and restarts.

--- a/tests/lib/store.py
+++ b/tests/lib/store.py
@@ -22,7 +22,7 @@
         self.version = 0
         self.leases: dict[str, Lease] = {}
         self.watchers: set[str] = set()
-        self.highest_revision = 0
+        self.lowered_by_restore = 0
         self.refused_restores = 0
         self._counter = 0
 
@@ -61,12 +61,14 @@
         if (self.version, lease_version) != (action.expected_version, action.fencing_version):
             self.refused_restores += 1
             return False
+        self.lowered_by_restore += action.document["revision"] < self.revision()
         self._write(action.document)
         return True
 
+    def revision(self) -> int:
+        return 0 if self.document is None else self.document["revision"]
+
     def _write(self, document) -> None:
         self._counter += 1
         self.document = document
         self.version = self._counter
-        if document is not None:
-            self.highest_revision = max(self.highest_revision, document["revision"])
--- /dev/null
+++ b/tests/unit/decisions/test_convergence.py
@@ -0,0 +1,334 @@
+"""Guards against a configuration that reverts, does not arrive or is overwritten."""
+
+import itertools
+import random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
+from redwingswitch._internal.models.actions import (
+    AcquireLease,
+    ApplyDocument,
+    ReleaseLease,
+    RestoreDocument,
+    SendToPeer,
+    WatchStore,
+)
+from redwingswitch._internal.models.configuration import MAX_DOCUMENT_BYTES
+from redwingswitch._internal.models.events import LeaseGranted, StoreDocumentArrived
+from redwingswitch._internal.models.members import (
+    HostDigest,
+    MembershipView,
+    MemberState,
+    MemberView,
+)
+from redwingswitch._internal.models.messages import (
+    RevisionDocument,
+    RevisionOffer,
+    RevisionRequest,
+)
+from tests.lib.cluster import Cluster, Link, document
+
+HOSTS = {f"entry-{n}": "abc"[n % 3] for n in range(1, 8)}
+IN_FORCE_MS = 9_000
+
+
+def started(seed=1, *, store=True, link=None) -> Cluster:
+    cluster = Cluster(hosts=HOSTS, seed=seed, link=link)
+    if store:
+        cluster.accept(document(1))
+    for name in HOSTS:
+        cluster.start(name)
+    if store:
+        assert cluster.run_until(lambda: cluster.in_force(1), limit_ms=IN_FORCE_MS) is not None
+        cluster.run_ms(3_000)
+    return cluster
+
+
+def watcher_of(cluster, domain):
+    hosts = [h for h in cluster.hosts.values() if h.domain == domain]
+    return next(host for host in hosts if host.convergence.watching(cluster.now()))
+
+
+def alone(now_ms=0, peers=("entry-2", "entry-3")) -> ConfigurationConvergence:
+    part = ConfigurationConvergence(
+        host="entry-1", failure_domain="a", random_source=random.Random(1)
+    )
+    names = sorted(("entry-1", *peers))
+    rows = [MemberView(name, "a", 1, MemberState.ALIVE, HostDigest()) for name in names]
+    part.set_members(MembershipView(tuple(rows)), now_ms)
+    return part
+
+
+def of_kind(found, kind):
+    return [action for action in found if isinstance(action, kind)]
+
+
+def holding(part, now_ms) -> ConfigurationConvergence:
+    """Let the part take the lease at the store."""
+    while not (asks := of_kind(part.on_timer(now_ms), AcquireLease)):
+        now_ms += 50
+    part.on_lease_granted(LeaseGranted(1, 77, asks[0].asked_ms), now_ms + 5)
+    return part
+
+
+# Each row: revisions in order of arrival (with a digest, or none), revision in force, conflict.
+ARRIVALS = [
+    ("reordered", [(3, ""), (1, ""), (2, "")], 3, False),
+    ("duplicated", [(2, ""), (2, "")], 2, False),
+    ("conflict is reported and does not replace", [(2, "aa"), (2, "bb")], 2, True),
+    ("a higher revision ends a conflict", [(2, "aa"), (2, "bb"), (3, "")], 3, False),
+    ("an old conflict is of no interest", [(3, ""), (2, "aa"), (2, "bb")], 3, False),
+    ("revision 0 is not usable", [(0, "")], 0, False),
+]
+
+
+@pytest.mark.parametrize("from_store", [True, False])
+@pytest.mark.parametrize(("arrivals", "revision", "conflict"), [row[1:] for row in ARRIVALS])
+def test_revision_only_rises_in_any_order_of_arrival(arrivals, revision, conflict, from_store):
+    part = alone()
+    applied = []
+    for version, (arrived, digest) in enumerate(arrivals, start=1):
+        accepted = document(arrived, digest=digest)
+        if from_store:
+            found = part.on_store_document(StoreDocumentArrived(accepted, version), 10)
+        else:
+            found = part.on_message("entry-2", RevisionDocument(accepted), 10)
+        applied += [a.document["revision"] for a in of_kind(found, ApplyDocument)]
+    assert applied == sorted(set(applied))
+    assert (part.revision(), part.conflict()) == (revision, conflict)
+
+
+@pytest.mark.parametrize(
+    "unusable",
+    [document(2, text="x" * (MAX_DOCUMENT_BYTES + 1)), document(2) | {"schema_version": 99}],
+)
+def test_unusable_document_is_refused(unusable):
+    part = alone()
+    assert not of_kind(part.on_message("entry-2", RevisionDocument(unusable), 10), ApplyDocument)
+    assert part.document() is None
+
+
+def test_shortened_digest_of_a_heartbeat_is_no_conflict():
+    part = alone()
+    part.on_message("entry-2", RevisionDocument(document(2, digest="ab" * 32)), 10)
+    part.on_digest("entry-2", HostDigest(2, "ab" * 8), 20)
+    assert not part.conflict()
+    part.on_digest("entry-2", HostDigest(2, "ac" * 8), 30)
+    assert part.conflict()
+
+
+def test_one_transfer_at_a_time_and_another_source_after_the_deadline():
+    part = alone(peers=("entry-2", "entry-3", "entry-4"))
+    asked = []
+    for now_ms in range(0, 6_000, 10):
+        for peer in ("entry-2", "entry-3", "entry-4"):
+            part.on_digest(peer, HostDigest(4, "d"), now_ms)
+        sent = of_kind(part.on_timer(now_ms), SendToPeer)
+        asked += [(now_ms, a.host) for a in sent if isinstance(a.message, RevisionRequest)]
+    times = [time for time, _ in asked]
+    assert len(asked) in (2, 3) and all(b - a >= 2_000 for a, b in itertools.pairwise(times))
+    assert asked[0][1] != asked[1][1]
+
+
+@pytest.mark.parametrize(("known", "kind"), [(3, RevisionDocument), (4, RevisionOffer)])
+def test_request_is_answered_with_a_newer_document_or_a_refusal(known, kind):
+    part = alone()
+    part.on_message("entry-2", RevisionDocument(document(4)), 10)
+    found = of_kind(part.on_message("entry-3", RevisionRequest(known), 20), SendToPeer)
+    assert [type(action.message) for action in found if action.host == "entry-3"] == [kind]
+
+
+# Each row: what the store delivers to the holder of revision 5, what is written back.
+RESTORES = [
+    ("older content", document(3), [(5, 9, 77)]),
+    ("lost content", None, [(5, 9, 77)]),
+    ("same content", document(5), []),
+    ("newer content", document(6), []),
+]
+
+
+@pytest.mark.parametrize(("stored", "written"), [row[1:] for row in RESTORES])
+def test_older_content_is_restored_by_a_fenced_write_once(stored, written):
+    part = holding(alone(), 0)
+    part.on_message("entry-2", RevisionDocument(document(5)), 100)
+    event = StoreDocumentArrived(stored, 9)
+    found = part.on_store_document(event, 200) + part.on_store_document(event, 300)
+    restores = of_kind(found, RestoreDocument)
+    fences = [(r.document["revision"], r.expected_version, r.fencing_version) for r in restores]
+    assert fences == written
+
+
+def test_host_without_the_lease_never_writes():
+    part = alone()
+    part.on_message("entry-2", RevisionDocument(document(5)), 100)
+    found = part.on_store_document(StoreDocumentArrived(document(3), 9), 200)
+    assert not of_kind(found, RestoreDocument)
+
+
+def test_paused_watcher_finds_on_waking_that_it_holds_nothing():
+    part = holding(alone(), 0)
+    part.on_message("entry-2", RevisionDocument(document(5)), 100)
+    assert part.watching(1_000)
+    found = part.on_store_document(StoreDocumentArrived(document(3), 9), 30_000)
+    found += part.on_timer(30_000)
+    assert not of_kind(found, RestoreDocument)
+    assert WatchStore(False) in found and not part.watching(30_000)
+
+
+def test_leaving_watcher_releases_its_lease():
+    part = holding(alone(), 0)
+    row = MemberView("entry-1", "a", 1, MemberState.LEAVING, HostDigest())
+    found = part.set_members(MembershipView((row,)), 200)
+    assert of_kind(found, ReleaseLease) and WatchStore(False) in found
+
+
+def _store_fails_after_accepting(cluster):
+    cluster.accept(document(2))
+    cluster.run_ms(10)
+    cluster.set_store_down(True)
+
+
+def _watcher_dies(cluster):
+    cluster.crash(watcher_of(cluster, "a").name)
+    cluster.accept(document(2))
+
+
+def _watcher_pauses_and_domain_is_cut_off(cluster):
+    cluster.pause(watcher_of(cluster, "a").name)
+    cluster.separate({"a"}, from_store=False)
+    cluster.accept(document(2))
+
+
+def _domain_reaches_peers_only(cluster):
+    cluster.separate({"b"}, from_store=True)
+    cluster.separated = set()
+    cluster.accept(document(2))
+
+
+FAULTS = [
+    _store_fails_after_accepting,
+    _watcher_dies,
+    _watcher_pauses_and_domain_is_cut_off,
+    _domain_reaches_peers_only,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+@pytest.mark.parametrize("seed", range(3))
+def test_change_is_in_force_within_9_s_on_every_running_host(fault, seed):
+    cluster = started(seed)
+    fault(cluster)
+    running = [host for host in cluster.hosts.values() if not host.paused]
+    done = cluster.run_until(
+        lambda: all(host.convergence.revision() == 2 for host in running), limit_ms=IN_FORCE_MS
+    )
+    assert done is not None
+
+
+def test_host_that_starts_while_the_store_is_down_asks_its_seeds():
+    cluster = started()
+    cluster.set_store_down(True)
+    cluster.crash("entry-1")
+    cluster.run_ms(5_000)
+    cluster.start("entry-1")
+    assert cluster.run_until(lambda: cluster.in_force(1), limit_ms=5_000) is not None
+
+
+class ConvergenceMachine(RuleBasedStateMachine):
+    """Random faults of store, network and hosts, with operators that go on applying files."""
+
+    names = st.sampled_from(sorted(HOSTS))
+
+    @initialize(seed=st.integers(0, 1_000))
+    def begin(self, seed):
+        self.cluster = started(seed)
+
+    @rule(duration_ms=st.sampled_from([50, 500, 3_000, 8_000]))
+    def pass_time(self, duration_ms):
+        self.cluster.run_ms(duration_ms)
+
+    @precondition(lambda self: not self.cluster.store.down)
+    @rule()
+    def accept(self):
+        self.cluster.accept(document(self._highest() + 1))
+
+    @rule(down=st.booleans())
+    def change_store(self, down):
+        self.cluster.set_store_down(down)
+
+    @precondition(lambda self: self.cluster.store.down)
+    @rule(steps=st.integers(1, 3))
+    def lose_writes_during_an_outage(self, steps):
+        revision = max(0, self.cluster.store.revision() - steps)
+        self.cluster.store.go_back_to(document(revision) if revision else None)
+
+    @rule(lost=st.booleans())
+    def lose_answers(self, lost):
+        self.cluster.lose_store_answers = lost
+
+    @rule(domains=st.sets(st.sampled_from("abc"), max_size=2), from_store=st.booleans())
+    def separate(self, domains, from_store):
+        self.cluster.separate(domains, from_store=from_store)
+
+    @rule(loss=st.sampled_from([0.0, 0.2]), delay_ms=st.sampled_from([10.0, 1_000.0]))
+    def change_links(self, loss, delay_ms):
+        self.cluster.link = Link((0.5, delay_ms), (5.0, delay_ms + 5), loss, loss)
+
+    @rule(name=names)
+    def pause_or_resume(self, name):
+        host = self.cluster.hosts.get(name)
+        if host is not None:
+            (self.cluster.resume if host.paused else self.cluster.pause)(name)
+
+    @rule(name=names)
+    def crash_or_restart(self, name):
+        if name not in self.cluster.hosts:
+            self.cluster.start(name)
+        elif len(self.cluster.hosts) > 1:
+            self.cluster.crash(name)
+
+    @invariant()
+    def revisions_never_fall(self):
+        for host in self._hosts():
+            revisions = [revision for revision, _ in host.applied]
+            assert revisions == sorted(set(revisions))
+            assert not host.convergence.conflict()
+
+    @invariant()
+    def no_write_back_lowers_the_revision_in_the_store(self):
+        assert not hasattr(self, "cluster") or self.cluster.store.lowered_by_restore == 0
+
+    @invariant()
+    def a_domain_has_at_most_one_watcher(self):
+        hosts = [h for h in self._hosts() if h.convergence.watching(self.cluster.now())]
+        assert len(hosts) == len({host.domain for host in hosts})
+
+    def teardown(self):
+        if not hasattr(self, "cluster"):
+            return
+        self.cluster.separate(set())
+        self.cluster.link = Link()
+        self.cluster.lose_store_answers = False
+        self.cluster.set_store_down(False)
+        for host in [each for each in self._hosts() if each.paused]:
+            self.cluster.resume(host.name)
+        highest = self._highest()
+        assert self.cluster.run_until(lambda: self._settled(highest), limit_ms=60_000) is not None
+
+    def _hosts(self):
+        return self.cluster.hosts.values() if hasattr(self, "cluster") else ()
+
+    def _highest(self):
+        held = [host.convergence.revision() for host in self._hosts()]
+        return max([self.cluster.store.revision(), *held])
+
+    def _settled(self, revision):
+        return self.cluster.in_force(revision) and self.cluster.store.revision() == revision
+
+
+ConvergenceMachine.TestCase.settings = settings(max_examples=40, stateful_step_count=20)
+TestConvergenceMachine = ConvergenceMachine.TestCase
