--- /dev/null
+++ b/src/redwingswitch/_internal/network/etcd_gateway.py
@@ -0,0 +1,211 @@
+"""Calls to the JSON gateway of the etcd v3 API over HTTP, with several endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from collections.abc import Callable, Sequence
+from enum import Enum, auto
+from typing import NotRequired, TypedDict, TypeVar
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
+
+from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from redwingswitch._internal.ports import StoredValue
+
+T = TypeVar("T")
+
+MAX_CONCURRENT_CALLS = 16
+# A value of 1 MB is a third longer in base64; the rest is the other fields.
+MAX_REPLY_BYTES = 2_000_000
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_REQUEST_TIMEOUT = 408
+CLIENT_ERRORS = range(400, 500)
+MS_PER_S = 1_000
+
+
+class ReplyHeader(TypedDict):
+    """The store's revision at the time of a reply; it rises with each write to any key."""
+
+    revision: NotRequired[int]
+
+
+class KeyValue(TypedDict):
+    """One key; fields with the value 0 or an empty value are left out on the wire."""
+
+    key: str
+    value: NotRequired[str]
+    mod_revision: NotRequired[int]
+    lease: NotRequired[int]
+
+
+class RangeReply(TypedDict):
+    """The reply to ``kv/range``."""
+
+    header: NotRequired[ReplyHeader]
+    kvs: NotRequired[list[KeyValue]]
+
+
+class TransactionReply(TypedDict):
+    """The reply to ``kv/txn``."""
+
+    header: NotRequired[ReplyHeader]
+    succeeded: NotRequired[bool]
+
+
+class LeaseReply(TypedDict):
+    """The reply to ``lease/grant``, and the result in the reply to ``lease/keepalive``."""
+
+    ID: NotRequired[int]
+    TTL: NotRequired[int]
+
+
+class KeepAliveReply(TypedDict):
+    """The reply to ``lease/keepalive``."""
+
+    result: NotRequired[LeaseReply]
+
+
+class EmptyReply(TypedDict):
+    """A reply without fields that matter."""
+
+
+class Effect(Enum):
+    """What a call may do, which decides whether it may be sent to a second endpoint."""
+
+    READ = auto()
+    REPEATABLE_WRITE = auto()
+    SINGLE_WRITE = auto()
+
+
+class _CallError(Exception):
+    """One endpoint did not answer usefully; ``may_have_run`` is true once the body was sent."""
+
+    def __init__(self, problem: str, *, may_have_run: bool) -> None:
+        super().__init__(problem)
+        self.may_have_run = may_have_run
+
+
+class _NotFoundError(_CallError):
+    """The store has no object of that id."""
+
+
+def to_base64(data: bytes) -> str:
+    """Return ``data`` as the gateway expects bytes in JSON."""
+    return base64.b64encode(data).decode()
+
+
+def stored_value(found: KeyValue) -> StoredValue:
+    """Return the port's form of a key on the wire."""
+    value = base64.b64decode(found.get("value", ""))
+    return StoredValue(value=value, version=found.get("mod_revision", 0))
+
+
+class EtcdGateway:
+    """The endpoints of one store; the one that last answered is asked first."""
+
+    def __init__(self, *, endpoints: Sequence[str], timeout_ms: int) -> None:
+        self._endpoints = list(endpoints)
+        self._timeout_ms = timeout_ms
+        self._client = new_client()
+
+    def close(self) -> None:
+        """Release the client's resources."""
+        self._client.close()
+
+    @property
+    def preferred_endpoint(self) -> str:
+        """The endpoint that is asked first."""
+        return self._endpoints[0]
+
+    async def call(
+        self,
+        path: str,
+        body: object,
+        *,
+        reply: type[T],
+        effect: Effect,
+        not_found: T | None = None,
+    ) -> T:
+        """Send ``body`` to ``path``; each endpoint has ``timeout_ms`` to answer.
+
+        ``not_found`` is the result when the store has no such object, if that is an answer.
+        Raise StoreOutcomeUnknownError when a write may have run, and StoreUnavailableError when
+        the call certainly had no effect.
+        """
+        payload = msgspec.json.encode(body)
+        may_have_run = False
+        problems: list[str] = []
+        for endpoint in tuple(self._endpoints):
+            try:
+                answer = await self._post(f"{endpoint}/v3/{path}", payload, reply)
+            except _NotFoundError as failure:
+                if not_found is not None:
+                    return not_found
+                problems.append(f"{endpoint}: {failure}")
+            except _CallError as failure:
+                problems.append(f"{endpoint}: {failure}")
+                may_have_run |= failure.may_have_run
+                if failure.may_have_run and effect is Effect.SINGLE_WRITE:
+                    break
+            else:
+                self._prefer(endpoint)
+                return answer
+        text = "; ".join(problems)
+        if may_have_run and effect is not Effect.READ:
+            raise StoreOutcomeUnknownError(f"the store did not confirm {path}: {text}")
+        raise StoreUnavailableError(f"the store did not answer {path}: {text}")
+
+    def _prefer(self, endpoint: str) -> None:
+        self._endpoints.remove(endpoint)
+        self._endpoints.insert(0, endpoint)
+
+    async def _post(self, url: str, payload: bytes, reply: type[T]) -> T:
+        sent = False
+
+        def produce(write: Callable[[bytes], None]) -> asyncio.Future[None]:
+            nonlocal sent
+            sent = True
+            write(payload)
+            written: asyncio.Future[None] = asyncio.Future()
+            written.set_result(None)
+            return written
+
+        request = HTTPRequest(
+            url,
+            method="POST",
+            headers={"Content-Type": "application/json", "Content-Length": str(len(payload))},
+            body_producer=produce,
+            connect_timeout=self._timeout_ms / MS_PER_S,
+            request_timeout=self._timeout_ms / MS_PER_S,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except (HTTPClientError, OSError) as error:
+            problem = str(error) or type(error).__name__
+            raise _CallError(problem, may_have_run=sent) from None
+        return _decode(response, reply)
+
+
+def new_client() -> AsyncHTTPClient:
+    """Return a client of its own, so that one kind of call cannot use up another's slots."""
+    return AsyncHTTPClient(
+        force_instance=True, max_clients=MAX_CONCURRENT_CALLS, max_body_size=MAX_REPLY_BYTES
+    )
+
+
+def _decode(response: HTTPResponse, reply: type[T]) -> T:
+    if response.code == HTTP_NOT_FOUND:
+        raise _NotFoundError("not found", may_have_run=False)
+    if response.code != HTTP_OK:
+        # The gateway checks a request before it runs it; every other status may come too late.
+        refused = response.code in CLIENT_ERRORS and response.code != HTTP_REQUEST_TIMEOUT
+        text = response.body[:200].decode(errors="replace").strip()
+        raise _CallError(f"HTTP {response.code} {text}", may_have_run=not refused)
+    try:
+        return msgspec.json.decode(response.body, type=reply, strict=False)
+    except msgspec.MsgspecError as error:
+        raise _CallError(f"unreadable reply ({error})", may_have_run=True) from None
--- /dev/null
+++ b/src/redwingswitch/_internal/network/etcd_watch.py
@@ -0,0 +1,148 @@
+"""A watch on one key through the JSON gateway of the etcd v3 API."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NoReturn, NotRequired, TypedDict
+
+import msgspec
+from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado.httputil import HTTPInputError
+from tornado.simple_httpclient import HTTPTimeoutError
+
+from redwingswitch._internal.exceptions import StoreUnavailableError
+from redwingswitch._internal.network.etcd_gateway import (
+    HTTP_OK,
+    MAX_REPLY_BYTES,
+    MS_PER_S,
+    KeyValue,
+    ReplyHeader,
+    new_client,
+    stored_value,
+    to_base64,
+)
+from redwingswitch._internal.ports import StoredValue
+
+# A connection can die without a sign, so a watch is opened anew after this time.
+WATCH_TURN_MS = 15_000
+
+
+class WatchEvent(TypedDict):
+    """One change of the key; the type is left out for a new value."""
+
+    type: NotRequired[str]
+    kv: NotRequired[KeyValue]
+
+
+class WatchResult(TypedDict):
+    """One message of the stream."""
+
+    header: NotRequired[ReplyHeader]
+    created: NotRequired[bool]
+    canceled: NotRequired[bool]
+    events: NotRequired[list[WatchEvent]]
+
+
+class WatchMessage(TypedDict):
+    """One line of the stream: a result, or an error that ends it."""
+
+    result: NotRequired[WatchResult]
+    error: NotRequired[dict[str, object]]
+
+
+class EtcdWatch:
+    """Opens one watch at a time and hands its values on."""
+
+    def __init__(self, *, connect_timeout_ms: int, turn_ms: int) -> None:
+        self._connect_timeout_ms = connect_timeout_ms
+        self._turn_ms = turn_ms
+        self._client = new_client()
+
+    def close(self) -> None:
+        """Release the client's resources."""
+        self._client.close()
+
+    async def run(
+        self,
+        *,
+        endpoint: str,
+        key: str,
+        start_revision: int,
+        on_value: Callable[[StoredValue], None],
+    ) -> int | None:
+        """Watch for one turn; return the version of the last value, or None without one.
+
+        Raise StoreUnavailableError when the watch ends before its turn is over.
+        """
+        stream = _Stream(on_value=on_value)
+        create = {"key": to_base64(key.encode()), "start_revision": str(start_revision)}
+        request = HTTPRequest(
+            f"{endpoint}/v3/watch",
+            method="POST",
+            headers={"Content-Type": "application/json"},
+            body=msgspec.json.encode({"create_request": create}),
+            connect_timeout=self._connect_timeout_ms / MS_PER_S,
+            request_timeout=self._turn_ms / MS_PER_S,
+            streaming_callback=stream.feed,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except HTTPTimeoutError:
+            if stream.created and stream.problem is None:
+                return stream.last_version
+            raise StoreUnavailableError("the store did not open a watch in time") from None
+        except (HTTPClientError, OSError) as error:
+            problem = stream.problem or str(error) or type(error).__name__
+            raise StoreUnavailableError(f"the watch was cut off: {problem}") from None
+        finally:
+            # The client keeps an abandoned request until its timeout.
+            stream.closed = True
+        status = "" if response.code == HTTP_OK else f" with HTTP {response.code}"
+        raise StoreUnavailableError(f"the store ended the watch{status} {stream.problem or ''}")
+
+
+class _Stream:
+    """Splits the stream into messages and hands new values on."""
+
+    def __init__(self, *, on_value: Callable[[StoredValue], None]) -> None:
+        self.created = False
+        self.closed = False
+        self.problem: str | None = None
+        self.last_version: int | None = None
+        self._on_value = on_value
+        self._buffer = b""
+
+    def feed(self, chunk: bytes) -> None:
+        """Take the next bytes of the stream."""
+        if self.closed or self.problem:
+            raise HTTPInputError("the watch is no longer wanted")
+        *lines, self._buffer = (self._buffer + chunk).split(b"\n")
+        if len(self._buffer) > MAX_REPLY_BYTES:
+            self._fail("a message is longer than a document can be")
+        for line in lines:
+            if line.strip():
+                self._message(line)
+
+    def _message(self, line: bytes) -> None:
+        try:
+            message = msgspec.json.decode(line, type=WatchMessage, strict=False)
+        except msgspec.MsgspecError as error:
+            self._fail(f"unreadable message ({error})")
+        result = message.get("result")
+        if result is None or result.get("canceled"):
+            self._fail(f"cancelled by the store {message.get('error', '')}")
+        self.created |= result.get("created", False)
+        for event in result.get("events", []):
+            found = event.get("kv")
+            if event.get("type", "PUT") == "PUT" and found is not None:
+                self._hand_on(stored_value(found))
+
+    def _hand_on(self, stored: StoredValue) -> None:
+        self.last_version = stored.version
+        self._on_value(stored)
+
+    def _fail(self, problem: str) -> NoReturn:
+        # The client closes the connection quietly for this error, and reports others as faults.
+        self.problem = problem
+        raise HTTPInputError(problem)
--- /dev/null
+++ b/src/redwingswitch/_internal/network/store_http.py
@@ -0,0 +1,173 @@
+"""The platform's key-value service over the JSON gateway of the etcd v3 API.
+
+A version is the ``mod_revision`` of a key. Unlike etcd's own ``version`` of a key it never starts
+again at 1 when a key is deleted and created anew, which fencing relies on.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+
+from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from redwingswitch._internal.network.etcd_gateway import (
+    MS_PER_S,
+    Effect,
+    EmptyReply,
+    EtcdGateway,
+    KeepAliveReply,
+    LeaseReply,
+    RangeReply,
+    TransactionReply,
+    stored_value,
+    to_base64,
+)
+from redwingswitch._internal.network.etcd_watch import WATCH_TURN_MS, EtcdWatch
+from redwingswitch._internal.ports import GrantedLease, KeyVersion, StoredValue
+
+ABSENT_VERSION = 0
+
+
+class HttpConfigStore:
+    """A ``ConfigStore`` behind one or more HTTP endpoints."""
+
+    def __init__(
+        self, *, endpoints: Sequence[str], timeout_ms: int, watch_turn_ms: int = WATCH_TURN_MS
+    ) -> None:
+        self._gateway = EtcdGateway(endpoints=endpoints, timeout_ms=timeout_ms)
+        self._watch = EtcdWatch(connect_timeout_ms=timeout_ms, turn_ms=watch_turn_ms)
+
+    def close(self) -> None:
+        """Release the clients' resources."""
+        self._gateway.close()
+        self._watch.close()
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of ``key``, or None when it does not exist."""
+        stored, _ = await self._read(key)
+        return stored
+
+    async def compare_and_swap(
+        self, *, key: str, value: bytes, expected: Sequence[KeyVersion]
+    ) -> int | None:
+        """Write ``value`` if every expectation holds; return the new version, or None."""
+        return await self._put_if(key=key, value=value, expected=expected, lease_id=0)
+
+    async def acquire_lease(self, *, key: str, holder: str, ttl_ms: int) -> GrantedLease | None:
+        """Create ``key`` under a new lease; return None while another holder has it.
+
+        The key is read first, because a host that cannot have it asks often.
+        """
+        if await self.get(key) is not None:
+            return None
+        lease_id = await self._grant(ttl_ms)
+        expected = [KeyVersion(key=key, version=ABSENT_VERSION)]
+        try:
+            version = await self._put_if(
+                key=key, value=holder.encode(), expected=expected, lease_id=lease_id
+            )
+        except StoreOutcomeUnknownError as error:
+            # The write cannot run after the revocation, because it names the revoked lease.
+            if await self._revoked(lease_id):
+                raise StoreUnavailableError(f"{error}; the lease was given up") from None
+            raise
+        if version is None:
+            await self._revoked(lease_id)
+            return None
+        return GrantedLease(lease_id=lease_id, key_version=version)
+
+    async def renew_lease(self, lease: GrantedLease) -> bool:
+        """Extend a lease; return False when it has lapsed."""
+        reply = await self._gateway.call(
+            "lease/keepalive",
+            {"ID": str(lease.lease_id)},
+            reply=KeepAliveReply,
+            effect=Effect.REPEATABLE_WRITE,
+        )
+        return reply.get("result", LeaseReply()).get("TTL", 0) > 0
+
+    async def release_lease(self, lease: GrantedLease) -> None:
+        """Give a lease up, and with it the key."""
+        await self._revoke(lease.lease_id)
+
+    async def watch(
+        self, key: str, *, after_version: int, on_value: Callable[[StoredValue], None]
+    ) -> None:
+        """Call ``on_value`` for each value with another version until cancelled or a failure.
+
+        Each turn reads the key before it watches. This finds a value that came between two turns,
+        and the older value of a store that went back, whose versions are not "later".
+        """
+        while True:
+            stored, store_revision = await self._read(key)
+            if stored is not None and stored.version != after_version:
+                after_version = stored.version
+                on_value(stored)
+            last_version = await self._watch.run(
+                endpoint=self._gateway.preferred_endpoint,
+                key=key,
+                start_revision=store_revision + 1,
+                on_value=on_value,
+            )
+            after_version = last_version or after_version
+
+    async def _read(self, key: str) -> tuple[StoredValue | None, int]:
+        """Return the value of ``key`` and the store's revision at that time."""
+        reply = await self._gateway.call(
+            "kv/range", {"key": to_base64(key.encode())}, reply=RangeReply, effect=Effect.READ
+        )
+        found = reply.get("kvs", [])
+        revision = reply.get("header", {}).get("revision", 0)
+        return (stored_value(found[0]) if found else None), revision
+
+    async def _put_if(
+        self, *, key: str, value: bytes, expected: Sequence[KeyVersion], lease_id: int
+    ) -> int | None:
+        put = {"key": to_base64(key.encode()), "value": to_base64(value), "lease": str(lease_id)}
+        body = {
+            "compare": [_comparison(expectation) for expectation in expected],
+            "success": [{"request_put": put}],
+        }
+        reply = await self._gateway.call(
+            "kv/txn", body, reply=TransactionReply, effect=Effect.SINGLE_WRITE
+        )
+        if not reply.get("succeeded", False):
+            return None
+        return reply.get("header", {}).get("revision", 0)
+
+    async def _grant(self, ttl_ms: int) -> int:
+        body = {"TTL": str(math.ceil(ttl_ms / MS_PER_S)), "ID": "0"}
+        try:
+            reply = await self._gateway.call(
+                "lease/grant", body, reply=LeaseReply, effect=Effect.SINGLE_WRITE
+            )
+        except StoreOutcomeUnknownError as error:
+            # A lease without a key holds nothing and lapses by itself.
+            raise StoreUnavailableError(str(error)) from None
+        return reply.get("ID", 0)
+
+    async def _revoked(self, lease_id: int) -> bool:
+        """Try to revoke a lease; return whether that is confirmed."""
+        with suppress(StoreUnavailableError, StoreOutcomeUnknownError):
+            await self._revoke(lease_id)
+            return True
+        return False
+
+    async def _revoke(self, lease_id: int) -> None:
+        await self._gateway.call(
+            "lease/revoke",
+            {"ID": str(lease_id)},
+            reply=EmptyReply,
+            effect=Effect.REPEATABLE_WRITE,
+            not_found=EmptyReply(),
+        )
+
+
+def _comparison(expectation: KeyVersion) -> dict[str, str]:
+    return {
+        "key": to_base64(expectation.key.encode()),
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expectation.version),
+    }
--- /dev/null
+++ b/src/redwingswitch/_internal/utils/clocks.py
@@ -0,0 +1,15 @@
+"""The clock of this host."""
+
+from __future__ import annotations
+
+import time
+
+NS_PER_MS = 1_000_000
+
+
+class MonotonicClock:
+    """A ``Clock`` that reads the host's monotonic clock."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since an arbitrary point; never goes back."""
+        return time.monotonic_ns() // NS_PER_MS
--- /dev/null
+++ b/tests/lib/stores.py
@@ -0,0 +1,35 @@
+"""The store stand-in and its adapter for tests, on a clock that the test moves."""
+
+from contextlib import asynccontextmanager
+
+from redwingswitch._internal.network.store_http import HttpConfigStore
+from redwingswitch._internal.standins.store import StoreStandin
+
+PATIENT_MS = 10_000
+
+
+class ManualClock:
+    """A clock that moves only when a test says so."""
+
+    def __init__(self):
+        self.milliseconds = 0
+
+    def now_ms(self):
+        return self.milliseconds
+
+
+@asynccontextmanager
+async def running_store(*, timeout_ms=PATIENT_MS, watch_turn_ms=PATIENT_MS, extra_endpoints=()):
+    """Yield a started stand-in and a store adapter, which asks ``extra_endpoints`` first."""
+    standin = StoreStandin(clock=ManualClock())
+    standin.start()
+    endpoint = f"http://127.0.0.1:{standin.port}"
+    store = HttpConfigStore(
+        endpoints=[*extra_endpoints, endpoint], timeout_ms=timeout_ms, watch_turn_ms=watch_turn_ms
+    )
+    try:
+        yield standin, store
+    finally:
+        standin.faults.released.set()
+        store.close()
+        await standin.stop()
--- /dev/null
+++ b/tests/unit/network/test_store_http.py
@@ -0,0 +1,300 @@
+"""Contract tests of the store adapter: what each fault of the store lets a caller conclude."""
+
+import asyncio
+import socket
+
+import pytest
+
+from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from redwingswitch._internal.ports import GrantedLease, KeyVersion
+from redwingswitch._internal.standins.store import Call
+from tests.lib.stores import running_store
+
+KEY = "redwingswitch/configuration"
+LEASE = "redwingswitch/watcher/hobart"
+UNAVAILABLE = StoreUnavailableError
+UNKNOWN = StoreOutcomeUnknownError
+IMPATIENT_MS = 200
+
+
+async def swap(store, value, version, key=KEY):
+    expected = [KeyVersion(key, version)]
+    return await store.compare_and_swap(key=key, value=value, expected=expected)
+
+
+async def prepare(store):
+    """Write a value and take a lease; return both."""
+    version = await swap(store, b"old", 0)
+    lease = await store.acquire_lease(key=LEASE, holder="entry-1", ttl_ms=1_500)
+    return version, lease
+
+
+async def call(method, store, version, lease):
+    calls = {
+        "get": lambda: store.get(KEY),
+        "swap": lambda: swap(store, b"new", version),
+        "acquire": lambda: store.acquire_lease(key="other", holder="entry-2", ttl_ms=2_000),
+        "renew": lambda: store.renew_lease(lease),
+        "release": lambda: store.release_lease(lease),
+    }
+    return await calls[method]()
+
+
+def has_effect(method, standin):
+    """Return whether the call of ``method`` changed the store."""
+    effects = {
+        "get": lambda: False,
+        "swap": lambda: standin.state.get(KEY).value == b"new",
+        "acquire": lambda: standin.state.get("other") is not None,
+        "renew": lambda: False,
+        "release": lambda: standin.state.get(LEASE) is None,
+    }
+    return effects[method]()
+
+
+# Method, the call that is hit, the fault, the error, and whether the call has taken effect.
+FAULTS = [
+    ("get", Call.RANGE, "lose_before", UNAVAILABLE, False),
+    ("get", Call.RANGE, "lose_after", UNAVAILABLE, False),
+    ("get", Call.RANGE, "fail_after", UNAVAILABLE, False),
+    ("get", Call.RANGE, "down", UNAVAILABLE, False),
+    ("get", Call.RANGE, "slow", UNAVAILABLE, False),
+    ("swap", Call.TXN, "lose_before", UNKNOWN, False),
+    ("swap", Call.TXN, "lose_after", UNKNOWN, True),
+    ("swap", Call.TXN, "fail_after", UNKNOWN, True),
+    ("swap", Call.TXN, "down", UNKNOWN, False),
+    ("swap", Call.TXN, "slow", UNKNOWN, False),
+    ("acquire", Call.RANGE, "lose_after", UNAVAILABLE, False),
+    ("acquire", Call.GRANT, "lose_before", UNAVAILABLE, False),
+    ("acquire", Call.GRANT, "lose_after", UNAVAILABLE, False),
+    ("acquire", Call.TXN, "lose_before", UNAVAILABLE, False),
+    ("acquire", Call.TXN, "lose_after", UNAVAILABLE, False),
+    ("acquire", Call.TXN, "fail_after", UNAVAILABLE, False),
+    ("acquire", Call.TXN, "lose_after and no revocation", UNKNOWN, True),
+    ("renew", Call.KEEP_ALIVE, "lose_before", UNKNOWN, False),
+    ("renew", Call.KEEP_ALIVE, "lose_after", UNKNOWN, False),
+    ("renew", Call.KEEP_ALIVE, "slow", UNKNOWN, False),
+    ("release", Call.REVOKE, "lose_before", UNKNOWN, False),
+    ("release", Call.REVOKE, "lose_after", UNKNOWN, True),
+]
+
+
+@pytest.mark.parametrize(("method", "hit", "fault", "error", "effect"), FAULTS)
+def test_a_fault_is_reported_as_what_it_may_have_done(method, hit, fault, error, effect):
+    async def scenario():
+        timeout_ms = IMPATIENT_MS if fault == "slow" else 10_000
+        async with running_store(timeout_ms=timeout_ms) as (standin, store):
+            version, lease = await prepare(store)
+            faults = standin.faults
+            if fault == "down":
+                faults.down = True
+            elif fault == "slow":
+                faults.released.clear()
+            elif fault == "lose_after and no revocation":
+                faults.lose_after[hit] = 1
+                faults.lose_before[Call.REVOKE] = 1
+            else:
+                getattr(faults, fault)[hit] = 1
+            with pytest.raises(error):
+                await call(method, store, version, lease)
+            assert has_effect(method, standin) is effect
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("method", ["get", "swap", "acquire", "renew", "release"])
+def test_a_refused_connection_proves_that_nothing_happened(method):
+    async def scenario():
+        async with running_store() as (standin, store):
+            version, lease = await prepare(store)
+            await standin.stop()
+            with pytest.raises(UNAVAILABLE):
+                await call(method, store, version, lease)
+
+    asyncio.run(scenario())
+
+
+def test_values_versions_and_comparisons():
+    async def scenario():
+        async with running_store() as (_, store):
+            assert await store.get(KEY) is None
+            first = await swap(store, b"a", 0)
+            assert await store.get(KEY) == (b"a", first)
+            assert await swap(store, b"b", 0) is None
+            second = await swap(store, b"b", first)
+            assert second > first
+            assert await swap(store, b"c", first) is None
+            # Every comparison counts, as fencing needs.
+            lease = await store.acquire_lease(key=LEASE, holder="h", ttl_ms=1_000)
+            held, lost = KeyVersion(LEASE, lease.key_version), KeyVersion(LEASE, first)
+            expected = KeyVersion(KEY, second)
+            for fence, wins in ((lost, False), (held, True)):
+                written = await store.compare_and_swap(
+                    key=KEY, value=b"d", expected=[expected, fence]
+                )
+                assert (written is not None) is wins
+
+    asyncio.run(scenario())
+
+
+def test_a_lease_lapses_excludes_others_and_never_reuses_a_version():
+    async def scenario():
+        async with running_store() as (standin, store):
+            first = await store.acquire_lease(key=LEASE, holder="entry-1", ttl_ms=1_500)
+            assert await store.acquire_lease(key=LEASE, holder="entry-2", ttl_ms=1_500) is None
+            # The store counts whole seconds, so the lease lasts 2 s; renewal starts them again.
+            standin.clock.milliseconds = 1_999
+            assert await store.renew_lease(first)
+            standin.clock.milliseconds = 3_998
+            assert await store.renew_lease(first)
+            standin.clock.milliseconds = 5_998
+            assert not await store.renew_lease(first)
+            second = await store.acquire_lease(key=LEASE, holder="entry-2", ttl_ms=1_500)
+            assert second.key_version > first.key_version
+            await store.release_lease(first)
+            await store.release_lease(GrantedLease(lease_id=1, key_version=1))
+            assert standin.state.get(LEASE).value == b"entry-2"
+            await store.release_lease(second)
+            assert standin.state.get(LEASE) is None
+
+    asyncio.run(scenario())
+
+
+def test_a_lost_race_for_a_lease_leaves_no_lease_behind():
+    async def scenario():
+        async with running_store() as (standin, store):
+            attempts = [
+                store.acquire_lease(key=LEASE, holder=f"entry-{n}", ttl_ms=1_000) for n in range(5)
+            ]
+            granted = [lease for lease in await asyncio.gather(*attempts) if lease is not None]
+            assert len(granted) == 1
+            assert standin.calls()["lease/revoke"] == standin.calls()["lease/grant"] - 1
+
+    asyncio.run(scenario())
+
+
+def test_other_endpoints_are_asked_only_when_that_is_safe():
+    async def scenario():
+        with socket.create_server(("127.0.0.1", 0)) as unused:
+            refused = f"http://127.0.0.1:{unused.getsockname()[1]}"
+        async with running_store(extra_endpoints=[refused]) as (_, store):
+            assert await swap(store, b"a", 0) is not None
+        async with running_store() as (second, _):
+            endpoints = [f"http://127.0.0.1:{second.port}"]
+            async with running_store(extra_endpoints=endpoints) as (standin, store):
+                second.faults.down = True
+                assert await store.get(KEY) is None
+                assert second.calls()["kv/range"] == 1
+                # The endpoint that answered is asked first from now on.
+                assert await store.get(KEY) is None
+                assert second.calls()["kv/range"] == 1
+                standin.faults.lose_after[Call.TXN] = 1
+                with pytest.raises(UNKNOWN):
+                    await swap(store, b"a", 0)
+                assert "kv/txn" not in second.calls()
+
+    asyncio.run(scenario())
+
+
+class Values:
+    """Collects what a watch delivers."""
+
+    def __init__(self):
+        self.queue = asyncio.Queue()
+
+    def __call__(self, stored):
+        self.queue.put_nowait(stored)
+
+    async def next(self):
+        return (await self.queue.get()).value
+
+
+def test_a_watch_delivers_each_later_value_and_resumes():
+    async def scenario():
+        async with running_store() as (standin, store):
+            first = await swap(store, b"a", 0)
+            values = Values()
+            watch = store.watch(KEY, after_version=first, on_value=values)
+            watching = asyncio.create_task(watch)
+            while not standin.state.waiting_watches():
+                await asyncio.sleep(0)
+            second = await swap(store, b"b", first)
+            assert await values.next() == b"b"
+            await swap(store, b"c", second)
+            assert await values.next() == b"c"
+            assert (standin.calls()["watch"], standin.calls()["waiting watches"]) == (1, 1)
+            watching.cancel()
+            # A value that was written while nobody watched is delivered first.
+            watch = store.watch(KEY, after_version=second, on_value=values)
+            resumed = asyncio.create_task(watch)
+            assert await values.next() == b"c"
+            resumed.cancel()
+            assert values.queue.empty()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("fault", ["lose_after", "lose_before", "stopped"])
+def test_a_watch_that_is_cut_off_fails(fault):
+    async def scenario():
+        async with running_store() as (standin, store):
+            if fault != "stopped":
+                getattr(standin.faults, fault)[Call.WATCH] = 1
+            watch = store.watch(KEY, after_version=0, on_value=Values())
+            watching = asyncio.create_task(watch)
+            if fault != "lose_before":
+                while not standin.state.waiting_watches():
+                    await asyncio.sleep(0)
+                await swap(store, b"a", 0)
+            if fault == "stopped":
+                await standin.stop()
+            with pytest.raises(UNAVAILABLE):
+                await watching
+
+    asyncio.run(scenario())
+
+
+def test_a_watch_finds_the_older_content_of_a_store_that_went_back():
+    async def scenario():
+        # The store says nothing on open watches when it goes back; the next turn finds it.
+        async with running_store(watch_turn_ms=IMPATIENT_MS) as (standin, store):
+            first = await swap(store, b"a", 0)
+            content = standin.state.snapshot()
+            second = await swap(store, b"b", first)
+            values = Values()
+            watch = store.watch(KEY, after_version=second, on_value=values)
+            watching = asyncio.create_task(watch)
+            while not standin.state.waiting_watches():
+                await asyncio.sleep(0)
+            standin.state.restore(content)
+            assert await values.next() == b"a"
+            watching.cancel()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        b"{}\n",
+        b"not json\n",
+        b'{"error": {"message": "no"}}\n',
+        b'{"result": {"canceled": true}}\n',
+        b"x" * 2_000_001,
+    ],
+)
+def test_a_watch_refuses_what_it_cannot_read(line, monkeypatch):
+    async def scenario():
+        async with running_store() as (_, store):
+
+            async def answer(handler, faults):
+                handler.write(line)
+                await handler.flush()
+                await handler._closed.wait()
+
+            handlers = "redwingswitch._internal.standins.store.WatchHandler._answer"
+            monkeypatch.setattr(handlers, answer)
+            with pytest.raises(UNAVAILABLE):
+                await store.watch(KEY, after_version=0, on_value=Values())
+
+    asyncio.run(scenario())
