--- a/src/redwingswitch/_internal/configuration/document.py
+++ b/src/redwingswitch/_internal/configuration/document.py
@@ -28,7 +28,14 @@
 
 
 def make_document(
-    *, text: str, revision: int, apply_id: str, operator: str, previous: Document | None
+    *,
+    text: str,
+    revision: int,
+    apply_id: str,
+    operator: str,
+    previous: Document | None,
+    applied_at: str = "",
+    summary: str = "",
 ) -> Document:
     """Return the successor of ``previous``; it lists the last apply ids, its own included."""
     earlier = [] if previous is None else previous["recent_apply_ids"]
@@ -40,6 +47,8 @@
         digest=text_digest(text),
         text=text,
         recent_apply_ids=[*earlier, apply_id][-RECENT_APPLY_IDS:],
+        applied_at=applied_at,
+        summary=summary,
     )
 
 
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -54,6 +54,14 @@
     """Another operator's configuration was accepted first."""
 
 
+class StoreBehindFleetError(RedwingswitchError):
+    """Entry hosts hold a configuration that the key-value service does not have."""
+
+
+class FleetUnreachableError(RedwingswitchError):
+    """No entry host answered, so the revision in force is not known."""
+
+
 class DecodeError(RedwingswitchError):
     """A packet or message is malformed or has an unknown schema version."""
 
--- a/src/redwingswitch/_internal/models/configuration.py
+++ b/src/redwingswitch/_internal/models/configuration.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
-from typing import NamedTuple, TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 DOCUMENT_SCHEMA_VERSION = 1
 MAX_DOCUMENT_BYTES = 1_000_000
@@ -119,7 +119,11 @@
 
 
 class Document(TypedDict):
-    """The value under the configuration key in the platform's key-value service."""
+    """The value under the configuration key in the platform's key-value service.
+
+    ``applied_at`` is a time of the operator's own clock and ``summary`` tells what changed; both
+    are for people only, and no decision uses them.
+    """
 
     schema_version: int
     revision: int
@@ -128,3 +132,5 @@
     digest: str
     text: str
     recent_apply_ids: list[str]
+    applied_at: NotRequired[str]
+    summary: NotRequired[str]
--- a/src/redwingswitch/_internal/models/status.py
+++ b/src/redwingswitch/_internal/models/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TypedDict
+from typing import NamedTuple, NotRequired, TypedDict
 
 
 class MemberStatus(TypedDict):
@@ -28,19 +28,17 @@
 class ServerStatus(TypedDict):
     """One backend server as the reporter sees it.
 
-    ``state`` is the operators' intent (a ServerState). ``records`` counts the reporter's flow
-    records that name the server. ``busy_slots`` counts the requests that the reporter itself has
-    dispatched there. ``open_connections`` is the server's own last report, -1 without one.
+    ``state`` is the operators' intent (a ServerState). ``busy_slots`` counts the requests that the
+    reporter itself has dispatched there. ``open_connections`` is the server's own last report, -1
+    without one. ``records`` counts the reporter's flow records that name the server.
     """
 
     name: str
-    service: str
-    failure_domain: str
     state: str
     ejected: bool
-    records: int
     busy_slots: int
     open_connections: int
+    records: NotRequired[int]
 
 
 class HostStatus(TypedDict):
@@ -58,3 +56,10 @@
     members: list[MemberStatus]
     services: list[ServiceStatus]
     servers: list[ServerStatus]
+
+
+class FleetReading(NamedTuple):
+    """The answers of the entry hosts that were asked, and the endpoints that did not answer."""
+
+    statuses: tuple[HostStatus, ...]
+    silent_endpoints: tuple[str, ...]
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -9,6 +9,7 @@
 from redwingswitch._internal.models.events import ListedHost
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.models.requests import BackendReport
+from redwingswitch._internal.models.status import FleetReading
 
 T = TypeVar("T")
 
@@ -87,6 +88,13 @@
         """Call ``on_value`` for each later value until cancelled or the store fails."""
 
 
+class FleetSource(Protocol):
+    """The admin endpoints of the entry hosts."""
+
+    async def read(self, endpoints: Sequence[str]) -> FleetReading:
+        """Ask every endpoint, an ``address:port``, for its status."""
+
+
 class HostList(Protocol):
     """The platform's lagging list of hosts."""
 
