Apply a file with a known outcome

apply writes the next revision by compare-and-swap and repeats an unconfirmed write under the same expected version, which cannot take effect twice. It refuses a store that is behind the fleet unless the file is one that a side already has. The stored value is compared as well as its version, because a store that went back gives later writes the same versions again.

--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/apply.py
@@ -0,0 +1,299 @@
+"""Applying an operators' file: one compare-and-swap, and certainty about its outcome."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import NamedTuple
+
+from redwingswitch._internal.configuration.declared import check_declared_changes
+from redwingswitch._internal.configuration.differences import Difference, differences
+from redwingswitch._internal.configuration.document import (
+    CONFIGURATION_KEY,
+    contains_apply,
+    decode_document,
+    encode_document,
+    make_document,
+    text_digest,
+)
+from redwingswitch._internal.configuration.fleet import (
+    admin_endpoints,
+    highest_digests,
+    highest_revision,
+)
+from redwingswitch._internal.configuration.history import archive
+from redwingswitch._internal.configuration.parse import parse_configuration
+from redwingswitch._internal.exceptions import (
+    ConfigurationConflictError,
+    FleetUnreachableError,
+    InvalidInputGroup,
+    StoreBehindFleetError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from redwingswitch._internal.models.configuration import Configuration, Document
+from redwingswitch._internal.models.status import FleetReading, HostStatus
+from redwingswitch._internal.ports import ConfigStore, FleetSource, KeyVersion, StoredValue
+
+SETTLE_ATTEMPTS = 5
+SETTLE_PAUSE_MS = 500
+MAX_SUMMARY_CHARACTERS = 400
+SHOWN_HOSTS = 4
+
+
+class ApplyRequest(NamedTuple):
+    """What an operator asks for; ``hosts`` are admin endpoints, empty for the declared ones."""
+
+    text: str
+    file: str
+    operator: str
+    apply_id: str
+    applied_at: str
+    hosts: tuple[str, ...] = ()
+    without_hosts: bool = False
+
+
+class Plan(NamedTuple):
+    """A checked file, the state it was compared with, and what it would change."""
+
+    configuration: Configuration
+    accepted: Document | None
+    stored: StoredValue | None
+    reading: FleetReading
+    differences: tuple[Difference, ...]
+
+    @property
+    def unchanged(self) -> bool:
+        """True when the accepted document already has this text and the fleet is not ahead."""
+        accepted = self.accepted
+        return (
+            accepted is not None
+            and accepted["digest"] == self.configuration.digest
+            and not fleet_disagrees(accepted, self.reading.statuses)
+        )
+
+
+class Accepted(NamedTuple):
+    """A revision that is known to be in effect; ``superseded_by`` is its accepted successor."""
+
+    document: Document
+    written: bool
+    superseded_by: Document | None = None
+
+
+def fleet_disagrees(accepted: Document | None, statuses: Sequence[HostStatus]) -> bool:
+    """Return whether hosts hold a later revision than the store, or the same with other text."""
+    highest = highest_revision(statuses)
+    stored = 0 if accepted is None else accepted["revision"]
+    if highest != stored:
+        return highest > stored
+    return accepted is not None and highest_digests(statuses) != {accepted["digest"]}
+
+
+async def plan(request: ApplyRequest, *, store: ConfigStore, fleet: FleetSource) -> Plan:
+    """Check the file against the store and the fleet; raise what keeps it from being applied."""
+    configuration = parse_configuration(
+        text=request.text, file=request.file, revision=0, digest=text_digest(request.text)
+    )
+    stored = await store.get(CONFIGURATION_KEY)
+    accepted = None if stored is None else decode_document(stored.value)
+    before = None if accepted is None else parse_accepted(accepted)
+    endpoints = request.hosts or admin_endpoints(before or configuration)
+    reading = await fleet.read(endpoints)
+    _check_fleet(request, accepted, reading)
+    found = differences(before=before, after=configuration)
+    if not _is_repetition(configuration, accepted, reading):
+        check_declared_changes(
+            text=request.text, file=request.file, configuration=configuration, found=found
+        )
+    return Plan(
+        configuration=configuration,
+        accepted=accepted,
+        stored=stored,
+        reading=reading,
+        differences=found,
+    )
+
+
+async def apply(
+    request: ApplyRequest,
+    planned: Plan,
+    *,
+    store: ConfigStore,
+    pause: Callable[[int], Awaitable[None]],
+) -> Accepted:
+    """Write the planned file as the next revision, and return only when it is in effect.
+
+    Raise ConfigurationConflictError when another file was accepted first. Raise
+    StoreUnavailableError when nothing was changed, and StoreOutcomeUnknownError when the store
+    could not be asked what became of the write. ``pause`` waits for some milliseconds.
+    """
+    if planned.unchanged and planned.accepted is not None:
+        return Accepted(document=planned.accepted, written=False)
+    document = make_document(
+        text=request.text,
+        revision=_next_revision(planned),
+        apply_id=request.apply_id,
+        operator=request.operator,
+        previous=planned.accepted,
+        applied_at=request.applied_at,
+        summary=summarise(planned),
+    )
+    encode_document(document)
+    if planned.accepted is not None:
+        await archive(store, planned.accepted)
+    return await _write(document, planned, store, pause)
+
+
+def parse_accepted(document: Document) -> Configuration | None:
+    """Return the configuration of an accepted document, or None when this program refuses it."""
+    try:
+        return parse_configuration(
+            text=document["text"],
+            file=f"revision {document['revision']}",
+            revision=document["revision"],
+            digest=document["digest"],
+        )
+    except InvalidInputGroup:
+        return None
+
+
+def summarise(planned: Plan) -> str:
+    """Return what the file changes and why, shortened for the history."""
+    if planned.accepted is None:
+        return "first file"
+    reasons = {(c.action, c.target): c.reason for c in planned.configuration.changes}
+    parts = []
+    for difference in planned.differences:
+        reason = reasons.get((difference.action.value, difference.target), "")
+        parts.append(f"{difference.action} {difference.target}" + (f": {reason}" if reason else ""))
+    text = "; ".join(parts) or "no difference in effect"
+    if len(text) <= MAX_SUMMARY_CHARACTERS:
+        return text
+    return f"{text[: MAX_SUMMARY_CHARACTERS - 3]}..."
+
+
+def _check_fleet(request: ApplyRequest, accepted: Document | None, reading: FleetReading) -> None:
+    if not reading.statuses:
+        _check_silent_fleet(request, accepted, reading)
+        return
+    if not fleet_disagrees(accepted, reading.statuses):
+        return
+    # The difference from what the fleet runs cannot be shown, so the file could take accepted
+    # changes back. Only a file that one side already has is certain not to.
+    known = set(highest_digests(reading.statuses))
+    if accepted is not None and accepted["revision"] == highest_revision(reading.statuses):
+        known.add(accepted["digest"])
+    if text_digest(request.text) not in known:
+        raise StoreBehindFleetError(_behind_text(accepted, reading.statuses))
+
+
+def _check_silent_fleet(
+    request: ApplyRequest, accepted: Document | None, reading: FleetReading
+) -> None:
+    if accepted is not None and not request.without_hosts:
+        asked = ", ".join(reading.silent_endpoints[:SHOWN_HOSTS])
+        raise FleetUnreachableError(
+            f"no entry host answered (asked {asked}), so a later revision may be in force; name "
+            "reachable hosts with --hosts, or pass --without-hosts if the store is complete"
+        )
+
+
+def _is_repetition(
+    configuration: Configuration, accepted: Document | None, reading: FleetReading
+) -> bool:
+    """Return whether the file is one that was accepted already, so that it declares nothing new."""
+    if accepted is not None and accepted["digest"] == configuration.digest:
+        return True
+    return fleet_disagrees(accepted, reading.statuses)
+
+
+def _behind_text(accepted: Document | None, statuses: Sequence[HostStatus]) -> str:
+    highest = highest_revision(statuses)
+    holders = [s["host"] for s in statuses if s["revision"] == highest]
+    held = "no revision" if accepted is None else f"revision {accepted['revision']}"
+    more = ", ..." if len(holders) > SHOWN_HOSTS else ""
+    shown = ", ".join(holders[:SHOWN_HOSTS]) + more
+    return (
+        f"the store holds {held} and {shown} hold revision {highest} with another text; "
+        "nothing was changed; wait until the hosts have written it back and try again, or apply "
+        f"the file of revision {highest}"
+    )
+
+
+def _next_revision(planned: Plan) -> int:
+    stored = 0 if planned.accepted is None else planned.accepted["revision"]
+    return max(stored, highest_revision(planned.reading.statuses)) + 1
+
+
+async def _write(
+    document: Document,
+    planned: Plan,
+    store: ConfigStore,
+    pause: Callable[[int], Awaitable[None]],
+) -> Accepted:
+    """Write until the outcome is known.
+
+    An unconfirmed write can still reach the store later. Repeating the same write under the same
+    expected version is safe: at most one of the two can take effect, and it has the same apply id.
+    """
+    expected = [_expectation(planned.stored)]
+    value = encode_document(document)
+    uncertain: Exception | None = None
+    for attempt in range(SETTLE_ATTEMPTS):
+        if attempt:
+            await pause(SETTLE_PAUSE_MS)
+        try:
+            version = await store.compare_and_swap(
+                key=CONFIGURATION_KEY, value=value, expected=expected
+            )
+            if version is not None:
+                return Accepted(document=document, written=True)
+            return await _read_back(document, planned, store)
+        except StoreOutcomeUnknownError as error:
+            uncertain = error
+        except StoreUnavailableError as error:
+            # Without an earlier unconfirmed attempt this proves that nothing was written.
+            if uncertain is None:
+                raise
+            uncertain = error
+    raise StoreOutcomeUnknownError(
+        f"{uncertain}; revision {document['revision']} (apply id {document['apply_id']}) may or "
+        "may not be accepted; look at the history, or apply the same file again"
+    )
+
+
+def _expectation(stored: StoredValue | None) -> KeyVersion:
+    """Return the condition of the write.
+
+    The value is compared too, because a store that went back to older content counts the versions
+    of later writes anew, and another document could get the version that was read.
+    """
+    if stored is None:
+        return KeyVersion(key=CONFIGURATION_KEY, version=0)
+    return KeyVersion(key=CONFIGURATION_KEY, version=stored.version, value=stored.value)
+
+
+async def _read_back(document: Document, planned: Plan, store: ConfigStore) -> Accepted:
+    """Find out who changed the key: an earlier attempt of this write, or another operator."""
+    stored = await store.get(CONFIGURATION_KEY)
+    found = None if stored is None else decode_document(stored.value)
+    if found is None:
+        raise ConfigurationConflictError(
+            "the configuration was removed from the store meanwhile; nothing was changed"
+        )
+    if found["apply_id"] == document["apply_id"]:
+        return Accepted(document=document, written=True)
+    if contains_apply(found, document["apply_id"]):
+        return Accepted(document=document, written=True, superseded_by=found)
+    raise ConfigurationConflictError(_conflict_text(found, planned))
+
+
+def _conflict_text(winner: Document, planned: Plan) -> str:
+    theirs = parse_accepted(winner)
+    found = differences(before=theirs, after=planned.configuration)
+    shown = "".join(f"\n  {difference}" for difference in found) or "\n  (none)"
+    return (
+        f"{winner['operator']} was first: revision {winner['revision']} (apply id "
+        f"{winner['apply_id']}) is accepted; nothing of this file was applied; "
+        f"it differs from the accepted one by:{shown}"
+    )
--- a/src/redwingswitch/_internal/network/store_http.py
+++ b/src/redwingswitch/_internal/network/store_http.py
@@ -126,7 +126,7 @@
     ) -> int | None:
         put = {"key": to_base64(key.encode()), "value": to_base64(value), "lease": str(lease_id)}
         body = {
-            "compare": [_comparison(expectation) for expectation in expected],
+            "compare": [c for expectation in expected for c in _comparisons(expectation)],
             "success": [{"request_put": put}],
         }
         reply = await self._gateway.call(
@@ -164,10 +164,11 @@
         )
 
 
-def _comparison(expectation: KeyVersion) -> dict[str, str]:
-    return {
-        "key": to_base64(expectation.key.encode()),
-        "target": "MOD",
-        "result": "EQUAL",
-        "mod_revision": str(expectation.version),
-    }
+def _comparisons(expectation: KeyVersion) -> list[dict[str, str]]:
+    key = to_base64(expectation.key.encode())
+    version = str(expectation.version)
+    found = [{"key": key, "target": "MOD", "result": "EQUAL", "mod_revision": version}]
+    if expectation.value is not None:
+        value = to_base64(expectation.value)
+        found.append({"key": key, "target": "VALUE", "result": "EQUAL", "value": value})
+    return found
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -45,10 +45,14 @@
 
 
 class KeyVersion(NamedTuple):
-    """A key and the version it is expected to have; 0 means that it must not exist."""
+    """A key and the version it is expected to have; 0 means that it must not exist.
+
+    The key must also have ``value``, unless that is None.
+    """
 
     key: str
     version: int
+    value: bytes | None = None
 
 
 class GrantedLease(NamedTuple):
--- a/src/redwingswitch/_internal/standins/store.py
+++ b/src/redwingswitch/_internal/standins/store.py
@@ -332,11 +332,14 @@
 
 
 def _comparison(stated: dict[str, Any]) -> Comparison:
-    field = stated["target"]
-    if field not in ("MOD", "CREATE", "VERSION") or stated.get("result", "EQUAL") != "EQUAL":
+    target, key = stated["target"], _text(stated["key"])
+    if stated.get("result", "EQUAL") != "EQUAL":
         raise StoreRefusalError(status=400, problem="unsupported comparison")
-    number = stated.get("version" if field == "VERSION" else f"{field.lower()}_revision", 0)
-    return Comparison(_text(stated["key"]), field, int(number))
+    if target == "MOD":
+        return Comparison(key, mod_revision=int(stated.get("mod_revision", 0)))
+    if target == "VALUE":
+        return Comparison(key, value=base64.b64decode(stated.get("value", "")))
+    raise StoreRefusalError(status=400, problem="unsupported comparison")
 
 
 def _put(stated: dict[str, Any]) -> Put:
--- a/src/redwingswitch/_internal/standins/store_state.py
+++ b/src/redwingswitch/_internal/standins/store_state.py
@@ -49,11 +49,11 @@
 
 
 class Comparison(NamedTuple):
-    """One condition of a transaction: a field of a key equals a number."""
+    """One condition of a transaction; a field that is None is not compared."""
 
     key: str
-    field: str
-    number: int
+    mod_revision: int | None = None
+    value: bytes | None = None
 
 
 class Put(NamedTuple):
@@ -177,14 +177,9 @@
 
     def _holds(self, comparison: Comparison) -> bool:
         entry = self._entries.get(comparison.key)
-        found = {"MOD": 0, "CREATE": 0, "VERSION": 0}
-        if entry is not None:
-            found = {
-                "MOD": entry.mod_revision,
-                "CREATE": entry.create_revision,
-                "VERSION": entry.version,
-            }
-        return found[comparison.field] == comparison.number
+        if comparison.mod_revision is not None:
+            return comparison.mod_revision == (0 if entry is None else entry.mod_revision)
+        return entry is not None and entry.value == comparison.value
 
     def _check(self, put: Put) -> None:
         if len(put.value) > MAX_VALUE_BYTES:
--- /dev/null
+++ b/tests/lib/stepped_store.py
@@ -0,0 +1,136 @@
+"""A store, a fleet and operators whose every call waits for the test to decide its fate."""
+
+from redwingswitch._internal.configuration.apply import ApplyRequest, apply, plan
+from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from redwingswitch._internal.models.status import FleetReading
+from redwingswitch._internal.ports import StoredValue
+
+
+class Step:
+    """Suspends the caller until the test sends the fault, or None, that the call meets."""
+
+    def __init__(self, kind):
+        self.kind = kind
+
+    def __await__(self):
+        return (yield self)
+
+
+class SteppedStore:
+    """A ``ConfigStore`` in memory; its versions start again when it goes back."""
+
+    def __init__(self):
+        self.entries = {}
+        self.revision = 0
+        self.late_writes = []
+
+    async def get(self, key):
+        if await Step("read") is not None:
+            raise StoreUnavailableError("down")
+        return self.entries.get(key)
+
+    async def compare_and_swap(self, *, key, value, expected):
+        fault = await Step("write")
+        if fault == "down":
+            raise StoreUnavailableError("down")
+        if fault == "late":
+            self.late_writes.append((key, value, expected))
+        if fault in ("late", "lost_before"):
+            raise StoreOutcomeUnknownError("no reply")
+        version = self.swap(key, value, expected)
+        if fault == "lost_after":
+            raise StoreOutcomeUnknownError("no reply")
+        return version
+
+    def swap(self, key, value, expected):
+        for name, version, wanted in expected:
+            held = self.entries.get(name, StoredValue(None, 0))
+            if held.version != version or wanted not in (None, held.value):
+                return None
+        self.revision += 1
+        self.entries[key] = StoredValue(value, self.revision)
+        return self.revision
+
+
+class SteppedFleet:
+    """Entry hosts that report what the test sets; none answers while ``reachable`` is false."""
+
+    def __init__(self):
+        self.reachable = True
+        self.hosts = {"entry-1": (0, ""), "entry-2": (0, "")}
+
+    async def read(self, endpoints):
+        if not self.reachable:
+            return FleetReading((), tuple(endpoints))
+        statuses = [host_status(h, r, d) for h, (r, d) in self.hosts.items()]
+        return FleetReading(tuple(statuses), ())
+
+
+def host_status(host, revision, digest, members=()):
+    return {
+        "host": host,
+        "failure_domain": {"entry-1": "hobart"}.get(host, "bruny"),
+        "incarnation": 1,
+        "revision": revision,
+        "digest": digest,
+        "conflict": False,
+        "ready": True,
+        "stopping": False,
+        "abstaining": False,
+        "members": [
+            {"host": h, "failure_domain": "bruny", "state": s, "revision": r} for h, s, r in members
+        ],
+        "services": [],
+        "servers": [],
+    }
+
+
+class Operator:
+    """One running apply, advanced call by call."""
+
+    def __init__(self, *, name, text, store, fleet, **options):
+        request = ApplyRequest(
+            text=text, file="file.toml", operator=name, apply_id=name, applied_at="", **options
+        )
+        self.name = name
+        self.text = text
+        self.accepted = None
+        self.error = None
+        self.done = False
+        self._coroutine = self._apply(request, store, fleet)
+        self.waits_for = None
+        self.advance(None)
+
+    async def _apply(self, request, store, fleet):
+        planned = await plan(request, store=store, fleet=fleet)
+        return await apply(request, planned, store=store, pause=self._pause)
+
+    async def _pause(self, milliseconds):
+        assert milliseconds > 0
+        await Step("pause")
+
+    def advance(self, fault):
+        """Let the pending call meet ``fault`` and run to the next call."""
+        try:
+            self.waits_for = self._coroutine.send(fault).kind
+        except StopIteration as finished:
+            self.accepted, self.done = finished.value, True
+        except Exception as error:
+            self.error, self.done = error, True
+
+    def finish(self, faults=()):
+        """Run to the end; each write meets the next of ``faults``."""
+        remaining = list(faults)
+        while not self.done:
+            use = self.waits_for == "write" and remaining
+            self.advance(remaining.pop(0) if use else None)
+        return self
+
+
+def run_to_end(coroutine):
+    """Run a coroutine whose calls meet no faults, and return its result."""
+    try:
+        while True:
+            coroutine.send(None)
+    except StopIteration as finished:
+        return finished.value
--- /dev/null
+++ b/tests/unit/configuration/test_apply.py
@@ -0,0 +1,215 @@
+"""Guards against an apply that says "accepted" wrongly, loses a revision or changes a bad store."""
+
+import pytest
+
+from redwingswitch._internal.configuration.apply import ApplyRequest, plan
+from redwingswitch._internal.configuration.document import (
+    CONFIGURATION_KEY,
+    decode_document,
+    encode_document,
+    text_digest,
+)
+from redwingswitch._internal.configuration.history import (
+    HISTORY_DOCUMENTS,
+    archive,
+    read_history,
+)
+from redwingswitch._internal.exceptions import (
+    ConfigurationConflictError,
+    DecodeError,
+    FleetUnreachableError,
+    InvalidInputGroup,
+    StoreBehindFleetError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from tests.lib.operator_files import VALID_FILE
+from tests.lib.stepped_store import Operator, SteppedFleet, SteppedStore, run_to_end
+
+
+def text_with(slots):
+    return VALID_FILE.replace("report_port = 8401", f"report_port = 8401\nslots = {slots}", 1)
+
+
+class Site:
+    """A store and a fleet in which the first file is accepted and in force."""
+
+    def __init__(self):
+        self.store = SteppedStore()
+        self.fleet = SteppedFleet()
+        assert self.operator("first", VALID_FILE).finish().accepted.written
+        self.learn()
+
+    def operator(self, name, text, **options):
+        return Operator(name=name, text=text, store=self.store, fleet=self.fleet, **options)
+
+    def document(self):
+        return decode_document(self.store.entries[CONFIGURATION_KEY].value)
+
+    def learn(self):
+        document = self.document()
+        self.fleet.hosts["entry-1"] = document["revision"], document["digest"]
+
+    def history(self):
+        return [(d["revision"], d["operator"]) for d in run_to_end(read_history(self.store))]
+
+
+# What each attempt to write meets (the first write archives the predecessor), the error, and
+# whether the file is accepted in the end.
+OUTCOMES = [
+    ([], None, True),
+    ([None, "lost_after"], None, True),
+    ([None, "lost_before"], None, True),
+    ([None, "late", "lost_before", "lost_after"], None, True),
+    (["lost_after"], None, True),
+    (["lost_before", "lost_after"], None, True),
+    (["down"], StoreUnavailableError, False),
+    (["lost_before"] * 3, StoreUnavailableError, False),
+    ([None, "down"], StoreUnavailableError, False),
+    ([None, "lost_before", *["down"] * 4], StoreOutcomeUnknownError, False),
+    ([None, "lost_after", *["down"] * 4], StoreOutcomeUnknownError, True),
+    ([None, *["lost_before"] * 5], StoreOutcomeUnknownError, False),
+]
+
+
+@pytest.mark.parametrize(("faults", "error", "in_effect"), OUTCOMES)
+def test_a_lost_reply_is_settled_before_anything_is_reported(faults, error, in_effect):
+    site = Site()
+    operator = site.operator("ann", text_with(3)).finish(faults)
+    assert type(operator.error) is (error or type(None))
+    assert (operator.accepted is not None) is (error is None)
+    expected = [(2, "ann"), (1, "first")] if in_effect else [(1, "first")]
+    assert site.history() == expected
+
+
+def test_of_two_operators_one_wins_and_the_other_is_told_who_and_what():
+    site = Site()
+    ann, ben = site.operator("ann", text_with(3)), site.operator("ben", text_with(4))
+    ann.advance(None)
+    ben.finish()
+    ann.finish()
+    assert ben.accepted.document["revision"] == 2
+    assert isinstance(ann.error, ConfigurationConflictError)
+    for words in ("ben was first", "revision 2", "alter backend_servers.job-1 (slots 4 -> 3)"):
+        assert words in str(ann.error)
+
+
+def test_an_accepted_file_stays_accepted_for_its_operator_after_a_successor():
+    site = Site()
+    ann = site.operator("ann", text_with(3))
+    for fault in (None, None, None, "lost_after"):
+        ann.advance(fault)
+    site.learn()
+    assert site.operator("ben", text_with(4)).finish().accepted.document["revision"] == 3
+    ann.finish()
+    assert ann.accepted.document["revision"] == 2
+    assert ann.accepted.superseded_by["operator"] == "ben"
+
+
+def test_the_same_file_again_writes_nothing():
+    site = Site()
+    text = text_with(3) + '[[changes]]\naction = "alter"\ntarget = "backend_servers.job-1"\n'
+    text += 'reason = "more"\n'
+    assert site.operator("ann", text).finish().accepted.written
+    again = site.operator("ben", text).finish()
+    assert again.accepted.document["operator"] == "ann"
+    assert not again.accepted.written
+    assert site.document()["summary"] == "alter backend_servers.job-1: more"
+
+
+# What the fleet reports (revision, text) against the store's revision 1, the file, the error.
+FLEETS = [
+    ([(1, VALID_FILE)], text_with(3), None),
+    ([(0, None)], text_with(3), None),
+    ([(5, "older")], text_with(3), StoreBehindFleetError),
+    ([(5, "older")], VALID_FILE, StoreBehindFleetError),
+    ([(5, text_with(3))], text_with(3), None),
+    ([(1, "another")], text_with(3), StoreBehindFleetError),
+    ([(1, "another")], VALID_FILE, None),
+    ([(1, VALID_FILE), (1, "another")], text_with(3), StoreBehindFleetError),
+    ([(1, VALID_FILE), (5, text_with(3))], text_with(3), None),
+    ([], text_with(3), FleetUnreachableError),
+]
+
+
+@pytest.mark.parametrize(("reported", "text", "error"), FLEETS)
+def test_a_store_behind_the_fleet_is_changed_only_when_that_is_safe(reported, text, error):
+    site = Site()
+    site.fleet.hosts = {
+        f"entry-{n}": (r, text_digest(t) if t else "") for n, (r, t) in enumerate(reported, start=1)
+    }
+    site.fleet.reachable = bool(reported)
+    before = dict(site.store.entries)
+    operator = site.operator("ann", text).finish()
+    assert type(operator.error) is (error or type(None))
+    if error is None:
+        assert site.document()["revision"] == max([1, *(r for r, _ in reported)]) + 1
+    else:
+        assert site.store.entries == before
+
+
+def test_without_hosts_the_store_s_revision_counts():
+    site = Site()
+    site.fleet.reachable = False
+    assert site.operator("ann", text_with(3), without_hosts=True).finish().accepted.written
+
+
+BAD_TEXTS = [
+    (VALID_FILE.replace("443", "0"), InvalidInputGroup),
+    (VALID_FILE + '[[changes]]\naction = "add"\ntarget = "services.x"\nreason = "r"\n', None),
+]
+
+
+@pytest.mark.parametrize(("text", "error"), BAD_TEXTS)
+def test_a_bad_file_changes_nothing(text, error):
+    site = Site()
+    before = dict(site.store.entries)
+    operator = site.operator("ann", text).finish()
+    assert isinstance(operator.error, error or InvalidInputGroup)
+    assert site.store.entries == before
+
+
+def test_a_damaged_document_is_reported_and_kept():
+    site = Site()
+    site.store.entries[CONFIGURATION_KEY] = site.store.entries[CONFIGURATION_KEY]._replace(
+        value=b"damaged"
+    )
+    assert isinstance(site.operator("ann", text_with(3)).finish().error, DecodeError)
+
+
+def test_a_store_that_is_down_is_reported_before_any_write():
+    site = Site()
+    request = ApplyRequest(VALID_FILE, "file.toml", "ann", "id", "")
+    coroutine = plan(request, store=site.store, fleet=site.fleet)
+    coroutine.send(None)
+    with pytest.raises(StoreUnavailableError):
+        coroutine.send("down")
+
+
+def test_the_history_keeps_the_last_revisions_only():
+    site = Site()
+    for number in range(2, 42):
+        site.operator(f"op-{number}", text_with(number)).finish()
+        site.learn()
+    assert [revision for revision, _ in site.history()] == list(range(41, 9, -1))
+    keys = [key for key in site.store.entries if key.startswith("redwingswitch/history/")]
+    assert len(keys) == 32
+    # A slow operator must not put an older document in the place of a later one.
+    before = dict(site.store.entries)
+    older = {**site.document(), "revision": 41 - HISTORY_DOCUMENTS}
+    run_to_end(archive(site.store, older))
+    assert site.store.entries == before
+
+
+def test_another_document_under_the_version_that_was_read_is_not_replaced():
+    # A store that went back to older content gives later writes the same versions again.
+    site = Site()
+    ann = site.operator("ann", text_with(3))
+    ann.advance(None)
+    ann.advance(None)
+    assert ann.waits_for == "write"
+    stored = site.store.entries[CONFIGURATION_KEY]
+    other = encode_document({**site.document(), "operator": "ben", "apply_id": "other"})
+    site.store.entries[CONFIGURATION_KEY] = stored._replace(value=other)
+    ann.finish()
+    assert isinstance(ann.error, ConfigurationConflictError)
--- /dev/null
+++ b/tests/unit/configuration/test_apply_machine.py
@@ -0,0 +1,161 @@
+"""Guards against interleavings of operators, lost replies and a store that goes back."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from redwingswitch._internal.configuration.document import (
+    CONFIGURATION_KEY,
+    decode_document,
+    encode_document,
+)
+from redwingswitch._internal.configuration.history import HISTORY_DOCUMENTS, read_history
+from redwingswitch._internal.exceptions import (
+    ConfigurationConflictError,
+    StoreBehindFleetError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from redwingswitch._internal.ports import KeyVersion
+from tests.lib.operator_files import VALID_FILE
+from tests.lib.stepped_store import Operator, SteppedFleet, SteppedStore, run_to_end
+
+SLOTS = st.integers(0, 2)
+PORTS = st.integers(441, 443)
+FAULTS = [None, None, "down", "lost_before", "lost_after", "late"]
+ALLOWED = (
+    ConfigurationConflictError,
+    StoreBehindFleetError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+
+class ApplyMachine(RuleBasedStateMachine):
+    """Operators apply files at once; the fleet learns from the store, which may go back."""
+
+    def __init__(self):
+        super().__init__()
+        self.store = SteppedStore()
+        self.fleet = SteppedFleet()
+        self.fleet_document = None
+        self.operators = {}
+        self.count = 0
+        self.snapshot = None
+        self.accepted = {}
+        self.whole = set()
+        self.refused = set()
+
+    def current(self):
+        stored = self.store.entries.get(CONFIGURATION_KEY)
+        return None if stored is None else decode_document(stored.value)
+
+    def fleet_is_current(self):
+        return self.fleet_document is not None and self.fleet_document == self.current()
+
+    def new_operator(self, port):
+        self.count += 1
+        text = VALID_FILE.replace("port = 443", f"port = {port}")
+        name = f"apply-{self.count}"
+        return Operator(name=name, text=text, store=self.store, fleet=self.fleet)
+
+    @rule(slot=SLOTS, port=PORTS)
+    def start(self, slot, port):
+        if slot not in self.operators:
+            self.operators[slot] = self.new_operator(port)
+
+    @rule(slot=SLOTS, calls=st.integers(1, 4), fault=st.sampled_from(FAULTS))
+    def advance(self, slot, calls, fault):
+        """Let some calls succeed and the next one meet a fault."""
+        for position in range(calls):
+            operator = self.operators.get(slot)
+            if operator is None:
+                return
+            met = fault if position == calls - 1 else None
+            known = {"write": met, "read": "down" if met == "down" else None}
+            operator.advance(known.get(operator.waits_for))
+            if operator.done:
+                del self.operators[slot]
+                self.judge(operator)
+
+    @rule(port=PORTS)
+    def apply_undisturbed(self, port):
+        self.judge(self.new_operator(port).finish())
+
+    def judge(self, operator):
+        if operator.error is not None:
+            assert isinstance(operator.error, ALLOWED), operator.error
+            if not isinstance(operator.error, StoreOutcomeUnknownError):
+                self.refused.add(operator.name)
+            return
+        document = operator.accepted.document
+        if not operator.accepted.written:
+            assert document["text"] == operator.text
+            return
+        assert document["apply_id"] == operator.name
+        # Exactly one apply wins each revision.
+        assert self.accepted.setdefault(document["revision"], operator.name) == operator.name
+        self.whole.add(operator.name)
+        self.every_accepted_file_is_in_the_history()
+
+    @precondition(lambda self: self.store.late_writes)
+    @rule()
+    def land_late_write(self):
+        self.store.swap(*self.store.late_writes.pop(0))
+
+    @precondition(lambda self: self.current() is not None)
+    @rule()
+    def fleet_learns(self):
+        document = self.current()
+        if self.fleet_document is None or document["revision"] > self.fleet_document["revision"]:
+            self.fleet_document = document
+            for host in self.fleet.hosts:
+                self.fleet.hosts[host] = document["revision"], document["digest"]
+
+    @precondition(lambda self: self.snapshot is None and self.fleet_is_current())
+    @rule()
+    def take_snapshot(self):
+        self.snapshot = dict(self.store.entries), self.store.revision
+
+    # A revision that no host has learned is lost with the store, and a write that is still under
+    # way would reach a store that the operator never saw; neither can be repaired.
+    @precondition(
+        lambda self: self.snapshot and self.fleet_is_current() and not self.store.late_writes
+    )
+    @rule()
+    def go_back(self):
+        self.store.entries, self.store.revision = dict(self.snapshot[0]), self.snapshot[1]
+        self.snapshot = None
+        self.whole.clear()
+
+    @precondition(lambda self: self.fleet_document is not None)
+    @rule()
+    def write_back(self):
+        current, stored = self.current(), self.store.entries.get(CONFIGURATION_KEY)
+        if current is not None and current["revision"] < self.fleet_document["revision"]:
+            value = encode_document(self.fleet_document)
+            self.store.swap(
+                CONFIGURATION_KEY, value, [KeyVersion(CONFIGURATION_KEY, stored.version)]
+            )
+
+    @invariant()
+    def every_accepted_file_is_in_the_history(self):
+        # The history loses what a store that went back no longer has, so it starts anew there.
+        history = run_to_end(read_history(self.store))
+        assert self.whole <= {d["apply_id"] for d in history} or len(history) == HISTORY_DOCUMENTS
+
+    @invariant()
+    def the_store_and_the_fleet_never_differ_at_one_revision(self):
+        current, fleet = self.current(), self.fleet_document
+        if current is not None and fleet is not None and current["revision"] == fleet["revision"]:
+            assert current["digest"] == fleet["digest"]
+
+    @invariant()
+    def a_refused_apply_never_takes_effect(self):
+        current = self.current()
+        if current is not None:
+            assert not self.refused & {current["apply_id"], *current["recent_apply_ids"]}
+
+
+ApplyMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestApply = ApplyMachine.TestCase
--- a/tests/unit/network/test_store_http.py
+++ b/tests/unit/network/test_store_http.py
@@ -124,6 +124,11 @@
             second = await swap(store, b"b", first)
             assert second > first
             assert await swap(store, b"c", first) is None
+            # A store that went back can give a known version to another value.
+            for value in (b"a", None, b"b"):
+                other = KeyVersion(KEY, second, value)
+                written = await store.compare_and_swap(key="x", value=b"", expected=[other])
+                assert (written is None) is (value == b"a")
             # Every comparison counts, as fencing needs.
             lease = await store.acquire_lease(key=LEASE, holder="h", ttl_ms=1_000)
             held, lost = KeyVersion(LEASE, lease.key_version), KeyVersion(LEASE, first)
