Add the operators' commands

redwingswitchctl check, plan, apply, show, status and history work against the store's JSON gateway and the hosts' /status. At most 8 hosts per failure domain are asked, because each answer also tells the revisions of its peers.

--- /dev/null
+++ b/src/redwingswitch/_internal/commands/ctl_support.py
@@ -0,0 +1,117 @@
+"""What the commands of redwingswitchctl share: connections, files and the report of errors."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from collections.abc import AsyncIterator, Coroutine
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+from redwingswitch._internal.cli.status_codes import (
+    CONFLICT,
+    ERROR,
+    INVALID_INPUT,
+    STORE_UNAVAILABLE,
+)
+from redwingswitch._internal.exceptions import (
+    ConfigurationConflictError,
+    Finding,
+    InvalidInputGroup,
+    RedwingswitchError,
+    StoreBehindFleetError,
+    StoreOutcomeUnknownError,
+    StoreUnavailableError,
+)
+from redwingswitch._internal.models.configuration import MAX_DOCUMENT_BYTES
+from redwingswitch._internal.network.fleet_client import HttpFleet
+from redwingswitch._internal.network.store_http import HttpConfigStore
+from redwingswitch._internal.settings import read_text, url_problem
+
+STORE_TIMEOUT_MS = 3_000
+HOST_TIMEOUT_MS = 2_000
+STANDARD_INPUT = "-"
+
+
+class Connections(NamedTuple):
+    """The store and the fleet that a command talks to."""
+
+    store: HttpConfigStore
+    fleet: HttpFleet
+
+
+@asynccontextmanager
+async def connections(store: str) -> AsyncIterator[Connections]:
+    """Yield clients for the comma-separated endpoints in ``store``."""
+    opened = Connections(
+        store=HttpConfigStore(endpoints=store_endpoints(store), timeout_ms=STORE_TIMEOUT_MS),
+        fleet=HttpFleet(timeout_ms=HOST_TIMEOUT_MS),
+    )
+    try:
+        yield opened
+    finally:
+        opened.store.close()
+        opened.fleet.close()
+
+
+def store_endpoints(stated: str) -> list[str]:
+    """Return the endpoints in a comma-separated list; raise InvalidInputGroup when one is bad."""
+    endpoints = [part.strip().rstrip("/") for part in stated.split(",") if part.strip()]
+    problems = [problem for problem in map(url_problem, endpoints) if problem]
+    if not endpoints:
+        problems.append("no endpoint is given")
+    _raise_for_option("--store", problems, "write URLs such as http://10.0.0.1:2379")
+    return endpoints
+
+
+def host_endpoints(stated: str) -> tuple[str, ...]:
+    """Return the admin endpoints in a comma-separated list; raise InvalidInputGroup likewise."""
+    endpoints = tuple(part.strip() for part in stated.split(",") if part.strip())
+    problems = [p for p in (url_problem(f"http://{endpoint}") for endpoint in endpoints) if p]
+    _raise_for_option("--hosts", problems, "write address:port, such as 10.0.0.1:7401")
+    return endpoints
+
+
+def whole_number(option: str, value: object) -> int:
+    """Return a number of at least 0; raise InvalidInputGroup when ``value`` is none."""
+    if isinstance(value, int) and value >= 0:
+        return value
+    _raise_for_option(option, [f"{value!r} is not a whole number"], "write a number such as 30")
+    return 0
+
+
+def read_file(file: str) -> str:
+    """Return the text of an operators' file, or of the standard input for ``-``."""
+    if file == STANDARD_INPUT:
+        return sys.stdin.read(MAX_DOCUMENT_BYTES + 1)
+    return read_text(Path(file), limit_bytes=MAX_DOCUMENT_BYTES)
+
+
+def run_reporting(command: Coroutine[object, object, int]) -> int:
+    """Run a command; print its error with what to do, and return the exit status."""
+    try:
+        return asyncio.run(command)
+    except InvalidInputGroup as group:
+        print(group.message, file=sys.stderr)
+        for error in group.exceptions:
+            print(f"  {error}", file=sys.stderr)
+        return INVALID_INPUT
+    except RedwingswitchError as error:
+        print(error, file=sys.stderr)
+        return _status_of(error)
+
+
+def _status_of(error: RedwingswitchError) -> int:
+    if isinstance(error, ConfigurationConflictError | StoreBehindFleetError):
+        return CONFLICT
+    if isinstance(error, StoreUnavailableError):
+        print("nothing was changed", file=sys.stderr)
+        return STORE_UNAVAILABLE
+    return STORE_UNAVAILABLE if isinstance(error, StoreOutcomeUnknownError) else ERROR
+
+
+def _raise_for_option(option: str, problems: list[str], remedy: str) -> None:
+    findings = [Finding("(command line)", None, option, problem, remedy) for problem in problems]
+    if findings:
+        raise InvalidInputGroup.from_findings(subject="the command line", findings=findings)
--- a/src/redwingswitch/_internal/configuration/apply.py
+++ b/src/redwingswitch/_internal/configuration/apply.py
@@ -86,7 +86,7 @@
     stored = 0 if accepted is None else accepted["revision"]
     if highest != stored:
         return highest > stored
-    return accepted is not None and highest_digests(statuses) != {accepted["digest"]}
+    return accepted is not None and not highest_digests(statuses) <= {accepted["digest"]}
 
 
 async def plan(request: ApplyRequest, *, store: ConfigStore, fleet: FleetSource) -> Plan:
@@ -209,7 +209,7 @@
 
 def _behind_text(accepted: Document | None, statuses: Sequence[HostStatus]) -> str:
     highest = highest_revision(statuses)
-    holders = [s["host"] for s in statuses if s["revision"] == highest]
+    holders = [s["host"] for s in statuses if s["revision"] == highest] or ["entry hosts"]
     held = "no revision" if accepted is None else f"revision {accepted['revision']}"
     more = ", ..." if len(holders) > SHOWN_HOSTS else ""
     shown = ", ".join(holders[:SHOWN_HOSTS]) + more
--- a/src/redwingswitch/_internal/configuration/fleet.py
+++ b/src/redwingswitch/_internal/configuration/fleet.py
@@ -9,6 +9,8 @@
 from redwingswitch._internal.models.configuration import Configuration, EntryHostEntry, ServerState
 from redwingswitch._internal.models.status import FleetReading, HostStatus, MemberStatus
 
+MAX_ASKED_PER_DOMAIN = 8
+
 
 class HostEvidence(StrEnum):
     """How the revision of an entry host is known."""
@@ -19,11 +21,19 @@
     UNKNOWN = "unknown"
 
 
+class KnownHost(NamedTuple):
+    """An entry host that is declared, or named in a report, which leaves the endpoint empty."""
+
+    name: str
+    failure_domain: str
+    leaving: bool
+    endpoint: str
+
+
 class HostRevision(NamedTuple):
     """The revision that an entry host holds, as far as it is known."""
 
     host: str
-    failure_domain: str
     evidence: HostEvidence
     revision: int
     digest: str
@@ -45,41 +55,84 @@
 
 
 def admin_endpoints(configuration: Configuration) -> tuple[str, ...]:
-    """Return the admin endpoint, ``address:port``, of each declared entry host."""
-    return tuple(f"{host.address}:{host.admin_port}" for host in configuration.entry_hosts)
+    """Return admin endpoints, ``address:port``, of some declared entry hosts in each domain.
+
+    Each host also reports the revisions of its peers, so a few answers tell about all. The answers
+    of hundreds of hosts would take hundreds of megabytes at full size.
+    """
+    hosts = sorted(configuration.entry_hosts, key=lambda h: h.state is not ServerState.ACTIVE)
+    asked: dict[str, list[str]] = {}
+    for host in hosts:
+        asked.setdefault(host.failure_domain, []).append(_endpoint(host))
+    return tuple(e for endpoints in asked.values() for e in endpoints[:MAX_ASKED_PER_DOMAIN])
 
 
 def highest_revision(statuses: Iterable[HostStatus]) -> int:
-    """Return the highest revision that a host reports, 0 without a report."""
-    return max((status["revision"] for status in statuses), default=0)
+    """Return the highest revision that a host reports of itself or a peer, 0 without a report."""
+    reported = [(s["revision"], *(m["revision"] for m in s["members"])) for s in statuses]
+    return max((revision for revisions in reported for revision in revisions), default=0)
 
 
 def highest_digests(statuses: Sequence[HostStatus]) -> frozenset[str]:
-    """Return the digests reported for the highest revision; more than one is a conflict."""
+    """Return the digests reported for the highest revision; more than one is a conflict.
+
+    There is none when that revision is known from peers only, who do not pass the digest on.
+    """
     highest = highest_revision(statuses)
     return frozenset(s["digest"] for s in statuses if s["revision"] == highest and highest)
 
 
-def host_revisions(configuration: Configuration, reading: FleetReading) -> tuple[HostRevision, ...]:
-    """Return what is known of each declared entry host, from itself or else from its peers."""
-    return tuple(_host_revision(host, reading) for host in configuration.entry_hosts)
+def known_hosts(configuration: Configuration | None, reading: FleetReading) -> list[KnownHost]:
+    """Return the declared entry hosts, or without a configuration those that reports name."""
+    if configuration is not None:
+        return [
+            KnownHost(h.name, h.failure_domain, h.state is not ServerState.ACTIVE, _endpoint(h))
+            for h in configuration.entry_hosts
+        ]
+    found = {
+        s["host"]: KnownHost(s["host"], s["failure_domain"], False, "") for s in reading.statuses
+    }
+    for status in reading.statuses:
+        for member in status["members"]:
+            host = KnownHost(member["host"], member["failure_domain"], False, "")
+            found.setdefault(host.name, host)
+    return [found[name] for name in sorted(found)]
+
+
+def host_revision(host: KnownHost, reading: FleetReading) -> HostRevision:
+    """Return what is known of an entry host, from itself or else from its peers."""
+    for status in reading.statuses:
+        if status["host"] == host.name:
+            evidence = HostEvidence.REPORTED
+            return HostRevision(host.name, evidence, status["revision"], status["digest"])
+    return _from_peers(host.name, opinions(host.name, reading))
+
+
+def opinions(host: str, reading: FleetReading) -> list[MemberStatus]:
+    """Return what the answering hosts say about ``host``, each about itself left out."""
+    return [
+        member
+        for status in reading.statuses
+        for member in status["members"]
+        if member["host"] == host != status["host"]
+    ]
 
 
 def force_by_domain(
-    configuration: Configuration, reading: FleetReading, *, revision: int, digest: str
-) -> tuple[DomainForce, ...]:
+    hosts: Sequence[KnownHost], reading: FleetReading, *, revision: int, digest: str
+) -> list[DomainForce]:
     """Return for each failure domain where ``revision`` or a later one is in force."""
-    hosts = host_revisions(configuration, reading)
-    leaving = {h.name for h in configuration.entry_hosts if h.state is not ServerState.ACTIVE}
-    return tuple(
+    domains = dict.fromkeys(host.failure_domain for host in hosts)
+    serving = [host for host in hosts if not host.leaving]
+    return [
         _domain_force(
-            domain.name,
-            [h for h in hosts if h.failure_domain == domain.name and h.host not in leaving],
+            domain,
+            [host_revision(h, reading) for h in serving if h.failure_domain == domain],
             revision,
             digest,
         )
-        for domain in configuration.failure_domains
-    )
+        for domain in domains
+    ]
 
 
 def _domain_force(
@@ -103,31 +156,18 @@
     return host.revision >= revision
 
 
-def _host_revision(host: EntryHostEntry, reading: FleetReading) -> HostRevision:
-    for status in reading.statuses:
-        if status["host"] == host.name:
-            return HostRevision(
-                host.name,
-                host.failure_domain,
-                HostEvidence.REPORTED,
-                status["revision"],
-                status["digest"],
-            )
-    return _from_peers(host, _opinions(host.name, reading))
-
-
-def _from_peers(host: EntryHostEntry, opinions: Sequence[MemberStatus]) -> HostRevision:
+def _from_peers(host: str, said: Sequence[MemberStatus]) -> HostRevision:
     """Return what the peers say; a host that only some of them call dead may still serve."""
-    living = [o for o in opinions if o["state"] in ("alive", "leaving")]
+    living = [opinion for opinion in said if opinion["state"] in ("alive", "leaving")]
     if living:
         evidence = HostEvidence.PEERS
-    elif opinions and all(o["state"] == "dead" for o in opinions):
+    elif said and all(opinion["state"] == "dead" for opinion in said):
         evidence = HostEvidence.DEAD
     else:
         evidence = HostEvidence.UNKNOWN
-    revision = max((o["revision"] for o in living), default=0)
-    return HostRevision(host.name, host.failure_domain, evidence, revision, "")
+    revision = max((opinion["revision"] for opinion in living), default=0)
+    return HostRevision(host, evidence, revision, "")
 
 
-def _opinions(host: str, reading: FleetReading) -> list[MemberStatus]:
-    return [m for status in reading.statuses for m in status["members"] if m["host"] == host]
+def _endpoint(host: EntryHostEntry) -> str:
+    return f"{host.address}:{host.admin_port}"
--- /dev/null
+++ b/src/redwingswitch/_internal/configuration/overview.py
@@ -0,0 +1,267 @@
+"""The fleet at a glance: what is in force where, suspected, draining and ejected."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Sequence
+from typing import TypedDict
+
+from redwingswitch._internal.configuration.fleet import (
+    DomainForce,
+    HostEvidence,
+    KnownHost,
+    force_by_domain,
+    highest_digests,
+    highest_revision,
+    host_revision,
+    known_hosts,
+    opinions,
+)
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    Configuration,
+    Document,
+    ServerState,
+)
+from redwingswitch._internal.models.status import FleetReading, ServerStatus
+from redwingswitch._internal.utils.columns import cut, format_table
+
+NO_REPORT = -1
+SHOWN_DIGEST_CHARACTERS = 12
+
+
+class DomainOverview(TypedDict):
+    """Where the revision is in force in one failure domain; the lists name entry hosts."""
+
+    failure_domain: str
+    complete: bool
+    in_force: list[str]
+    behind: list[str]
+    dead: list[str]
+    unknown: list[str]
+
+
+class HostOverview(TypedDict):
+    """One entry host; ``revision`` is 0 when it is not known."""
+
+    host: str
+    failure_domain: str
+    evidence: str
+    revision: int
+    notes: list[str]
+
+
+class ServerOverview(TypedDict):
+    """One backend server that drains, leaves or is ejected.
+
+    ``open_connections`` is the highest count that the server reported, -1 without a report.
+    ``busy_slots`` and ``flow_records`` are sums over the hosts; a replica's records count too.
+    """
+
+    server: str
+    service: str
+    state: str
+    open_connections: int
+    busy_slots: int
+    flow_records: int
+    ejected_by: list[str]
+
+
+class Overview(TypedDict):
+    """Everything that the status command shows; ``revision`` is 0 before the first file."""
+
+    store_answered: bool
+    revision: int
+    digest: str
+    operator: str
+    applied_at: str
+    summary: str
+    conflict: bool
+    silent_endpoints: list[str]
+    failure_domains: list[DomainOverview]
+    hosts: list[HostOverview]
+    draining: list[ServerOverview]
+    ejected: list[ServerOverview]
+
+
+def make_overview(
+    *,
+    document: Document | None,
+    configuration: Configuration | None,
+    reading: FleetReading,
+    store_answered: bool,
+) -> Overview:
+    """Combine the accepted document, if known, and the hosts' reports."""
+    digests = highest_digests(reading.statuses)
+    revision = highest_revision(reading.statuses)
+    digest = min(digests, default="")
+    if document is not None and document["revision"] >= revision:
+        revision, digest = document["revision"], document["digest"]
+    hosts = known_hosts(configuration, reading)
+    servers = _servers(configuration, reading)
+    return Overview(
+        store_answered=store_answered,
+        revision=revision,
+        digest=digest,
+        operator="" if document is None else document["operator"],
+        applied_at="" if document is None else document.get("applied_at", ""),
+        summary="" if document is None else document.get("summary", ""),
+        conflict=_is_conflict(document, reading, digests),
+        silent_endpoints=list(reading.silent_endpoints),
+        failure_domains=[
+            _domain_overview(domain)
+            for domain in force_by_domain(hosts, reading, revision=revision, digest=digest)
+        ],
+        hosts=[_host_overview(host, reading) for host in hosts],
+        draining=[s for s in servers if s["state"] != ServerState.ACTIVE.value],
+        ejected=[s for s in servers if s["ejected_by"]],
+    )
+
+
+def render(overview: Overview, *, every_host: bool) -> list[str]:
+    """Return the overview as lines of at most 80 columns."""
+    lines = [cut(line) for line in _heading(overview)]
+    domains = [_domain_row(domain) for domain in overview["failure_domains"]]
+    lines += _section("", ("FAILURE DOMAIN", "IN FORCE", "NOT IN FORCE OR UNKNOWN"), domains)
+    hosts = [h for h in overview["hosts"] if every_host or h["notes"]]
+    nothing = "all entry hosts answer and are ready"
+    lines += _section(nothing, ("ENTRY HOST", "REVISION", "NOTES"), map(_host_row, hosts))
+    header = ("DRAINING", "SERVICE", "STATE", "CONNECTIONS", "BUSY SLOTS", "FLOW RECORDS")
+    draining = [_draining_row(server) for server in overview["draining"]]
+    lines += _section("no backend server is draining", header, draining)
+    ejected = [(s["server"], s["service"], ", ".join(s["ejected_by"])) for s in overview["ejected"]]
+    lines += _section("no backend server is ejected", ("EJECTED", "SERVICE", "BY"), ejected)
+    return lines
+
+
+def _is_conflict(document: Document | None, reading: FleetReading, digests: frozenset[str]) -> bool:
+    if len(digests) > 1 or any(status["conflict"] for status in reading.statuses):
+        return True
+    same = document is not None and document["revision"] == highest_revision(reading.statuses)
+    return same and document is not None and not digests <= {document["digest"]}
+
+
+def _domain_overview(domain: DomainForce) -> DomainOverview:
+    return DomainOverview(
+        failure_domain=domain.failure_domain,
+        complete=domain.complete,
+        in_force=list(domain.in_force),
+        behind=list(domain.behind),
+        dead=list(domain.dead),
+        unknown=list(domain.unknown),
+    )
+
+
+def _host_overview(host: KnownHost, reading: FleetReading) -> HostOverview:
+    known = host_revision(host, reading)
+    return HostOverview(
+        host=host.name,
+        failure_domain=host.failure_domain,
+        evidence=known.evidence.value,
+        revision=known.revision,
+        notes=_host_notes(host, known.evidence, reading),
+    )
+
+
+def _host_notes(host: KnownHost, evidence: HostEvidence, reading: FleetReading) -> list[str]:
+    notes = ["leaving"] if host.leaving else []
+    for state in ("suspected", "dead"):
+        count = sum(1 for said in opinions(host.name, reading) if said["state"] == state)
+        if count:
+            notes.append(f"{state} by {count} peer(s)")
+    if host.endpoint in reading.silent_endpoints:
+        notes.append("no answer")
+    elif evidence is HostEvidence.UNKNOWN:
+        notes.append("not known")
+    for status in reading.statuses:
+        if status["host"] == host.name:
+            stated = {
+                "not ready": not status["ready"],
+                "stopping": status["stopping"],
+                "abstaining": status["abstaining"],
+                "conflict": status["conflict"],
+            }
+            notes += [note for note, applies in stated.items() if applies]
+    return notes
+
+
+def _servers(configuration: Configuration | None, reading: FleetReading) -> list[ServerOverview]:
+    reports: dict[str, list[tuple[str, ServerStatus]]] = {}
+    for status in reading.statuses:
+        for server in status["servers"]:
+            reports.setdefault(server["name"], []).append((status["host"], server))
+    declared: dict[str, BackendServer] = {}
+    if configuration is not None:
+        declared = {b.name: b for s in configuration.services for b in s.backend_servers}
+    names = sorted(reports.keys() | declared.keys())
+    return [_server_overview(name, declared.get(name), reports.get(name, [])) for name in names]
+
+
+def _server_overview(
+    name: str, declared: BackendServer | None, reports: Sequence[tuple[str, ServerStatus]]
+) -> ServerOverview:
+    seen = [server for _, server in reports]
+    # Without the accepted file the most restrictive state that a host reports counts.
+    stated = next((s["state"] for s in seen if s["state"] != ServerState.ACTIVE.value), None)
+    state = (stated or ServerState.ACTIVE.value) if declared is None else declared.state.value
+    return ServerOverview(
+        server=name,
+        service="" if declared is None else declared.service,
+        state=state,
+        open_connections=max((s["open_connections"] for s in seen), default=NO_REPORT),
+        busy_slots=sum(s["busy_slots"] for s in seen),
+        flow_records=sum(s.get("records", 0) for s in seen),
+        ejected_by=[host for host, server in reports if server["ejected"]],
+    )
+
+
+def _heading(overview: Overview) -> Iterable[str]:
+    if not overview["revision"]:
+        yield "no file is accepted yet"
+    else:
+        shown = overview["digest"][:SHOWN_DIGEST_CHARACTERS]
+        yield f"revision {overview['revision']}, digest {shown}"
+    if overview["operator"]:
+        yield f"applied by {overview['operator']} at {overview['applied_at']}"
+        yield f"changes: {overview['summary']}"
+    if not overview["store_answered"]:
+        yield "THE STORE DOES NOT ANSWER: nothing can be applied; the hosts serve what they hold"
+    if overview["conflict"]:
+        yield "CONFLICT: hosts or the store hold different texts of one revision"
+
+
+def _section(nothing: str, header: Sequence[str], rows: Iterable[Sequence[str]]) -> list[str]:
+    listed = list(rows)
+    if listed:
+        return ["", *format_table(header, listed)]
+    return ["", nothing] if nothing else []
+
+
+def _domain_row(domain: DomainOverview) -> tuple[str, str, str]:
+    hosts = sum(len(domain[k]) for k in ("in_force", "behind", "unknown", "dead"))
+    faults = [
+        f"{word}: {', '.join(names)}"
+        for word, names in (
+            ("behind", domain["behind"]),
+            ("unknown", domain["unknown"]),
+            ("dead", domain["dead"]),
+        )
+        if names
+    ]
+    return domain["failure_domain"], f"{len(domain['in_force'])} of {hosts}", "; ".join(faults)
+
+
+def _host_row(host: HostOverview) -> tuple[str, str, str]:
+    revision = str(host["revision"]) if host["revision"] else "-"
+    return host["host"], revision, ", ".join(host["notes"])
+
+
+def _draining_row(server: ServerOverview) -> tuple[str, ...]:
+    connections = server["open_connections"]
+    return (
+        server["server"],
+        server["service"],
+        server["state"],
+        "-" if connections == NO_REPORT else str(connections),
+        str(server["busy_slots"]),
+        str(server["flow_records"]),
+    )
--- a/src/redwingswitch/_internal/utils/toml_reader.py
+++ b/src/redwingswitch/_internal/utils/toml_reader.py
@@ -45,9 +45,8 @@
 
     def findings(self, text: str) -> list[Finding]:
         """Return the findings with their lines in ``text``, in the order of lines."""
-        if not self._findings:
-            return []
-        lines = locate(text)
+        sought = [path for path, finding in self._findings if path and not finding.line]
+        lines = locate(text) if sought else {}
         located = [
             finding if finding.line else finding._replace(line=_nearest_line(lines, path))
             for path, finding in self._findings
--- a/tests/lib/stepped_store.py
+++ b/tests/lib/stepped_store.py
@@ -65,6 +65,15 @@
         statuses = [host_status(h, r, d) for h, (r, d) in self.hosts.items()]
         return FleetReading(tuple(statuses), ())
 
+    @staticmethod
+    def answering(*statuses):
+        """Return a reading function with fixed reports."""
+
+        async def read(endpoints):
+            return FleetReading(statuses, ())
+
+        return read
+
 
 def host_status(host, revision, digest, members=()):
     return {
--- a/tests/unit/configuration/test_apply.py
+++ b/tests/unit/configuration/test_apply.py
@@ -24,7 +24,13 @@
     StoreUnavailableError,
 )
 from tests.lib.operator_files import VALID_FILE
-from tests.lib.stepped_store import Operator, SteppedFleet, SteppedStore, run_to_end
+from tests.lib.stepped_store import (
+    Operator,
+    SteppedFleet,
+    SteppedStore,
+    host_status,
+    run_to_end,
+)
 
 
 def text_with(slots):
@@ -148,6 +154,16 @@
         assert site.store.entries == before
 
 
+@pytest.mark.parametrize(("heard", "error"), [(0, None), (1, None), (2, StoreBehindFleetError)])
+def test_a_revision_that_is_heard_of_through_a_peer_counts(heard, error):
+    # entry-1 lags behind entry-2, which does not answer itself.
+    site = Site()
+    lagging = host_status("entry-1", 0, "", [("entry-2", "alive", heard)])
+    site.fleet.read = SteppedFleet.answering(lagging)
+    operator = site.operator("ann", text_with(3)).finish()
+    assert type(operator.error) is (error or type(None))
+
+
 def test_without_hosts_the_store_s_revision_counts():
     site = Site()
     site.fleet.reachable = False
