--- a/src/redwingswitch/_internal/commands/standin_store.py
+++ b/src/redwingswitch/_internal/commands/standin_store.py
@@ -4,23 +4,34 @@
 
 import asyncio
 import signal
+from contextlib import suppress
 
 from redwingswitch._internal.cli.status_codes import SUCCESS
 from redwingswitch._internal.standins.store import StoreStandin
 from redwingswitch._internal.utils.clocks import MonotonicClock
 
+DEFAULT_SECONDS = 600
 
-def run(*, port: int, address: str = "127.0.0.1", delay_ms: int = 0) -> int:
-    """Serve the JSON gateway of the etcd v3 API on ``port``; each call takes ``delay_ms`` more.
+
+def run(
+    *,
+    port: int,
+    address: str = "127.0.0.1",
+    seconds: int = DEFAULT_SECONDS,
+    delay_ms: int = 0,
+) -> int:
+    """Serve the JSON gateway of the etcd v3 API on ``port`` for at most ``seconds``.
+
+    Each call takes ``delay_ms`` more than it needs.
 
     While it runs, POST /standin/faults, /standin/snapshot, /standin/restore and
     /standin/expire-leases change it, and GET /standin/calls counts the calls by kind.
     """
-    asyncio.run(_serve(port=port, address=address, delay_ms=delay_ms))
+    asyncio.run(_serve(port=port, address=address, seconds=seconds, delay_ms=delay_ms))
     return SUCCESS
 
 
-async def _serve(*, port: int, address: str, delay_ms: int) -> None:
+async def _serve(*, port: int, address: str, seconds: int, delay_ms: int) -> None:
     standin = StoreStandin(clock=MonotonicClock())
     standin.faults.delay_ms = delay_ms
     stopped = asyncio.Event()
@@ -29,5 +40,6 @@
         loop.add_signal_handler(number, stopped.set)
     standin.start(port=port, address=address)
     print(f"store stand-in: listening on http://{address}:{standin.port}", flush=True)
-    await stopped.wait()
+    with suppress(TimeoutError):
+        await asyncio.wait_for(stopped.wait(), seconds)
     await standin.stop()
