--- a/src/redwingswitch/_internal/decisions/bucket_owners.py
+++ b/src/redwingswitch/_internal/decisions/bucket_owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from redwingswitch._internal.decisions.hashing import rendezvous_rank
 from redwingswitch._internal.models.members import MembershipView, MemberState
@@ -136,9 +136,6 @@
             host
             for host in former
             if self._changed_until_ms.get(host, now_ms) > now_ms
+            and host not in self.suspected
             and (service_id, host) not in self._completed_until_ms
         )
-
-    def first_usable(self, ranked: Iterable[str]) -> str | None:
-        """Return the first host that is not suspected."""
-        return next((host for host in ranked if host not in self.suspected), None)
--- a/src/redwingswitch/_internal/decisions/flow_decider.py
+++ b/src/redwingswitch/_internal/decisions/flow_decider.py
@@ -67,6 +67,8 @@
     def _open(
         self, service: SteeredService, event: PacketArrived, now_ms: int, *, may_hold: bool
     ) -> list[Action]:
+        if service.fresh:
+            return [Drop(DropReason.OVERLOAD, service.name)]
         tables, flow_hash = service.tables, event.flow_hash
         number = tables.new_flow_choice(flow_hash, now_ms)
         if number is None:
@@ -113,17 +115,17 @@
         *,
         may_hold: bool,
     ) -> list[Action]:
-        """Share the record; while a former owner may still decide, do so before sending."""
+        """Share the record; while another host may decide, do so before sending."""
         actions: list[Action] = [*self._exchange.share(service, event.flow_hash, number, now_ms)]
-        unsettled = self._context.unsettled(service, event.flow_hash, now_ms)
-        sequence = self._exchange.sender.last_sequence(unsettled[0]) if unsettled else None
+        others = self._context.co_deciders(service, event.flow_hash, now_ms)
+        sequence = self._exchange.sender.last_sequence(others[0]) if others else None
         if sequence is None or not may_hold:
             return actions + self.send(service, event, number)
         if self.held.full():
             self._context.counters.hold_limit_hits += 1
             return actions + self.send(service, event, number)
         self.held.hold(
-            ("record", unsettled[0], sequence),
+            ("record", others[0], sequence),
             HeldPacket(service.name, event),
             release_at_ms=now_ms + HOLD_FOR_MS,
         )
@@ -134,9 +136,12 @@
     def _without_record(
         self, service: SteeredService, event: PacketArrived, now_ms: int, *, may_hold: bool
     ) -> list[Action]:
-        former = self._context.unsettled(service, event.flow_hash, now_ms) if may_hold else ()
-        if former:
-            return self._ask(service, event, former, now_ms)
+        others = self._context.co_deciders(service, event.flow_hash, now_ms) if may_hold else ()
+        if others:
+            return self._ask(service, event, others, now_ms)
+        if service.fresh:
+            # A guess would break flows that opened under a table which only peers know.
+            return [Drop(DropReason.OVERLOAD, service.name)]
         number = service.tables.oldest.choice(event.flow_hash)
         if number is None:
             return [Drop(DropReason.NO_BACKEND_SERVER, service.name)]
@@ -146,26 +151,26 @@
         return self.send(service, event, number)
 
     def _ask(
-        self, service: SteeredService, event: PacketArrived, former: tuple[str, ...], now_ms: int
+        self, service: SteeredService, event: PacketArrived, others: tuple[str, ...], now_ms: int
     ) -> list[Action]:
         key = ("query", service.wire_id, event.flow_hash)
         if self.held.full():
             self._context.counters.hold_limit_hits += 1
             if event.hops < MAX_HOPS:
-                return [forward(event, former[0], hops=MAX_HOPS)]
+                return [forward(event, others[0], hops=MAX_HOPS)]
             return self._without_record(service, event, now_ms, may_hold=False)
         asked = self.held.waiting(key)
         self.held.hold(
             key,
             HeldPacket(service.name, event),
             release_at_ms=now_ms + HOLD_FOR_MS,
-            answers=len(former),
+            answers=len(others),
         )
         if asked:
             return []
         self._context.counters.record_queries += 1
         query = RecordQuery(service.wire_id, event.flow_hash)
-        return [SendToPeer(host, query) for host in former]
+        return [SendToPeer(host, query) for host in others]
 
     # Answers that held packets wait for.
 
--- a/src/redwingswitch/_internal/decisions/history_requests.py
+++ b/src/redwingswitch/_internal/decisions/history_requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from redwingswitch._internal.decisions.steered_service import SteeredService
 from redwingswitch._internal.models.actions import SendToPeer
@@ -20,7 +20,7 @@
         self._asked_at_ms: dict[str, int] = {}
         self._waiting: dict[str, SteeredService] = {}
         self._view = MembershipView(members=())
-        self._view_known = False
+        self._declared: frozenset[str] = frozenset()
 
     def start(self, service: SteeredService, now_ms: int, *, fresh: bool) -> None:
         """Begin to wait for the history of a service."""
@@ -35,14 +35,16 @@
     def set_view(self, view: MembershipView) -> None:
         """Take over a membership view."""
         self._view = view
-        self._view_known = True
+
+    def set_declared(self, hosts: Iterable[str]) -> None:
+        """Take over the active hosts that the configuration declares."""
+        self._declared = frozenset(hosts) - {self._host}
 
     def waiting(self) -> bool:
         """Return whether any history is missing."""
         return bool(self._waiting)
 
-    def complete(self, service: SteeredService) -> None:
-        """Note that the history of a service is known."""
+    def _complete(self, service: SteeredService) -> None:
         service.history_complete()
         self.forget(service.name)
 
@@ -55,9 +57,13 @@
         for service in list(self._waiting.values()):
             deadline_ms = service.history_wait_until_ms or now_ms
             holder = next((m.host for m in others if _holds_history(m, service.wire_id)), None)
-            known = self._view_known and all(m.digest.revision >= revision for m in others)
-            if now_ms >= deadline_ms or (holder is None and known):
-                self.complete(service)
+            # An incomplete view may lack the hosts that hold the history and the records.
+            heard = self._declared <= {m.host for m in self._view.members}
+            none = holder is None and all(m.digest.revision >= revision for m in others)
+            if now_ms >= deadline_ms or (heard and (service.tables.synchronised or none)):
+                self._complete(service)
+            elif service.tables.synchronised:
+                continue
             elif holder is not None and self._may_ask(service.name, now_ms):
                 self._asked_at_ms[service.name] = now_ms
                 actions.append(SendToPeer(holder, TableHistoryRequest(service.wire_id)))
--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -45,14 +45,13 @@
         batch.
         """
         context = self._context
-        ranked = context.ranked(service, flow_hash)
-        unsettled = context.unsettled(service, flow_hash, now_ms)
-        targets = dict.fromkeys((*ranked[:2], *unsettled))
+        others = context.co_deciders(service, flow_hash, now_ms)
+        targets = dict.fromkeys((*context.ranked(service, flow_hash)[:2], *others))
         targets.pop(context.host, None)
         server_id = service.tables.index.wire_ids[number]
         for target in targets:
             self.sender.add(target, service.wire_id, server_id, flow_hash, now_ms)
-        if not unsettled and ranked[:1] == (context.host,):
+        if not others:
             return []
         return [action for target in targets for action in self.sender.flush(target, now_ms)]
 
@@ -78,6 +77,9 @@
                 self._store(received, flow_hash, now_ms)
         if batch.complete:
             self._context.owners.note_complete(service.wire_id, sender, now_ms)
+            if service.fresh:
+                # The former owner goes on deciding until this host knows older tables.
+                return []
         return [SendToPeer(sender, RecordBatchAck(batch.sequence))]
 
     def _store(self, received: _Received, flow_hash: int, now_ms: int) -> None:
@@ -147,6 +149,10 @@
             service.owner_changed_at_ms = now_ms
         return moves
 
+    def handing_over(self, service: SteeredService, host: str) -> bool:
+        """Return whether a hand-over of the service to ``host`` is not confirmed yet."""
+        return (host, service.wire_id) in self.sender.unconfirmed_hand_overs
+
     def keep_only(self, hosts: frozenset[str]) -> None:
         """Forget peers that are gone."""
         self.sender.keep_only(hosts)
--- a/src/redwingswitch/_internal/decisions/record_sender.py
+++ b/src/redwingswitch/_internal/decisions/record_sender.py
@@ -63,6 +63,7 @@
     def __init__(self, *, first_sequence: int = 0) -> None:
         self._streams: dict[str, _Stream] = {}
         self._sequence = first_sequence
+        self.unconfirmed_hand_overs: set[tuple[str, int]] = set()
         self.records_sent = 0
         self.records_given_up = 0
         self.retransmissions = 0
@@ -91,13 +92,13 @@
     ) -> None:
         """Queue many records, as flow hashes by server id; ``pump`` sends them."""
         stream = self._streams.setdefault(host, _Stream())
-        batches = list(_batches(records))
-        if complete and not batches:
-            batches = [()]
-        for position, groups in enumerate(batches):
-            last = position == len(batches) - 1
-            stream.waiting.append(_Waiting(service_id, purpose, groups, complete and last))
+        for groups in _batches(records):
+            stream.waiting.append(_Waiting(service_id, purpose, groups, False))
             stream.pending_records += _count(groups)
+        if complete:
+            # The mark travels alone, because the receiver may let it come again for a while.
+            stream.waiting.append(_Waiting(service_id, purpose, (), True))
+            self.unconfirmed_hand_overs.add((host, service_id))
 
     def flush(self, host: str, now_ms: int) -> list[SendToPeer]:
         """Send the batch that is being built for ``host`` at once."""
@@ -140,12 +141,15 @@
         if stream is None or confirmed is None:
             return []
         stream.pending_records -= _count(confirmed.batch.groups)
+        if confirmed.batch.complete:
+            self.unconfirmed_hand_overs.discard((host, confirmed.batch.service_id))
         return self._pump(host, stream, now_ms)
 
     def keep_only(self, hosts: Collection[str]) -> None:
         """Drop the streams to hosts that are gone."""
         for host in [h for h in self._streams if h not in hosts]:
             del self._streams[host]
+        self.unconfirmed_hand_overs = {k for k in self.unconfirmed_hand_overs if k[0] in hosts}
 
     def idle(self) -> bool:
         """Return whether nothing is waiting or unconfirmed."""
--- a/src/redwingswitch/_internal/decisions/steered_service.py
+++ b/src/redwingswitch/_internal/decisions/steered_service.py
@@ -9,6 +9,7 @@
 from redwingswitch._internal.models.configuration import Service
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import NeededRevision
+from redwingswitch._internal.models.messages import TableHistory
 
 # Hosts activate and learn of needs at slightly different times; the last report must arrive first.
 DROP_GRACE_MS = 30_000
@@ -39,13 +40,19 @@
     def await_history(self, now_ms: int, *, fresh: bool) -> None:
         """Treat every bucket as displaced until a peer's history arrived or none exists.
 
-        A ``fresh`` host also leaves decisions to others, because it does not know older tables.
+        A ``fresh`` host leaves decisions to others until it knows the history and its peers.
         """
         self.fresh = self.fresh or fresh
         self.history_wait_until_ms = now_ms + HISTORY_WAIT_MS
         self.tables.synchronised = False
         self.tables.rebuild()
 
+    def merge_history(self, history: TableHistory, now_ms: int) -> None:
+        """Take over a peer's history."""
+        self.tables.synchronised = True
+        self.tables.merge(history, now_ms, now_ms + self.service.idle_limit_ms)
+        self.tables_changed(now_ms)
+
     def history_complete(self) -> None:
         """Return to normal operation."""
         self.fresh = False
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -23,7 +23,12 @@
     DropReason,
     SendToBackendServer,
 )
-from redwingswitch._internal.models.configuration import BackendServer, Configuration, Service
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    Configuration,
+    ServerState,
+    Service,
+)
 from redwingswitch._internal.models.events import PacketArrived
 from redwingswitch._internal.models.members import MembershipView, NeededRevision
 from redwingswitch._internal.models.messages import (
@@ -89,24 +94,27 @@
         agreed = service.tables.agreed_choice(event.flow_hash)
         if agreed is not None:
             return self._decider.send(service, event, agreed)
+        owner = self._owner(service, event)
+        if owner is not None and owner != self._context.host:
+            self._context.counters.forwarded_packets += 1
+            return [forward(event, owner, hops=event.hops + 1)]
+        return self._decider.decide(service, event, now_ms)
+
+    def _owner(self, service: SteeredService, event: PacketArrived) -> str | None:
+        """Return the host that decides for a packet; None stands for the local host."""
         if event.hops >= MAX_HOPS:
-            return self._decider.decide(service, event, now_ms)
+            return None
         context = self._context
-        owner = context.owners.first_usable(context.ranked(service, event.flow_hash))
-        if service.fresh and owner == context.host:
-            owner = self._informed_host(service, event.flow_hash)
-        if owner is None or owner == context.host:
-            return self._decider.decide(service, event, now_ms)
-        context.counters.forwarded_packets += 1
-        return [forward(event, owner, hops=event.hops + 1)]
-
-    def _informed_host(self, service: SteeredService, flow_hash: int) -> str | None:
-        """Return another host to decide in place of this one, which lacks older tables."""
-        ranked = self._context.ranked(service, flow_hash)
-        others = (host for host in ranked if host != self._context.host)
-        if service.records.get(flow_hash) is not None:
+        usable = context.usable(service, event.flow_hash)
+        if not usable:
             return None
-        return self._context.owners.first_usable(others)
+        if service.fresh and usable[0] == context.host:
+            # This host lacks older tables, so it leaves the decision to the next host.
+            return usable[1] if len(usable) > 1 else None
+        if usable[1:2] == (context.host,) and self._exchange.handing_over(service, usable[0]):
+            # The new owner may not know all records yet.
+            return None
+        return usable[0]
 
     def choose_for_connection(self, service: str, flow_hash: int, now_ms: int) -> str | None:
         """Return the server for a new connection of the TCP listener, or None.
@@ -140,6 +148,8 @@
         self._revision = configuration.revision
         services = [service for service in configuration.services if service.takes_streams]
         self._remove_services(services)
+        active = (e for e in configuration.entry_hosts if e.state is ServerState.ACTIVE)
+        self._history.set_declared(entry.name for entry in active)
         actions: list[Action] = []
         for service in services:
             actions += self._apply_service(service, now_ms, fresh=fresh, skipped=skipped)
@@ -289,12 +299,10 @@
         service = self._context.by_wire_id.get(message.service_id)
         if service is None or service.history_wait_until_ms is None:
             return []
-        service.tables.merge(message, now_ms, now_ms + service.service.idle_limit_ms)
-        service.tables_changed(now_ms)
-        self._history.complete(service)
+        service.merge_history(message, now_ms)
         if service.tables.pending():
             self._pending[service.name] = service
-        return []
+        return [*self._history.advance(self._revision, now_ms)]
 
     # Time.
 
--- a/src/redwingswitch/_internal/decisions/steering_context.py
+++ b/src/redwingswitch/_internal/decisions/steering_context.py
@@ -67,7 +67,24 @@
         """Return the hosts for a flow, owner first, suspected ones included."""
         return self.owners.ranking.rank(service.wire_id, flow_hash, service.near(flow_hash))
 
-    def unsettled(self, service: SteeredService, flow_hash: int, now_ms: int) -> tuple[str, ...]:
-        """Return the hosts that may hold a record of a flow which its owner lacks."""
+    def usable(self, service: SteeredService, flow_hash: int) -> tuple[str, ...]:
+        """Return the hosts for a flow, owner first, without suspected ones."""
+        ranked = self.ranked(service, flow_hash)
+        suspected = self.owners.suspected
+        if not suspected:
+            return ranked
+        return tuple(host for host in ranked if host not in suspected)
+
+    def co_deciders(self, service: SteeredService, flow_hash: int, now_ms: int) -> tuple[str, ...]:
+        """Return the hosts that may have decided for a flow without this host's knowledge.
+
+        These are former owners and, when the local host is not the owner, the owner and replica.
+        """
         near = service.near(flow_hash)
-        return self.owners.unsettled(service.wire_id, flow_hash, near, now_ms)
+        hosts = self.owners.unsettled(service.wire_id, flow_hash, near, now_ms)
+        usable = self.usable(service, flow_hash)
+        if usable[:1] != (self.host,):
+            hosts = (*hosts, *usable[:2])
+        elif not hosts:
+            return ()
+        return tuple(host for host in dict.fromkeys(hosts) if host != self.host)
--- a/tests/lib/steering_fleet.py
+++ b/tests/lib/steering_fleet.py
@@ -17,6 +17,7 @@
 from redwingswitch._internal.models.configuration import (
     BackendServer,
     Configuration,
+    EntryHostEntry,
     Objectives,
     ServerState,
     Service,
@@ -82,9 +83,16 @@
     )
 
 
-def configuration(revision: int, services: Iterable[Service]) -> Configuration:
-    """Build a configuration that holds only services."""
-    return Configuration(revision, f"digest-{revision}", (), tuple(services), (), ())
+def configuration(
+    revision: int, services: Iterable[Service], hosts: dict[str, str]
+) -> Configuration:
+    """Build a configuration; ``hosts`` maps the declared entry hosts to failure domains."""
+    active = ServerState.ACTIVE
+    entries = tuple(
+        EntryHostEntry(name, domain, "127.0.0.1", 7101, 7201, 7301, 7401, "", active)
+        for name, domain in hosts.items()
+    )
+    return Configuration(revision, f"digest-{revision}", (), tuple(services), entries, ())
 
 
 def flow_key(service_number: int, caller: int) -> FlowKey:
--- a/tests/unit/decisions/test_flow_steering.py
+++ b/tests/unit/decisions/test_flow_steering.py
@@ -32,7 +32,7 @@
     states: dict[str, ServerState] | None = None,
 ) -> Configuration:
     jobs = service("job-board", 1, servers or SERVERS, states)
-    return configuration(number, (jobs, service("photos", 2, PHOTOS)))
+    return configuration(number, (jobs, service("photos", 2, PHOTOS)), HOSTS)
 
 
 class Flows:
