Activate tables one by one and hand records over from both holders

Two changes in a row kept new flows on a leaving server for up to 3.3 s, because only the newest table had an activation. Uneven views let a new owner start without records, because each holder relied on the other, and a starting host counted its first table as activated. Each table now has its own deadline, owner and replica both send, and a starting host takes the activation from a peer's history.

--- a/src/redwingswitch/_internal/decisions/bucket_owners.py
+++ b/src/redwingswitch/_internal/decisions/bucket_owners.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from redwingswitch._internal.decisions.hashing import rendezvous_rank
 from redwingswitch._internal.models.members import MembershipView, MemberState
@@ -13,6 +13,8 @@
 CACHED_RANKS = 65_536
 # After this time, the records of a former owner have arrived or its queries were asked.
 OWNERSHIP_SETTLES_AFTER_MS = 10_000
+# An incarnation holds the start time above these bits; a refutation adds 1 below.
+REFUTATION_BITS = 16
 
 
 class OwnerRanking:
@@ -58,6 +60,7 @@
         self.previous = self.ranking
         self.suspected: frozenset[str] = frozenset()
         self.reachable: frozenset[str] = frozenset({host})
+        self._starts: dict[str, int] = {}
         self._changed_until_ms: dict[str, int] = {}
         self._changed_ranking = OwnerRanking(hosts={})
         self._completed_until_ms: dict[tuple[int, str], int] = {}
@@ -82,11 +85,35 @@
         self.reachable = frozenset(
             m.host for m in view.members if m.state is not MemberState.DEAD
         ) | {self._host}
+        restarted = self._restarted(view)
+        if restarted & self.ranking.hosts.keys():
+            # A restarted host has lost its records; its former replicas hand them over.
+            kept = {h: d for h, d in self.ranking.hosts.items() if h not in restarted}
+            self.ranking = OwnerRanking(hosts=kept)
+            self._forget(restarted)
         if hosts == self.ranking.hosts:
             return False
         self._replace(hosts, now_ms)
         return True
 
+    def _restarted(self, view: MembershipView) -> set[str]:
+        """Return the hosts that came back as a new process since the last view."""
+        starts = {m.host: m.incarnation >> REFUTATION_BITS for m in view.members}
+        restarted = {
+            host
+            for host, start in starts.items()
+            if start > self._starts.get(host, start) and host != self._host
+        }
+        self._starts = starts
+        return restarted
+
+    def _forget(self, hosts: Collection[str]) -> None:
+        """Forget what hosts that are gone have handed over."""
+        for host in hosts:
+            self._changed_until_ms.pop(host, None)
+        for key in [k for k in self._completed_until_ms if k[1] in hosts]:
+            del self._completed_until_ms[key]
+
     def _replace(self, hosts: Mapping[str, str], now_ms: int) -> None:
         self.previous = self.ranking
         self.ranking = OwnerRanking(hosts=hosts)
@@ -94,10 +121,8 @@
         left = (self.previous.hosts.keys() - hosts.keys()) & self.reachable
         for host in (added | left) - {self._host}:
             self._changed_until_ms[host] = now_ms + OWNERSHIP_SETTLES_AFTER_MS
-        for host in self._changed_until_ms.keys() - self.reachable:
-            del self._changed_until_ms[host]
-        for key in [k for k in self._completed_until_ms if k[1] not in self.reachable]:
-            del self._completed_until_ms[key]
+        known = self._changed_until_ms.keys() | {key[1] for key in self._completed_until_ms}
+        self._forget(known - self.reachable)
         self._rank_changed()
 
     def _rank_changed(self) -> None:
--- a/src/redwingswitch/_internal/decisions/flow_decider.py
+++ b/src/redwingswitch/_internal/decisions/flow_decider.py
@@ -73,10 +73,10 @@
         number = tables.new_flow_choice(flow_hash, now_ms)
         if number is None:
             return [Drop(DropReason.NO_BACKEND_SERVER, service.name)]
-        if tables.pending() and not tables.takes_new_flows(number):
-            hold_from_ms = tables.newest.activate_at_ms - HOLD_BEFORE_ACTIVATION_MS
-            if now_ms >= hold_from_ms and may_hold:
-                return self._hold_for_activation(service, event)
+        activate_at_ms = tables.leaves_at_ms(number)
+        hold_from_ms = (activate_at_ms or 0) - HOLD_BEFORE_ACTIVATION_MS
+        if activate_at_ms is not None and may_hold and now_ms >= hold_from_ms:
+            return self._hold_for_activation(service, event, activate_at_ms)
         closed = service.records.get_closed(flow_hash)
         if not service.records.put(flow_hash, number):
             return self._open_without_record(service, event)
@@ -92,13 +92,15 @@
             return [Drop(DropReason.OVERLOAD, service.name)]
         return self.send(service, event, default)
 
-    def _hold_for_activation(self, service: SteeredService, event: PacketArrived) -> list[Action]:
+    def _hold_for_activation(
+        self, service: SteeredService, event: PacketArrived, activate_at_ms: int
+    ) -> list[Action]:
         if self.held.full():
             return self._hold_limit(service)
         self.held.hold(
             ("activation", service.wire_id),
             HeldPacket(service.name, event),
-            release_at_ms=service.tables.newest.activate_at_ms,
+            release_at_ms=activate_at_ms,
         )
         return []
 
--- a/src/redwingswitch/_internal/decisions/history_requests.py
+++ b/src/redwingswitch/_internal/decisions/history_requests.py
@@ -10,6 +10,7 @@
 from redwingswitch._internal.models.messages import TableHistoryRequest
 
 ASK_AGAIN_AFTER_MS = 500
+EXTRA_WAIT_FOR_REVISION_MS = 7_000
 
 
 class HistoryRequests:
@@ -55,8 +56,12 @@
             m for m in self._view.members if m.host != self._host and m.state != MemberState.DEAD
         ]
         for service in list(self._waiting.values()):
+            # A starting host without the peers' revision would send opening packets astray.
+            behind = service.fresh and any(m.digest.revision > revision for m in others)
             deadline_ms = service.history_wait_until_ms or now_ms
-            holder = next((m.host for m in others if _holds_history(m, service.wire_id)), None)
+            if behind and now_ms < deadline_ms + EXTRA_WAIT_FOR_REVISION_MS:
+                continue
+            holder = _history_holder(others, service.wire_id)
             # An incomplete view may lack the hosts that hold the history and the records.
             heard = self._declared <= {m.host for m in self._view.members}
             none = holder is None and all(m.digest.revision >= revision for m in others)
@@ -70,21 +75,32 @@
         return actions
 
     def answer(
-        self, services: Mapping[int, SteeredService], sender: str, request: TableHistoryRequest
+        self,
+        services: Mapping[int, SteeredService],
+        sender: str,
+        request: TableHistoryRequest,
+        now_ms: int,
     ) -> list[SendToPeer]:
         """Send the history of a service, unless the local host waits for it as well."""
         service = services.get(request.service_id)
         if service is None or service.history_wait_until_ms is not None:
             return []
-        return [SendToPeer(sender, service.tables.export(service.wire_id))]
+        return [SendToPeer(sender, service.tables.export(service.wire_id, now_ms))]
 
     def _may_ask(self, name: str, now_ms: int) -> bool:
         asked_at_ms = self._asked_at_ms.get(name)
         return asked_at_ms is None or now_ms >= asked_at_ms + ASK_AGAIN_AFTER_MS
 
 
-def _holds_history(member: MemberView, service_id: int) -> bool:
-    return any(
-        need.service_id == service_id and need.oldest_held_revision > 0
-        for need in member.digest.needed_revisions
-    )
+def _history_holder(members: Iterable[MemberView], service_id: int) -> str | None:
+    """Return the host with the latest revision among those with a history of a service."""
+    holders = [
+        member
+        for member in members
+        if any(
+            need.service_id == service_id and need.oldest_held_revision > 0
+            for need in member.digest.needed_revisions
+        )
+    ]
+    latest = max(holders, key=lambda member: member.digest.revision, default=None)
+    return None if latest is None else latest.host
--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -129,13 +129,7 @@
     ) -> RecordMoves:
         """Queue what a change of owners makes the local host send."""
         context = self._context
-        moves = record_moves(
-            service=service,
-            host=context.host,
-            before=before,
-            after=after,
-            reachable=context.owners.reachable,
-        )
+        moves = record_moves(service=service, host=context.host, before=before, after=after)
         for target, records in moves.to_replica.items():
             self.sender.hand_over(target, service.wire_id, records, BatchPurpose.REPLICA)
         for target in moves.to_owner.keys() | moves.new_owners:
--- a/src/redwingswitch/_internal/decisions/record_moves.py
+++ b/src/redwingswitch/_internal/decisions/record_moves.py
@@ -36,14 +36,13 @@
 
 
 def record_moves(
-    *,
-    service: SteeredService,
-    host: str,
-    before: Ownership,
-    after: Ownership,
-    reachable: frozenset[str],
+    *, service: SteeredService, host: str, before: Ownership, after: Ownership
 ) -> RecordMoves:
-    """Compare two ownerships and collect what the local host has to send."""
+    """Compare two ownerships and collect what the local host has to send.
+
+    Owner and replica both send to a new holder. Hosts see changes of the membership in different
+    orders, so neither can rely on the other for that.
+    """
     moves = RecordMoves()
     _note_owners(moves, service, host, before, after)
     for number, hashes in service.records.by_value().items():
@@ -53,9 +52,8 @@
                 continue
             old = before.holders(service.wire_id, flow_hash)
             new = after.holders(service.wire_id, flow_hash)
-            if old == new or next((h for h in old if h in reachable), host) != host:
-                continue
-            _add_targets(moves, old, new, server_id, flow_hash)
+            if old != new and host in old:
+                _add_targets(moves, old, new, server_id, flow_hash)
     return moves
 
 
--- a/src/redwingswitch/_internal/decisions/service_tables.py
+++ b/src/redwingswitch/_internal/decisions/service_tables.py
@@ -31,12 +31,20 @@
         activate_at_ms: int,
         activated_at_ms: int | None,
     ) -> None:
+        # The first table of a process counts as activated until a peer says otherwise.
+        self.initial = False
         self.revision = revision
         self.servers = servers
         self.choices = choices
         self.activate_at_ms = activate_at_ms
         self.activated_at_ms = activated_at_ms
 
+    def activates_in_ms(self, now_ms: int) -> int:
+        """Return the time left until the activation, 0 after it."""
+        if self.activated_at_ms is not None:
+            return 0
+        return max(1, self.activate_at_ms - now_ms)
+
     def choice(self, flow_hash: int) -> int | None:
         """Return the server number of a flow, or None when the table has no servers."""
         size = len(self.choices)
@@ -58,6 +66,7 @@
         self._held_until_ms: dict[int, int] = {}
         self._learn_servers(service.backend_servers)
         self._append(revision, active_servers(service), now_ms, activated_at_ms=now_ms)
+        self.oldest.initial = True
         self.rebuild()
 
     @property
@@ -74,9 +83,9 @@
         """Return the table that new flows follow."""
         return next(e for e in reversed(self.entries) if e.activated_at_ms is not None)
 
-    def pending(self) -> bool:
-        """Return whether the newest table is in preparation."""
-        return self.newest.activated_at_ms is None
+    def pending(self) -> list[HistoryEntry]:
+        """Return the tables in preparation, oldest first."""
+        return [entry for entry in self.entries if entry.activated_at_ms is None]
 
     # Changes.
 
@@ -90,20 +99,20 @@
         if not self.oldest.servers:
             # No flow can have followed a table without servers.
             del self.entries[0]
-            self._activate_single(now_ms)
+            self._activate_oldest(now_ms)
         self.rebuild()
         return True
 
-    def activate(self, now_ms: int) -> None:
-        """Give new flows the newest choice from now on."""
-        for entry in self.entries:
-            if entry.activated_at_ms is None:
-                entry.activated_at_ms = now_ms
+    def activate(self, entry: HistoryEntry, now_ms: int) -> None:
+        """Give new flows the choices of ``entry``, or of a later activated table, from now on."""
+        for earlier in self.entries[: self.entries.index(entry) + 1]:
+            if earlier.activated_at_ms is None:
+                earlier.activated_at_ms = now_ms
 
     def drop_oldest(self, now_ms: int) -> HistoryEntry:
         """Remove the oldest table from the history and return it."""
         dropped = self.entries.pop(0)
-        self._activate_single(now_ms)
+        self._activate_oldest(now_ms)
         self.rebuild()
         return dropped
 
@@ -116,9 +125,9 @@
         self._held_until_ms = {}
         self.rebuild()
 
-    def _activate_single(self, now_ms: int) -> None:
-        if len(self.entries) == 1 and self.pending():
-            self.activate(now_ms)
+    def _activate_oldest(self, now_ms: int) -> None:
+        if self.oldest.activated_at_ms is None:
+            self.oldest.activated_at_ms = now_ms
 
     def _append(
         self,
@@ -149,12 +158,12 @@
 
     # History from a peer.
 
-    def export(self, service_id: int) -> TableHistory:
+    def export(self, service_id: int, now_ms: int) -> TableHistory:
         """Describe the history for a peer that did not learn it in time."""
         tables = tuple(
             HistoricTable(
                 revision=entry.revision,
-                activated=entry.activated_at_ms is not None,
+                activates_in_ms=entry.activates_in_ms(now_ms),
                 servers=entry.servers,
             )
             for entry in self.entries
@@ -166,32 +175,53 @@
             service_id=service_id, tables=tables, servers=servers, held_servers=tuple(held)
         )
 
-    def merge(self, history: TableHistory, now_ms: int, hold_until_ms: int) -> None:
-        """Insert the tables that a peer has and this host did not learn in time."""
+    def merge(self, history: TableHistory, revision: int, now_ms: int, hold_until_ms: int) -> None:
+        """Insert the tables that a peer has and this host did not learn in time.
+
+        ``revision`` is the local host's; later tables come with their revision.
+        """
         own = {server.name for server in self.index.details}
         self._learn_servers(s for s in history.servers if s.name not in own)
-        newest_revision = self.newest.revision
+        newest = self.newest
+        self._doubt_initial(history, now_ms)
         by_revision = {entry.revision: entry for entry in self.entries}
         for table in history.tables:
-            if table.revision < newest_revision and table.revision not in by_revision:
+            if table.revision <= revision and table.revision not in by_revision:
                 by_revision[table.revision] = self._historic(table, now_ms)
-        ordered = [by_revision[revision] for revision in sorted(by_revision)]
-        self.entries = _without_repeats(ordered)[-MAX_TABLES:]
-        self._activate_single(now_ms)
+        ordered = [by_revision[number] for number in sorted(by_revision)]
+        self.entries = _without_repeats(ordered)
+        if self.newest.servers != newest.servers:
+            # The same servers as before tables that this host skipped.
+            activate_at_ms = now_ms + ACTIVATE_AFTER_MS
+            self._append(revision, newest.servers, activate_at_ms, activated_at_ms=None)
+        self.entries = self.entries[-MAX_TABLES:]
+        self._activate_oldest(now_ms)
         for name in history.held_servers:
             number = self.index.number(name)
             if number is not None:
                 self._held_until_ms[number] = hold_until_ms
         self.rebuild()
 
+    def _doubt_initial(self, history: TableHistory, now_ms: int) -> None:
+        """Take a peer's word on the activation of the first table of this process."""
+        initial = next((entry for entry in self.entries if entry.initial), None)
+        if initial is None:
+            return
+        stated = [t.activates_in_ms for t in history.tables if t.revision >= initial.revision]
+        remaining_ms = stated[0] if stated else ACTIVATE_AFTER_MS
+        initial.initial = False
+        if remaining_ms:
+            initial.activated_at_ms = None
+            initial.activate_at_ms = now_ms + remaining_ms
+
     def _historic(self, table: HistoricTable, now_ms: int) -> HistoryEntry:
         known = tuple(name for name in table.servers if self.index.number(name) is not None)
         return HistoryEntry(
             revision=table.revision,
             servers=known,
             choices=self._choices(known),
-            activate_at_ms=now_ms + ACTIVATE_AFTER_MS,
-            activated_at_ms=now_ms if table.activated else None,
+            activate_at_ms=now_ms + table.activates_in_ms,
+            activated_at_ms=None if table.activates_in_ms else now_ms,
         )
 
     # Ejection.
@@ -248,6 +278,12 @@
         """Return whether the newest revision lets a server take new flows."""
         return self.index.names[number] in self.newest.servers
 
+    def leaves_at_ms(self, number: int) -> int | None:
+        """Return when a table in preparation takes a server's new flows away, or None."""
+        name = self.index.names[number]
+        without = (e.activate_at_ms for e in self.pending() if name not in e.servers)
+        return min(without, default=None)
+
     def agreed_choice(self, flow_hash: int) -> int | None:
         """Return the server on which all tables agree, or None for a displaced flow."""
         first = self.oldest.choice(flow_hash)
--- a/src/redwingswitch/_internal/decisions/steered_service.py
+++ b/src/redwingswitch/_internal/decisions/steered_service.py
@@ -8,13 +8,15 @@
 from redwingswitch._internal.decisions.service_tables import HistoryEntry, ServiceTables
 from redwingswitch._internal.models.configuration import Service
 from redwingswitch._internal.models.identifiers import wire_id
-from redwingswitch._internal.models.members import NeededRevision
+from redwingswitch._internal.models.members import NeededRevision, PendingTable
 from redwingswitch._internal.models.messages import TableHistory
 
 # Hosts activate and learn of needs at slightly different times; the last report must arrive first.
 DROP_GRACE_MS = 30_000
 SCAN_INTERVAL_MS = 60_000
 HISTORY_WAIT_MS = 3_000
+# Members hear from each other directly only now and then.
+STATE_ACTIVATION_FOR_MS = 10_000
 
 
 class SteeredService:
@@ -47,10 +49,10 @@
         self.tables.synchronised = False
         self.tables.rebuild()
 
-    def merge_history(self, history: TableHistory, now_ms: int) -> None:
+    def merge_history(self, history: TableHistory, revision: int, now_ms: int) -> None:
         """Take over a peer's history."""
         self.tables.synchronised = True
-        self.tables.merge(history, now_ms, now_ms + self.service.idle_limit_ms)
+        self.tables.merge(history, revision, now_ms, now_ms + self.service.idle_limit_ms)
         self.tables_changed(now_ms)
 
     def history_complete(self) -> None:
@@ -97,15 +99,22 @@
         several = len(tables.entries) > 1
         if not several and not tables.soft():
             return None
-        remaining_ms = max(1, tables.newest.activate_at_ms - now_ms) if tables.pending() else 0
         return NeededRevision(
             service_id=self.wire_id,
             revision=tables.oldest.revision if several and self._oldest_needed else 0,
             oldest_held_revision=tables.oldest.revision,
-            activates_in_ms=remaining_ms,
+            pending=tuple(
+                PendingTable(entry.revision, entry.activates_in_ms(now_ms))
+                for entry in tables.entries[1:]
+                if (entry.activated_at_ms or now_ms) > now_ms - STATE_ACTIVATION_FOR_MS
+            ),
             records_needed=self._ejection_records and len(self.records) > 0,
         )
 
+    def next_activation_ms(self) -> int | None:
+        """Return the earliest deadline of a table in preparation."""
+        return min((entry.activate_at_ms for entry in self.tables.pending()), default=None)
+
     def tables_changed(self, now_ms: int) -> None:
         """Start over with the assumption that records need the oldest table."""
         self._oldest_needed = True
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -222,7 +222,7 @@
         self._history.set_view(view)
         self._activation.update(view, self._context.host, now_ms)
         for service in self._pending.values():
-            self._activation.shorten(service, self._revision)
+            self._activation.shorten(service)
         actions: list[Action] = [*self._history.advance(self._revision, now_ms)]
         actions += self._activate_due(now_ms)
         if changed:
@@ -292,14 +292,14 @@
 
     @_handle.register
     def _(self, message: TableHistoryRequest, sender: str, now_ms: int) -> list[Action]:
-        return [*self._history.answer(self._context.by_wire_id, sender, message)]
+        return [*self._history.answer(self._context.by_wire_id, sender, message, now_ms)]
 
     @_handle.register
     def _(self, message: TableHistory, sender: str, now_ms: int) -> list[Action]:
         service = self._context.by_wire_id.get(message.service_id)
         if service is None or service.history_wait_until_ms is None:
             return []
-        service.merge_history(message, now_ms)
+        service.merge_history(message, self._revision, now_ms)
         if service.tables.pending():
             self._pending[service.name] = service
         return [*self._history.advance(self._revision, now_ms)]
@@ -312,7 +312,7 @@
             self._sweep_at_ms,
             self._exchange.sender.next_deadline_ms(),
             self._decider.held.next_deadline_ms(),
-            *(service.tables.newest.activate_at_ms for service in self._pending.values()),
+            *(service.next_activation_ms() for service in self._pending.values()),
         ]
         return min((at_ms for at_ms in deadlines if at_ms is not None), default=None)
 
@@ -329,10 +329,13 @@
 
     def _activate_due(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
-        for service in [s for s in self._pending.values() if self._activation.due(s, now_ms)]:
-            service.tables.activate(now_ms)
-            del self._pending[service.name]
-            actions += self._decider.on_activation(service, now_ms)
+        for service in list(self._pending.values()):
+            due = [e for e in service.tables.pending() if self._activation.due(e, now_ms)]
+            if due:
+                service.tables.activate(due[-1], now_ms)
+                actions += self._decider.on_activation(service, now_ms)
+            if not service.tables.pending():
+                del self._pending[service.name]
         return actions
 
     def _sweep(self, now_ms: int) -> None:
--- a/src/redwingswitch/_internal/models/members.py
+++ b/src/redwingswitch/_internal/models/members.py
@@ -24,19 +24,25 @@
     state: MemberState
 
 
+class PendingTable(NamedTuple):
+    """A table that a host prepares, or activated lately (``activates_in_ms`` 0)."""
+
+    revision: int
+    activates_in_ms: int
+
+
 class NeededRevision(NamedTuple):
     """What a host states about its lookup tables of one service.
 
     ``revision`` is the oldest revision whose table its records still need, 0 for none;
-    ``oldest_held_revision`` is the oldest whose table it holds. ``activates_in_ms`` is the time
-    that is left until it activates its newest table, 0 when it has. ``records_needed`` is true
-    while it has records in buckets that were displaced by an ejection.
+    ``oldest_held_revision`` is the oldest whose table it holds. ``records_needed`` is true while it
+    has records in buckets that were displaced by an ejection.
     """
 
     service_id: int
     revision: int
     oldest_held_revision: int = 0
-    activates_in_ms: int = 0
+    pending: tuple[PendingTable, ...] = ()
     records_needed: bool = False
 
 
--- a/src/redwingswitch/_internal/models/messages.py
+++ b/src/redwingswitch/_internal/models/messages.py
@@ -167,10 +167,13 @@
 
 
 class HistoricTable(NamedTuple):
-    """One lookup table, described by the servers that it was computed from."""
+    """One lookup table, described by the servers that it was computed from.
+
+    ``activates_in_ms`` is 0 for a table that was activated.
+    """
 
     revision: int
-    activated: bool
+    activates_in_ms: int
     servers: tuple[str, ...]
 
 
--- a/tests/lib/steering_fleet.py
+++ b/tests/lib/steering_fleet.py
@@ -113,6 +113,7 @@
         )
         self.revision = 0
         self.states: dict[str, MemberState] = {}
+        self.incarnations: dict[str, int] = {name: incarnation}
         self.digests: dict[str, HostDigest] = {}
         self.timer_at_ms: int | None = None
 
@@ -146,6 +147,7 @@
             self._create(name, domain)
         for host in self.hosts.values():
             host.states = dict.fromkeys(self.hosts, MemberState.ALIVE)
+            host.incarnations = {name: h.incarnation for name, h in self.hosts.items()}
             self._show_view(host)
 
     # Scheduling.
@@ -168,7 +170,7 @@
     # Hosts.
 
     def _create(self, name: str, domain: str) -> Host:
-        host = Host(name=name, domain=domain, incarnation=next(self._order), seed=self.seed)
+        host = Host(name=name, domain=domain, incarnation=next(self._order) << 16, seed=self.seed)
         self.hosts[name] = host
         self.domains[name] = domain
         self.at(self.now_ms + self.random.randrange(HEARTBEAT_MS), lambda: self._beat(host))
@@ -207,10 +209,6 @@
                 self._see_at(other, host, MemberState.SUSPECTED, suspect_after_ms + lag_ms)
             self._see_at(other, host, MemberState.DEAD, dead_after_ms + lag_ms)
 
-    def see(self, observer: str, subject: str, state: MemberState) -> None:
-        """Make one host see another in a state now."""
-        self._see(self.hosts[observer], subject, state)
-
     def _announce(self, subject: Host, state: MemberState, spread_ms: int) -> None:
         for other in self.hosts.values():
             if other is not subject:
@@ -220,15 +218,17 @@
         self._see_at(host, subject, state, self.random.randrange(spread_ms + 1))
 
     def _see_at(self, host: Host, subject: Host, state: MemberState, after_ms: int) -> None:
-        self.at(self.now_ms + after_ms, lambda: self._see(host, subject.name, state))
-
-    def _see(self, host: Host, subject: str, state: MemberState) -> None:
-        if self.hosts.get(host.name) is not host:
-            return
-        known = host.states.get(subject, MemberState.DEAD)
-        if known is MemberState.DEAD and subject not in self.hosts:
+        self.at(self.now_ms + after_ms, lambda: self._see(host, subject, state))
+
+    def _see(self, host: Host, subject: Host, state: MemberState) -> None:
+        """Show a state unless the observer is gone or knows a later process of the subject."""
+        known = host.states.get(subject.name, MemberState.DEAD)
+        later = host.incarnations.get(subject.name, 0) > subject.incarnation
+        returning = known is MemberState.DEAD and self.hosts.get(subject.name) is not subject
+        if self.hosts.get(host.name) is not host or later or returning:
             return
-        host.states[subject] = state
+        host.states[subject.name] = state
+        host.incarnations[subject.name] = subject.incarnation
         self._show_view(host)
 
     def _show_view(self, host: Host) -> None:
@@ -236,7 +236,7 @@
             MemberView(
                 name,
                 self.domains[name],
-                0,
+                host.incarnations[name],
                 state,
                 host.digests.get(name, HostDigest()),
             )
