--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -34,6 +34,7 @@
     def __init__(self, *, context: SteeringContext, first_sequence: int) -> None:
         self._context = context
         self._latest_sequence: dict[str, int] = {}
+        self._relays: set[str] = set()
         self.sender = RecordSender(first_sequence=first_sequence)
 
     def share(
@@ -78,9 +79,13 @@
         if batch.complete:
             self._context.owners.note_complete(service.wire_id, sender, now_ms)
             if service.fresh:
-                # The former owner goes on deciding until this host knows older tables.
+                # Unconfirmed: the former owner goes on deciding until this host knows older tables.
                 return []
-        return [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+        actions = [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+        for owner in self._relays:
+            actions += self.sender.flush(owner, now_ms)
+        self._relays.clear()
+        return actions
 
     def _store(self, received: _Received, flow_hash: int, now_ms: int) -> None:
         """Store one record unless the local host knows better.
@@ -101,6 +106,17 @@
             return
         if not service.records.put(flow_hash, received.number):
             context.counters.record_bound_hits += 1
+        elif own != received.number:
+            self._relay(received, flow_hash, now_ms)
+
+    def _relay(self, received: _Received, flow_hash: int, now_ms: int) -> None:
+        """Pass news on to the owner when the sender seems not to know it."""
+        service = received.service
+        owner = next(iter(self._context.ranked(service, flow_hash)), None)
+        if owner not in (None, self._context.host, received.sender):
+            server_id = service.tables.index.wire_ids[received.number]
+            self.sender.add(owner, service.wire_id, server_id, flow_hash, now_ms)
+            self._relays.add(owner)
 
     def on_query(self, sender: str, query: RecordQuery) -> list[SendToPeer]:
         """Answer whether there is a record of a flow."""
