--- a/src/redwingswitch/_internal/decisions/history_requests.py
+++ b/src/redwingswitch/_internal/decisions/history_requests.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from redwingswitch._internal.decisions.steered_service import SteeredService
 from redwingswitch._internal.models.actions import SendToPeer
@@ -10,6 +10,7 @@
 from redwingswitch._internal.models.messages import TableHistoryRequest
 
 ASK_AGAIN_AFTER_MS = 500
+EXTRA_WAIT_FOR_REVISION_MS = 7_000
 
 
 class HistoryRequests:
@@ -20,7 +21,7 @@
         self._asked_at_ms: dict[str, int] = {}
         self._waiting: dict[str, SteeredService] = {}
         self._view = MembershipView(members=())
-        self._view_known = False
+        self._declared: frozenset[str] = frozenset()
 
     def start(self, service: SteeredService, now_ms: int, *, fresh: bool) -> None:
         """Begin to wait for the history of a service."""
@@ -35,14 +36,16 @@
     def set_view(self, view: MembershipView) -> None:
         """Take over a membership view."""
         self._view = view
-        self._view_known = True
+
+    def set_declared(self, hosts: Iterable[str]) -> None:
+        """Take over the active hosts that the configuration declares."""
+        self._declared = frozenset(hosts) - {self._host}
 
     def waiting(self) -> bool:
         """Return whether any history is missing."""
         return bool(self._waiting)
 
-    def complete(self, service: SteeredService) -> None:
-        """Note that the history of a service is known."""
+    def _complete(self, service: SteeredService) -> None:
         service.history_complete()
         self.forget(service.name)
 
@@ -53,32 +56,51 @@
             m for m in self._view.members if m.host != self._host and m.state != MemberState.DEAD
         ]
         for service in list(self._waiting.values()):
+            # A starting host without the peers' revision would send opening packets astray.
+            behind = service.fresh and any(m.digest.revision > revision for m in others)
             deadline_ms = service.history_wait_until_ms or now_ms
-            holder = next((m.host for m in others if _holds_history(m, service.wire_id)), None)
-            known = self._view_known and all(m.digest.revision >= revision for m in others)
-            if now_ms >= deadline_ms or (holder is None and known):
-                self.complete(service)
+            if behind and now_ms < deadline_ms + EXTRA_WAIT_FOR_REVISION_MS:
+                continue
+            holder = _history_holder(others, service.wire_id)
+            # An incomplete view may lack the hosts that hold the history and the records.
+            heard = self._declared <= {m.host for m in self._view.members}
+            none = holder is None and all(m.digest.revision >= revision for m in others)
+            if now_ms >= deadline_ms or (heard and (service.tables.synchronised or none)):
+                self._complete(service)
+            elif service.tables.synchronised:
+                continue
             elif holder is not None and self._may_ask(service.name, now_ms):
                 self._asked_at_ms[service.name] = now_ms
                 actions.append(SendToPeer(holder, TableHistoryRequest(service.wire_id)))
         return actions
 
     def answer(
-        self, services: Mapping[int, SteeredService], sender: str, request: TableHistoryRequest
+        self,
+        services: Mapping[int, SteeredService],
+        sender: str,
+        request: TableHistoryRequest,
+        now_ms: int,
     ) -> list[SendToPeer]:
         """Send the history of a service, unless the local host waits for it as well."""
         service = services.get(request.service_id)
         if service is None or service.history_wait_until_ms is not None:
             return []
-        return [SendToPeer(sender, service.tables.export(service.wire_id))]
+        return [SendToPeer(sender, service.tables.export(service.wire_id, now_ms))]
 
     def _may_ask(self, name: str, now_ms: int) -> bool:
         asked_at_ms = self._asked_at_ms.get(name)
         return asked_at_ms is None or now_ms >= asked_at_ms + ASK_AGAIN_AFTER_MS
 
 
-def _holds_history(member: MemberView, service_id: int) -> bool:
-    return any(
-        need.service_id == service_id and need.oldest_held_revision > 0
-        for need in member.digest.needed_revisions
-    )
+def _history_holder(members: Iterable[MemberView], service_id: int) -> str | None:
+    """Return the host with the latest revision among those with a history of a service."""
+    holders = [
+        member
+        for member in members
+        if any(
+            need.service_id == service_id and need.oldest_held_revision > 0
+            for need in member.digest.needed_revisions
+        )
+    ]
+    latest = max(holders, key=lambda member: member.digest.revision, default=None)
+    return None if latest is None else latest.host
--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -34,6 +34,7 @@
     def __init__(self, *, context: SteeringContext, first_sequence: int) -> None:
         self._context = context
         self._latest_sequence: dict[str, int] = {}
+        self._relays: set[str] = set()
         self.sender = RecordSender(first_sequence=first_sequence)
 
     def share(
@@ -45,14 +46,13 @@
         batch.
         """
         context = self._context
-        ranked = context.ranked(service, flow_hash)
-        unsettled = context.unsettled(service, flow_hash, now_ms)
-        targets = dict.fromkeys((*ranked[:2], *unsettled))
+        others = context.co_deciders(service, flow_hash, now_ms)
+        targets = dict.fromkeys((*context.ranked(service, flow_hash)[:2], *others))
         targets.pop(context.host, None)
         server_id = service.tables.index.wire_ids[number]
         for target in targets:
             self.sender.add(target, service.wire_id, server_id, flow_hash, now_ms)
-        if not unsettled and ranked[:1] == (context.host,):
+        if not others:
             return []
         return [action for target in targets for action in self.sender.flush(target, now_ms)]
 
@@ -78,7 +78,14 @@
                 self._store(received, flow_hash, now_ms)
         if batch.complete:
             self._context.owners.note_complete(service.wire_id, sender, now_ms)
-        return [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+            if service.fresh:
+                # Unconfirmed: the former owner goes on deciding until this host knows older tables.
+                return []
+        actions = [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+        for owner in self._relays:
+            actions += self.sender.flush(owner, now_ms)
+        self._relays.clear()
+        return actions
 
     def _store(self, received: _Received, flow_hash: int, now_ms: int) -> None:
         """Store one record unless the local host knows better.
@@ -99,6 +106,17 @@
             return
         if not service.records.put(flow_hash, received.number):
             context.counters.record_bound_hits += 1
+        elif own != received.number:
+            self._relay(received, flow_hash, now_ms)
+
+    def _relay(self, received: _Received, flow_hash: int, now_ms: int) -> None:
+        """Pass news on to the owner when the sender seems not to know it."""
+        service = received.service
+        owner = next(iter(self._context.ranked(service, flow_hash)), None)
+        if owner not in (None, self._context.host, received.sender):
+            server_id = service.tables.index.wire_ids[received.number]
+            self.sender.add(owner, service.wire_id, server_id, flow_hash, now_ms)
+            self._relays.add(owner)
 
     def on_query(self, sender: str, query: RecordQuery) -> list[SendToPeer]:
         """Answer whether there is a record of a flow."""
@@ -127,13 +145,7 @@
     ) -> RecordMoves:
         """Queue what a change of owners makes the local host send."""
         context = self._context
-        moves = record_moves(
-            service=service,
-            host=context.host,
-            before=before,
-            after=after,
-            reachable=context.owners.reachable,
-        )
+        moves = record_moves(service=service, host=context.host, before=before, after=after)
         for target, records in moves.to_replica.items():
             self.sender.hand_over(target, service.wire_id, records, BatchPurpose.REPLICA)
         for target in moves.to_owner.keys() | moves.new_owners:
@@ -147,6 +159,10 @@
             service.owner_changed_at_ms = now_ms
         return moves
 
+    def handing_over(self, service: SteeredService, host: str) -> bool:
+        """Return whether a hand-over of the service to ``host`` is not confirmed yet."""
+        return (host, service.wire_id) in self.sender.unconfirmed_hand_overs
+
     def keep_only(self, hosts: frozenset[str]) -> None:
         """Forget peers that are gone."""
         self.sender.keep_only(hosts)
