--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/offered_load.py
@@ -0,0 +1,48 @@
+"""Offered load of a dispatcher and the wait expected from it."""
+
+from __future__ import annotations
+
+import math
+
+MEMORY_MS = 2_000
+HIGHEST_STABLE_LOAD = 0.97
+OVERLOAD_WAIT_MS = 5_000
+
+
+class OfferedLoad:
+    """Exponentially averaged work that arrives, refused work included.
+
+    The measure follows a change of arrivals at once and does not accumulate like a queue. Shares
+    that are steered by it settle, while shares steered by the present queue swing.
+    """
+
+    def __init__(self) -> None:
+        self._work_ms = 0.0
+        self._counted_at_ms = 0
+
+    def note_arrival(self, service_ms: float, now_ms: int) -> None:
+        """Count a request that needs a slot for ``service_ms``."""
+        self._decay(now_ms)
+        self._work_ms += service_ms
+
+    def busy_slots(self, now_ms: int) -> float:
+        """Return how many slots the offered work would keep busy."""
+        self._decay(now_ms)
+        return self._work_ms / MEMORY_MS
+
+    def _decay(self, now_ms: int) -> None:
+        elapsed_ms = max(0, now_ms - self._counted_at_ms)
+        self._work_ms *= math.exp(-elapsed_ms / MEMORY_MS)
+        self._counted_at_ms = now_ms
+
+
+def expected_wait_ms(busy_slots: float, slots: int, service_ms: float) -> float:
+    """Return the mean wait in a queue with several slots (Sakasegawa 1977, approximation).
+
+    Above the highest stable load the wait rises in proportion to the excess.
+    """
+    load = busy_slots / max(1, slots)
+    stable = min(load, HIGHEST_STABLE_LOAD)
+    exponent: float = math.sqrt(2 * (max(1, slots) + 1)) - 1
+    wait_ms: float = service_ms * stable**exponent / (max(1, slots) * (1 - stable))
+    return wait_ms + (load - stable) * OVERLOAD_WAIT_MS
--- a/src/redwingswitch/_internal/decisions/request_dispatch.py
+++ b/src/redwingswitch/_internal/decisions/request_dispatch.py
@@ -4,7 +4,13 @@
 
 from collections.abc import Iterator, Sequence
 
-from redwingswitch._internal.decisions.admission import AdmissionQueue, QueuedRequest, SlotUse
+from redwingswitch._internal.decisions.admission import (
+    AdmissionQueue,
+    QueuedRequest,
+    Refusal,
+    SlotUse,
+)
+from redwingswitch._internal.decisions.offered_load import OfferedLoad, expected_wait_ms
 from redwingswitch._internal.decisions.placement import ServerHealth, ServerSlots
 from redwingswitch._internal.decisions.request_ledger import Attempt, RequestEntry
 from redwingswitch._internal.decisions.retry import RetryBudget
@@ -17,7 +23,6 @@
 RETRY_RATIO = 0.1
 RETRY_BURST = 10
 STALLED_POLL_MS = 20
-WAIT_SMOOTHING_MS = 500
 
 
 class ServiceDispatch:
@@ -42,8 +47,7 @@
         self.budget = RetryBudget(ratio=RETRY_RATIO, burst=RETRY_BURST)
         self.poll_at_ms: int | None = None
         self._running: dict[int, tuple[Attempt, RequestEntry]] = {}
-        self._smoothed_wait_ms = 0.0
-        self._smoothed_at_ms = 0
+        self._offered = OfferedLoad()
 
     def apply(self, service: Service, now_ms: int) -> None:
         """Take the declared servers of the service in this failure domain."""
@@ -71,14 +75,17 @@
         )
         return SlotUse(self.slots.total(now_ms), len(self._running) - long, long)
 
+    def offer(self, request: QueuedRequest, now_ms: int) -> Refusal | None:
+        """Queue a request, or say why it is refused."""
+        self._offered.note_arrival(self.times.mean_ms(request.size), now_ms)
+        return self.queue.offer(request, self.use(now_ms), now_ms)
+
     def start(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> None:
         """Count an attempt that starts."""
         self.slots.occupy(attempt.backend_server, now_ms)
         self._running[attempt.attempt_id] = (attempt, entry)
         entry.attempts[attempt.attempt_id] = attempt
         entry.attempts_made += 1
-        if entry.queued is not None and entry.size is SizeClass.SHORT:
-            self._smooth(float(now_ms - entry.queued.queued_at_ms), now_ms)
 
     def end(self, entry: RequestEntry, attempt: Attempt, now_ms: int) -> None:
         """Count an attempt that ended."""
@@ -109,15 +116,13 @@
             self.poll_at_ms = None
 
     def wait_estimate_ms(self, now_ms: int) -> int:
-        """Return the smoothed wait of short work, which is advertised to the other hosts."""
-        self._smooth(self.queue.wait_ms(SizeClass.SHORT, self.use(now_ms)), now_ms)
-        return round(self._smoothed_wait_ms)
-
-    def _smooth(self, wait_ms: float, now_ms: int) -> None:
-        elapsed_ms = max(1, now_ms - self._smoothed_at_ms)
-        gain = min(1.0, elapsed_ms / WAIT_SMOOTHING_MS)
-        self._smoothed_wait_ms += gain * (wait_ms - self._smoothed_wait_ms)
-        self._smoothed_at_ms = now_ms
+        """Return the expected wait of short work, which is advertised to the other hosts."""
+        wait_ms = expected_wait_ms(
+            self._offered.busy_slots(now_ms),
+            self.slots.total(now_ms),
+            self.times.mean_ms(SizeClass.SHORT),
+        )
+        return round(wait_ms)
 
 
 class DispatchTable:
--- a/src/redwingswitch/_internal/decisions/request_runs.py
+++ b/src/redwingswitch/_internal/decisions/request_runs.py
@@ -67,7 +67,7 @@
             now_ms,
             entry.deadline_ms,
         )
-        refusal = dispatch.queue.offer(queued, dispatch.use(now_ms), now_ms)
+        refusal = dispatch.offer(queued, now_ms)
         if refusal is not None:
             return self.refuse(entry, refusal, now_ms)
         entry.queued = queued
