--- /dev/null
+++ b/benchmarks/service_model.py
@@ -0,0 +1,437 @@
+"""A virtual-clock model of callers, links and backend servers around the request coordinators."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import defaultdict
+from collections.abc import Callable, Sequence
+from typing import Any, NamedTuple
+
+from redwingswitch._internal.decisions.requests import RequestCoordinator
+from redwingswitch._internal.models.actions import (
+    Action,
+    AnswerCaller,
+    DispatchRequest,
+    SendToPeer,
+)
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    Configuration,
+    EntryHostEntry,
+    FailureDomain,
+    Objectives,
+    ServerState,
+    Service,
+    SizeClass,
+)
+from redwingswitch._internal.models.events import (
+    AnswerPartArrived,
+    AttemptFailed,
+    RequestPartArrived,
+)
+from redwingswitch._internal.models.identifiers import CallerAddress
+from redwingswitch._internal.models.members import (
+    HostDigest,
+    MembershipView,
+    MemberState,
+    MemberView,
+    WaitEstimate,
+)
+from redwingswitch._internal.models.messages import PeerMessage
+from redwingswitch._internal.models.requests import (
+    FailureKind,
+    Outcome,
+    RequestHeader,
+    SizeHint,
+)
+
+LOCAL_DELAY_MS = 0.25
+HEARTBEAT_MS = 1_000
+CALLERS = 40
+SERVICE = "service"
+
+
+class Deployment(NamedTuple):
+    """Sizes of one deployment; hosts and servers are spread over the failure domains in turn."""
+
+    name: str
+    domains: int
+    link_ms: int
+    hosts: int
+    servers: int
+    slots: int = 2
+    speeds: tuple[float, ...] = (1.0,)
+
+    @property
+    def capacity(self) -> float:
+        """Return the capacity in slots of normal speed."""
+        return sum(self.slots * self.speed(i) for i in range(self.servers))
+
+    def speed(self, server: int) -> float:
+        """Return the speed of a server relative to a normal one."""
+        return self.speeds[server % len(self.speeds)]
+
+    def domain(self, index: int) -> str:
+        """Return the failure domain of a host or server."""
+        return f"d{index % self.domains}"
+
+
+HUON = Deployment("Huon", domains=3, link_ms=5, hosts=7, servers=7)
+CHIKUSHI = Deployment("Chikushi", domains=4, link_ms=4, hosts=9, servers=7)
+
+
+class Job(NamedTuple):
+    """One request of a workload, with the time that it needs on a normal server."""
+
+    at_ms: float
+    service_ms: float
+    deadline_ms: float
+    long: bool
+    hint: SizeHint
+    caller: int
+
+
+class Result(NamedTuple):
+    """What became of a job; ``answered_ms`` is None without an answer."""
+
+    job: Job
+    answered_ms: float | None
+
+    @property
+    def useful(self) -> bool:
+        """Return whether the answer came by the deadline."""
+        return self.answered_ms is not None and self.answered_ms <= self.job.deadline_ms
+
+
+class BusyTime(NamedTuple):
+    """A span in which a slot of a server was occupied."""
+
+    server: int
+    from_ms: float
+    until_ms: float
+
+
+class Events:
+    """A heap of timed calls."""
+
+    def __init__(self) -> None:
+        self.now_ms = 0.0
+        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self._order = 0
+
+    def at(self, due_ms: float, call: Callable[..., None], *arguments: Any) -> None:
+        """Call later."""
+        self._order += 1
+        heapq.heappush(self._heap, (max(due_ms, self.now_ms), self._order, call, arguments))
+
+    def run(self) -> None:
+        """Run until no calls are left."""
+        while self._heap:
+            self.now_ms, _, call, arguments = heapq.heappop(self._heap)
+            call(*arguments)
+
+
+class SteadyHealth:
+    """Health of servers that the model never fails; may be replaced to try other policies."""
+
+    def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
+        """Ignore an answer."""
+
+    def on_failure(self, server: str, kind: FailureKind, now_ms: int) -> None:
+        """Ignore a failure."""
+
+    def ejected(self, now_ms: int) -> frozenset[str]:
+        """Return no servers."""
+        return frozenset()
+
+    def may_dispatch(self, server: str, idempotent: bool, now_ms: int) -> bool:
+        """Allow every dispatch."""
+        return True
+
+    def slots(self, server: str, now_ms: int) -> int:
+        """Return the slots of every server of both deployments."""
+        return HUON.slots
+
+    def weight(self, server: str, now_ms: int) -> float:
+        """Return the full weight."""
+        return 1.0
+
+
+def configuration(
+    deployment: Deployment, *, expected_ms: int, idempotent: bool = True
+) -> Configuration:
+    """Return the configuration of a deployment with one request service."""
+    servers = tuple(
+        BackendServer(
+            f"s{i}",
+            SERVICE,
+            deployment.domain(i),
+            "127.0.0.1",
+            1,
+            2,
+            3,
+            4,
+            deployment.slots,
+            2_000,
+            ServerState.ACTIVE,
+        )
+        for i in range(deployment.servers)
+    )
+    service = Service(
+        SERVICE,
+        "10.1.0.1",
+        443,
+        0,
+        False,
+        True,
+        idempotent,
+        SizeClass.SHORT,
+        expected_ms,
+        900_000,
+        Objectives(),
+        servers,
+    )
+    hosts = tuple(
+        EntryHostEntry(
+            f"h{i}", deployment.domain(i), "127.0.0.1", 1, 2, 3, 4, "", ServerState.ACTIVE
+        )
+        for i in range(deployment.hosts)
+    )
+    domains = tuple(
+        FailureDomain(f"d{i}", "south", deployment.link_ms) for i in range(deployment.domains)
+    )
+    return Configuration(1, "1", domains, (service,), hosts, ())
+
+
+class CoordinatedRun:
+    """Runs a workload through one request coordinator on each entry host."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        jobs: Sequence[Job],
+        *,
+        seed: int,
+        expected_ms: int,
+        idempotent: bool = True,
+        failing: Callable[[int, float, random.Random], FailureKind | None] | None = None,
+    ) -> None:
+        self.deployment, self.jobs = deployment, jobs
+        self.busy: list[BusyTime] = []
+        self.outcomes: dict[Outcome, int] = defaultdict(int)
+        self.dispatches = 0
+        self.peer_messages: list[tuple[str, str, PeerMessage]] = []
+        self.answered_ms: dict[int, float] = {}
+        self._random = random.Random(seed)
+        self._failing = failing
+        self._events = Events()
+        self._end_ms = max(job.deadline_ms for job in jobs) + 1_000
+        self._occupied = [0] * deployment.servers
+        self._waits: dict[str, tuple[WaitEstimate, ...]] = {}
+        self._timers: dict[str, float] = {}
+        self._domains = {f"h{i}": deployment.domain(i) for i in range(deployment.hosts)}
+        self._hosts = {name: self._coordinator(name, seed) for name in self._domains}
+        config = configuration(deployment, expected_ms=expected_ms, idempotent=idempotent)
+        for name, host in self._hosts.items():
+            self._perform(name, host.apply_configuration(config, 0))
+        self._heartbeat()
+
+    def run(self) -> list[Result]:
+        """Run the workload to its end."""
+        for index, job in enumerate(self.jobs):
+            self._events.at(job.at_ms, self._arrive, index)
+        self._events.run()
+        return [Result(job, self.answered_ms.get(i)) for i, job in enumerate(self.jobs)]
+
+    def _coordinator(self, name: str, seed: int) -> RequestCoordinator:
+        return RequestCoordinator(
+            host=name,
+            failure_domain=self._domains[name],
+            incarnation=1,
+            random_source=random.Random(f"{seed}/{name}"),
+            health=SteadyHealth(),
+            abstain_until_ms=0,
+        )
+
+    def _heartbeat(self) -> None:
+        """Share the waits of one heartbeat ago: what a host reads is 1 to 2 s old."""
+        now_ms = int(self._events.now_ms)
+        members = tuple(
+            MemberView(
+                name,
+                domain,
+                1,
+                MemberState.ALIVE,
+                HostDigest(revision=1, wait_estimates=self._waits.get(name, ())),
+            )
+            for name, domain in self._domains.items()
+        )
+        for name, host in self._hosts.items():
+            self._perform(name, host.set_members(MembershipView(members), now_ms))
+        self._waits = {n: host.wait_estimates(now_ms) for n, host in self._hosts.items()}
+        if self._events.now_ms < self._end_ms:
+            self._events.at(self._events.now_ms + HEARTBEAT_MS, self._heartbeat)
+
+    def _arrive(self, index: int) -> None:
+        job = self.jobs[index]
+        name = f"h{self._random.randrange(self.deployment.hosts)}"
+        remaining_ms = int(job.deadline_ms - self._events.now_ms)
+        header = RequestHeader(
+            SERVICE, index.to_bytes(16, "big"), True, remaining_ms, size_hint=job.hint
+        )
+        caller = CallerAddress(f"10.9.0.{job.caller}", 4000)
+        event = RequestPartArrived(header, b"", caller)
+        self._call(name, self._hosts[name].on_part, event)
+
+    def _call(self, name: str, method: Callable[..., list[Action]], *arguments: Any) -> None:
+        self._perform(name, method(*arguments, int(self._events.now_ms)))
+
+    def _perform(self, name: str, actions: Sequence[Action]) -> None:
+        for action in actions:
+            if isinstance(action, SendToPeer):
+                self._send(name, action)
+            elif isinstance(action, DispatchRequest):
+                self.dispatches += 1
+                self._events.at(self._events.now_ms + LOCAL_DELAY_MS, self._serve, name, action)
+            elif isinstance(action, AnswerCaller):
+                self._tell(action)
+        self._set_timer(name)
+
+    def _send(self, name: str, action: SendToPeer) -> None:
+        target = action.host
+        self.peer_messages.append((name, target, action.message))
+        near = self._domains[name] == self._domains[target]
+        delay_ms = 0.0 if name == target else LOCAL_DELAY_MS if near else self.deployment.link_ms
+        method = self._hosts[target].on_message
+        at_ms = self._events.now_ms + delay_ms
+        self._events.at(at_ms, self._call, target, method, name, 1, action.message)
+
+    def _tell(self, action: AnswerCaller) -> None:
+        self.outcomes[action.header.outcome] += 1
+        if action.header.outcome is Outcome.ANSWERED:
+            index = int.from_bytes(action.header.request_id, "big")
+            self.answered_ms.setdefault(index, self._events.now_ms)
+
+    def _set_timer(self, name: str) -> None:
+        due_ms = self._hosts[name].next_deadline_ms()
+        planned_ms = self._timers.get(name)
+        if due_ms is None or due_ms > self._end_ms:
+            return
+        if planned_ms is None or due_ms < planned_ms:
+            self._timers[name] = due_ms
+            self._events.at(due_ms, self._fire, name, due_ms)
+
+    def _fire(self, name: str, due_ms: float) -> None:
+        if self._timers.get(name) != due_ms:
+            return
+        del self._timers[name]
+        self._call(name, self._hosts[name].on_timer)
+
+    def _serve(self, name: str, request: DispatchRequest) -> None:
+        server = int(request.backend_server[1:])
+        now_ms = self._events.now_ms
+        kind = self._failing(server, now_ms, self._random) if self._failing else None
+        if kind is None and self._occupied[server] >= self.deployment.slots:
+            kind = FailureKind.SHED
+        if kind is not None:
+            failed = AttemptFailed(request.backend_server, request.attempt_id, kind)
+            method = self._hosts[name].on_attempt_failed
+            self._events.at(now_ms + LOCAL_DELAY_MS, self._call, name, method, failed)
+            return
+        self._occupied[server] += 1
+        job = self.jobs[int.from_bytes(request.request_id, "big")]
+        end_ms = now_ms + job.service_ms / self.deployment.speed(server)
+        self.busy.append(BusyTime(server, now_ms, end_ms))
+        self._events.at(end_ms, self._finish, name, request)
+
+    def _finish(self, name: str, request: DispatchRequest) -> None:
+        self._occupied[int(request.backend_server[1:])] -= 1
+        answer = AnswerPartArrived(request.backend_server, request.attempt_id, 0, 1, b"")
+        at_ms = self._events.now_ms + LOCAL_DELAY_MS
+        self._events.at(at_ms, self._call, name, self._hosts[name].on_answer_part, answer)
+
+
+class QueueRun:
+    """First-come, first-served: one queue for all servers, or one at each server by a policy.
+
+    ``limit`` bounds the requests waiting in the shared queue. Work is run even past its deadline.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        jobs: Sequence[Job],
+        *,
+        seed: int,
+        policy: str = "shared",
+        limit: int | None = None,
+    ) -> None:
+        self.deployment, self.jobs = deployment, jobs
+        self.busy: list[BusyTime] = []
+        self._policy, self._limit = policy, limit
+        self._random = random.Random(seed)
+        self._events = Events()
+        self._occupied = [0] * deployment.servers
+        queues = 1 if policy == "shared" else deployment.servers
+        self._queues: list[list[int]] = [[] for _ in range(queues)]
+        self._reported = [0] * deployment.servers
+        self._turn = 0
+        self._answered_ms: dict[int, float] = {}
+        self._end_ms = max(job.at_ms for job in jobs)
+
+    def run(self) -> list[Result]:
+        """Run the workload to its end."""
+        for index, job in enumerate(self.jobs):
+            self._events.at(job.at_ms, self._arrive, index)
+        self._report()
+        self._events.run()
+        return [Result(job, self._answered_ms.get(i)) for i, job in enumerate(self.jobs)]
+
+    def _report(self) -> None:
+        self._reported = [self._load(i) for i in range(self.deployment.servers)]
+        if self._events.now_ms < self._end_ms:
+            self._events.at(self._events.now_ms + HEARTBEAT_MS, self._report)
+
+    def _load(self, server: int) -> int:
+        waiting = 0 if self._policy == "shared" else len(self._queues[server])
+        return self._occupied[server] + waiting
+
+    def _choose(self) -> int:
+        count = self.deployment.servers
+        if self._policy == "shared":
+            return 0
+        if self._policy == "random":
+            return self._random.randrange(count)
+        if self._policy == "round robin":
+            self._turn = (self._turn + 1) % count
+            return self._turn
+        if self._policy == "least reported load":
+            least = min(self._reported)
+            return self._random.choice([i for i in range(count) if self._reported[i] == least])
+        return min(self._random.sample(range(count), 2), key=lambda i: self._reported[i])
+
+    def _arrive(self, index: int) -> None:
+        queue = self._choose()
+        if self._limit is None or len(self._queues[queue]) < self._limit:
+            self._queues[queue].append(index)
+            self._start(queue)
+
+    def _start(self, queue: int) -> None:
+        shared = self._policy == "shared"
+        servers = list(range(self.deployment.servers)) if shared else [queue]
+        while self._queues[queue]:
+            server = min(servers, key=lambda i: self._occupied[i])
+            if self._occupied[server] >= self.deployment.slots:
+                return
+            index = self._queues[queue].pop(0)
+            self._occupied[server] += 1
+            now_ms = self._events.now_ms
+            end_ms = now_ms + self.jobs[index].service_ms / self.deployment.speed(server)
+            self.busy.append(BusyTime(server, now_ms, end_ms))
+            self._events.at(end_ms, self._finish, queue, server, index)
+
+    def _finish(self, queue: int, server: int, index: int) -> None:
+        self._occupied[server] -= 1
+        self._answered_ms[index] = self._events.now_ms
+        self._start(queue)
--- a/tests/lib/request_cluster.py
+++ b/tests/lib/request_cluster.py
@@ -140,6 +140,7 @@
         self.actions: list[tuple[str, act.Action]] = []
         self.hosts: dict[str, HostRig] = {}
         self.side: dict[str, int] = defaultdict(int)
+        self.domain_of: dict[str, str] = {}
         self._events: list[tuple[int, int, str, tuple[Any, ...]]] = []
         self._order = 0
         self._incarnations = 0
@@ -156,7 +157,7 @@
         self._incarnations += 1
         coordinator = RequestCoordinator(
             host=name,
-            failure_domain=self._domains()[name],
+            failure_domain=self.domain_of.setdefault(name, self._domains().get(name, "")),
             incarnation=self._incarnations,
             random_source=self.random,
             health=FakeHealth(),
@@ -169,12 +170,12 @@
         """Let a host learn the present configuration."""
         rig = self.hosts[name]
         rig.revision = self.config.revision
-        self._do(name, rig.coordinator.apply_configuration(self.config, self.now_ms))
+        self.perform(name, rig.coordinator.apply_configuration(self.config, self.now_ms))
 
     def share_views(self) -> None:
         """Let each host see the live hosts on its side of the partition."""
         domains = self._domains()
-        for name, rig in self.hosts.items():
+        for name, rig in list(self.hosts.items()):
             members = tuple(
                 MemberView(
                     other,
@@ -191,7 +192,7 @@
             )
             if rig.alive and not rig.paused:
                 view = MembershipView(members)
-                self._do(name, rig.coordinator.set_members(view, self.now_ms))
+                self.perform(name, rig.coordinator.set_members(view, self.now_ms))
 
     def _sees(self, name: str, other: str) -> bool:
         peer = self.hosts[other]
@@ -237,7 +238,7 @@
                 self._deliver(kind, payload)
             else:
                 self.now_ms = max(self.now_ms, due_ms)
-                self._do(name, self.hosts[name].coordinator.on_timer(self.now_ms))
+                self.perform(name, self.hosts[name].coordinator.on_timer(self.now_ms))
         self.now_ms = end_ms
 
     def resume(self, name: str) -> None:
@@ -301,9 +302,10 @@
             result = coordinator.on_answer_part(payload[2], now_ms)
         else:
             result = coordinator.on_attempt_failed(payload[2], now_ms)
-        return self._do(name, result)
+        return self.perform(name, result)
 
-    def _do(self, name: str, actions: list[act.Action]) -> None:
+    def perform(self, name: str, actions: list[act.Action]) -> None:
+        """Carry out the actions of a host."""
         rig = self.hosts[name]
         for action in actions:
             self.actions.append((name, action))
