--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/directory.py
@@ -0,0 +1,102 @@
+"""Addresses of backend servers and entry hosts, including those removed a short time ago."""
+
+from __future__ import annotations
+
+import socket
+
+from redwingswitch._internal.daemon.parameters import Seed
+from redwingswitch._internal.models.configuration import BackendServer, Configuration
+from redwingswitch._internal.models.identifiers import FlowKey
+from redwingswitch._internal.network.peers import PeerAddress
+
+# Established flows may stay with a removed backend server for as long as they are not idle.
+REMOVED_SERVER_KEPT_MS = 86_400_000
+MAX_REMOVED_SERVERS = 4_096
+# A removed entry host may still hand its records over and forward its last packets.
+REMOVED_PEER_KEPT_MS = 120_000
+
+Destination = tuple[bytes, int]
+
+
+class Directory:
+    """Finds where to send to; updated with each revision."""
+
+    def __init__(self, *, seeds: tuple[Seed, ...] = ()) -> None:
+        self._seeds = {seed.host: _seed_address(seed) for seed in seeds}
+        self._servers: dict[str, BackendServer] = {}
+        self._destinations: dict[str, set[Destination]] = {}
+        self._removed_servers: dict[str, tuple[BackendServer, int]] = {}
+        self._peers: dict[str, PeerAddress] = {}
+        self._removed_peers: dict[str, tuple[PeerAddress, int]] = {}
+
+    def update(self, configuration: Configuration, now_ms: int) -> None:
+        """Take over a new revision; keep what it removes for a bounded time."""
+        self._update_servers(configuration, now_ms)
+        self._update_peers(configuration, now_ms)
+        for service in configuration.services:
+            destination = (socket.inet_aton(service.address), service.port)
+            self._destinations.setdefault(service.name, set()).add(destination)
+
+    def find(self, backend_server: str) -> BackendServer | None:
+        """Return a backend server of this or an earlier revision."""
+        server = self._servers.get(backend_server)
+        if server is not None:
+            return server
+        removed = self._removed_servers.get(backend_server)
+        return removed[0] if removed else None
+
+    def serves(self, *, server: BackendServer, service: str, flow: FlowKey) -> bool:
+        """Return whether the server belongs to the service and the service to the flow."""
+        if server.service != service:
+            return False
+        destination = (flow.service_address, flow.service_port)
+        return destination in self._destinations.get(service, ())
+
+    def servers(self) -> dict[str, BackendServer]:
+        """Return the backend servers of this revision and those removed lately."""
+        kept = {name: server for name, (server, _) in self._removed_servers.items()}
+        return {**kept, **self._servers}
+
+    def peers(self) -> list[PeerAddress]:
+        """Return seeds, declared entry hosts and those removed lately."""
+        removed = {host: peer for host, (peer, _) in self._removed_peers.items()}
+        return list({**self._seeds, **removed, **self._peers}.values())
+
+    def expire(self, now_ms: int) -> bool:
+        """Forget what was removed long ago; return whether the peers changed."""
+        _expire(self._removed_servers, now_ms)
+        return _expire(self._removed_peers, now_ms)
+
+    def _update_servers(self, configuration: Configuration, now_ms: int) -> None:
+        servers = {
+            server.name: server
+            for service in configuration.services
+            for server in service.backend_servers
+        }
+        until_ms = now_ms + REMOVED_SERVER_KEPT_MS
+        for name in self._servers.keys() - servers.keys():
+            self._removed_servers[name] = (self._servers[name], until_ms)
+        while len(self._removed_servers) > MAX_REMOVED_SERVERS:
+            self._removed_servers.pop(next(iter(self._removed_servers)))
+        self._servers = servers
+
+    def _update_peers(self, configuration: Configuration, now_ms: int) -> None:
+        peers = {
+            entry.name: PeerAddress(entry.name, entry.address, entry.peer_port, entry.public_key)
+            for entry in configuration.entry_hosts
+        }
+        until_ms = now_ms + REMOVED_PEER_KEPT_MS
+        for host in self._peers.keys() - peers.keys():
+            self._removed_peers[host] = (self._peers[host], until_ms)
+        self._peers = peers
+
+
+def _seed_address(seed: Seed) -> PeerAddress:
+    return PeerAddress(seed.host, seed.address, seed.peer_port, seed.public_key)
+
+
+def _expire(removed: dict[str, tuple[PeerAddress, int]] | dict[str, tuple[BackendServer, int]], now_ms: int) -> bool:
+    expired = [name for name, (_, until_ms) in removed.items() if until_ms <= now_ms]
+    for name in expired:
+        del removed[name]
+    return bool(expired)
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/filters.py
@@ -0,0 +1,100 @@
+"""The first filters of the pipeline: parse bytes into events, or count and drop them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from logbook import Logger
+
+from redwingswitch._internal.daemon.metrics import Metrics
+from redwingswitch._internal.daemon.request_times import RequestTimes
+from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.models.actions import DropReason
+from redwingswitch._internal.models.events import (
+    CancelArrived,
+    Event,
+    PeerMessageArrived,
+    RequestPartArrived,
+)
+from redwingswitch._internal.models.identifiers import CallerAddress, PacketKind
+from redwingswitch._internal.models.messages import ForwardedRequest
+from redwingswitch._internal.network.caller_codec import (
+    CancelDatagram,
+    RequestDatagram,
+    decode_datagram,
+)
+from redwingswitch._internal.network.codec import Envelope
+from redwingswitch._internal.network.tunnel import decode_packet
+from redwingswitch._internal.ports import Clock
+
+log = Logger("filters")
+
+Submit = Callable[[Event], None]
+
+
+class PacketFilter:
+    """Parses sprayed packets."""
+
+    def __init__(self, *, submit: Submit, metrics: Metrics) -> None:
+        self._submit = submit
+        self._metrics = metrics
+
+    def on_datagram(self, data: bytes, _: tuple[str, int]) -> None:
+        """Handle one datagram of the data port."""
+        try:
+            event = decode_packet(data)
+        except DecodeError:
+            self._metrics.count("drops_total", DropReason.MALFORMED.value)
+            return
+        if event.kind is PacketKind.OPEN:
+            self._metrics.count("flows_opened_total")
+        self._submit(event)
+
+
+class RequestFilter:
+    """Parses datagrams from callers."""
+
+    def __init__(
+        self, *, submit: Submit, metrics: Metrics, times: RequestTimes, clock: Clock
+    ) -> None:
+        self._submit = submit
+        self._metrics = metrics
+        self._times = times
+        self._clock = clock
+
+    def on_datagram(self, data: bytes, address: tuple[str, int]) -> None:
+        """Handle one datagram of the request port."""
+        try:
+            datagram = decode_datagram(data)
+        except DecodeError:
+            self._metrics.count("drops_total", DropReason.MALFORMED.value)
+            return
+        if isinstance(datagram, RequestDatagram):
+            self._times.on_request(datagram.header, self._clock.now_ms())
+            caller = CallerAddress(*address)
+            self._submit(RequestPartArrived(datagram.header, datagram.body, caller))
+        elif isinstance(datagram, CancelDatagram):
+            self._submit(CancelArrived(datagram.header.service, datagram.header.request_id))
+
+
+class PeerFilter:
+    """Takes decoded messages of peers, and notes refused ones."""
+
+    def __init__(
+        self, *, submit: Submit, metrics: Metrics, times: RequestTimes, clock: Clock
+    ) -> None:
+        self._submit = submit
+        self._metrics = metrics
+        self._times = times
+        self._clock = clock
+
+    def on_message(self, envelope: Envelope) -> None:
+        """Handle an authenticated message."""
+        if isinstance(envelope.message, ForwardedRequest):
+            self._times.on_request(envelope.message.header, self._clock.now_ms())
+        self._submit(PeerMessageArrived(envelope.sender, envelope.incarnation, envelope.message))
+
+    def on_refused(self, problem: str) -> None:
+        """Count and log a message that was not accepted."""
+        self._metrics.count("drops_total", DropReason.MALFORMED.value)
+        log.warning(f"a peer message was refused: {problem}")
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/parameters.py
@@ -0,0 +1,71 @@
+"""What the entry daemon takes from its settings, and the decision object that it drives."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+
+from redwingswitch._internal.models.actions import Action
+from redwingswitch._internal.models.configuration import Configuration
+from redwingswitch._internal.models.events import Event
+from redwingswitch._internal.network.peers import PeerKeys
+
+
+class Seed(NamedTuple):
+    """An entry host that a starting host contacts first."""
+
+    host: str
+    failure_domain: str
+    address: str
+    peer_port: int
+    public_key: str = ""
+
+
+class DaemonParameters(NamedTuple):
+    """The settings of one entry daemon; a port of 0 asks for an ephemeral one."""
+
+    host: str
+    failure_domain: str
+    address: str
+    peer_port: int
+    data_port: int
+    request_port: int
+    admin_port: int
+    keys: PeerKeys = PeerKeys()
+    allow_plaintext: bool = False
+    grace_period_ms: int = 30_000
+
+
+class BoundPorts(NamedTuple):
+    """The ports that an entry daemon has bound."""
+
+    peer_port: int
+    data_port: int
+    request_port: int
+    admin_port: int
+
+
+class EntryHostPort(Protocol):
+    """The decisions of one entry host; see ``decisions.entry_host.EntryHost``."""
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation to send messages under; rises when a suspicion is refuted."""
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Return the actions that an event asks for."""
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Put a parsed revision in force."""
+
+    def choose_for_connection(self, service: str, flow_hash: int, now_ms: int) -> str | None:
+        """Return the backend server of a new connection, or None."""
+
+    def set_open_connections(self, count: int) -> None:
+        """Tell how many spliced connections are open."""
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``TimerFired`` is due, or None."""
+
+    def status(self, now_ms: int) -> Mapping[str, object]:
+        """Return the host's state as a ``HostStatus``."""
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/request_times.py
@@ -0,0 +1,73 @@
+"""Arrival times of requests, for the outcome counter and the latency histogram."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+from redwingswitch._internal.daemon.metrics import Metrics
+from redwingswitch._internal.models.configuration import Configuration, SizeClass
+from redwingswitch._internal.models.requests import AnswerHeader, RequestHeader, SizeHint
+
+MAX_TRACKED_REQUESTS = 50_000
+MS_PER_S = 1_000
+# Callers resend lost requests for some time after the deadline; those are counted once.
+KEPT_AFTER_DEADLINE_MS = 30_000
+
+
+class _Arrival(NamedTuple):
+    service: str
+    size_class: str
+    arrived_ms: int
+    until_ms: int
+    counted: bool = False
+
+
+class RequestTimes:
+    """Counts each request once, when the first part of its answer leaves this host."""
+
+    def __init__(self, *, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._arrivals: OrderedDict[bytes, _Arrival] = OrderedDict()
+        self._classes: dict[str, SizeClass] = {}
+
+    def apply_configuration(self, configuration: Configuration) -> None:
+        """Take over the size classes of the services."""
+        self._classes = {service.name: service.size_class for service in configuration.services}
+
+    def on_request(self, header: RequestHeader, now_ms: int) -> None:
+        """Note the arrival of a request's first copy."""
+        self._expire(now_ms)
+        if header.request_id in self._arrivals or header.service not in self._classes:
+            return
+        if len(self._arrivals) >= MAX_TRACKED_REQUESTS:
+            return
+        until_ms = now_ms + header.remaining_ms + KEPT_AFTER_DEADLINE_MS
+        size_class = self._size_class(header)
+        self._arrivals[header.request_id] = _Arrival(header.service, size_class, now_ms, until_ms)
+
+    def on_answer(self, header: AnswerHeader, now_ms: int) -> None:
+        """Count a request's outcome and latency."""
+        arrival = self._arrivals.get(header.request_id)
+        if arrival is None or arrival.counted:
+            return
+        self._arrivals[header.request_id] = arrival._replace(counted=True)
+        self._metrics.count("requests_total", arrival.service, header.outcome.value)
+        self._metrics.observe_latency(
+            service=arrival.service,
+            size_class=arrival.size_class,
+            latency_s=(now_ms - arrival.arrived_ms) / MS_PER_S,
+        )
+
+    def _size_class(self, header: RequestHeader) -> str:
+        if header.size_hint is SizeHint.UNKNOWN:
+            return self._classes[header.service].value
+        return header.size_hint.name.lower()
+
+    def _expire(self, now_ms: int) -> None:
+        # Arrivals are in order of arrival; a long deadline delays the removal of later ones.
+        while self._arrivals:
+            request_id, arrival = next(iter(self._arrivals.items()))
+            if arrival.until_ms > now_ms:
+                return
+            del self._arrivals[request_id]
--- a/src/redwingswitch/_internal/network/backend_client.py
+++ b/src/redwingswitch/_internal/network/backend_client.py
@@ -174,7 +174,7 @@
             self._stream.write(encode_frame(frame))
         except StreamClosedError:
             # The reader reports the loss of the connection.
-            log.debug(f"backend: {self.server.name} closed its connection")
+            log.debug(f"{self.server.name} closed its connection")
 
     async def _run(self) -> None:
         stream = await self._connect()
@@ -205,9 +205,9 @@
                 length_bytes = decode_length(await stream.read_bytes(LENGTH_BYTES))
                 self._on_frame(decode_content(await stream.read_bytes(length_bytes)))
         except StreamClosedError:
-            log.debug(f"backend: lost the connection to {self.server.name}")
+            log.debug(f"lost the connection to {self.server.name}")
         except DecodeError as error:
-            log.warning(f"backend: {self.server.name} sent an invalid frame: {error}")
+            log.warning(f"{self.server.name} sent an invalid frame: {error}")
         stream.close()
         if self._stream is stream:
             self._stream = None
--- a/src/redwingswitch/_internal/network/splice.py
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -80,7 +80,7 @@
         try:
             await self._serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError) as error:
-            log.debug(f"splice: a connection of {self._service} ended: {error}")
+            log.debug(f"a connection of {self._service} ended: {error}")
         except asyncio.CancelledError:
             # Cancelled by close(); the streams' callback would log a cancelled task as an error.
             writer.transport.abort()
@@ -116,7 +116,7 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     return await asyncio.open_connection(server.address, server.stream_port)
             except (OSError, TimeoutError):
-                log.warning(f"splice: cannot connect to {server.name}")
+                log.warning(f"cannot connect to {server.name}")
                 self._on_connect_failed(server.name)
         return None
 
--- /dev/null
+++ b/src/redwingswitch/_internal/utils/clock.py
@@ -0,0 +1,20 @@
+"""Clocks of the running host."""
+
+from __future__ import annotations
+
+import time
+
+NS_PER_MS = 1_000_000
+
+
+class MonotonicClock:
+    """Implements ``ports.Clock`` with the monotonic clock of the host."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since an arbitrary point; never goes back."""
+        return time.monotonic_ns() // NS_PER_MS
+
+
+def wall_clock_ms() -> int:
+    """Return wall-clock milliseconds; used only for numbers that should mostly rise."""
+    return time.time_ns() // NS_PER_MS
