--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/admin.py
@@ -0,0 +1,105 @@
+"""The admin HTTP endpoint: metrics, readiness, liveness and status."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from http import HTTPStatus
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.web import Application, RequestHandler
+
+from redwingswitch._internal.daemon.metrics import Metrics
+
+Status = Callable[[], Mapping[str, object]]
+
+
+class MetricsHandler(RequestHandler):
+    """``GET /metrics``: Prometheus exposition."""
+
+    def initialize(
+        self, *, metrics: Metrics, status: Status, open_connections: Callable[[], int]
+    ) -> None:
+        """Take the sources of the metrics."""
+        self._metrics = metrics
+        self._status_source = status
+        self._open_connections = open_connections
+
+    def get(self) -> None:
+        """Write the metrics."""
+        content, content_type = self._metrics.render(
+            status=self._status_source(), open_connections=self._open_connections()
+        )
+        self.set_header("Content-Type", content_type)
+        self.write(content)
+
+
+class ReadyHandler(RequestHandler):
+    """``GET /ready``: 200 when the host takes traffic, 503 otherwise."""
+
+    def initialize(self, *, status: Status) -> None:
+        """Take the source of the status."""
+        self._status_source = status
+
+    def get(self) -> None:
+        """Write the readiness."""
+        ready = bool(self._status_source()["ready"])
+        self.set_status(HTTPStatus.OK if ready else HTTPStatus.SERVICE_UNAVAILABLE)
+        self.write("ready\n" if ready else "not ready\n")
+
+
+class LiveHandler(RequestHandler):
+    """``GET /live``: 200 while the event loop runs."""
+
+    def get(self) -> None:
+        """Write the liveness."""
+        self.write("live\n")
+
+
+class StatusHandler(RequestHandler):
+    """``GET /status``: the host's state as JSON, see ``models.status``."""
+
+    def initialize(self, *, status: Status) -> None:
+        """Take the source of the status."""
+        self._status_source = status
+
+    def get(self) -> None:
+        """Write the status."""
+        self.set_header("Content-Type", "application/json")
+        self.write(msgspec.json.encode(self._status_source()))
+
+
+class AdminServer:
+    """The HTTP server of the admin endpoint."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        port: int,
+        metrics: Metrics,
+        status: Status,
+        open_connections: Callable[[], int],
+    ) -> None:
+        application = Application(
+            [
+                (
+                    "/metrics",
+                    MetricsHandler,
+                    {"metrics": metrics, "status": status, "open_connections": open_connections},
+                ),
+                ("/ready", ReadyHandler, {"status": status}),
+                ("/live", LiveHandler),
+                ("/status", StatusHandler, {"status": status}),
+            ],
+            log_function=lambda _: None,
+        )
+        sockets = bind_sockets(port, address)
+        self.port: int = sockets[0].getsockname()[1]
+        self._server = HTTPServer(application)
+        self._server.add_sockets(sockets)
+
+    def close(self) -> None:
+        """Accept no more connections."""
+        self._server.stop()
--- a/src/redwingswitch/_internal/daemon/directory.py
+++ b/src/redwingswitch/_internal/daemon/directory.py
@@ -95,7 +95,9 @@
     return PeerAddress(seed.host, seed.address, seed.peer_port, seed.public_key)
 
 
-def _expire(removed: dict[str, tuple[PeerAddress, int]] | dict[str, tuple[BackendServer, int]], now_ms: int) -> bool:
+def _expire(
+    removed: dict[str, tuple[PeerAddress, int]] | dict[str, tuple[BackendServer, int]], now_ms: int
+) -> bool:
     expired = [name for name, (_, until_ms) in removed.items() if until_ms <= now_ms]
     for name in expired:
         del removed[name]
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -0,0 +1,274 @@
+"""The entry daemon: composes sockets, filters and decisions, and handles their life cycle."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from logbook import Logger
+from tornado.ioloop import IOLoop, PeriodicCallback
+
+from redwingswitch._internal.daemon.admin import AdminServer
+from redwingswitch._internal.daemon.directory import Directory
+from redwingswitch._internal.daemon.documents import DocumentApplier, ParseDocument
+from redwingswitch._internal.daemon.filters import PacketFilter, PeerFilter, RequestFilter
+from redwingswitch._internal.daemon.host_list import HostListPoller
+from redwingswitch._internal.daemon.listeners import Listeners
+from redwingswitch._internal.daemon.metrics import Metrics
+from redwingswitch._internal.daemon.parameters import (
+    BoundPorts,
+    DaemonParameters,
+    EntryHostPort,
+    Seed,
+)
+from redwingswitch._internal.daemon.performer import ActionPerformer
+from redwingswitch._internal.daemon.pipeline import Pipeline
+from redwingswitch._internal.daemon.request_times import RequestTimes
+from redwingswitch._internal.daemon.store_tasks import StoreTasks
+from redwingswitch._internal.models.configuration import BackendServer, Configuration
+from redwingswitch._internal.models.events import Event, StopRequested, StreamConnectFailed
+from redwingswitch._internal.models.messages import PeerMessage
+from redwingswitch._internal.network.backend_client import BackendClient
+from redwingswitch._internal.network.codec import Envelope
+from redwingswitch._internal.network.datagrams import DatagramEndpoint
+from redwingswitch._internal.network.peers import PeerSockets
+from redwingswitch._internal.network.report_client import ReportClient
+from redwingswitch._internal.ports import Clock, ConfigStore, HostList, RandomSource
+
+log = Logger("daemon")
+
+# A witness without memory of its grants must not grant: maximum request lifetime 30 s plus maximum
+# packet lifetime 60 s.
+ABSTENTION_MS = 90_000
+EXPIRY_INTERVAL_MS = 10_000
+
+# Arguments: incarnation, time until which claims are not granted, seeds, now.
+MakeEntryHost = Callable[[int, int, tuple[Seed, ...], int], EntryHostPort]
+
+
+class EntryDaemon:
+    """One entry host on the running tornado loop.
+
+    The constructor binds the sockets and raises OSError when a port is taken; ``start`` lets the
+    host take part. Between the two nothing is answered.
+    """
+
+    def __init__(
+        self,
+        *,
+        parameters: DaemonParameters,
+        incarnation: int,
+        clock: Clock,
+        random_source: RandomSource,
+        store: ConfigStore | None,
+        host_list: HostList | None,
+        parse: ParseDocument,
+        make_entry_host: MakeEntryHost,
+    ) -> None:
+        self._parameters = parameters
+        self._incarnation = incarnation
+        self._clock = clock
+        self._make_entry_host = make_entry_host
+        self.metrics = Metrics()
+        self._times = RequestTimes(metrics=self.metrics)
+        self._documents = DocumentApplier(
+            parse=parse, on_configuration=self._apply_configuration, metrics=self.metrics
+        )
+        self._backends = BackendClient(clock=clock, on_event=self._submit)
+        self._reports = ReportClient()
+        self._listeners = Listeners(
+            address=parameters.address,
+            choose_server=self._choose_server,
+            on_connect_failed=lambda name: self._submit(StreamConnectFailed(name)),
+            on_count=self._on_connection_count,
+        )
+        self._store = self._store_tasks(store, random_source)
+        self._host_list = HostListPoller(host_list=host_list, submit=self._submit)
+        self._directory = Directory()
+        self._entry_host: EntryHostPort | None = None
+        self._pipeline: Pipeline | None = None
+        self._expiry = PeriodicCallback(self._expire, EXPIRY_INTERVAL_MS)
+        self._stopped = asyncio.Event()
+        self._bind()
+
+    @property
+    def ports(self) -> BoundPorts:
+        """Return the bound ports."""
+        return BoundPorts(self._peers.port, self._data.port, self._request.port, self._admin.port)
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of spliced connections."""
+        return self._listeners.open_connections
+
+    async def start(self, *, seeds: tuple[Seed, ...]) -> None:
+        """Take part with the hosts that ``seeds`` name."""
+        started_before = self._store is None or await self._store.has_started_before(
+            self._parameters.host
+        )
+        now_ms = self._clock.now_ms()
+        abstain_until_ms = now_ms + ABSTENTION_MS if started_before else now_ms
+        self._directory = Directory(seeds=seeds)
+        self._peers.update_peers(self._directory.peers())
+        self._entry_host = self._make_entry_host(self._incarnation, abstain_until_ms, seeds, now_ms)
+        self._pipeline = Pipeline(
+            entry_host=self._entry_host,
+            performer=self._performer(),
+            clock=self._clock,
+            metrics=self.metrics,
+        )
+        self._pipeline.arm()
+        self._host_list.start()
+        self._expiry.start()
+        log.info(f"{self._parameters.host} has started")
+
+    def status(self) -> Mapping[str, object]:
+        """Return the host's state."""
+        if self._entry_host is None:
+            return {"host": self._parameters.host, "ready": False}
+        return self._entry_host.status(self._clock.now_ms())
+
+    def request_stop(self) -> None:
+        """Begin the planned stop; a second call has no effect on the deadline."""
+        log.info(f"{self._parameters.host} stops gracefully")
+        self._listeners.stop_listening()
+        grace_deadline_ms = self._clock.now_ms() + self._parameters.grace_period_ms
+        if self._pipeline is None:
+            self._stopped.set()
+        else:
+            self._submit(StopRequested(grace_deadline_ms))
+
+    async def wait_stopped(self) -> None:
+        """Wait until the planned stop is completed, then close everything."""
+        await self._stopped.wait()
+        if self._store is not None:
+            await self._store.finish_release()
+        await self.close()
+
+    async def close(self) -> None:
+        """Close every socket at once, as a crash would."""
+        self._expiry.stop()
+        if self._pipeline is not None:
+            self._pipeline.close()
+        self._host_list.close()
+        self._documents.close()
+        if self._store is not None:
+            self._store.close()
+        self._data.close()
+        self._request.close()
+        self._admin.close()
+        self._backends.close()
+        self._reports.close()
+        await self._listeners.close()
+        self._peers.close()
+
+    def _bind(self) -> None:
+        parameters = self._parameters
+        self._packet_filter = PacketFilter(submit=self._submit, metrics=self.metrics)
+        self._request_filter = RequestFilter(
+            submit=self._submit, metrics=self.metrics, times=self._times, clock=self._clock
+        )
+        self._peer_filter = PeerFilter(
+            submit=self._submit, metrics=self.metrics, times=self._times, clock=self._clock
+        )
+        self._data = DatagramEndpoint(
+            address=parameters.address,
+            port=parameters.data_port,
+            on_datagram=self._packet_filter.on_datagram,
+        )
+        self._request = DatagramEndpoint(
+            address=parameters.address,
+            port=parameters.request_port,
+            on_datagram=self._request_filter.on_datagram,
+        )
+        self._peers = PeerSockets(
+            host=parameters.host,
+            incarnation=self._incarnation,
+            address=parameters.address,
+            port=parameters.peer_port,
+            keys=parameters.keys,
+            allow_plaintext=parameters.allow_plaintext,
+            on_message=self._on_peer_message,
+            on_refused=self._peer_filter.on_refused,
+            on_sent=self._on_sent,
+        )
+        self._admin = AdminServer(
+            address=parameters.address,
+            port=parameters.admin_port,
+            metrics=self.metrics,
+            status=self.status,
+            open_connections=lambda: self.open_connections,
+        )
+
+    def _store_tasks(
+        self, store: ConfigStore | None, random_source: RandomSource
+    ) -> StoreTasks | None:
+        if store is None:
+            return None
+        return StoreTasks(
+            store=store, random_source=random_source, metrics=self.metrics, submit=self._submit
+        )
+
+    def _performer(self) -> ActionPerformer:
+        return ActionPerformer(
+            directory=self._directory,
+            metrics=self.metrics,
+            times=self._times,
+            clock=self._clock,
+            peers=self._peers,
+            backends=self._backends,
+            reports=self._reports,
+            store=self._store,
+            documents=self._documents,
+            send_packet=self._data.send,
+            send_answer=self._request.send,
+            submit=self._submit,
+            on_stop_completed=self._on_stop_completed,
+        )
+
+    def _submit(self, event: Event) -> None:
+        if self._pipeline is None or self._entry_host is None:
+            return
+        self._pipeline.submit(event)
+        self._peers.set_incarnation(self._entry_host.incarnation)
+
+    def _on_peer_message(self, envelope: Envelope) -> None:
+        self._peer_filter.on_message(envelope)
+
+    def _on_sent(self, message: PeerMessage, size_bytes: int) -> None:
+        kind = type(message).__name__
+        self.metrics.count("control_messages_total", kind)
+        self.metrics.count("control_bytes_total", kind, amount=size_bytes)
+
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        if self._pipeline is None:
+            return
+        self._directory.update(configuration, self._clock.now_ms())
+        self._peers.update_peers(self._directory.peers())
+        self._backends.update_servers(self._directory.servers())
+        self._reports.update_servers(self._directory.servers())
+        self._times.apply_configuration(configuration)
+        self._pipeline.apply_configuration(configuration)
+        IOLoop.current().add_callback(self._listeners.update, configuration.services)
+
+    def _choose_server(self, service: str, connection_hash: int) -> BackendServer | None:
+        if self._entry_host is None:
+            return None
+        name = self._entry_host.choose_for_connection(
+            service, connection_hash, self._clock.now_ms()
+        )
+        return self._directory.find(name) if name else None
+
+    def _on_connection_count(self, count: int) -> None:
+        if self._entry_host is not None:
+            self._entry_host.set_open_connections(count)
+
+    def _expire(self) -> None:
+        if self._directory.expire(self._clock.now_ms()):
+            self._peers.update_peers(self._directory.peers())
+
+    def _on_stop_completed(self, cut_off_requests: int) -> None:
+        if cut_off_requests:
+            log.warning(f"{cut_off_requests} requests and connections were cut off")
+            self.metrics.count("broken_flows_total", "cut_off", amount=cut_off_requests)
+        self._stopped.set()
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/host_list.py
@@ -0,0 +1,48 @@
+"""Reads the platform's lagging list of hosts at a fixed interval."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from logbook import Logger
+
+from redwingswitch._internal.exceptions import RedwingswitchError
+from redwingswitch._internal.models.events import Event, HostListChanged
+from redwingswitch._internal.ports import HostList
+
+log = Logger("host-list")
+
+READ_INTERVAL_S = 5.0
+
+
+class HostListPoller:
+    """Submits the list after each change; without a list it does nothing."""
+
+    def __init__(self, *, host_list: HostList | None, submit: Callable[[Event], None]) -> None:
+        self._host_list = host_list
+        self._submit = submit
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to read."""
+        if self._host_list is not None:
+            self._task = asyncio.ensure_future(self._run(self._host_list))
+
+    def close(self) -> None:
+        """Stop reading."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self, host_list: HostList) -> None:
+        known: HostListChanged | None = None
+        while True:
+            try:
+                event = HostListChanged(tuple(await host_list.read()))
+            except (OSError, RedwingswitchError) as error:
+                log.warning(f"the host list was not read: {error}")
+            else:
+                if event != known:
+                    self._submit(event)
+                    known = event
+            await asyncio.sleep(READ_INTERVAL_S)
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/listeners.py
@@ -0,0 +1,81 @@
+"""The TCP listeners of one entry host, one for each service that has a listen port."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from logbook import Logger
+
+from redwingswitch._internal.models.configuration import Service
+from redwingswitch._internal.network.splice import ChooseServer, OnConnectFailed, SpliceListener
+
+log = Logger("listeners")
+
+
+class Listeners:
+    """Opens and closes listeners as revisions ask for them."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        choose_server: ChooseServer,
+        on_connect_failed: OnConnectFailed,
+        on_count: Callable[[int], None],
+    ) -> None:
+        self._address = address
+        self._choose_server = choose_server
+        self._on_connect_failed = on_connect_failed
+        self._on_count = on_count
+        self._open: dict[tuple[str, int], SpliceListener] = {}
+        self._stopped: list[SpliceListener] = []
+        self._stopping = False
+
+    @property
+    def open_connections(self) -> int:
+        """Return the number of connections in progress, also those of closed listeners."""
+        return sum(listener.open_connections for listener in [*self._open.values(), *self._stopped])
+
+    async def update(self, services: Iterable[Service]) -> None:
+        """Listen exactly where the services ask for it; open connections continue."""
+        wanted = {
+            (service.name, service.listen_port) for service in services if service.listen_port
+        }
+        for key in self._open.keys() - wanted:
+            self._stop(key)
+        self._stopped = [listener for listener in self._stopped if listener.open_connections]
+        if self._stopping:
+            return
+        for key in sorted(wanted - self._open.keys()):
+            await self._listen(*key)
+
+    def stop_listening(self) -> None:
+        """Accept no new connections on any listener."""
+        self._stopping = True
+        for key in list(self._open):
+            self._stop(key)
+
+    async def close(self) -> None:
+        """Cut all connections off."""
+        self.stop_listening()
+        for listener in self._stopped:
+            await listener.close()
+
+    def _stop(self, key: tuple[str, int]) -> None:
+        listener = self._open.pop(key)
+        listener.stop_listening()
+        self._stopped.append(listener)
+
+    async def _listen(self, service: str, port: int) -> None:
+        listener = SpliceListener(
+            service=service,
+            choose_server=self._choose_server,
+            on_connect_failed=self._on_connect_failed,
+            on_count=lambda: self._on_count(self.open_connections),
+        )
+        self._open[service, port] = listener
+        try:
+            await listener.listen(address=self._address, port=port)
+        except OSError as error:
+            del self._open[service, port]
+            log.error(f"{service} is not served on port {port}: {error}")
--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
-from aioprometheus import Counter, Gauge, Histogram, Registry
+from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
 PREFIX = "redwingswitch_"
--- a/src/redwingswitch/_internal/daemon/pipeline.py
+++ b/src/redwingswitch/_internal/daemon/pipeline.py
@@ -45,9 +45,7 @@
 
     def submit(self, event: Event) -> None:
         """Handle an event and carry out what it asks for."""
-        self._run(
-            type(event).__name__, lambda now_ms: self._entry_host.handle(event, now_ms)
-        )
+        self._run(type(event).__name__, lambda now_ms: self._entry_host.handle(event, now_ms))
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Put a parsed revision in force."""
@@ -56,6 +54,10 @@
             lambda now_ms: self._entry_host.apply_configuration(configuration, now_ms),
         )
 
+    def arm(self) -> None:
+        """Set the timer to the next deadline of the decisions."""
+        self._arm_soon()
+
     def close(self) -> None:
         """Ignore all later events."""
         self._closed = True
--- a/src/redwingswitch/_internal/daemon/store_tasks.py
+++ b/src/redwingswitch/_internal/daemon/store_tasks.py
@@ -193,6 +193,7 @@
         try:
             async with asyncio.timeout(REREAD_INTERVAL_S) as limit:
                 await self._call("watch", watch)
+                await asyncio.sleep(RETRY_MIN_S)
         except TimeoutError:
             if not limit.expired():
                 raise
@@ -211,9 +212,7 @@
             KeyVersion(self._lease_key, action.fencing_version),
         ]
         value = encode_document(action.document)
-        write = self._store.compare_and_swap(
-            key=CONFIGURATION_KEY, value=value, expected=expected
-        )
+        write = self._store.compare_and_swap(key=CONFIGURATION_KEY, value=value, expected=expected)
         try:
             version = await self._call("compare_and_swap", write)
         except _STORE_ERRORS:
--- a/src/redwingswitch/_internal/network/splice.py
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -33,11 +33,17 @@
     """The listener of one service on one entry host."""
 
     def __init__(
-        self, *, service: str, choose_server: ChooseServer, on_connect_failed: OnConnectFailed
+        self,
+        *,
+        service: str,
+        choose_server: ChooseServer,
+        on_connect_failed: OnConnectFailed,
+        on_count: Callable[[], None],
     ) -> None:
         self._service = service
         self._choose_server = choose_server
         self._on_connect_failed = on_connect_failed
+        self._on_count = on_count
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -77,6 +83,7 @@
             writer.transport.abort()
             return
         self._tasks.add(task)
+        self._on_count()
         try:
             await self._serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError) as error:
@@ -86,6 +93,7 @@
             writer.transport.abort()
         finally:
             self._tasks.discard(task)
+            self._on_count()
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- /dev/null
+++ b/src/redwingswitch/_internal/standins/host_list.py
@@ -0,0 +1,32 @@
+"""A stand-in of the platform's lagging list of hosts."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+
+from redwingswitch._internal.models.events import ListedHost
+from redwingswitch._internal.ports import Clock
+
+MAX_HELD_CHANGES = 1_000
+
+
+class LaggingHostList:
+    """Implements ``ports.HostList``; a change shows ``lag_ms`` after it was made."""
+
+    def __init__(self, *, clock: Clock, lag_ms: int) -> None:
+        self._clock = clock
+        self._lag_ms = lag_ms
+        self._shown: tuple[ListedHost, ...] = ()
+        self._held: deque[tuple[int, tuple[ListedHost, ...]]] = deque(maxlen=MAX_HELD_CHANGES)
+
+    def publish(self, hosts: Sequence[ListedHost]) -> None:
+        """Replace the list, to be shown after the lag."""
+        self._held.append((self._clock.now_ms() + self._lag_ms, tuple(hosts)))
+
+    async def read(self) -> Sequence[ListedHost]:
+        """Return the list as it was ``lag_ms`` ago."""
+        now_ms = self._clock.now_ms()
+        while self._held and self._held[0][0] <= now_ms:
+            self._shown = self._held.popleft()[1]
+        return self._shown
--- /dev/null
+++ b/src/redwingswitch/_internal/standins/memory_store.py
@@ -0,0 +1,108 @@
+"""A key-value service in memory, for tests and trials without a socket."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
+from redwingswitch._internal.ports import GrantedLease, KeyVersion, StoredValue
+
+
+class MemoryStore:
+    """Implements ``ports.ConfigStore``; leases lapse only when ``lapse`` is called.
+
+    ``available`` false fails every call; ``lose_answers`` true loses the answers of writes that
+    took effect.
+    """
+
+    def __init__(self) -> None:
+        self.available = True
+        self.lose_answers = False
+        self._values: dict[str, StoredValue] = {}
+        self._leases: dict[int, str] = {}
+        self._version = 0
+        self._changed = asyncio.Event()
+
+    async def get(self, key: str) -> StoredValue | None:
+        """Return the value of ``key``, or None."""
+        self._check()
+        return self._values.get(key)
+
+    async def compare_and_swap(
+        self, *, key: str, value: bytes, expected: Sequence[KeyVersion]
+    ) -> int | None:
+        """Write ``value`` if every expectation holds; return the new version, or None."""
+        self._check()
+        if any(self._version_of(key) != version for key, version in expected):
+            return None
+        version = self._write(key, value)
+        if self.lose_answers:
+            raise StoreOutcomeUnknownError("the answer was lost; read the key back")
+        return version
+
+    async def acquire_lease(self, *, key: str, holder: str, ttl_ms: int) -> GrantedLease | None:
+        """Create ``key`` under a new lease; return None while another holder has it."""
+        self._check()
+        if key in self._values:
+            return None
+        version = self._write(key, holder.encode())
+        self._leases[version] = key
+        return GrantedLease(lease_id=version, key_version=version)
+
+    async def renew_lease(self, lease: GrantedLease) -> bool:
+        """Extend a lease; return False when it has lapsed."""
+        self._check()
+        return lease.lease_id in self._leases
+
+    async def release_lease(self, lease: GrantedLease) -> None:
+        """Give a lease up, and with it the key."""
+        self._check()
+        self.lapse(lease.lease_id)
+
+    async def watch(
+        self, key: str, *, after_version: int, on_value: Callable[[StoredValue], None]
+    ) -> None:
+        """Call ``on_value`` for each later value until cancelled or the store fails."""
+        seen = after_version
+        while True:
+            self._check()
+            stored = self._values.get(key)
+            if stored is not None and stored.version > seen:
+                seen = stored.version
+                on_value(stored)
+            await self._changed.wait()
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write without a condition, as a restored backup would; return the version."""
+        return self._write(key, value)
+
+    def lapse(self, lease_id: int) -> None:
+        """End a lease."""
+        key = self._leases.pop(lease_id, None)
+        if key is not None:
+            self._values.pop(key, None)
+            self._notify()
+
+    def set_available(self, available: bool) -> None:
+        """Take the store down or bring it back; open watches fail."""
+        self.available = available
+        self._notify()
+
+    def _write(self, key: str, value: bytes) -> int:
+        self._version += 1
+        self._values[key] = StoredValue(value, self._version)
+        self._notify()
+        return self._version
+
+    def _notify(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    def _version_of(self, key: str) -> int:
+        stored = self._values.get(key)
+        return stored.version if stored else 0
+
+    def _check(self) -> None:
+        if not self.available:
+            raise StoreUnavailableError("the store is down; try again later")
--- a/src/redwingswitch/_internal/utils/logs.py
+++ b/src/redwingswitch/_internal/utils/logs.py
@@ -14,7 +14,9 @@
 
 def start_logging(*, level: str) -> None:
     """Write records of ``level`` and above to standard error."""
-    StreamHandler(sys.stderr, level=lookup_level(level.upper()), format_string=FORMAT).push_application()
+    StreamHandler(
+        sys.stderr, level=lookup_level(level.upper()), format_string=FORMAT
+    ).push_application()
 
 
 def write_log(*, part: str, level: str, text: str) -> None:
