Reset the other side of a spliced connection that breaks

A spliced connection whose backend server reset it was closed in the ordinary way, so that the caller took a part of the answer for the whole. asyncio's abort() sends no reset unless input is unread. The listener now sets a linger time of 0 before it aborts.

--- /dev/null
+++ b/src/redwingswitch/_internal/cli/entry.py
@@ -0,0 +1,32 @@
+"""The program ``redwingswitch-entry``: one entry host."""
+
+from __future__ import annotations
+
+import sys
+
+import fire
+
+from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.exceptions import InvalidInputGroup
+
+
+def run(settings: str) -> int:
+    """Run an entry host until SIGTERM; ``settings`` names the TOML file of its settings."""
+    from redwingswitch._internal.commands import entry  # noqa: PLC0415
+
+    try:
+        return entry.run(settings_file=settings)
+    except InvalidInputGroup as group:
+        for error in group.exceptions:
+            print(error, file=sys.stderr)
+        return status_codes.INVALID_INPUT
+    except OSError as error:
+        print(f"cannot start: {error}; free the port or change the settings", file=sys.stderr)
+        return status_codes.ERROR
+
+
+def main() -> None:
+    """Parse the command line and exit with the run's status."""
+    # fire prints a return value, which would put the exit status on standard output.
+    status = fire.Fire(run, serialize=lambda _: "")
+    sys.exit(status if isinstance(status, int) else status_codes.SUCCESS)
--- /dev/null
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -0,0 +1,56 @@
+"""The program ``redwingswitch-standin``: stand-ins of the systems around the entry hosts."""
+
+from __future__ import annotations
+
+import importlib
+import sys
+
+import fire
+
+from redwingswitch._internal.cli import status_codes
+
+
+class StandIns:
+    """Stand-ins for tests and trials; every socket is bound to a loopback address."""
+
+    def backend(
+        self,
+        *,
+        name: str,
+        service: str,
+        service_address: str,
+        service_port: int,
+        address: str = "127.0.0.1",
+        seconds: int = 60,
+    ) -> int:
+        """Run a backend server for some seconds and print its ports as TOML."""
+        return _run(
+            "backend",
+            name=name,
+            service=service,
+            service_address=service_address,
+            service_port=service_port,
+            address=address,
+            seconds=seconds,
+        )
+
+    def demo(self, seed: int = 1) -> int:
+        """Run a whole deployment in one process through a change, a stop and a crash."""
+        return _run("demo", seed=seed)
+
+    def store(self, address: str = "127.0.0.1", port: int = 0, seconds: int = 60) -> int:
+        """Run the platform's key-value service for some seconds."""
+        return _run("store_standin", address=address, port=port, seconds=seconds)
+
+
+def _run(command: str, **arguments: object) -> int:
+    module = importlib.import_module(f"redwingswitch._internal.commands.{command}")
+    status: int = module.run(**arguments)
+    return status
+
+
+def main() -> None:
+    """Parse the command line and exit with the command's status."""
+    # fire prints a return value, which would put the exit status on standard output.
+    status = fire.Fire(StandIns, name="redwingswitch-standin", serialize=lambda _: "")
+    sys.exit(status if isinstance(status, int) else status_codes.SUCCESS)
--- /dev/null
+++ b/src/redwingswitch/_internal/commands/entry.py
@@ -0,0 +1,83 @@
+"""``redwingswitch-entry``: run one entry host until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from pathlib import Path
+
+import zmq
+from logbook import Logger
+
+from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.daemon.assembly import entry_host_factory, new_incarnation, parse
+from redwingswitch._internal.daemon.entry import EntryDaemon
+from redwingswitch._internal.daemon.parameters import DaemonParameters
+from redwingswitch._internal.network.peers import PeerKeys
+from redwingswitch._internal.network.store_http import open_store
+from redwingswitch._internal.settings import Settings, read_settings
+from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.logs import start_logging
+
+log = Logger("daemon")
+
+
+def run(*, settings_file: str) -> int:
+    """Run the daemon; raise InvalidInputGroup for bad settings and OSError for a taken port."""
+    settings = read_settings(Path(settings_file))
+    start_logging(level=settings.log_level)
+    asyncio.run(_run(settings))
+    return status_codes.SUCCESS
+
+
+async def _run(settings: Settings) -> None:
+    random_source = random.SystemRandom()
+    daemon = EntryDaemon(
+        parameters=daemon_parameters(settings),
+        incarnation=new_incarnation(random_source),
+        clock=MonotonicClock(),
+        random_source=random_source,
+        store=open_store(settings),
+        host_list=None,
+        parse=parse,
+        make_entry_host=entry_host_factory(
+            host=settings.host,
+            failure_domain=settings.failure_domain,
+            random_source=random_source,
+        ),
+    )
+    _handle_signals(daemon)
+    await daemon.start(seeds=settings.seeds)
+    await daemon.wait_stopped()
+
+
+def daemon_parameters(settings: Settings) -> DaemonParameters:
+    """Return the daemon's part of the settings."""
+    keys = PeerKeys()
+    if settings.secret_key:
+        public_key = zmq.curve_public(settings.secret_key.encode("ascii")).decode("ascii")
+        keys = PeerKeys(public_key, settings.secret_key)
+    return DaemonParameters(
+        host=settings.host,
+        failure_domain=settings.failure_domain,
+        address=settings.address,
+        peer_port=settings.peer_port,
+        data_port=settings.data_port,
+        request_port=settings.request_port,
+        admin_port=settings.admin_port,
+        keys=keys,
+        allow_plaintext=settings.allow_plaintext,
+        pinned_keys=settings.peers,
+        grace_period_ms=settings.grace_period_ms,
+    )
+
+
+def _handle_signals(daemon: EntryDaemon) -> None:
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
+    loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
+    # Settings are read once. The default action of SIGHUP would end the process and its flows.
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: log.info("SIGHUP changes nothing; restart to read the settings")
+    )
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/assembly.py
@@ -0,0 +1,53 @@
+"""Joins the daemon with the decision parts and the parser of the operators' file."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.configuration.parse import parse_configuration
+from redwingswitch._internal.daemon.entry import MakeEntryHost
+from redwingswitch._internal.daemon.parameters import EntryHostPort
+from redwingswitch._internal.decisions.entry_host import EntryHost
+from redwingswitch._internal.decisions.membership import Seed as MemberSeed
+from redwingswitch._internal.models.configuration import Configuration, Document
+from redwingswitch._internal.ports import RandomSource
+from redwingswitch._internal.settings import Seed
+from redwingswitch._internal.utils.clock import wall_clock_ms
+
+INCARNATION_RANDOM_BITS = 16
+
+
+def new_incarnation(random_source: RandomSource) -> int:
+    """Return a number that no earlier start of this host used."""
+    random_bits = random_source.getrandbits(INCARNATION_RANDOM_BITS)
+    return wall_clock_ms() << INCARNATION_RANDOM_BITS | random_bits
+
+
+def parse(document: Document) -> Configuration:
+    """Return the configuration of an accepted document; raise InvalidInputGroup for faults."""
+    return parse_configuration(
+        text=document["text"],
+        file=f"revision {document['revision']}",
+        revision=document["revision"],
+        digest=document["digest"],
+    )
+
+
+def entry_host_factory(
+    *, host: str, failure_domain: str, random_source: RandomSource
+) -> MakeEntryHost:
+    """Return a function that makes the decisions of a host that starts now."""
+
+    def make(
+        incarnation: int, abstain_until_ms: int, seeds: tuple[Seed, ...], now_ms: int
+    ) -> EntryHostPort:
+        entry_host = EntryHost(
+            host=host,
+            failure_domain=failure_domain,
+            incarnation=incarnation,
+            abstain_until_ms=abstain_until_ms,
+            random_source=random_source,
+        )
+        names = [MemberSeed(seed.host, seed.failure_domain) for seed in seeds]
+        entry_host.membership.set_seeds(names, now_ms)
+        return entry_host
+
+    return make
--- a/src/redwingswitch/_internal/daemon/directory.py
+++ b/src/redwingswitch/_internal/daemon/directory.py
@@ -4,10 +4,10 @@
 
 import socket
 
-from redwingswitch._internal.daemon.parameters import Seed
 from redwingswitch._internal.models.configuration import BackendServer, Configuration
 from redwingswitch._internal.models.identifiers import FlowKey
 from redwingswitch._internal.network.peers import PeerAddress
+from redwingswitch._internal.settings import PeerKey, Seed
 
 # Established flows may stay with a removed backend server for as long as they are not idle.
 REMOVED_SERVER_KEPT_MS = 86_400_000
@@ -21,10 +21,12 @@
 class Directory:
     """Finds where to send to; updated with each revision."""
 
-    def __init__(self, *, seeds: tuple[Seed, ...] = ()) -> None:
-        self._seeds = {seed.host: _seed_address(seed) for seed in seeds}
+    def __init__(self, *, pinned_keys: tuple[PeerKey, ...] = ()) -> None:
+        self._pinned_keys = {pinned.host: pinned.public_key for pinned in pinned_keys}
+        self._seeds: dict[str, PeerAddress] = {}
         self._servers: dict[str, BackendServer] = {}
         self._destinations: dict[str, set[Destination]] = {}
+        self._services: dict[Destination, str] = {}
         self._removed_servers: dict[str, tuple[BackendServer, int]] = {}
         self._peers: dict[str, PeerAddress] = {}
         self._removed_peers: dict[str, tuple[PeerAddress, int]] = {}
@@ -36,6 +38,15 @@
         for service in configuration.services:
             destination = (socket.inet_aton(service.address), service.port)
             self._destinations.setdefault(service.name, set()).add(destination)
+            self._services[destination] = service.name
+
+    def set_seeds(self, seeds: tuple[Seed, ...]) -> None:
+        """Replace the hosts that are contacted before a configuration is known."""
+        self._seeds = {seed.host: _seed_address(seed) for seed in seeds}
+
+    def service_of(self, flow: FlowKey) -> str:
+        """Return the service that a flow goes to, or an empty string."""
+        return self._services.get((flow.service_address, flow.service_port), "")
 
     def find(self, backend_server: str) -> BackendServer | None:
         """Return a backend server of this or an earlier revision."""
@@ -60,13 +71,18 @@
     def peers(self) -> list[PeerAddress]:
         """Return seeds, declared entry hosts and those removed lately."""
         removed = {host: peer for host, (peer, _) in self._removed_peers.items()}
-        return list({**self._seeds, **removed, **self._peers}.values())
+        known = {**self._seeds, **removed, **self._peers}
+        return [self._with_pinned_key(peer) for peer in known.values()]
 
     def expire(self, now_ms: int) -> bool:
         """Forget what was removed long ago; return whether the peers changed."""
         _expire(self._removed_servers, now_ms)
         return _expire(self._removed_peers, now_ms)
 
+    def _with_pinned_key(self, peer: PeerAddress) -> PeerAddress:
+        pinned = self._pinned_keys.get(peer.host)
+        return peer._replace(public_key=pinned) if pinned else peer
+
     def _update_servers(self, configuration: Configuration, now_ms: int) -> None:
         servers = {
             server.name: server
--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -19,7 +19,6 @@
     BoundPorts,
     DaemonParameters,
     EntryHostPort,
-    Seed,
 )
 from redwingswitch._internal.daemon.performer import ActionPerformer
 from redwingswitch._internal.daemon.pipeline import Pipeline
@@ -34,6 +33,7 @@
 from redwingswitch._internal.network.peers import PeerSockets
 from redwingswitch._internal.network.report_client import ReportClient
 from redwingswitch._internal.ports import Clock, ConfigStore, HostList, RandomSource
+from redwingswitch._internal.settings import Seed
 
 log = Logger("daemon")
 
@@ -84,7 +84,7 @@
         )
         self._store = self._store_tasks(store, random_source)
         self._host_list = HostListPoller(host_list=host_list, submit=self._submit)
-        self._directory = Directory()
+        self._directory = Directory(pinned_keys=parameters.pinned_keys)
         self._entry_host: EntryHostPort | None = None
         self._pipeline: Pipeline | None = None
         self._expiry = PeriodicCallback(self._expire, EXPIRY_INTERVAL_MS)
@@ -108,7 +108,7 @@
         )
         now_ms = self._clock.now_ms()
         abstain_until_ms = now_ms + ABSTENTION_MS if started_before else now_ms
-        self._directory = Directory(seeds=seeds)
+        self._directory.set_seeds(seeds)
         self._peers.update_peers(self._directory.peers())
         self._entry_host = self._make_entry_host(self._incarnation, abstain_until_ms, seeds, now_ms)
         self._pipeline = Pipeline(
@@ -164,7 +164,9 @@
 
     def _bind(self) -> None:
         parameters = self._parameters
-        self._packet_filter = PacketFilter(submit=self._submit, metrics=self.metrics)
+        self._packet_filter = PacketFilter(
+            submit=self._submit, metrics=self.metrics, directory=self._directory
+        )
         self._request_filter = RequestFilter(
             submit=self._submit, metrics=self.metrics, times=self._times, clock=self._clock
         )
@@ -270,5 +272,5 @@
     def _on_stop_completed(self, cut_off_requests: int) -> None:
         if cut_off_requests:
             log.warning(f"{cut_off_requests} requests and connections were cut off")
-            self.metrics.count("broken_flows_total", "cut_off", amount=cut_off_requests)
+            self.metrics.count("cut_off_requests_total", amount=cut_off_requests)
         self._stopped.set()
--- a/src/redwingswitch/_internal/daemon/filters.py
+++ b/src/redwingswitch/_internal/daemon/filters.py
@@ -6,6 +6,7 @@
 
 from logbook import Logger
 
+from redwingswitch._internal.daemon.directory import Directory
 from redwingswitch._internal.daemon.metrics import Metrics
 from redwingswitch._internal.daemon.request_times import RequestTimes
 from redwingswitch._internal.exceptions import DecodeError
@@ -35,9 +36,10 @@
 class PacketFilter:
     """Parses sprayed packets."""
 
-    def __init__(self, *, submit: Submit, metrics: Metrics) -> None:
+    def __init__(self, *, submit: Submit, metrics: Metrics, directory: Directory) -> None:
         self._submit = submit
         self._metrics = metrics
+        self._directory = directory
 
     def on_datagram(self, data: bytes, _: tuple[str, int]) -> None:
         """Handle one datagram of the data port."""
@@ -47,7 +49,7 @@
             self._metrics.count("drops_total", DropReason.MALFORMED.value)
             return
         if event.kind is PacketKind.OPEN:
-            self._metrics.count("flows_opened_total")
+            self._metrics.count("flows_opened_total", self._directory.service_of(event.flow))
         self._submit(event)
 
 
--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -14,15 +14,29 @@
 from aioprometheus.renderer import render
 
 PREFIX = "redwingswitch_"
-LATENCY_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, float("inf"))
+LATENCY_BUCKETS_MS = (
+    5.0,
+    10.0,
+    25.0,
+    50.0,
+    100.0,
+    250.0,
+    500.0,
+    1e3,
+    2.5e3,
+    5e3,
+    1e4,
+    float("inf"),
+)
 
 # Name, help text and label names of each counter.
 _COUNTERS = {
-    "flows_opened_total": ("Opening packets from the fabric.", ()),
+    "flows_opened_total": ("Opening packets from the fabric.", ("service",)),
     "packets_total": ("Packets sent to backend servers.", ("service", "backend_server")),
     "drops_total": ("Packets and messages dropped.", ("reason",)),
     "requests_total": ("Requests answered.", ("service", "outcome")),
-    "broken_flows_total": ("Indications of broken flows.", ("indication",)),
+    "broken_flows_total": ("Indications of broken flows.", ("service", "indication")),
+    "cut_off_requests_total": ("Requests and connections cut off by a planned stop.", ()),
     "control_bytes_total": ("Bytes sent to other entry hosts.", ("kind",)),
     "control_messages_total": ("Messages sent to other entry hosts.", ("kind",)),
     "messages_not_sent_total": ("Messages to entry hosts dropped at a full queue.", ("kind",)),
@@ -37,7 +51,7 @@
     "ejected_servers": ("Backend servers ejected for ill health.", ()),
     "records": ("Flow records held.", ("service",)),
     "displaced_buckets": ("Buckets that need records.", ("service",)),
-    "busy_slots": ("Requests dispatched from this host.", ("backend_server",)),
+    "busy_slots": ("Requests dispatched from this host.", ("service", "backend_server")),
     "open_connections": ("Spliced connections.", ()),
 }
 
@@ -57,19 +71,19 @@
             for name, (text, _) in _GAUGES.items()
         }
         self._latency = Histogram(
-            PREFIX + "request_seconds",
+            PREFIX + "request_latency_ms",
             "Time from a request's arrival at this host to its answer.",
             registry=self._registry,
-            buckets=LATENCY_BUCKETS_S,
+            buckets=LATENCY_BUCKETS_MS,
         )
 
     def count(self, name: str, *labels: str, amount: int = 1) -> None:
         """Add to a counter; the labels are in the order of its definition."""
         self.counts[name][labels] += amount
 
-    def observe_latency(self, *, service: str, size_class: str, latency_s: float) -> None:
+    def observe_latency(self, *, service: str, size_class: str, latency_ms: float) -> None:
         """Add one answered request to the latency histogram."""
-        self._latency.observe({"service": service, "size_class": size_class}, latency_s)
+        self._latency.observe({"service": service, "size_class": size_class}, latency_ms)
 
     def render(self, *, status: Mapping[str, Any], open_connections: int) -> tuple[bytes, str]:
         """Return the exposition text and its content type."""
@@ -101,7 +115,7 @@
     servers = status.get("servers", ())
     yield "ejected_servers", (), sum(bool(server["ejected"]) for server in servers)
     for server in servers:
-        yield "busy_slots", (server["name"],), server["busy_slots"]
+        yield "busy_slots", (server["service"], server["name"]), server["busy_slots"]
     for service in status.get("services", ()):
         yield "records", (service["name"],), service["records"]
         yield "displaced_buckets", (service["name"],), service["displaced_buckets"]
--- a/src/redwingswitch/_internal/daemon/parameters.py
+++ b/src/redwingswitch/_internal/daemon/parameters.py
@@ -9,20 +9,14 @@
 from redwingswitch._internal.models.configuration import Configuration
 from redwingswitch._internal.models.events import Event
 from redwingswitch._internal.network.peers import PeerKeys
-
-
-class Seed(NamedTuple):
-    """An entry host that a starting host contacts first."""
-
-    host: str
-    failure_domain: str
-    address: str
-    peer_port: int
-    public_key: str = ""
+from redwingswitch._internal.settings import PeerKey
 
 
 class DaemonParameters(NamedTuple):
-    """The settings of one entry daemon; a port of 0 asks for an ephemeral one."""
+    """The settings of one entry daemon; a port of 0 asks for an ephemeral one.
+
+    ``pinned_keys`` are accepted for their hosts in place of the configuration's.
+    """
 
     host: str
     failure_domain: str
@@ -33,6 +27,7 @@
     admin_port: int
     keys: PeerKeys = PeerKeys()
     allow_plaintext: bool = False
+    pinned_keys: tuple[PeerKey, ...] = ()
     grace_period_ms: int = 30_000
 
 
--- a/src/redwingswitch/_internal/daemon/request_times.py
+++ b/src/redwingswitch/_internal/daemon/request_times.py
@@ -10,7 +10,6 @@
 from redwingswitch._internal.models.requests import AnswerHeader, RequestHeader, SizeHint
 
 MAX_TRACKED_REQUESTS = 50_000
-MS_PER_S = 1_000
 # Callers resend lost requests for some time after the deadline; those are counted once.
 KEPT_AFTER_DEADLINE_MS = 30_000
 
@@ -56,7 +55,7 @@
         self._metrics.observe_latency(
             service=arrival.service,
             size_class=arrival.size_class,
-            latency_s=(now_ms - arrival.arrived_ms) / MS_PER_S,
+            latency_ms=now_ms - arrival.arrived_ms,
         )
 
     def _size_class(self, header: RequestHeader) -> str:
--- a/src/redwingswitch/_internal/network/splice.py
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 
 from logbook import Logger
@@ -90,7 +91,7 @@
             log.debug(f"a connection of {self._service} ended: {error}")
         except asyncio.CancelledError:
             # Cancelled by close(); the streams' callback would log a cancelled task as an error.
-            writer.transport.abort()
+            reset_connection(writer)
         finally:
             self._tasks.discard(task)
             self._on_count()
@@ -101,17 +102,17 @@
         if backend is None:
             # A reset tells the caller that the service is unavailable; a close would look like an
             # empty answer.
-            writer.transport.abort()
+            reset_connection(writer)
             return
         backend_reader, backend_writer = backend
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(_copy(reader, backend_writer))
-                group.create_task(_copy(backend_reader, writer))
+                group.create_task(copy_stream(reader, backend_writer))
+                group.create_task(copy_stream(backend_reader, writer))
         except* OSError:
-            # One side was reset, so the other one is reset as well.
-            writer.transport.abort()
-            backend_writer.transport.abort()
+            # One side was reset; a close of the other one would look like a complete answer.
+            reset_connection(writer)
+            reset_connection(backend_writer)
         finally:
             backend_writer.close()
 
@@ -129,7 +130,18 @@
         return None
 
 
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; discard what is buffered."""
+    connection = writer.get_extra_info("socket")
+    # abort() alone closes the socket in the ordinary way, which the other side sees as a complete
+    # end of input. A linger time of 0 sends a reset instead.
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def copy_stream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copy bytes to the end of input and pass the half-close on; read no faster than it writes."""
     while chunk := await reader.read(CHUNK_BYTES):
         writer.write(chunk)
         await writer.drain()
--- a/src/redwingswitch/_internal/standins/backend_streams.py
+++ b/src/redwingswitch/_internal/standins/backend_streams.py
@@ -4,6 +4,8 @@
 
 import asyncio
 
+from redwingswitch._internal.network.splice import reset_connection
+
 CHUNK_BYTES = 65_536
 
 
@@ -37,7 +39,7 @@
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            reset_connection(writer)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.accepted += 1
@@ -48,7 +50,7 @@
                 writer.write(chunk)
                 await writer.drain()
         except OSError:
-            writer.transport.abort()
+            reset_connection(writer)
         finally:
             self._writers.discard(writer)
             writer.close()
--- /dev/null
+++ b/tests/functional/test_backend_client.py
@@ -0,0 +1,197 @@
+"""Guards against failures of backend servers that are reported as the wrong kind.
+
+Only REFUSED and SHED may stand for a request that certainly did not start: a caller is told "not
+run" on their strength.
+"""
+
+import pytest
+from tornado.netutil import bind_sockets
+
+from redwingswitch._internal.models.actions import DispatchRequest
+from redwingswitch._internal.models.configuration import BackendServer, ServerState
+from redwingswitch._internal.models.events import AnswerPartArrived, AttemptFailed
+from redwingswitch._internal.models.requests import BackendReport, FailureKind
+from redwingswitch._internal.network.backend_client import BackendClient
+from redwingswitch._internal.network.report_client import LoadReport, ReportClient
+from redwingswitch._internal.standins.backend_requests import Behaviour
+from redwingswitch._internal.standins.backend_server import (
+    ORDINARY_BEHAVIOUR,
+    TRUE_REPORTS,
+    BackendServerStandIn,
+    ReportFaults,
+)
+from redwingswitch._internal.standins.work import Work, encode_work, whole_answer
+from redwingswitch._internal.utils.clock import MonotonicClock
+from tests.lib.loops import Recorder, run, turns
+
+REQUEST_ID = bytes(range(16))
+CLOCK = MonotonicClock()
+LONG_MS = 25_000
+SHORT_WORK = Work(service_ms=0)
+
+
+class Bench:
+    """A backend server stand-in and a client that knows it."""
+
+    async def open(self, behaviour=ORDINARY_BEHAVIOUR, report_faults=TRUE_REPORTS):
+        self.standin = BackendServerStandIn(
+            name="job-1",
+            service="job-board",
+            address="127.0.0.1",
+            destination=(b"\x0a\x01\x00\x01", 443),
+            clock=CLOCK,
+            behaviour=behaviour,
+            report_faults=report_faults,
+        )
+        await self.standin.start()
+        self.events = Recorder()
+        self.client = BackendClient(clock=CLOCK, on_event=self.events)
+        self.server = BackendServer(
+            "job-1",
+            "job-board",
+            "hobart",
+            "127.0.0.1",
+            *self.standin.ports,
+            slots=2,
+            connection_limit=10,
+            state=ServerState.ACTIVE,
+        )
+        self.client.update_servers({"job-1": self.server})
+        return self
+
+    def dispatch(self, attempt_id, *, work=SHORT_WORK, limit_ms=LONG_MS, **fields):
+        self.client.dispatch(
+            DispatchRequest(
+                service=fields.get("service", "job-board"),
+                backend_server=fields.get("backend_server", "job-1"),
+                attempt_id=attempt_id,
+                request_id=REQUEST_ID,
+                body=encode_work(work),
+                deadline_ms=CLOCK.now_ms() + limit_ms,
+            )
+        )
+
+    def close(self):
+        self.client.close()
+        self.standin.close()
+
+
+@pytest.mark.parametrize("reverse_parts", [False, True])
+def test_answer_parts_arrive_and_end_the_attempt(reverse_parts):
+    async def body():
+        bench = await Bench().open(Behaviour(reverse_parts=reverse_parts))
+        work = Work(service_ms=0, parts=3, part_bytes=500)
+        bench.dispatch(1, work=work)
+        parts = [await bench.events.next() for _ in range(3)]
+        assert all(isinstance(part, AnswerPartArrived) and part.parts == 3 for part in parts)
+        ordered = sorted(parts, key=lambda part: part.part)
+        content = b"".join(part.body for part in ordered)
+        assert content == whole_answer(request_id=REQUEST_ID, work=work)
+        assert (parts == ordered) is not reverse_parts
+        assert bench.client.in_progress() == 0
+        bench.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    ("behaviour", "limit_ms", "fields", "kind", "runs"),
+    [
+        (Behaviour(slots=0), LONG_MS, {}, FailureKind.SHED, 0),
+        (Behaviour(refuse=True), LONG_MS, {}, FailureKind.REFUSED, 0),
+        (Behaviour(), LONG_MS, {"service": "photos"}, FailureKind.REFUSED, 0),
+        (Behaviour(), LONG_MS, {"backend_server": "unknown"}, FailureKind.REFUSED, 0),
+        (Behaviour(), 0, {}, FailureKind.REFUSED, 0),
+        (Behaviour(reset=True), LONG_MS, {}, FailureKind.RESET, 0),
+        (Behaviour(hang=True), 200, {}, FailureKind.TIMEOUT, 1),
+    ],
+    ids=["shed", "refused", "other service", "unknown", "past deadline", "reset", "hang"],
+)
+def test_each_failure_has_its_kind(behaviour, limit_ms, fields, kind, runs):
+    async def body():
+        bench = await Bench().open(behaviour)
+        bench.dispatch(1, limit_ms=limit_ms, **fields)
+        server = fields.get("backend_server", "job-1")
+        assert await bench.events.next() == AttemptFailed(server, 1, kind)
+        assert bench.standin.requests.runs.total() == runs
+        assert bench.client.in_progress() == 0
+        bench.close()
+
+    run(body())
+
+
+def test_a_refused_connection_fails_every_waiting_attempt_as_refused():
+    async def body():
+        bench = await Bench().open()
+        closed = bind_sockets(0, "127.0.0.1")
+        port = closed[0].getsockname()[1]
+        closed[0].close()
+        bench.client.update_servers({"job-1": bench.server._replace(request_port=port)})
+        bench.dispatch(1)
+        bench.dispatch(2)
+        failures = [await bench.events.next() for _ in range(2)]
+        assert failures == [AttemptFailed("job-1", n, FailureKind.REFUSED) for n in (1, 2)]
+        bench.close()
+
+    run(body())
+
+
+def test_a_lost_connection_is_a_reset_and_the_next_attempt_connects_again():
+    async def body():
+        bench = await Bench().open(Behaviour(hang=True))
+        bench.dispatch(1)
+        await turns(lambda: bench.standin.requests.busy_slots == 1)
+        for stream in list(bench.standin.requests._streams):
+            stream.close()
+        assert await bench.events.next() == AttemptFailed("job-1", 1, FailureKind.RESET)
+        bench.standin.requests.behaviour = Behaviour()
+        bench.dispatch(2)
+        assert isinstance(await bench.events.next(), AnswerPartArrived)
+        bench.close()
+
+    run(body())
+
+
+def test_a_cancelled_attempt_stops_its_run_and_gives_no_event():
+    async def body():
+        bench = await Bench().open(Behaviour(hang=True))
+        bench.dispatch(1)
+        await turns(lambda: bench.standin.requests.busy_slots == 1)
+        bench.client.cancel(backend_server="job-1", attempt_id=1)
+        await turns(lambda: bench.standin.requests.busy_slots == 0)
+        assert bench.standin.requests.cancelled == 1
+        bench.standin.requests.behaviour = Behaviour(slots=0)
+        bench.dispatch(2)
+        # The first event belongs to the second attempt.
+        assert await bench.events.next() == AttemptFailed("job-1", 2, FailureKind.SHED)
+        bench.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    ("faults", "expected"),
+    [
+        (ReportFaults(), BackendReport("job-1", 0, 0, False, True)),
+        (
+            ReportFaults(false_report=LoadReport(9, 9, healthy=False)),
+            BackendReport("job-1", 9, 9, False, False),
+        ),
+    ],
+    ids=["true", "false"],
+)
+def test_a_load_report_is_read(faults, expected):
+    async def body():
+        bench = await Bench().open(report_faults=faults)
+        reports = ReportClient()
+        reports.update_servers({"job-1": bench.server})
+        assert await reports.read("job-1") == expected
+        assert await reports.read("unknown") is None
+        reports.update_servers(
+            {"job-1": bench.server._replace(report_port=bench.server.stream_port)}
+        )
+        assert await reports.read("job-1") is None
+        reports.close()
+        bench.close()
+
+    run(body())
--- /dev/null
+++ b/tests/functional/test_peers.py
@@ -0,0 +1,161 @@
+"""Guards against peer messages that are accepted from the wrong host or lost by the adapter."""
+
+import pytest
+import zmq
+
+from redwingswitch._internal.models.messages import RevisionOffer
+from redwingswitch._internal.network.peers import (
+    PeerAddress,
+    PeerKeys,
+    PeerSecurityError,
+    PeerSockets,
+)
+from tests.lib.loops import Recorder, run, turns
+
+OFFER = RevisionOffer(3, "digest")
+LATER = RevisionOffer(4, "digest")
+KEYS = {name: PeerKeys(*(k.decode() for k in zmq.curve_keypair())) for name in "abc"}
+
+
+class Host:
+    """A host's sockets with recorders."""
+
+    def __init__(self, name, *, keys, address="127.0.0.1", allow_plaintext=False):
+        self.messages, self.refused, self.sent = Recorder(), Recorder(), Recorder()
+        self.sockets = PeerSockets(
+            host=name,
+            incarnation=7,
+            address=address,
+            port=0,
+            keys=keys,
+            allow_plaintext=allow_plaintext,
+            on_message=self.messages,
+            on_refused=self.refused,
+            on_sent=self.sent,
+        )
+        self.listed = PeerAddress(name, "127.0.0.1", self.sockets.port, keys.public_key)
+
+
+async def send(host, to, message):
+    # A send before the connection stands is dropped by design, so it is repeated.
+    await turns(lambda: host.sockets.send(to, message))
+
+
+@pytest.mark.parametrize("encrypted", [True, False])
+def test_messages_arrive_in_order_with_sender_and_incarnation(encrypted):
+    async def body():
+        keys = KEYS if encrypted else dict.fromkeys("ab", PeerKeys())
+        a, b = (Host(n, keys=keys[n], allow_plaintext=not encrypted) for n in "ab")
+        a.sockets.update_peers([a.listed, b.listed])
+        b.sockets.update_peers([a.listed, b.listed])
+        await send(a, "b", OFFER)
+        a.sockets.set_incarnation(8)
+        await send(a, "b", LATER)
+        assert await b.messages.next() == ("a", 7, OFFER)
+        assert await b.messages.next() == ("a", 8, LATER)
+        message, size_bytes = await a.sent.next()
+        assert message == OFFER and size_bytes > 0
+        a.sockets.close()
+        b.sockets.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    ("sender_keys", "sender_name", "reason"),
+    [("c", "c", None), ("c", "a", None), ("a", "c", "not listed for it")],
+    ids=["unlisted key", "unlisted key under a listed name", "listed key under another name"],
+)
+def test_a_wrong_key_is_refused(sender_keys, sender_name, reason):
+    async def body():
+        a, b = (Host(n, keys=KEYS[n]) for n in "ab")
+        intruder = Host(sender_name, keys=KEYS[sender_keys])
+        b.sockets.update_peers([a.listed])
+        a.sockets.update_peers([b.listed])
+        intruder.sockets.update_peers([b.listed])
+        if reason is None:
+            # The handshake fails, so that the connection never stands; the later genuine message
+            # shows that the listener was up meanwhile.
+            for _ in range(20):
+                assert not intruder.sockets.send("b", OFFER)
+                await send(a, "b", LATER)
+                assert (await b.messages.next()).message == LATER
+        else:
+            await send(intruder, "b", OFFER)
+            assert reason in await b.refused.next()
+        assert b.messages.empty
+        for host in (a, b, intruder):
+            host.sockets.close()
+
+    run(body())
+
+
+def test_a_removed_peer_is_refused_on_its_open_connection():
+    async def body():
+        a, b = (Host(n, keys=KEYS[n]) for n in "ab")
+        a.sockets.update_peers([b.listed])
+        b.sockets.update_peers([a.listed])
+        await send(a, "b", OFFER)
+        await b.messages.next()
+        b.sockets.update_peers([])
+        await send(a, "b", LATER)
+        assert "not listed" in await b.refused.next()
+        assert b.messages.empty
+        a.sockets.close()
+        b.sockets.close()
+
+    run(body())
+
+
+def test_malformed_messages_are_refused_and_the_next_one_arrives():
+    async def body():
+        b = Host("b", keys=PeerKeys(), allow_plaintext=True)
+        a = Host("a", keys=PeerKeys(), allow_plaintext=True)
+        a.sockets.update_peers([b.listed])
+        raw = zmq.Context.instance().socket(zmq.DEALER)
+        raw.connect(f"tcp://127.0.0.1:{b.listed.port}")
+        raw.send_multipart([b"one", b"two"])
+        raw.send(b"\xc1")
+        assert "one frame" in await b.refused.next()
+        assert "msgpack" in await b.refused.next()
+        await send(a, "b", OFFER)
+        assert (await b.messages.next()).message == OFFER
+        raw.close(linger=0)
+        a.sockets.close()
+        b.sockets.close()
+
+    run(body())
+
+
+def test_a_send_that_cannot_leave_returns_false():
+    async def body():
+        a = Host("a", keys=KEYS["a"])
+        a.sockets.update_peers([PeerAddress("gone", "127.0.0.1", 1, KEYS["b"].public_key)])
+        assert not a.sockets.send("unknown", OFFER)
+        assert not a.sockets.send("gone", OFFER)
+        assert a.sent.empty
+        a.sockets.close()
+
+    run(body())
+
+
+@pytest.mark.parametrize(
+    ("keys", "address", "allow_plaintext", "peer"),
+    [
+        (PeerKeys(), "127.0.0.1", False, None),
+        (PeerKeys(), "0.0.0.0", True, None),
+        (PeerKeys(), "127.0.0.1", True, PeerAddress("b", "192.0.2.1", 1, "")),
+        (KEYS["a"], "127.0.0.1", True, PeerAddress("b", "127.0.0.1", 1, "")),
+    ],
+    ids=["not allowed", "bound beyond loopback", "peer beyond loopback", "peer without key"],
+)
+def test_plaintext_beyond_its_conditions_is_refused(keys, address, allow_plaintext, peer):
+    async def body():
+        host = Host("a", keys=keys, address=address, allow_plaintext=allow_plaintext)
+        try:
+            host.sockets.update_peers([peer])
+        finally:
+            host.sockets.close()
+
+    with pytest.raises(PeerSecurityError):
+        run(body())
