--- a/src/redwingswitch/_internal/daemon/assembly.py
+++ b/src/redwingswitch/_internal/daemon/assembly.py
@@ -6,8 +6,8 @@
 from redwingswitch._internal.daemon.entry import MakeEntryHost
 from redwingswitch._internal.daemon.parameters import EntryHostPort
 from redwingswitch._internal.decisions.entry_host import EntryHost
-from redwingswitch._internal.decisions.membership import Seed as MemberSeed
 from redwingswitch._internal.models.configuration import Configuration, Document
+from redwingswitch._internal.models.members import Seed as MemberSeed
 from redwingswitch._internal.ports import RandomSource
 from redwingswitch._internal.settings import Seed
 from redwingswitch._internal.utils.clock import wall_clock_ms
