--- /dev/null
+++ b/src/redwingswitch/_internal/commands/demo.py
@@ -0,0 +1,33 @@
+"""``redwingswitch-standin demo``: a whole deployment in one process."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.standins import demo_verdict
+from redwingswitch._internal.standins.demo import Demo
+from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.logs import start_logging
+
+RUN_LIMIT_S = 58.0
+
+
+def run(*, seed: int) -> int:
+    """Run the demo; return INVARIANT_BROKEN when an invariant did not hold."""
+    start_logging(level="error")
+    try:
+        checks = asyncio.run(_run(seed))
+    except TimeoutError:
+        print(f"the demo did not end within {RUN_LIMIT_S:.0f} s")
+        return status_codes.INVARIANT_BROKEN
+    print(demo_verdict.render(checks))
+    held = demo_verdict.all_held(checks)
+    print("all invariants held" if held else "an invariant was broken")
+    return status_codes.SUCCESS if held else status_codes.INVARIANT_BROKEN
+
+
+async def _run(seed: int) -> list[demo_verdict.Check]:
+    async with asyncio.timeout(RUN_LIMIT_S):
+        return await Demo(clock=MonotonicClock(), random_source=Random(seed)).run()
--- a/src/redwingswitch/_internal/daemon/admin.py
+++ b/src/redwingswitch/_internal/daemon/admin.py
@@ -10,27 +10,21 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from redwingswitch._internal.daemon.metrics import Metrics
-
 Status = Callable[[], Mapping[str, object]]
+# Returns the exposition text and its content type.
+Render = Callable[[], tuple[bytes, str]]
 
 
 class MetricsHandler(RequestHandler):
     """``GET /metrics``: Prometheus exposition."""
 
-    def initialize(
-        self, *, metrics: Metrics, status: Status, open_connections: Callable[[], int]
-    ) -> None:
-        """Take the sources of the metrics."""
-        self._metrics = metrics
-        self._status_source = status
-        self._open_connections = open_connections
+    def initialize(self, *, render: Render) -> None:
+        """Take the source of the metrics."""
+        self._render = render
 
     def get(self) -> None:
         """Write the metrics."""
-        content, content_type = self._metrics.render(
-            status=self._status_source(), open_connections=self._open_connections()
-        )
+        content, content_type = self._render()
         self.set_header("Content-Type", content_type)
         self.write(content)
 
@@ -78,17 +72,12 @@
         *,
         address: str,
         port: int,
-        metrics: Metrics,
+        render: Render,
         status: Status,
-        open_connections: Callable[[], int],
     ) -> None:
         application = Application(
             [
-                (
-                    "/metrics",
-                    MetricsHandler,
-                    {"metrics": metrics, "status": status, "open_connections": open_connections},
-                ),
+                ("/metrics", MetricsHandler, {"render": render}),
                 ("/ready", ReadyHandler, {"status": status}),
                 ("/live", LiveHandler),
                 ("/status", StatusHandler, {"status": status}),
--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -24,11 +24,11 @@
 from redwingswitch._internal.daemon.pipeline import Pipeline
 from redwingswitch._internal.daemon.request_times import RequestTimes
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
+from redwingswitch._internal.decisions.steering_context import SteeringStatistics
 from redwingswitch._internal.models.configuration import BackendServer, Configuration
 from redwingswitch._internal.models.events import Event, StopRequested, StreamConnectFailed
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.backend_client import BackendClient
-from redwingswitch._internal.network.codec import Envelope
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
 from redwingswitch._internal.network.peers import PeerSockets
 from redwingswitch._internal.network.report_client import ReportClient
@@ -65,7 +65,7 @@
         parse: ParseDocument,
         make_entry_host: MakeEntryHost,
     ) -> None:
-        self._parameters = parameters
+        self.parameters = parameters
         self._incarnation = incarnation
         self._clock = clock
         self._make_entry_host = make_entry_host
@@ -104,7 +104,7 @@
     async def start(self, *, seeds: tuple[Seed, ...]) -> None:
         """Take part with the hosts that ``seeds`` name."""
         started_before = self._store is None or await self._store.has_started_before(
-            self._parameters.host
+            self.parameters.host
         )
         now_ms = self._clock.now_ms()
         abstain_until_ms = now_ms + ABSTENTION_MS if started_before else now_ms
@@ -120,19 +120,19 @@
         self._pipeline.arm()
         self._host_list.start()
         self._expiry.start()
-        log.info(f"{self._parameters.host} has started")
+        log.info(f"{self.parameters.host} has started")
 
     def status(self) -> Mapping[str, object]:
         """Return the host's state."""
         if self._entry_host is None:
-            return {"host": self._parameters.host, "ready": False}
+            return {"host": self.parameters.host, "ready": False}
         return self._entry_host.status(self._clock.now_ms())
 
     def request_stop(self) -> None:
         """Begin the planned stop; a second call has no effect on the deadline."""
-        log.info(f"{self._parameters.host} stops gracefully")
+        log.info(f"{self.parameters.host} stops gracefully")
         self._listeners.stop_listening()
-        grace_deadline_ms = self._clock.now_ms() + self._parameters.grace_period_ms
+        grace_deadline_ms = self._clock.now_ms() + self.parameters.grace_period_ms
         if self._pipeline is None:
             self._stopped.set()
         else:
@@ -163,7 +163,7 @@
         self._peers.close()
 
     def _bind(self) -> None:
-        parameters = self._parameters
+        parameters = self.parameters
         self._packet_filter = PacketFilter(
             submit=self._submit, metrics=self.metrics, directory=self._directory
         )
@@ -190,16 +190,15 @@
             port=parameters.peer_port,
             keys=parameters.keys,
             allow_plaintext=parameters.allow_plaintext,
-            on_message=self._on_peer_message,
+            on_message=self._peer_filter.on_message,
             on_refused=self._peer_filter.on_refused,
             on_sent=self._on_sent,
         )
         self._admin = AdminServer(
             address=parameters.address,
             port=parameters.admin_port,
-            metrics=self.metrics,
+            render=self._render_metrics,
             status=self.status,
-            open_connections=lambda: self.open_connections,
         )
 
     def _store_tasks(
@@ -234,8 +233,13 @@
         self._pipeline.submit(event)
         self._peers.set_incarnation(self._entry_host.incarnation)
 
-    def _on_peer_message(self, envelope: Envelope) -> None:
-        self._peer_filter.on_message(envelope)
+    def _render_metrics(self) -> tuple[bytes, str]:
+        statistics = SteeringStatistics()
+        if self._entry_host is not None:
+            statistics = self._entry_host.steering.statistics()
+        return self.metrics.render(
+            status=self.status(), statistics=statistics, open_connections=self.open_connections
+        )
 
     def _on_sent(self, message: PeerMessage, size_bytes: int) -> None:
         kind = type(message).__name__
--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -13,6 +13,8 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
+from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+
 PREFIX = "redwingswitch_"
 LATENCY_BUCKETS_MS = (
     5.0,
@@ -28,6 +30,8 @@
     1e4,
     float("inf"),
 )
+# Counters of flow steering that each stand for flows that may have been broken.
+BROKEN_FLOW_INDICATIONS = ("tables_dropped_early", "records_given_up", "unknown_servers")
 
 # Name, help text and label names of each counter.
 _COUNTERS = {
@@ -85,8 +89,13 @@
         """Add one answered request to the latency histogram."""
         self._latency.observe({"service": service, "size_class": size_class}, latency_ms)
 
-    def render(self, *, status: Mapping[str, Any], open_connections: int) -> tuple[bytes, str]:
+    def render(
+        self, *, status: Mapping[str, Any], statistics: SteeringStatistics, open_connections: int
+    ) -> tuple[bytes, str]:
         """Return the exposition text and its content type."""
+        for indication in BROKEN_FLOW_INDICATIONS:
+            # The decisions do not count these by service.
+            self.counts["broken_flows_total"]["", indication] = getattr(statistics, indication)
         for name, counts in self.counts.items():
             for labels, value in counts.items():
                 self._counters[name].set(_labels(_COUNTERS, name, labels), value)
--- a/src/redwingswitch/_internal/daemon/parameters.py
+++ b/src/redwingswitch/_internal/daemon/parameters.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
+from redwingswitch._internal.decisions.steering_context import SteeringStatistics
 from redwingswitch._internal.models.actions import Action
 from redwingswitch._internal.models.configuration import Configuration
 from redwingswitch._internal.models.events import Event
@@ -40,6 +41,13 @@
     admin_port: int
 
 
+class SteeringPort(Protocol):
+    """The part of flow steering that the metrics read."""
+
+    def statistics(self) -> SteeringStatistics:
+        """Return the counters since the start of the process."""
+
+
 class EntryHostPort(Protocol):
     """The decisions of one entry host; see ``decisions.entry_host.EntryHost``."""
 
@@ -47,6 +55,10 @@
     def incarnation(self) -> int:
         """Return the incarnation to send messages under; rises when a suspicion is refuted."""
 
+    @property
+    def steering(self) -> SteeringPort:
+        """Return the flow steering."""
+
     def handle(self, event: Event, now_ms: int) -> list[Action]:
         """Return the actions that an event asks for."""
 
--- a/src/redwingswitch/_internal/daemon/store_tasks.py
+++ b/src/redwingswitch/_internal/daemon/store_tasks.py
@@ -152,7 +152,7 @@
         if lease is None:
             self._submit(LeaseRefused())
         else:
-            self._submit(LeaseGranted(lease.lease_id, lease.key_version))
+            self._submit(LeaseGranted(lease.lease_id, lease.key_version, action.asked_ms))
 
     async def _take_or_renew(self, action: AcquireLease) -> GrantedLease | None:
         held = self._lease
--- /dev/null
+++ b/src/redwingswitch/_internal/standins/demo_fleet.py
@@ -0,0 +1,262 @@
+"""The deployment of the demo: entry hosts, backend servers and the operators' file."""
+
+from __future__ import annotations
+
+import socket
+import uuid
+from collections.abc import Iterable
+from random import Random
+from typing import NamedTuple
+
+import zmq
+
+from redwingswitch._internal.configuration.document import (
+    CONFIGURATION_KEY,
+    encode_document,
+    make_document,
+)
+from redwingswitch._internal.daemon.assembly import entry_host_factory, new_incarnation, parse
+from redwingswitch._internal.daemon.entry import EntryDaemon
+from redwingswitch._internal.daemon.parameters import DaemonParameters
+from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.events import ListedHost
+from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
+from redwingswitch._internal.network.peers import PeerKeys
+from redwingswitch._internal.ports import Clock, ConfigStore, KeyVersion
+from redwingswitch._internal.settings import Seed
+from redwingswitch._internal.standins.backend_server import BackendServerStandIn
+from redwingswitch._internal.standins.fabric import Fabric, FabricHost
+from redwingswitch._internal.standins.host_list import LaggingHostList
+from redwingswitch._internal.standins.stream_caller import StreamCallers
+
+DOMAINS = ("hobart", "bruny", "huon")
+ENTRY_HOSTS = 7
+SEEDS = 2
+GRACE_PERIOD_MS = 15_000
+HOST_LIST_LAG_MS = 3_000
+IDLE_LIMIT_S = 900
+
+
+class DemoService(NamedTuple):
+    """A service of the demo."""
+
+    name: str
+    address: str
+    port: int
+    servers: int
+    idempotent: bool
+    size_class: str
+
+    @property
+    def destination(self) -> tuple[bytes, int]:
+        """Return the address and port that callers send packets to."""
+        return socket.inet_aton(self.address), self.port
+
+
+JOB_BOARD = DemoService("job-board", "10.1.0.1", 443, 7, False, "short")
+PHOTOS = DemoService("photos", "10.1.0.2", 443, 3, True, "long")
+SERVICES = (JOB_BOARD, PHOTOS)
+
+
+class DemoFleet:
+    """Every process of the deployment, as objects on one event loop."""
+
+    def __init__(
+        self, *, clock: Clock, random_source: Random, store: ConfigStore, fabric: Fabric
+    ) -> None:
+        self.clock = clock
+        self.store = store
+        self.fabric = fabric
+        self.daemons: dict[str, EntryDaemon] = {}
+        self.servers: dict[str, BackendServerStandIn] = {}
+        self.streams = StreamCallers(address="127.0.0.1", fabric=fabric)
+        self.host_list = LaggingHostList(clock=clock, lag_ms=HOST_LIST_LAG_MS)
+        self._random = random_source
+        self._keys: dict[str, PeerKeys] = {}
+        self._states: dict[str, str] = {}
+        self._document: Document | None = None
+        self._listen_ports = {service.name: _free_port() for service in SERVICES}
+
+    async def start(self) -> None:
+        """Bind every socket, accept the first file and let the entry hosts begin."""
+        for service in SERVICES:
+            for number in range(1, service.servers + 1):
+                await self.add_server(f"{service.name}-{number}", service)
+        for number in range(1, ENTRY_HOSTS + 1):
+            self._add_daemon(f"entry-{number}", DOMAINS[number % len(DOMAINS)])
+        await self.apply()
+        self.publish_hosts(self.daemons)
+        seeds = tuple(self._seed(name) for name in list(self.daemons)[:SEEDS])
+        for daemon in self.daemons.values():
+            await daemon.start(seeds=seeds)
+
+    async def add_server(self, name: str, service: DemoService) -> None:
+        """Start a backend server; it takes work once a file names it."""
+        server = BackendServerStandIn(
+            name=name,
+            service=service.name,
+            address="127.0.0.1",
+            destination=service.destination,
+            clock=self.clock,
+            on_return=lambda flow, kind, _: self._on_return(name, flow, kind),
+        )
+        await server.start()
+        self.servers[name] = server
+        self._states[name] = "active"
+
+    def drain_server(self, name: str) -> None:
+        """Let the next file drain a backend server."""
+        self._states[name] = "draining"
+
+    async def apply(self) -> int:
+        """Accept the present deployment as the next revision and return its number."""
+        stored = await self.store.get(CONFIGURATION_KEY)
+        revision = self._document["revision"] + 1 if self._document else 1
+        self._document = make_document(
+            text=self.file_text(),
+            revision=revision,
+            apply_id=uuid.UUID(int=self._random.getrandbits(128)).hex,
+            operator="demo",
+            previous=self._document,
+        )
+        parse(self._document)
+        version = await self.store.compare_and_swap(
+            key=CONFIGURATION_KEY,
+            value=encode_document(self._document),
+            expected=[KeyVersion(CONFIGURATION_KEY, stored.version if stored else 0)],
+        )
+        assert version is not None, "nobody else writes the file"
+        return revision
+
+    def publish_hosts(self, names: Iterable[str]) -> None:
+        """Tell the fabric and the lagging host list which entry hosts there are."""
+        hosts = sorted(names)
+        self.fabric.update_hosts([self._fabric_host(name) for name in hosts])
+        self.host_list.publish([ListedHost(name, leaving=False) for name in hosts])
+
+    def revisions(self, names: Iterable[str]) -> list[int]:
+        """Return the revision in force at each of the named entry hosts."""
+        return [int(str(self.daemons[name].status().get("revision", 0))) for name in names]
+
+    async def close(self) -> None:
+        """Close what is still open."""
+        for daemon in self.daemons.values():
+            await daemon.close()
+        for server in self.servers.values():
+            server.close()
+        self.streams.close()
+
+    def file_text(self) -> str:
+        """Return the operators' file of the present deployment."""
+        tables = [
+            _table("failure_domains", name=d, region="south", link_cost_ms=5) for d in DOMAINS
+        ]
+        tables += [self._entry_host_table(name) for name in self.daemons]
+        tables += [self._service_table(service) for service in SERVICES]
+        tables += [self._server_table(name) for name in self.servers]
+        return "\n".join(tables)
+
+    def _add_daemon(self, name: str, failure_domain: str) -> None:
+        public, secret = zmq.curve_keypair()
+        keys = PeerKeys(public.decode("ascii"), secret.decode("ascii"))
+        self._keys[name] = keys
+        number = len(self.daemons) + 1
+        self.daemons[name] = EntryDaemon(
+            parameters=DaemonParameters(
+                host=name,
+                failure_domain=failure_domain,
+                # An address of its own for each host: the listeners share their ports.
+                address=f"127.0.1.{number}",
+                peer_port=0,
+                data_port=0,
+                request_port=0,
+                admin_port=0,
+                keys=keys,
+                grace_period_ms=GRACE_PERIOD_MS,
+            ),
+            incarnation=new_incarnation(self._random),
+            clock=self.clock,
+            random_source=Random(self._random.getrandbits(64)),
+            store=self.store,
+            host_list=self.host_list,
+            parse=parse,
+            make_entry_host=entry_host_factory(
+                host=name,
+                failure_domain=failure_domain,
+                random_source=Random(self._random.getrandbits(64)),
+            ),
+        )
+
+    def _seed(self, name: str) -> Seed:
+        daemon = self.daemons[name]
+        parameters = daemon.parameters
+        return Seed(
+            name,
+            parameters.failure_domain,
+            parameters.address,
+            daemon.ports.peer_port,
+            parameters.keys.public_key,
+        )
+
+    def _fabric_host(self, name: str) -> FabricHost:
+        daemon = self.daemons[name]
+        ports = daemon.ports
+        return FabricHost(name, daemon.parameters.address, ports.data_port, ports.request_port)
+
+    def _on_return(self, server: str, flow: FlowKey, kind: PacketKind) -> None:
+        self.streams.on_return(server, flow, kind)
+
+    def _entry_host_table(self, name: str) -> str:
+        daemon = self.daemons[name]
+        return _table(
+            "entry_hosts",
+            name=name,
+            failure_domain=daemon.parameters.failure_domain,
+            address=daemon.parameters.address,
+            **daemon.ports._asdict(),
+            public_key=self._keys[name].public_key,
+        )
+
+    def _service_table(self, service: DemoService) -> str:
+        return _table(
+            "services",
+            name=service.name,
+            address=service.address,
+            port=service.port,
+            listen_port=self._listen_ports[service.name],
+            takes_streams=True,
+            takes_requests=True,
+            idempotent=service.idempotent,
+            size_class=service.size_class,
+            expected_service_ms=50,
+            idle_limit_s=IDLE_LIMIT_S,
+        )
+
+    def _server_table(self, name: str) -> str:
+        server = self.servers[name]
+        return _table(
+            "backend_servers",
+            name=name,
+            service=server.service,
+            failure_domain=DOMAINS[int(name.rpartition("-")[2]) % len(DOMAINS)],
+            address=server.address,
+            **server.ports._asdict(),
+            slots=2,
+            connection_limit=2_000,
+            state=self._states[name],
+        )
+
+
+def _table(section: str, **fields: object) -> str:
+    lines = [f"[[{section}]]"]
+    for key, value in fields.items():
+        written = str(value).lower() if isinstance(value, bool | int) else f"'{value}'"
+        lines.append(f"{key} = {written}")
+    return "\n".join(lines) + "\n"
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
--- /dev/null
+++ b/src/redwingswitch/_internal/standins/demo_load.py
@@ -0,0 +1,100 @@
+"""The load of the demo: streams, requests and spliced connections, for a bounded time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from random import Random
+from typing import Any
+
+from redwingswitch._internal.standins.demo_fleet import JOB_BOARD, PHOTOS, SERVICES, DemoFleet
+from redwingswitch._internal.standins.request_caller import CallResult, RequestCaller
+from redwingswitch._internal.standins.work import Work
+
+LONG_FLOWS = 400
+LONG_FLOW_PACKETS = 60
+LONG_FLOW_INTERVAL_S = 0.25
+SHORT_FLOW_PACKETS = 4
+SHORT_FLOW_INTERVAL_S = 0.1
+SHORT_FLOW_PAUSE_S = 0.02
+REQUEST_PAUSE_S = 0.03
+REQUEST_TIMEOUT_MS = 4_000
+MAX_TASKS = 5_000
+
+
+class DemoLoad:
+    """Starts load until ``stop``; ``finish`` waits for what has been started."""
+
+    def __init__(self, *, fleet: DemoFleet, caller: RequestCaller, random_source: Random) -> None:
+        self.results: list[CallResult] = []
+        self.spliced_whole = 0
+        self.spliced_broken = 0
+        self._fleet = fleet
+        self._caller = caller
+        self._random = random_source
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._stopping = asyncio.Event()
+
+    def start(self) -> None:
+        """Open the long flows and begin with the rest."""
+        for number in range(LONG_FLOWS):
+            service = SERVICES[number % len(SERVICES)]
+            self._spawn(
+                self._fleet.streams.run_flow(
+                    destination=service.destination,
+                    packets=LONG_FLOW_PACKETS,
+                    interval_s=LONG_FLOW_INTERVAL_S,
+                )
+            )
+        self._spawn(self._open_short_flows())
+        self._spawn(self._send_requests())
+
+    def stop(self) -> None:
+        """Start no more load."""
+        self._stopping.set()
+
+    async def finish(self) -> None:
+        """Wait until everything that was started has ended; all of it is bounded in time."""
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def _open_short_flows(self) -> None:
+        while not self._stopping.is_set():
+            service = SERVICES[self._random.randrange(len(SERVICES))]
+            self._spawn(
+                self._fleet.streams.run_flow(
+                    destination=service.destination,
+                    packets=SHORT_FLOW_PACKETS,
+                    interval_s=SHORT_FLOW_INTERVAL_S,
+                )
+            )
+            await asyncio.sleep(SHORT_FLOW_PAUSE_S)
+
+    async def _send_requests(self) -> None:
+        while not self._stopping.is_set():
+            self._spawn(self._request())
+            await asyncio.sleep(REQUEST_PAUSE_S)
+
+    async def _request(self) -> None:
+        service = JOB_BOARD if self._random.random() < 0.8 else PHOTOS  # noqa: PLR2004
+        work = Work(
+            service_ms=10 + self._random.randrange(60),
+            parts=1 + self._random.randrange(4),
+            part_bytes=200 + self._random.randrange(2_000),
+        )
+        result = await self._caller.call(
+            service=service.name,
+            work=work,
+            idempotent=service.idempotent,
+            timeout_ms=REQUEST_TIMEOUT_MS,
+            body_parts=1 + self._random.randrange(2),
+        )
+        self.results.append(result)
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        if len(self._tasks) >= MAX_TASKS:
+            work.close()
+            return
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- a/src/redwingswitch/_internal/standins/request_caller.py
+++ b/src/redwingswitch/_internal/standins/request_caller.py
@@ -46,7 +46,8 @@
 
     def __init__(self, *, work: Work) -> None:
         self.work = work
-        self.parts: dict[int, bytes] = {}
+        # By answer id: an idempotent request may have run twice, and the two must not be mixed.
+        self.answers: dict[int, dict[int, bytes]] = {}
         self.header: AnswerHeader | None = None
         self.mixed = False
         self.done = asyncio.Event()
@@ -140,16 +141,18 @@
         call.header = header
         call.done.set()
         return
-    known = call.parts.setdefault(header.part, datagram.body)
-    if known != datagram.body or (call.header and call.header.parts != header.parts):
+    parts = call.answers.setdefault(header.answer_id, {})
+    known = parts.setdefault(header.part, datagram.body)
+    if known != datagram.body:
         call.mixed = True
-    call.header = header
-    if len(call.parts) == header.parts:
+    if len(parts) == header.parts:
+        call.header = header
         call.done.set()
 
 
 def _is_whole(request_id: bytes, call: _Call) -> bool:
-    if call.mixed or call.header is None or len(call.parts) != call.header.parts:
+    if call.mixed or call.header is None or call.header.outcome is not Outcome.ANSWERED:
         return False
-    content = b"".join(call.parts[part] for part in sorted(call.parts))
+    parts = call.answers[call.header.answer_id]
+    content = b"".join(parts[part] for part in sorted(parts))
     return content == whole_answer(request_id=request_id, work=call.work)
