Replace a peer connection that was refused

libzmq gives a connection up for good when the peer's authenticator refuses its key, and a peer refuses a host until it holds the configuration that lists it. Such a host could not send to that peer any more. A connection that fails for 0.5 s is now replaced. The ROUTER socket is read in batches on the loop, which also ends the events for closed streams in a planned stop.

The test of a host that is listed after its first attempt fails without the change and passes with it.

--- a/src/redwingswitch/_internal/network/peers.py
+++ b/src/redwingswitch/_internal/network/peers.py
@@ -7,16 +7,13 @@
 from typing import Any, NamedTuple
 
 import zmq
-from logbook import Logger
+from tornado.ioloop import IOLoop
 from zmq.auth.asyncio import AsyncioAuthenticator
-from zmq.eventloop.zmqstream import ZMQStream
 
 from redwingswitch._internal.exceptions import DecodeError, RedwingswitchError
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.codec import Envelope, decode_message, encode_message
 
-log = Logger("peers")
-
 QUEUE_MESSAGES = 1_000
 MAX_MESSAGE_BYTES = 4_000_000
 RECONNECT_MS = 100
@@ -24,6 +21,11 @@
 # An unacknowledged connection is dropped after this time, so that a healed partition reconnects
 # without waiting for the retransmission timer of TCP.
 UNACKNOWLEDGED_LIMIT_MS = 5_000
+# libzmq never retries a connection whose key the peer refused, and a peer refuses a host that its
+# configuration does not list yet. A connection that failed for this time is therefore replaced.
+REPLACE_AFTER_S = 0.5
+# A bounded batch keeps timers and other sockets served while messages keep coming.
+BATCH_MESSAGES = 64
 MESSAGE_FRAMES = 2
 
 OnMessage = Callable[[Envelope], None]
@@ -97,13 +99,15 @@
         self._on_sent = on_sent
         self._peers: dict[str, PeerAddress] = {}
         self._dealers: dict[str, zmq.Socket[bytes]] = {}
+        self._failing_since_s: dict[str, float] = {}
         self._check_plaintext(address)
         # The authenticator's address is unique within a context, hence a context for each host.
         self._context = zmq.Context()
         self._authenticator = self._start_authenticator()
         self._router = self._bind_router(address, port)
-        self._stream = ZMQStream(self._router)
-        self._stream.on_recv(self._receive, copy=False)
+        self._loop = IOLoop.current()
+        self._descriptor = int(self._router.getsockopt(zmq.FD))
+        self._loop.add_handler(self._descriptor, lambda *_: self._read_batch(), IOLoop.READ)
 
     @property
     def port(self) -> int:
@@ -135,7 +139,9 @@
         try:
             self._dealer(peer).send(data, flags=zmq.NOBLOCK)
         except zmq.ZMQError:
+            self._note_failure(host)
             return False
+        self._failing_since_s.pop(host, None)
         self._on_sent(message, len(data))
         return True
 
@@ -144,14 +150,35 @@
         self._incarnation = incarnation
 
     def close(self) -> None:
-        """Close all sockets; queued messages are discarded."""
+        """Close all sockets; queued messages are discarded. A second call has no effect."""
+        if self._router.closed:
+            return
         for host in list(self._dealers):
             self._disconnect(host)
-        self._stream.close(linger=0)
+        self._loop.remove_handler(self._descriptor)
+        self._router.close(linger=0)
         if self._authenticator is not None:
             self._authenticator.stop()
         self._context.destroy(linger=0)
 
+    def _read_batch(self) -> None:
+        for _ in range(BATCH_MESSAGES):
+            if self._router.closed:
+                return
+            try:
+                frames = self._router.recv_multipart(flags=zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                return
+            self._receive(frames)
+        # The descriptor becomes readable again only for messages that arrive later.
+        self._loop.add_callback(self._read_batch)
+
+    def _note_failure(self, host: str) -> None:
+        now_s = self._loop.time()
+        since_s = self._failing_since_s.setdefault(host, now_s)
+        if now_s - since_s >= REPLACE_AFTER_S:
+            self._disconnect(host)
+
     def _receive(self, frames: list[Any]) -> None:
         if len(frames) != MESSAGE_FRAMES:
             self._on_refused("a peer message must have one frame")
@@ -192,6 +219,7 @@
         return dealer
 
     def _disconnect(self, host: str) -> None:
+        self._failing_since_s.pop(host, None)
         dealer = self._dealers.pop(host, None)
         if dealer is not None:
             dealer.close(linger=0)
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -90,6 +90,30 @@
     run(body())
 
 
+def test_a_host_that_was_refused_connects_once_it_is_listed():
+    # libzmq gives a connection up for good when the peer refuses its key.
+    async def body():
+        a, b = (Host(n, keys=KEYS[n]) for n in "ab")
+        a.sockets.update_peers([b.listed])
+        refusals = Recorder()
+        lists_key = b.sockets.lists_key
+
+        def refuse_and_record(key):
+            refusals(key)
+            return lists_key(key)
+
+        b.sockets.lists_key = refuse_and_record
+        a.sockets.send("b", OFFER)
+        assert await refusals.next() == a.listed.public_key
+        b.sockets.update_peers([a.listed])
+        await send(a, "b", OFFER)
+        assert (await b.messages.next()).message == OFFER
+        a.sockets.close()
+        b.sockets.close()
+
+    run(body())
+
+
 def test_a_removed_peer_is_refused_on_its_open_connection():
     async def body():
         a, b = (Host(n, keys=KEYS[n]) for n in "ab")
--- a/tests/unit/network/test_codecs.py
+++ b/tests/unit/network/test_codecs.py
@@ -7,6 +7,7 @@
 
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models import messages
+from redwingswitch._internal.models.configuration import BackendServer, ServerState
 from redwingswitch._internal.models.identifiers import CallerAddress, FlowKey, PacketKind
 from redwingswitch._internal.models.members import HostDigest, MemberState, MemberUpdate
 from redwingswitch._internal.models.requests import AnswerHeader, Outcome, RequestHeader
@@ -27,6 +28,9 @@
     "text": "t",
     "recent_apply_ids": ["a"],
 }
+SERVER = BackendServer(
+    "job-1", "job-board", "hobart", "10.0.0.1", 1, 2, 3, 4, 2, 10, ServerState.DRAINING
+)
 GROUP = messages.RecordGroup(9, b"12345678" * 2)
 MESSAGES = [
     messages.Ping(1, (UPDATE,), DIGEST, "entry-2"),
@@ -44,6 +48,8 @@
     messages.ClaimRequest(REQUEST_ID, 2),
     messages.ClaimReply(REQUEST_ID, messages.ClaimDecision.HELD, "entry-1", 4, 2),
     messages.CancelRequest("job-board", REQUEST_ID),
+    messages.TableHistoryRequest(5),
+    messages.TableHistory(5, (messages.HistoricTable(2, True, ("job-1",)),), (SERVER,), ("job-1",)),
 ]
 DATAGRAMS = [
     caller_codec.RequestDatagram(HEADER, b"body"),
