--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -101,6 +101,11 @@
         """Return the number of spliced connections."""
         return self._listeners.open_connections
 
+    @property
+    def listening(self) -> frozenset[str]:
+        """Return the services whose TCP listener accepts connections."""
+        return self._listeners.services
+
     async def start(self, *, seeds: tuple[Seed, ...]) -> None:
         """Take part with the hosts that ``seeds`` name."""
         started_before = self._store is None or await self._store.has_started_before(
--- a/src/redwingswitch/_internal/daemon/listeners.py
+++ b/src/redwingswitch/_internal/daemon/listeners.py
@@ -36,6 +36,11 @@
         """Return the number of connections in progress, also those of closed listeners."""
         return sum(listener.open_connections for listener in [*self._open.values(), *self._stopped])
 
+    @property
+    def services(self) -> frozenset[str]:
+        """Return the services that new connections are accepted for."""
+        return frozenset(service for (service, _), listener in self._open.items() if listener.port)
+
     async def update(self, services: Iterable[Service]) -> None:
         """Listen exactly where the services ask for it; open connections continue."""
         wanted = {
--- a/src/redwingswitch/_internal/standins/demo_fleet.py
+++ b/src/redwingswitch/_internal/standins/demo_fleet.py
@@ -62,7 +62,14 @@
     """Every process of the deployment, as objects on one event loop."""
 
     def __init__(
-        self, *, clock: Clock, random_source: Random, store: ConfigStore, fabric: Fabric
+        self,
+        *,
+        clock: Clock,
+        random_source: Random,
+        store: ConfigStore,
+        fabric: Fabric,
+        entry_hosts: int = ENTRY_HOSTS,
+        services: tuple[DemoService, ...] = SERVICES,
     ) -> None:
         self.clock = clock
         self.store = store
@@ -75,14 +82,16 @@
         self._keys: dict[str, PeerKeys] = {}
         self._states: dict[str, str] = {}
         self._document: Document | None = None
-        self._listen_ports = {service.name: _free_port() for service in SERVICES}
+        self._entry_hosts = entry_hosts
+        self._services = services
+        self.listen_ports = {service.name: _free_port() for service in services}
 
     async def start(self) -> None:
         """Bind every socket, accept the first file and let the entry hosts begin."""
-        for service in SERVICES:
+        for service in self._services:
             for number in range(1, service.servers + 1):
                 await self.add_server(f"{service.name}-{number}", service)
-        for number in range(1, ENTRY_HOSTS + 1):
+        for number in range(1, self._entry_hosts + 1):
             self._add_daemon(f"entry-{number}", DOMAINS[number % len(DOMAINS)])
         await self.apply()
         self.publish_hosts(self.daemons)
@@ -152,7 +161,7 @@
             _table("failure_domains", name=d, region="south", link_cost_ms=5) for d in DOMAINS
         ]
         tables += [self._entry_host_table(name) for name in self.daemons]
-        tables += [self._service_table(service) for service in SERVICES]
+        tables += [self._service_table(service) for service in self._services]
         tables += [self._server_table(name) for name in self.servers]
         return "\n".join(tables)
 
@@ -223,7 +232,7 @@
             name=service.name,
             address=service.address,
             port=service.port,
-            listen_port=self._listen_ports[service.name],
+            listen_port=self.listen_ports[service.name],
             takes_streams=True,
             takes_requests=True,
             idempotent=service.idempotent,
