--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -9,6 +9,7 @@
 from redwingswitch._internal.models.events import ListedHost
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.models.requests import BackendReport
+from redwingswitch._internal.models.status import FleetReading
 
 T = TypeVar("T")
 
@@ -44,10 +45,14 @@
 
 
 class KeyVersion(NamedTuple):
-    """A key and the version it is expected to have; 0 means that it must not exist."""
+    """A key and the version it is expected to have; 0 means that it must not exist.
+
+    The key must also have ``value``, unless that is None.
+    """
 
     key: str
     version: int
+    value: bytes | None = None
 
 
 class GrantedLease(NamedTuple):
@@ -87,6 +92,13 @@
         """Call ``on_value`` for each later value until cancelled or the store fails."""
 
 
+class FleetSource(Protocol):
+    """The admin endpoints of the entry hosts."""
+
+    async def read(self, endpoints: Sequence[str]) -> FleetReading:
+        """Ask every endpoint, an ``address:port``, for its status."""
+
+
 class HostList(Protocol):
     """The platform's lagging list of hosts."""
 
