--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/parameters.py
@@ -0,0 +1,78 @@
+"""What the entry daemon takes from its settings, and the decision object that it drives."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
+
+from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+from redwingswitch._internal.models.actions import Action
+from redwingswitch._internal.models.configuration import Configuration
+from redwingswitch._internal.models.events import Event
+from redwingswitch._internal.network.peers import PeerKeys
+from redwingswitch._internal.settings import PeerKey
+
+
+class DaemonParameters(NamedTuple):
+    """The settings of one entry daemon; a port of 0 asks for an ephemeral one.
+
+    ``pinned_keys`` are accepted for their hosts in place of the configuration's.
+    """
+
+    host: str
+    failure_domain: str
+    address: str
+    peer_port: int
+    data_port: int
+    request_port: int
+    admin_port: int
+    keys: PeerKeys = PeerKeys()
+    allow_plaintext: bool = False
+    pinned_keys: tuple[PeerKey, ...] = ()
+    grace_period_ms: int = 30_000
+
+
+class BoundPorts(NamedTuple):
+    """The ports that an entry daemon has bound."""
+
+    peer_port: int
+    data_port: int
+    request_port: int
+    admin_port: int
+
+
+class SteeringPort(Protocol):
+    """The part of flow steering that the metrics read."""
+
+    def statistics(self) -> SteeringStatistics:
+        """Return the counters since the start of the process."""
+
+
+class EntryHostPort(Protocol):
+    """The decisions of one entry host; see ``decisions.entry_host.EntryHost``."""
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation to send messages under; rises when a suspicion is refuted."""
+
+    @property
+    def steering(self) -> SteeringPort:
+        """Return the flow steering."""
+
+    def handle(self, event: Event, now_ms: int) -> list[Action]:
+        """Return the actions that an event asks for."""
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Put a parsed revision in force."""
+
+    def choose_for_connection(self, service: str, flow_hash: int, now_ms: int) -> str | None:
+        """Return the backend server of a new connection, or None."""
+
+    def set_open_connections(self, count: int) -> None:
+        """Tell how many spliced connections are open."""
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``TimerFired`` is due, or None."""
+
+    def status(self, now_ms: int) -> Mapping[str, object]:
+        """Return the host's state as a ``HostStatus``."""
--- a/src/redwingswitch/_internal/network/splice.py
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 
 from logbook import Logger
@@ -33,11 +34,17 @@
     """The listener of one service on one entry host."""
 
     def __init__(
-        self, *, service: str, choose_server: ChooseServer, on_connect_failed: OnConnectFailed
+        self,
+        *,
+        service: str,
+        choose_server: ChooseServer,
+        on_connect_failed: OnConnectFailed,
+        on_count: Callable[[], None],
     ) -> None:
         self._service = service
         self._choose_server = choose_server
         self._on_connect_failed = on_connect_failed
+        self._on_count = on_count
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -77,15 +84,17 @@
             writer.transport.abort()
             return
         self._tasks.add(task)
+        self._on_count()
         try:
             await self._serve(reader, writer)
         except (OSError, asyncio.IncompleteReadError) as error:
-            log.debug(f"splice: a connection of {self._service} ended: {error}")
+            log.debug(f"a connection of {self._service} ended: {error}")
         except asyncio.CancelledError:
             # Cancelled by close(); the streams' callback would log a cancelled task as an error.
-            writer.transport.abort()
+            reset_connection(writer)
         finally:
             self._tasks.discard(task)
+            self._on_count()
             writer.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -93,17 +102,17 @@
         if backend is None:
             # A reset tells the caller that the service is unavailable; a close would look like an
             # empty answer.
-            writer.transport.abort()
+            reset_connection(writer)
             return
         backend_reader, backend_writer = backend
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(_copy(reader, backend_writer))
-                group.create_task(_copy(backend_reader, writer))
+                group.create_task(copy_stream(reader, backend_writer))
+                group.create_task(copy_stream(backend_reader, writer))
         except* OSError:
-            # One side was reset, so the other one is reset as well.
-            writer.transport.abort()
-            backend_writer.transport.abort()
+            # One side was reset; a close of the other one would look like a complete answer.
+            reset_connection(writer)
+            reset_connection(backend_writer)
         finally:
             backend_writer.close()
 
@@ -116,12 +125,23 @@
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
                     return await asyncio.open_connection(server.address, server.stream_port)
             except (OSError, TimeoutError):
-                log.warning(f"splice: cannot connect to {server.name}")
+                log.warning(f"cannot connect to {server.name}")
                 self._on_connect_failed(server.name)
         return None
 
 
-async def _copy(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset; discard what is buffered."""
+    connection = writer.get_extra_info("socket")
+    # abort() alone closes the socket in the ordinary way, which the other side sees as a complete
+    # end of input. A linger time of 0 sends a reset instead.
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def copy_stream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """Copy bytes to the end of input and pass the half-close on; read no faster than it writes."""
     while chunk := await reader.read(CHUNK_BYTES):
         writer.write(chunk)
         await writer.drain()
