--- a/src/redwingswitch/_internal/decisions/digest_bounds.py
+++ b/src/redwingswitch/_internal/decisions/digest_bounds.py
@@ -46,10 +46,11 @@
 def _bound_needed(needed: tuple[NeededRevision, ...]) -> tuple[NeededRevision, ...]:
     if len(needed) <= DIGEST_ENTRIES:
         return needed
-    # The newest revisions are merged, so that the lowest of them stays as high as possible.
-    ordered = sorted(needed, key=lambda entry: entry.revision)
-    kept = ordered[: DIGEST_ENTRIES - 1]
-    lowest = ordered[DIGEST_ENTRIES - 1].revision
+    # Entries that others wait for are kept. Of the rest the newest revisions are merged, so that
+    # the lowest of them stays as high as possible.
+    ordered = sorted(needed, key=lambda e: (not (e.pending or e.records_needed), e.revision))
+    kept, merged = ordered[: DIGEST_ENTRIES - 1], ordered[DIGEST_ENTRIES - 1 :]
+    lowest = min((entry.revision for entry in merged if entry.revision), default=0)
     return (*kept, NeededRevision(OTHER_SERVICES_ID, lowest))
 
 
--- a/src/redwingswitch/_internal/models/status.py
+++ b/src/redwingswitch/_internal/models/status.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple, NotRequired, TypedDict
+from typing import NamedTuple, TypedDict
 
 
 class MemberStatus(TypedDict):
@@ -34,11 +34,13 @@
     """
 
     name: str
+    service: str
+    failure_domain: str
     state: str
     ejected: bool
     busy_slots: int
     open_connections: int
-    records: NotRequired[int]
+    records: int
 
 
 class HostStatus(TypedDict):
--- a/src/redwingswitch/_internal/standins/memory_store.py
+++ b/src/redwingswitch/_internal/standins/memory_store.py
@@ -34,7 +34,7 @@
     ) -> int | None:
         """Write ``value`` if every expectation holds; return the new version, or None."""
         self._check()
-        if any(self._version_of(key) != version for key, version in expected):
+        if not all(self._matches(expectation) for expectation in expected):
             return None
         version = self._write(key, value)
         if self.lose_answers:
@@ -73,6 +73,12 @@
                 on_value(stored)
             await self._changed.wait()
 
+    def _matches(self, expectation: KeyVersion) -> bool:
+        if self._version_of(expectation.key) != expectation.version:
+            return False
+        stored = self._values.get(expectation.key)
+        return expectation.value is None or (stored and stored.value) == expectation.value
+
     def put(self, key: str, value: bytes) -> int:
         """Write without a condition, as a restored backup would; return the version."""
         return self._write(key, value)
--- a/tests/unit/decisions/test_membership.py
+++ b/tests/unit/decisions/test_membership.py
@@ -116,7 +116,7 @@
     digest = member.view().find("entry-1").digest
     assert (len(digest.needed_revisions), len(digest.wait_estimates)) == (64, 64)
     assert max(entry.wait_ms for entry in digest.wait_estimates) == 63
-    stated = dict(digest.needed_revisions)
+    stated = {entry.service_id: entry.revision for entry in digest.needed_revisions}
     assert all(stated.get(each.service_id, stated[0]) <= each.revision for each in needed)
 
 
--- a/tests/unit/network/test_codecs.py
+++ b/tests/unit/network/test_codecs.py
@@ -49,7 +49,7 @@
     messages.ClaimReply(REQUEST_ID, messages.ClaimDecision.HELD, "entry-1", 4, 2),
     messages.CancelRequest("job-board", REQUEST_ID),
     messages.TableHistoryRequest(5),
-    messages.TableHistory(5, (messages.HistoricTable(2, True, ("job-1",)),), (SERVER,), ("job-1",)),
+    messages.TableHistory(5, (messages.HistoricTable(2, 0, ("job-1",)),), (SERVER,), ("job-1",)),
 ]
 DATAGRAMS = [
     caller_codec.RequestDatagram(HEADER, b"body"),
