--- a/src/redwingswitch/_internal/cli/ctl.py
+++ b/src/redwingswitch/_internal/cli/ctl.py
@@ -8,6 +8,8 @@
 
 import fire
 
+from redwingswitch._internal.cli.status_codes import ERROR
+
 DEFAULT_STORE = os.environ.get("REDWINGSWITCH_STORE", "http://127.0.0.1:2379")
 DEFAULT_WAIT_LIMIT_S = 30
 
@@ -162,7 +164,18 @@
         Ctl(), command=stated or ["--help"], name="redwingswitchctl", serialize=lambda _: None
     )
     if isinstance(chosen, _Invocation):
-        sys.exit(chosen._run())
+        sys.exit(_status_of(chosen))
+
+
+def _status_of(chosen: _Invocation) -> int:
+    try:
+        status = chosen._run()
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, such as head, has gone. The interpreter must not write to it at exit either.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ERROR
+    return status
 
 
 if __name__ == "__main__":
--- a/src/redwingswitch/_internal/commands/check.py
+++ b/src/redwingswitch/_internal/commands/check.py
@@ -17,9 +17,9 @@
     text = read_file(file)
     found = parse_configuration(text=text, file=file, revision=0, digest=text_digest(text))
     servers = sum(len(service.backend_servers) for service in found.services)
+    print(f"{file}: no findings")
     print(
-        f"{file}: no findings; {len(found.failure_domains)} failure domains, "
-        f"{len(found.entry_hosts)} entry hosts, {len(found.services)} services, "
-        f"{servers} backend servers"
+        f"failure domains: {len(found.failure_domains)}, entry hosts: {len(found.entry_hosts)}, "
+        f"services: {len(found.services)}, backend servers: {servers}"
     )
     return SUCCESS
--- a/src/redwingswitch/_internal/configuration/overview.py
+++ b/src/redwingswitch/_internal/configuration/overview.py
@@ -67,9 +67,13 @@
 
 
 class Overview(TypedDict):
-    """Everything that the status command shows; ``revision`` is 0 before the first file."""
+    """Everything that the status command shows; ``revision`` is 0 before the first file.
+
+    ``operator``, ``applied_at`` and ``summary`` are empty when the store has another revision.
+    """
 
     store_answered: bool
+    store_revision: int
     revision: int
     digest: str
     operator: str
@@ -94,17 +98,20 @@
     digests = highest_digests(reading.statuses)
     revision = highest_revision(reading.statuses)
     digest = min(digests, default="")
-    if document is not None and document["revision"] >= revision:
-        revision, digest = document["revision"], document["digest"]
+    stored = 0 if document is None else document["revision"]
+    if document is not None and stored >= revision:
+        revision, digest = stored, document["digest"]
     hosts = known_hosts(configuration, reading)
     servers = _servers(configuration, reading)
+    shown = document if stored == revision else None
     return Overview(
         store_answered=store_answered,
+        store_revision=stored,
         revision=revision,
         digest=digest,
-        operator="" if document is None else document["operator"],
-        applied_at="" if document is None else document.get("applied_at", ""),
-        summary="" if document is None else document.get("summary", ""),
+        operator=shown["operator"] if shown else "",
+        applied_at=shown.get("applied_at", "") if shown else "",
+        summary=shown.get("summary", "") if shown else "",
         conflict=_is_conflict(document, reading, digests),
         silent_endpoints=list(reading.silent_endpoints),
         failure_domains=[
@@ -224,7 +231,9 @@
         yield f"applied by {overview['operator']} at {overview['applied_at']}"
         yield f"changes: {overview['summary']}"
     if not overview["store_answered"]:
-        yield "THE STORE DOES NOT ANSWER: nothing can be applied; the hosts serve what they hold"
+        yield "THE STORE DOES NOT ANSWER: no file can be applied until it does"
+    elif overview["store_revision"] < overview["revision"]:
+        yield f"THE STORE IS BEHIND: it holds revision {overview['store_revision']}"
     if overview["conflict"]:
         yield "CONFLICT: hosts or the store hold different texts of one revision"
 
--- a/src/redwingswitch/_internal/network/etcd_gateway.py
+++ b/src/redwingswitch/_internal/network/etcd_gateway.py
@@ -183,7 +183,7 @@
             follow_redirects=False,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await fetch(self._client, request)
         except (HTTPClientError, OSError) as error:
             problem = str(error) or type(error).__name__
             raise _CallError(problem, may_have_run=sent) from None
@@ -197,6 +197,18 @@
     )
 
 
+async def fetch(client: AsyncHTTPClient, request: HTTPRequest) -> HTTPResponse:
+    """Return the response to ``request``.
+
+    The client keeps an abandoned request until its timeout, and would then report a cancelled or
+    unread future as a fault. A cancelled call therefore leaves the future alone and marks its
+    result as read.
+    """
+    fetched = client.fetch(request, raise_error=False)
+    fetched.add_done_callback(lambda future: future.exception())
+    return await asyncio.shield(fetched)
+
+
 def _decode(response: HTTPResponse, reply: type[T]) -> T:
     if response.code == HTTP_NOT_FOUND:
         raise _NotFoundError("not found", may_have_run=False)
--- a/src/redwingswitch/_internal/network/etcd_watch.py
+++ b/src/redwingswitch/_internal/network/etcd_watch.py
@@ -17,6 +17,7 @@
     MS_PER_S,
     KeyValue,
     ReplyHeader,
+    fetch,
     new_client,
     stored_value,
     to_base64,
@@ -87,7 +88,7 @@
             follow_redirects=False,
         )
         try:
-            response = await self._client.fetch(request, raise_error=False)
+            response = await fetch(self._client, request)
         except HTTPTimeoutError:
             if stream.created and stream.problem is None:
                 return stream.last_version
@@ -96,7 +97,6 @@
             problem = stream.problem or str(error) or type(error).__name__
             raise StoreUnavailableError(f"the watch was cut off: {problem}") from None
         finally:
-            # The client keeps an abandoned request until its timeout.
             stream.closed = True
         status = "" if response.code == HTTP_OK else f" with HTTP {response.code}"
         raise StoreUnavailableError(f"the store ended the watch{status} {stream.problem or ''}")
--- a/tests/unit/network/test_store_http.py
+++ b/tests/unit/network/test_store_http.py
@@ -239,6 +239,22 @@
     asyncio.run(scenario())
 
 
+def test_a_cancelled_watch_is_not_reported_as_a_fault_later(caplog):
+    async def scenario():
+        async with running_store(watch_turn_ms=IMPATIENT_MS) as (standin, store):
+            watch = store.watch(KEY, after_version=0, on_value=Values())
+            watching = asyncio.create_task(watch)
+            while not standin.state.waiting_watches():
+                await asyncio.sleep(0)
+            watching.cancel()
+            # The client closes the connection when the turn is over.
+            while standin.state.waiting_watches():
+                await asyncio.sleep(0)
+            assert caplog.records == []
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize("fault", ["lose_after", "lose_before", "stopped"])
 def test_a_watch_that_is_cut_off_fails(fault):
     async def scenario():
