--- a/src/redwingswitch/_internal/decisions/flow_records.py
+++ b/src/redwingswitch/_internal/decisions/flow_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Iterator
 
 CLOSED_LINGER_MS = 60_000
@@ -127,6 +128,11 @@
         yield from self._recent.items()
         yield from self._older.items()
 
+    def table_bytes(self) -> int:
+        """Return the memory of the dicts in bytes, without the hashes."""
+        tables = (self._recent, self._older, self._closed_recent, self._closed_older)
+        return sum(sys.getsizeof(table) for table in tables)
+
     def by_value(self) -> dict[int, list[int]]:
         """Return the hashes of live flows, grouped by value."""
         groups: dict[int, list[int]] = {}
