--- a/src/redwingswitch/_internal/decisions/activation.py
+++ b/src/redwingswitch/_internal/decisions/activation.py
@@ -22,11 +22,19 @@
         self._stated_ms: dict[tuple[int, int], int] = {}
         self._members_revision = NO_MEMBER_REVISION
 
-    def update(self, view: MembershipView, host: str, now_ms: int) -> None:
-        """Take over what the members state."""
+    def update(
+        self, view: MembershipView, host: str, declared: frozenset[str], now_ms: int
+    ) -> None:
+        """Take over what the members state.
+
+        While a ``declared`` host is not in view, nothing is known about its revision, so that only
+        the deadlines count.
+        """
         others = [m for m in view.members if m.host != host and m.state is not MemberState.DEAD]
         revisions = (member.digest.revision for member in others)
         self._members_revision = min(revisions, default=NO_MEMBER_REVISION)
+        if not declared <= {member.host for member in view.members}:
+            self._members_revision = 0
         for member in others:
             for need in member.digest.needed_revisions:
                 for table in need.pending:
--- a/src/redwingswitch/_internal/decisions/history_requests.py
+++ b/src/redwingswitch/_internal/decisions/history_requests.py
@@ -21,7 +21,7 @@
         self._asked_at_ms: dict[str, int] = {}
         self._waiting: dict[str, SteeredService] = {}
         self._view = MembershipView(members=())
-        self._declared: frozenset[str] = frozenset()
+        self.declared: frozenset[str] = frozenset()
 
     def start(self, service: SteeredService, now_ms: int, *, fresh: bool) -> None:
         """Begin to wait for the history of a service."""
@@ -39,7 +39,7 @@
 
     def set_declared(self, hosts: Iterable[str]) -> None:
         """Take over the active hosts that the configuration declares."""
-        self._declared = frozenset(hosts) - {self._host}
+        self.declared = frozenset(hosts) - {self._host}
 
     def waiting(self) -> bool:
         """Return whether any history is missing."""
@@ -63,7 +63,7 @@
                 continue
             holder = _history_holder(others, service.wire_id)
             # An incomplete view may lack the hosts that hold the history and the records.
-            heard = self._declared <= {m.host for m in self._view.members}
+            heard = self.declared <= {m.host for m in self._view.members}
             none = holder is None and all(m.digest.revision >= revision for m in others)
             if now_ms >= deadline_ms or (heard and (service.tables.synchronised or none)):
                 self._complete(service)
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -220,7 +220,7 @@
         self._exchange.keep_only(owners.reachable)
         self._retention.set_view(view)
         self._history.set_view(view)
-        self._activation.update(view, self._context.host, now_ms)
+        self._activation.update(view, self._context.host, self._history.declared, now_ms)
         for service in self._pending.values():
             self._activation.shorten(service)
         actions: list[Action] = [*self._history.advance(self._revision, now_ms)]
