Send short work on when the wait at its dispatcher is much longer

Shares follow demand within seconds, so a burst in one failure domain waited there while slots in another were free. A dispatcher now compares its exact wait with the advertised ones and sends a short request on once.

--- a/src/redwingswitch/_internal/decisions/placement.py
+++ b/src/redwingswitch/_internal/decisions/placement.py
@@ -13,6 +13,7 @@
 
 WARM_UP_MS = 1_000
 WARM_UP_SLOTS = 1
+REFUSAL_PAUSE_LIMIT_MS = 100
 USAGE_MEMORY_MS = 10_000
 DOMAIN_MARGIN_MS = 20
 DOMAIN_ADJUST_INTERVAL_MS = 250
@@ -136,7 +137,8 @@
         if use is None:
             return
         use.sheds += 1
-        use.blocked_until_ms = now_ms + backoff_ms(use.sheds, self._random_source)
+        pause_ms = backoff_ms(use.sheds, self._random_source, limit_ms=REFUSAL_PAUSE_LIMIT_MS)
+        use.blocked_until_ms = now_ms + pause_ms
 
     def _capacity(self, use: _ServerUse, now_ms: int) -> int:
         slots = min(use.server.slots, self._health.slots(use.server.name, now_ms))
--- a/src/redwingswitch/_internal/decisions/request_routing.py
+++ b/src/redwingswitch/_internal/decisions/request_routing.py
@@ -3,7 +3,11 @@
 from __future__ import annotations
 
 from redwingswitch._internal.decisions.hashing import rendezvous_rank
-from redwingswitch._internal.decisions.placement import DomainChooser, DomainLoad
+from redwingswitch._internal.decisions.placement import (
+    DOMAIN_MARGIN_MS,
+    DomainChooser,
+    DomainLoad,
+)
 from redwingswitch._internal.models.configuration import Configuration, ServerState, Service
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import MembershipView, MemberView
@@ -22,6 +26,7 @@
         self._members: tuple[MemberView, ...] = ()
         self._choosers: dict[str, DomainChooser] = {}
         self._dispatchers: dict[tuple[str, str], str | None] = {}
+        self._loads: dict[str, dict[str, DomainLoad]] = {}
         self._leaving = False
 
     def apply_configuration(self, configuration: Configuration) -> None:
@@ -30,11 +35,13 @@
         self._link_costs_ms = {d.name: d.link_cost_ms for d in configuration.failure_domains}
         self._choosers = {n: c for n, c in self._choosers.items() if n in self._services}
         self._dispatchers.clear()
+        self._loads.clear()
 
     def set_members(self, view: MembershipView) -> None:
         """Take the live hosts and their advertised waits."""
         before = [(m.host, m.failure_domain) for m in self._members]
         self._members = view.serving()
+        self._loads.clear()
         if before != [(m.host, m.failure_domain) for m in self._members]:
             self._dispatchers.clear()
 
@@ -42,6 +49,7 @@
         """Stop naming the local host."""
         self._leaving = True
         self._dispatchers.clear()
+        self._loads.clear()
 
     def service(self, name: str) -> Service | None:
         """Return a service that takes requests."""
@@ -82,11 +90,16 @@
         if chooser is None:
             chooser = DomainChooser(near=self._failure_domain, random_source=self._random_source)
             self._choosers[service.name] = chooser
-        loads = {
-            domain: DomainLoad(self._wait_ms(service, domain), self._link_cost_ms(domain), slots)
-            for domain, slots in self.domains(service).items()
-        }
-        return chooser.choose(loads, now_ms)
+        return chooser.choose(self._domain_loads(service), now_ms)
+
+    def relief(self, service: Service, domain: str, wait_ms: float) -> str | None:
+        """Return another host whose advertised wait is clearly below a wait in ``domain``."""
+        loads = self._domain_loads(service)
+        near = {d for d in loads if self.dispatcher(service.name, d) == self._host} | {domain}
+        other = min(loads.keys() - near, key=lambda d: (loads[d].cost_ms, d), default=None)
+        if other is None or loads[other].cost_ms + DOMAIN_MARGIN_MS >= wait_ms:
+            return None
+        return self.dispatcher(service.name, other)
 
     def own_domains(self, service: Service) -> list[str]:
         """Return the failure domains in which the local host dispatches, the near one first."""
@@ -110,6 +123,16 @@
         ranked = rendezvous_rank(f"{service}\0{domain}".encode(), names)
         return ranked[0] if ranked else None
 
+    def _domain_loads(self, service: Service) -> dict[str, DomainLoad]:
+        if service.name not in self._loads:
+            self._loads[service.name] = {
+                domain: DomainLoad(
+                    self._wait_ms(service, domain), self._link_cost_ms(domain), slots
+                )
+                for domain, slots in self.domains(service).items()
+            }
+        return self._loads[service.name]
+
     def _wait_ms(self, service: Service, domain: str) -> int:
         host = self.dispatcher(service.name, domain)
         member = next((m for m in self._members if m.host == host), None)
--- a/src/redwingswitch/_internal/decisions/requests.py
+++ b/src/redwingswitch/_internal/decisions/requests.py
@@ -11,7 +11,7 @@
 )
 from redwingswitch._internal.decisions.host_sets import DeclaredHostSets
 from redwingswitch._internal.decisions.placement import ServerHealth
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable
+from redwingswitch._internal.decisions.request_dispatch import DispatchTable, ServiceDispatch
 from redwingswitch._internal.decisions.request_ledger import (
     RequestEntry,
     RequestLedger,
@@ -27,7 +27,7 @@
     DropReason,
     SendToPeer,
 )
-from redwingswitch._internal.models.configuration import Configuration, Service
+from redwingswitch._internal.models.configuration import Configuration, Service, SizeClass
 from redwingswitch._internal.models.events import (
     AnswerPartArrived,
     AttemptFailed,
@@ -48,6 +48,7 @@
 
 MAX_REQUEST_LIFETIME_MS = 30_000
 MAX_REQUEST_HOPS = 4
+RELIEF_HOPS = MAX_REQUEST_HOPS - 1
 OVERLOAD_RETRY_AFTER_MS = 1_000
 TICK_MS = 1_000
 PAUSE_MS = 30_000
@@ -279,17 +280,35 @@
         idempotent = service.idempotent and copy.header.idempotent
         if not idempotent and now_ms < self._distrust_until_ms:
             return [_unknown(copy, "the entry host was paused")]
+        size = dispatch.times.classify(copy.header.size_hint)
+        relief = self._relief(dispatch, size, copy, now_ms)
+        if relief is not None:
+            return [_forward(relief, copy._replace(hops=RELIEF_HOPS))]
         entry = RequestEntry(
             copy=copy,
             idempotent=idempotent,
             domain=domain,
-            size=dispatch.times.classify(copy.header.size_hint),
+            size=size,
             deadline_ms=now_ms + copy.header.remaining_ms,
         )
         if not self._ledger.add(entry):
             return [_unknown(copy, "the entry host is overloaded", OVERLOAD_RETRY_AFTER_MS)]
         return self._begin(entry, now_ms)
 
+    def _relief(
+        self, dispatch: ServiceDispatch, size: SizeClass, copy: ForwardedRequest, now_ms: int
+    ) -> str | None:
+        """Return another failure domain's dispatcher when the wait here is much longer.
+
+        Only short work is sent on, as the advertised waits are those of short work. They are old,
+        but the wait here is exact and falls with every request that is sent on, so this stops by
+        itself. A request is sent on once, and before its claim.
+        """
+        if copy.hops >= RELIEF_HOPS or size is SizeClass.LONG:
+            return None
+        wait_ms = dispatch.queue.wait_ms(size, dispatch.use(now_ms))
+        return self._routing.relief(dispatch.service, dispatch.domain, wait_ms)
+
     def _begin(self, entry: RequestEntry, now_ms: int) -> list[Action]:
         actions: list[Action] = []
         if not entry.idempotent:
