--- a/tests/unit/decisions/test_claims_machine.py
+++ b/tests/unit/decisions/test_claims_machine.py
@@ -157,9 +157,9 @@
                 self._start(host, abstain_ms=CLAIM_RETENTION_MS)
                 self._learn(host)
 
-    @rule(request_id=ids, count=st.integers(1, 2), back=st.booleans())
-    def replace_witnesses(self, request_id: bytes, count: int, back: bool) -> None:
-        """Replace declared hosts, one a revision; nobody but a new host knows yet."""
+    @rule(request_id=ids, count=st.integers(1, 2), back=st.booleans(), learn=st.booleans())
+    def replace_witnesses(self, request_id: bytes, count: int, back: bool, learn: bool) -> None:
+        """Replace declared hosts, one a revision, which all hosts or only new ones learn."""
         for host in self._witnesses(request_id)[:count]:
             spare = [h for h in sorted(DOMAIN_OF) if h not in self.declared[-1]]
             new = spare[0] if back else spare[-1]
@@ -167,6 +167,9 @@
             if new not in self.processes:
                 self._start(new, abstain_ms=0)
                 self._learn(new)
+            if learn:
+                self.learn(set())
+                self.read_reports(set())
 
     def _witnesses(self, request_id: bytes) -> tuple[str, ...]:
         return witnesses(request_id, tuple((h, DOMAIN_OF[h]) for h in self.declared[-1]))
