--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/membership.py
@@ -0,0 +1,242 @@
+"""Which entry hosts are alive: a SWIM-style protocol with sparse probes between failure domains.
+
+Source of the method: Das, Gupta, Motivala, "SWIM: Scalable Weakly-consistent Infection-style
+Process Group Membership Protocol", DSN 2002.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from redwingswitch._internal.decisions.digest_bounds import bound_digest, expand_digest
+from redwingswitch._internal.decisions.member_gossip import MemberGossip
+from redwingswitch._internal.decisions.member_table import Member, MemberTable
+from redwingswitch._internal.decisions.platform_hints import PlatformHints
+from redwingswitch._internal.decisions.prober import Prober
+from redwingswitch._internal.models.actions import Action, Drop, DropReason, SendToPeer
+from redwingswitch._internal.models.configuration import Configuration, ServerState
+from redwingswitch._internal.models.events import HostListChanged
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.members import (
+    HostDigest,
+    MembershipView,
+    MemberState,
+    MemberView,
+    Seed,
+)
+from redwingswitch._internal.models.messages import Ack, PeerMessage, Ping, PingRequest
+from redwingswitch._internal.ports import RandomSource
+
+# No timer is ever further away than a near probe, so a longer gap means that this host was paused.
+PAUSE_MS = 1_000
+LEAVING_ANNOUNCEMENTS = 8
+
+
+class Membership:
+    """The membership protocol of one entry host.
+
+    ``incarnation`` rises when the host refutes a statement about itself; every message must be
+    sent with the value that is current at that time.
+    """
+
+    def __init__(
+        self, *, host: str, failure_domain: str, incarnation: int, random_source: RandomSource
+    ) -> None:
+        self._random = random_source
+        self._table = MemberTable()
+        self._gossip = MemberGossip(
+            host=host, failure_domain=failure_domain, incarnation=incarnation, table=self._table
+        )
+        self._host = host
+        self._hints = PlatformHints()
+        self._prober = Prober(
+            failure_domain=failure_domain,
+            table=self._table,
+            gossip=self._gossip,
+            hints=self._hints,
+            random_source=random_source,
+        )
+        self._configuration: Configuration | None = None
+        self._last_call_ms: int | None = None
+        self._stop_requested = False
+        self._view: MembershipView | None = None
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation to send messages with now."""
+        return self._gossip.incarnation
+
+    def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
+        """Take the declared entry hosts as members; they replace the seeds."""
+        self._configuration = configuration
+        self._table.forget_rows()
+        declared = configuration.entry_hosts
+        self._list((Seed(entry.name, entry.failure_domain) for entry in declared), now_ms)
+        own = next((entry for entry in declared if entry.name == self._host), None)
+        if own is not None and own.state != ServerState.ACTIVE:
+            return self._announce_leaving(now_ms)
+        if self._gossip.leaving and not self._stop_requested:
+            self._gossip.return_to_service()
+            self._table.changed = True
+        return []
+
+    def set_seeds(self, seeds: Iterable[Seed], now_ms: int) -> None:
+        """Take the seeds from the settings as members until a configuration is known."""
+        if self._configuration is None:
+            self._list((Seed(*seed) for seed in seeds), now_ms)
+
+    def set_digest(self, digest: HostDigest) -> None:
+        """Set what this host states about itself; entries beyond the bounds are merged or left."""
+        bounded = bound_digest(digest)
+        if bounded != self._prober.digest:
+            self._prober.digest = bounded
+            self._table.changed = True
+
+    def on_host_list(self, event: HostListChanged, now_ms: int) -> list[Action]:
+        """Use the platform's list as a hint: probe dead hosts sooner, shorten suspicions."""
+        self._enter(now_ms)
+        self._hints.take(event, now_ms)
+        for member in self._table.suspected():
+            if self._hints.omits(member.host, now_ms):
+                self._table.shorten_suspicion(member)
+        self._prober.hinted(now_ms)
+        return []
+
+    def on_message(
+        self, sender: str, incarnation: int, message: PeerMessage, now_ms: int
+    ) -> list[Action]:
+        """Handle a Ping, Ack or PingRequest; other messages are no concern of this part."""
+        self._enter(now_ms)
+        if not self.accepts(sender, incarnation):
+            return self._on_stale(sender, message)
+        previous = self.incarnation
+        if isinstance(message, Ping | Ack):
+            self._gossip.receive(sender, message.updates, now_ms)
+            self._heard(sender, incarnation, now_ms)
+        if isinstance(message, Ping):
+            return self._on_ping(sender, message)
+        if isinstance(message, Ack):
+            # The sender learns of a refutation at once, and not when its turn comes again.
+            refuted = self.incarnation != previous
+            return self._on_ack(sender, message) + (
+                self._prober.ping_now(sender) if refuted else []
+            )
+        if isinstance(message, PingRequest) and message.target != self._host:
+            return self._prober.on_ping_request(sender, message, now_ms)
+        return []
+
+    def accepts(self, sender: str, incarnation: int) -> bool:
+        """Tell whether a message is from the newest known incarnation of its sender."""
+        member = self._table.get(sender)
+        return member is None or incarnation >= member.incarnation
+
+    def begin_leaving(self, now_ms: int) -> list[Action]:
+        """Announce that this host stops; it is not brought back by older statements."""
+        self._stop_requested = True
+        return self._announce_leaving(now_ms)
+
+    def view(self) -> MembershipView:
+        """Return the members; the same object as long as nothing has changed."""
+        if self._view is None or self._table.changed:
+            self._view = self._build_view()
+            self._table.changed = False
+        return self._view
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is to be called next."""
+        deadlines = (self._prober.next_deadline_ms(), self._table.suspicion_deadline_ms())
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Send the probes that are due and act on those without an answer."""
+        self._enter(now_ms)
+        self._table.expire(now_ms, listed=self._prober.listed)
+        return self._prober.on_timer(now_ms)
+
+    def _list(self, hosts: Iterable[Seed], now_ms: int) -> None:
+        others = [seed for seed in hosts if seed.host != self._host]
+        self._prober.listed = frozenset(seed.host for seed in others)
+        known = len(self._table)
+        for seed in others:
+            self._table.add(host=seed.host, failure_domain=seed.failure_domain)
+        if len(self._table) > known:
+            self._gossip.introduce()
+        self._enter(now_ms)
+
+    def _enter(self, now_ms: int) -> None:
+        """Note the call; after a pause, give all others the whole time to answer again."""
+        self._prober.begin(now_ms)
+        previous_ms = now_ms if self._last_call_ms is None else self._last_call_ms
+        if now_ms - previous_ms > PAUSE_MS:
+            self._prober.forget_pending()
+            self._table.restart_suspicions(now_ms)
+        self._last_call_ms = now_ms
+
+    def _heard(self, sender: str, incarnation: int, now_ms: int) -> None:
+        member = self._table.get(sender)
+        if member is None:
+            return
+        was_dead = member.state == MemberState.DEAD
+        self._table.heard_directly(member, incarnation, now_ms)
+        if was_dead and member.state != MemberState.DEAD:
+            self._prober.returned(now_ms)
+
+    def _on_stale(self, sender: str, message: PeerMessage) -> list[Action]:
+        dropped = Drop(DropReason.STALE_INCARNATION, sender)
+        if not isinstance(message, Ping):
+            return [dropped]
+        # A restarted host whose clock went back learns from this answer which incarnation to pass.
+        updates = self._gossip.updates_for(sender, state_known=True)
+        answer = Ack(message.sequence, self._host, updates, self._prober.digest)
+        return [dropped, SendToPeer(sender, answer)]
+
+    def _on_ping(self, sender: str, message: Ping) -> list[Action]:
+        self._keep_digest(sender, message.digest)
+        updates = self._gossip.updates_for(sender)
+        answer = Ack(message.sequence, self._host, updates, self._prober.digest)
+        return [SendToPeer(sender, answer)]
+
+    def _on_ack(self, sender: str, message: Ack) -> list[Action]:
+        self._keep_digest(sender, message.digest)
+        member = self._table.get(sender)
+        if member is not None:
+            member.introduced_incarnation = member.incarnation
+        return self._prober.on_ack(sender, message)
+
+    def _announce_leaving(self, now_ms: int) -> list[Action]:
+        if not self._gossip.begin_leaving():
+            return []
+        self._enter(now_ms)
+        self._table.changed = True
+        targets = [m.host for m in self._table if m.state <= MemberState.SUSPECTED]
+        self._random.shuffle(targets)
+        announced = targets[:LEAVING_ANNOUNCEMENTS]
+        return [action for host in announced for action in self._prober.ping_now(host)]
+
+    def _keep_digest(self, sender: str, digest: HostDigest) -> None:
+        member = self._table.get(sender)
+        if member is not None and member.state != MemberState.DEAD:
+            self._table.set_digest(member, digest)
+
+    def _build_view(self) -> MembershipView:
+        own = self._gossip.own_update()
+        service_ids = self._service_ids()
+        digest = self._prober.digest
+        rows = [MemberView(own.host, own.failure_domain, own.incarnation, own.state, digest)]
+        rows += [_row(member, service_ids) for member in self._table]
+        rows.sort(key=lambda row: row.host)
+        return MembershipView(tuple(rows))
+
+    def _service_ids(self) -> tuple[int, ...]:
+        services = self._configuration.services if self._configuration is not None else ()
+        return tuple(wire_id(service.name) for service in services)
+
+
+def _row(member: Member, service_ids: tuple[int, ...]) -> MemberView:
+    if member.row is not None:
+        return member.row
+    digest = expand_digest(member.digest, service_ids)
+    member.row = MemberView(
+        member.host, member.failure_domain, member.incarnation, member.state, digest
+    )
+    return member.row
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -23,7 +23,12 @@
     DropReason,
     SendToBackendServer,
 )
-from redwingswitch._internal.models.configuration import BackendServer, Configuration, Service
+from redwingswitch._internal.models.configuration import (
+    BackendServer,
+    Configuration,
+    ServerState,
+    Service,
+)
 from redwingswitch._internal.models.events import PacketArrived
 from redwingswitch._internal.models.members import MembershipView, NeededRevision
 from redwingswitch._internal.models.messages import (
@@ -37,6 +42,7 @@
     TableHistory,
     TableHistoryRequest,
 )
+from redwingswitch._internal.models.status import ServiceStatus
 from redwingswitch._internal.ports import RandomSource
 
 SWEEP_INTERVAL_MS = 1_000
@@ -89,24 +95,27 @@
         agreed = service.tables.agreed_choice(event.flow_hash)
         if agreed is not None:
             return self._decider.send(service, event, agreed)
+        owner = self._owner(service, event)
+        if owner is not None and owner != self._context.host:
+            self._context.counters.forwarded_packets += 1
+            return [forward(event, owner, hops=event.hops + 1)]
+        return self._decider.decide(service, event, now_ms)
+
+    def _owner(self, service: SteeredService, event: PacketArrived) -> str | None:
+        """Return the host that decides for a packet; None stands for the local host."""
         if event.hops >= MAX_HOPS:
-            return self._decider.decide(service, event, now_ms)
+            return None
         context = self._context
-        owner = context.owners.first_usable(context.ranked(service, event.flow_hash))
-        if service.fresh and owner == context.host:
-            owner = self._informed_host(service, event.flow_hash)
-        if owner is None or owner == context.host:
-            return self._decider.decide(service, event, now_ms)
-        context.counters.forwarded_packets += 1
-        return [forward(event, owner, hops=event.hops + 1)]
-
-    def _informed_host(self, service: SteeredService, flow_hash: int) -> str | None:
-        """Return another host to decide in place of this one, which lacks older tables."""
-        ranked = self._context.ranked(service, flow_hash)
-        others = (host for host in ranked if host != self._context.host)
-        if service.records.get(flow_hash) is not None:
+        usable = context.usable(service, event.flow_hash)
+        if not usable:
+            return None
+        if service.fresh and usable[0] == context.host:
+            # This host lacks older tables, so it leaves the decision to the next host.
+            return usable[1] if len(usable) > 1 else None
+        if usable[1:2] == (context.host,) and self._exchange.handing_over(service, usable[0]):
+            # The new owner may not know all records yet.
             return None
-        return self._context.owners.first_usable(others)
+        return usable[0]
 
     def choose_for_connection(self, service: str, flow_hash: int, now_ms: int) -> str | None:
         """Return the server for a new connection of the TCP listener, or None.
@@ -140,6 +149,8 @@
         self._revision = configuration.revision
         services = [service for service in configuration.services if service.takes_streams]
         self._remove_services(services)
+        active = (e for e in configuration.entry_hosts if e.state is ServerState.ACTIVE)
+        self._history.set_declared(entry.name for entry in active)
         actions: list[Action] = []
         for service in services:
             actions += self._apply_service(service, now_ms, fresh=fresh, skipped=skipped)
@@ -212,7 +223,7 @@
         self._history.set_view(view)
         self._activation.update(view, self._context.host, now_ms)
         for service in self._pending.values():
-            self._activation.shorten(service, self._revision)
+            self._activation.shorten(service)
         actions: list[Action] = [*self._history.advance(self._revision, now_ms)]
         actions += self._activate_due(now_ms)
         if changed:
@@ -282,19 +293,17 @@
 
     @_handle.register
     def _(self, message: TableHistoryRequest, sender: str, now_ms: int) -> list[Action]:
-        return [*self._history.answer(self._context.by_wire_id, sender, message)]
+        return [*self._history.answer(self._context.by_wire_id, sender, message, now_ms)]
 
     @_handle.register
     def _(self, message: TableHistory, sender: str, now_ms: int) -> list[Action]:
         service = self._context.by_wire_id.get(message.service_id)
         if service is None or service.history_wait_until_ms is None:
             return []
-        service.tables.merge(message, now_ms, now_ms + service.service.idle_limit_ms)
-        service.tables_changed(now_ms)
-        self._history.complete(service)
+        service.merge_history(message, self._revision, now_ms)
         if service.tables.pending():
             self._pending[service.name] = service
-        return []
+        return [*self._history.advance(self._revision, now_ms)]
 
     # Time.
 
@@ -304,7 +313,7 @@
             self._sweep_at_ms,
             self._exchange.sender.next_deadline_ms(),
             self._decider.held.next_deadline_ms(),
-            *(service.tables.newest.activate_at_ms for service in self._pending.values()),
+            *(service.next_activation_ms() for service in self._pending.values()),
         ]
         return min((at_ms for at_ms in deadlines if at_ms is not None), default=None)
 
@@ -321,10 +330,13 @@
 
     def _activate_due(self, now_ms: int) -> list[Action]:
         actions: list[Action] = []
-        for service in [s for s in self._pending.values() if self._activation.due(s, now_ms)]:
-            service.tables.activate(now_ms)
-            del self._pending[service.name]
-            actions += self._decider.on_activation(service, now_ms)
+        for service in list(self._pending.values()):
+            due = [e for e in service.tables.pending() if self._activation.due(e, now_ms)]
+            if due:
+                service.tables.activate(due[-1], now_ms)
+                actions += self._decider.on_activation(service, now_ms)
+            if not service.tables.pending():
+                del self._pending[service.name]
         return actions
 
     def _sweep(self, now_ms: int) -> None:
@@ -349,6 +361,26 @@
         """Return whether every record was confirmed by its new holders."""
         return self._stopping and self._exchange.sender.idle()
 
+    def service_statuses(self) -> list[ServiceStatus]:
+        """Return the displaced buckets and the records of each service."""
+        return [
+            ServiceStatus(
+                name=service.name,
+                displaced_buckets=service.tables.displaced_buckets(),
+                records=len(service.records),
+            )
+            for service in self._context.by_name.values()
+        ]
+
+    def records_by_server(self) -> dict[str, int]:
+        """Return how many records name each backend server."""
+        counts: dict[str, int] = {}
+        for service in self._context.by_name.values():
+            names = service.tables.index.names
+            for number, hashes in service.records.by_value().items():
+                counts[names[number]] = counts.get(names[number], 0) + len(hashes)
+        return counts
+
     def statistics(self) -> SteeringStatistics:
         """Return counters and gauges."""
         context, sender = self._context, self._exchange.sender
--- a/src/redwingswitch/_internal/models/actions.py
+++ b/src/redwingswitch/_internal/models/actions.py
@@ -48,6 +48,7 @@
     request_id: bytes
     body: bytes
     deadline_ms: int
+    idempotent: bool = False
 
 
 class CancelAttempt(NamedTuple):
@@ -79,11 +80,16 @@
 
 
 class AcquireLease(NamedTuple):
-    """Try to take or renew the lease on ``key``; answer with LeaseGranted or LeaseRefused."""
+    """Try to take or renew the lease on ``key``; answer with LeaseGranted or LeaseRefused.
+
+    The driver copies ``asked_ms`` into LeaseGranted, so that a late answer is never taken for the
+    answer to a later call.
+    """
 
     key: str
     holder: str
     ttl_ms: int
+    asked_ms: int = 0
 
 
 class ReleaseLease(NamedTuple):
