--- a/src/redwingswitch/_internal/configuration/overview.py
+++ b/src/redwingswitch/_internal/configuration/overview.py
@@ -216,7 +216,7 @@
         state=state,
         open_connections=max((s["open_connections"] for s in seen), default=NO_REPORT),
         busy_slots=sum(s["busy_slots"] for s in seen),
-        flow_records=sum(s.get("records", 0) for s in seen),
+        flow_records=sum(s["records"] for s in seen),
         ejected_by=[host for host, server in reports if server["ejected"]],
     )
 
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -181,16 +181,17 @@
 def test_status_shows_what_needs_attention(console):
     assert console("apply", "--operator", "ann", text=VALID_FILE) == SUCCESS
     servers = [
-        {"name": "job-1", "state": "active", "ejected": True, "busy_slots": 1},
+        {"name": "job-1", "state": "active", "ejected": True, "busy_slots": 1, "records": 0},
         {"name": "job-2", "state": "draining", "ejected": False, "busy_slots": 2, "records": 5},
     ]
+    place = {"service": "job-board", "failure_domain": "hobart", "open_connections": 7}
     console.report(
         1,
         VALID_FILE,
         members=[
             {"host": "entry-2", "failure_domain": "bruny", "state": "suspected", "revision": 0}
         ],
-        servers=[{**server, "open_connections": 7} for server in servers],
+        servers=[{**server, **place} for server in servers],
     )
     assert console("status") == NOT_IN_FORCE
     lines = console.out.splitlines()
