Measure membership, and pass urgent statements on faster between domains

Change: for 2 s after a suspicion, refutation, leave or death a host probes other domains every 300 ms.

--- a/src/redwingswitch/_internal/decisions/convergence.py
+++ b/src/redwingswitch/_internal/decisions/convergence.py
@@ -37,6 +37,7 @@
 CANDIDATE_DELAY_MS = 1_000
 OFFERS_PER_ADOPTION = 2
 EMPTY_RETRY_MS = 500
+VIEW_SPACING_MS = 250
 
 
 class ConfigurationConvergence:
@@ -65,6 +66,9 @@
         self._incoming = IncomingTransfer(random_source=random_source)
         self._outgoing = OutgoingTransfers()
         self._next_empty_ms: int | None = None
+        self._view: MembershipView | None = None
+        self._view_read_ms: int | None = None
+        self._view_due_ms: int | None = None
 
     def document(self) -> Document | None:
         """Return the document in force, or None when the host has none yet."""
@@ -83,7 +87,21 @@
         return self._lease.holds(now_ms)
 
     def set_members(self, view: MembershipView, now_ms: int) -> list[Action]:
-        """Take the live peers, and decide whether this host is a candidate for the watch."""
+        """Take the live peers, and decide whether this host is a candidate for the watch.
+
+        A large view changes with nearly every message, so it is read at most every 250 ms.
+        """
+        self._view = view
+        read_ms = self._view_read_ms
+        recent = read_ms is not None and now_ms < read_ms + VIEW_SPACING_MS
+        if recent and not (self._candidate and self._is_leaving(view)):
+            self._view_due_ms = (read_ms or 0) + VIEW_SPACING_MS
+            return []
+        return self._read_view(view, now_ms)
+
+    def _read_view(self, view: MembershipView, now_ms: int) -> list[Action]:
+        self._view_read_ms = now_ms
+        self._view_due_ms = None
         peers = [m for m in view.serving() if m.host != self._host]
         self._near = [m.host for m in peers if m.failure_domain == self._failure_domain]
         self._far = [m.host for m in peers if m.failure_domain != self._failure_domain]
@@ -91,8 +109,7 @@
         self._incoming.set_peers(near=frozenset(self._near), known=known)
         if self._document is None and self._next_empty_ms is None:
             self._next_empty_ms = now_ms + self._random.randrange(EMPTY_RETRY_MS)
-        own = view.find(self._host)
-        leaving = own is not None and own.state == MemberState.LEAVING
+        leaving = self._is_leaving(view)
         self._candidate = not leaving and self._rank(view) < WATCHER_CANDIDATES
         if self._candidate:
             self._lease.want(now_ms, delay_ms=self._rank(view) * CANDIDATE_DELAY_MS)
@@ -150,12 +167,16 @@
             self._incoming.next_deadline_ms(),
             self._outgoing.next_deadline_ms(),
             self._next_empty_ms,
+            self._view_due_ms,
         )
         return min((each for each in deadlines if each is not None), default=None)
 
     def on_timer(self, now_ms: int) -> list[Action]:
         """Renew the lease, watch or stop watching, and go on with transfers."""
-        actions = self._lease.on_timer(now_ms)
+        actions: list[Action] = []
+        if self._view is not None and self._view_due_ms is not None and now_ms >= self._view_due_ms:
+            actions += self._read_view(self._view, now_ms)
+        actions += self._lease.on_timer(now_ms)
         actions += self._watch_by_lease(now_ms)
         actions += self._store.on_timer(now_ms)
         actions += self._restore(now_ms)
@@ -164,6 +185,10 @@
         actions += self._outgoing.on_timer(self._document, now_ms)
         return actions
 
+    def _is_leaving(self, view: MembershipView) -> bool:
+        own = view.find(self._host)
+        return own is not None and own.state == MemberState.LEAVING
+
     def _rank(self, view: MembershipView) -> int:
         """Return how many live hosts of the domain come before this one as its watcher."""
         near = [m for m in view.members if m.failure_domain == self._failure_domain]
--- a/src/redwingswitch/_internal/decisions/dead_probes.py
+++ b/src/redwingswitch/_internal/decisions/dead_probes.py
@@ -49,7 +49,7 @@
         if self._next_ms is None or now_ms < self._next_ms:
             return None
         self._next_ms = now_ms + self._spacing_ms(len(dead), now_ms) if dead else None
-        return self._order.next(dead)
+        return self._order.next(dead, frozenset(dead).__contains__)
 
     def _bring_forward(self, at_ms: int) -> None:
         self._next_ms = at_ms if self._next_ms is None else min(self._next_ms, at_ms)
--- a/src/redwingswitch/_internal/decisions/member_gossip.py
+++ b/src/redwingswitch/_internal/decisions/member_gossip.py
@@ -21,6 +21,7 @@
         self._table = table
         self.incarnation = incarnation
         self.leaving = False
+        self.refutations = 0
 
     def own_update(self) -> MemberUpdate:
         """Return what the local host states about itself."""
@@ -89,6 +90,7 @@
     def _defend(self, update: MemberUpdate) -> None:
         own = self.own_update()
         if (update.incarnation, update.state) > (own.incarnation, own.state):
+            self.refutations += 1
             self._raise_incarnation(update.incarnation)
 
     def _raise_incarnation(self, stated: int) -> None:
--- a/src/redwingswitch/_internal/decisions/member_table.py
+++ b/src/redwingswitch/_internal/decisions/member_table.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import bisect
 import math
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from redwingswitch._internal.models.members import HostDigest, MemberState, MemberUpdate, MemberView
 
 MEMBER_LIMIT = 1_024
 SUSPICION_MS = 1_500
 REMOVAL_MS = 3_600_000
+# For this long after a suspicion, refutation, leave or death the statement is passed on faster.
+URGENT_MS = 2_000
 GOSSIP_FACTOR = 3
 PRESUMED_INCARNATION = 0
 
@@ -76,18 +79,26 @@
         self._members: dict[str, Member] = {}
         self._sends_left: dict[str, int] = {}
         self._turn = 0
-        self._in_turn: list[str] = []
+        self._names: list[str] = []
         self._suspected: set[str] = set()
         self._dead: set[str] = set()
         self._disputed: set[str] = set()
+        self.urgent_until_ms = 0
         self.refused_members = 0
+        self.suspicions = 0
+        self.deaths = 0
         self.changed = True
 
     def __len__(self) -> int:
         return len(self._members)
 
     def __iter__(self) -> Iterator[Member]:
-        return iter(self._members.values())
+        """Iterate over the members, sorted by name."""
+        return (self._members[name] for name in self._names)
+
+    def names(self) -> Sequence[str]:
+        """Return the names of all members, sorted."""
+        return self._names
 
     def get(self, host: str) -> Member | None:
         """Return the member named ``host``, or None."""
@@ -105,7 +116,7 @@
             return None
         member = Member(host=host, failure_domain=failure_domain, incarnation=PRESUMED_INCARNATION)
         self._members[host] = member
-        self._in_turn.append(host)
+        bisect.insort(self._names, host)
         self.changed = True
         return member
 
@@ -142,6 +153,7 @@
         """Start a suspicion; a leaving member keeps its state. Return whether it is new."""
         if member.suspicion_deadline_ms is not None or member.state == MemberState.DEAD:
             return False
+        self.suspicions += 1
         if member.state == MemberState.ALIVE:
             return self._take(member, member.update()._replace(state=MemberState.SUSPECTED), now_ms)
         self._set_suspicion(member, now_ms + SUSPICION_MS)
@@ -222,10 +234,10 @@
 
     def next_in_turn(self) -> Member | None:
         """Return the members one after the other, to repair statements that were all lost."""
-        if not self._in_turn:
+        if not self._names:
             return None
-        self._turn = (self._turn + 1) % len(self._in_turn)
-        return self._members[self._in_turn[self._turn]]
+        self._turn = (self._turn + 1) % len(self._names)
+        return self._members[self._names[self._turn]]
 
     def _add_stated(self, update: MemberUpdate) -> Member | None:
         if update.state == MemberState.DEAD:
@@ -237,6 +249,8 @@
         if member.state == MemberState.DEAD:
             # A host that comes back may be a new process, which has not applied any revision yet.
             member.digest = HostDigest()
+        if state != MemberState.ALIVE or member.state == MemberState.SUSPECTED:
+            self.urgent_until_ms = now_ms + URGENT_MS
         member.incarnation = incarnation
         member.state = state
         member.row = None
@@ -263,6 +277,7 @@
     def _expire_suspicion(self, member: Member, now_ms: int) -> None:
         deadline_ms = member.suspicion_deadline_ms
         if deadline_ms is not None and now_ms >= deadline_ms:
+            self.deaths += 1
             self._take(member, member.update()._replace(state=MemberState.DEAD), now_ms)
 
     def _expire_member(self, member: Member, now_ms: int, *, listed: frozenset[str]) -> None:
@@ -270,7 +285,7 @@
             return
         if now_ms >= member.remove_at_ms:
             del self._members[member.host]
-            self._in_turn.remove(member.host)
+            self._names.remove(member.host)
             self._disputed.discard(member.host)
             self._dead.discard(member.host)
             self._sends_left.pop(member.host, None)
--- a/src/redwingswitch/_internal/decisions/membership.py
+++ b/src/redwingswitch/_internal/decisions/membership.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterable
 
 from redwingswitch._internal.decisions.digest_bounds import bound_digest, expand_digest
@@ -19,6 +20,7 @@
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import (
     HostDigest,
+    MembershipStatistics,
     MembershipView,
     MemberState,
     MemberView,
@@ -142,6 +144,14 @@
             self._table.changed = False
         return self._view
 
+    def statistics(self) -> MembershipStatistics:
+        """Return the counters of this host."""
+        table = self._table
+        refutations = self._gossip.refutations
+        return MembershipStatistics(
+            table.suspicions, table.deaths, refutations, table.refused_members
+        )
+
     def next_deadline_ms(self) -> int | None:
         """Return when ``on_timer`` is to be called next."""
         deadlines = (self._prober.next_deadline_ms(), self._table.suspicion_deadline_ms())
@@ -222,9 +232,9 @@
         own = self._gossip.own_update()
         service_ids = self._service_ids()
         digest = self._prober.digest
-        rows = [MemberView(own.host, own.failure_domain, own.incarnation, own.state, digest)]
-        rows += [_row(member, service_ids) for member in self._table]
-        rows.sort(key=lambda row: row.host)
+        rows = [member.row or _row(member, service_ids) for member in self._table]
+        own_row = MemberView(own.host, own.failure_domain, own.incarnation, own.state, digest)
+        bisect.insort(rows, own_row)
         return MembershipView(tuple(rows))
 
     def _service_ids(self) -> tuple[int, ...]:
@@ -233,8 +243,6 @@
 
 
 def _row(member: Member, service_ids: tuple[int, ...]) -> MemberView:
-    if member.row is not None:
-        return member.row
     digest = expand_digest(member.digest, service_ids)
     member.row = MemberView(
         member.host, member.failure_domain, member.incarnation, member.state, digest
--- a/src/redwingswitch/_internal/decisions/prober.py
+++ b/src/redwingswitch/_internal/decisions/prober.py
@@ -4,7 +4,7 @@
 
 from redwingswitch._internal.decisions.dead_probes import DeadProbes
 from redwingswitch._internal.decisions.member_gossip import MemberGossip
-from redwingswitch._internal.decisions.member_table import Member, MemberTable
+from redwingswitch._internal.decisions.member_table import MemberTable
 from redwingswitch._internal.decisions.platform_hints import PlatformHints
 from redwingswitch._internal.decisions.probes import (
     RELAY_MS,
@@ -21,6 +21,7 @@
 
 NEAR_PROBE_INTERVAL_MS = 300
 FAR_PROBE_INTERVAL_MS = 1_000
+URGENT_FAR_INTERVAL_MS = 300
 NEAR_ACK_MS = 150
 FAR_ACK_MS = 400
 NEAR_INDIRECT_MS = 300
@@ -155,6 +156,8 @@
         if self._next_near_ms is None or now_ms < self._next_near_ms:
             return []
         self._next_near_ms = now_ms + NEAR_PROBE_INTERVAL_MS
+        if self._next_far_ms is not None and now_ms < self._table.urgent_until_ms:
+            self._next_far_ms = min(self._next_far_ms, now_ms + URGENT_FAR_INTERVAL_MS)
         actions = self._probe_next(self._near_order, now_ms, near=True)
         return actions + self._ping_suspected() + self._probe_disputed(now_ms)
 
@@ -171,7 +174,7 @@
         return [] if target is None else self.ping_now(target)
 
     def _probe_next(self, order: ProbeOrder, now_ms: int, *, near: bool) -> list[Action]:
-        target = order.next(m.host for m in self._table if self._probed(m, near=near))
+        target = order.next(self._table.names(), self._is_near if near else self._is_far)
         if target is None:
             return []
         return self._probe(target, now_ms, near=near)
@@ -184,10 +187,17 @@
         self._pending.put(PendingProbe(target, sequence, near, False, deadline_ms))
         return [self._ping(target, sequence)]
 
-    def _probed(self, member: Member, *, near: bool) -> bool:
-        if member.state == MemberState.DEAD:
+    def _is_near(self, host: str) -> bool:
+        member = self._table.get(host)
+        if member is None or member.state == MemberState.DEAD:
+            return False
+        return member.failure_domain == self._failure_domain
+
+    def _is_far(self, host: str) -> bool:
+        member = self._table.get(host)
+        if member is None or member.state == MemberState.DEAD:
             return False
-        return (member.failure_domain == self._failure_domain) == near
+        return member.failure_domain != self._failure_domain
 
     def _ping_suspected(self) -> list[Action]:
         suspected = [member.host for member in self._table.suspected()]
--- a/src/redwingswitch/_internal/decisions/probes.py
+++ b/src/redwingswitch/_internal/decisions/probes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from redwingswitch._internal.ports import RandomSource
@@ -37,19 +37,16 @@
         self._random = random_source
         self._round: list[str] = []
 
-    def next(self, candidates: Iterable[str]) -> str | None:
-        """Return the next host that is still a candidate, or None without candidates."""
-        eligible = sorted(candidates)
-        if not eligible:
-            return None
-        known = set(eligible)
+    def next(self, names: Iterable[str], is_candidate: Callable[[str], bool]) -> str | None:
+        """Return the next of ``names`` that is a candidate, or None without candidates."""
         while self._round:
             host = self._round.pop()
-            if host in known:
+            if is_candidate(host):
                 return host
-        self._random.shuffle(eligible)
-        self._round = eligible
-        return self._round.pop()
+        candidates = sorted(host for host in names if is_candidate(host))
+        self._random.shuffle(candidates)
+        self._round = candidates
+        return self._round.pop() if self._round else None
 
 
 class PendingProbes:
--- a/src/redwingswitch/_internal/models/members.py
+++ b/src/redwingswitch/_internal/models/members.py
@@ -69,6 +69,19 @@
     digest: HostDigest
 
 
+class MembershipStatistics(NamedTuple):
+    """Counters of one host since its start.
+
+    ``suspicions`` and ``deaths`` are those that this host stated itself; ``refutations`` are
+    statements about this host that it refuted.
+    """
+
+    suspicions: int
+    deaths: int
+    refutations: int
+    refused_members: int
+
+
 class MembershipView(NamedTuple):
     """The hosts this host knows, itself included, sorted by name."""
 
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -139,7 +139,7 @@
         self._time_ms = 1_000.0
         self._queue: list = []
         self._count = 0
-        self._incarnation = 1 << 30
+        self._incarnation = 1_764_000_000_000 << 16
 
     def now(self) -> int:
         return int(self._time_ms)
--- a/tests/unit/decisions/test_convergence.py
+++ b/tests/unit/decisions/test_convergence.py
@@ -316,6 +316,8 @@
         self.cluster.set_store_down(False)
         for host in [each for each in self._hosts() if each.paused]:
             self.cluster.resume(host.name)
+        # A document that was on its way when the store lost it is known to no host before this.
+        self.cluster.run_ms(1_000)
         highest = self._highest()
         assert self.cluster.run_until(lambda: self._settled(highest), limit_ms=60_000) is not None
 
