Measure the time from an accepted configuration to its being in force

Change: benchmarks/configuration.py runs 7 to 270 hosts with none, one and two faults on a virtual clock and counts store calls and transferred bytes.

--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,204 @@
+"""Time from accepting a configuration to its being in force on every host, with faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+
+from benchmarks.tables import Table
+from redwingswitch._internal.models.messages import (
+    MESSAGE_SCHEMA_VERSION,
+    MESSAGE_TYPES,
+    RevisionDocument,
+    RevisionOffer,
+    RevisionRequest,
+)
+from tests.lib.cluster import Cluster, document
+
+COMMAND = "python -m benchmarks.run_all configuration"
+DOMAINS = {7: 3, 9: 4, 30: 5, 90: 5, 270: 5}
+RUNS = {7: 10, 9: 10, 30: 3, 90: 1, 270: 1}
+TEXT_BYTES = 100_000
+IN_FORCE_TARGET_MS = 9_000
+LIMIT_MS = 30_000
+SETTLING_MS = 3_000
+IDLE_MS = 10_000
+CUT_OFF_MS = 10_000
+# The store answers in milliseconds, so a change that it accepted has left it by then.
+STORE_DOWN_AFTER_MS = 10
+
+
+class Result(NamedTuple):
+    """One change: when it was in force everywhere, what it cost, and the store's idle load."""
+
+    in_force_ms: float | None
+    store_calls: int
+    peer_bytes: int
+    idle_calls_per_s: float
+
+
+def run() -> list[Table]:
+    """Return the tables of this module."""
+    return [_convergence_table()]
+
+
+def _watcher(cluster: Cluster, domain: str = "domain-0") -> str:
+    for host in cluster.hosts.values():
+        if host.domain == domain and host.convergence.watching(cluster.now()):
+            return host.name
+    raise RuntimeError(f"{domain} has no watcher")
+
+
+def _no_fault(cluster: Cluster) -> None:
+    cluster.accept(_changed())
+
+
+def _store_down(cluster: Cluster) -> None:
+    cluster.accept(_changed())
+    cluster.run_ms(STORE_DOWN_AFTER_MS)
+    cluster.set_store_down(True)
+
+
+def _watcher_dies(cluster: Cluster) -> None:
+    cluster.crash(_watcher(cluster))
+    cluster.accept(_changed())
+
+
+def _watcher_dies_and_store_down(cluster: Cluster) -> None:
+    cluster.crash(_watcher(cluster))
+    _store_down(cluster)
+
+
+def _two_watchers_die(cluster: Cluster) -> None:
+    cluster.crash(_watcher(cluster, "domain-1"))
+    _watcher_dies(cluster)
+
+
+def _domain_healed(cluster: Cluster) -> None:
+    cluster.separate({"domain-0"})
+    cluster.accept(_changed())
+    cluster.run_ms(CUT_OFF_MS)
+    cluster.separate(set())
+
+
+def _domain_healed_and_store_down(cluster: Cluster) -> None:
+    cluster.separate({"domain-0"})
+    _store_down(cluster)
+    cluster.run_ms(CUT_OFF_MS)
+    cluster.separate(set())
+
+
+# Each row: faults in the case, its name, what happens. Times count from the return of the call,
+# that is, from the acceptance or from the end of the separation.
+CASES: tuple[tuple[int, str, Callable[[Cluster], None]], ...] = (
+    (0, "none", _no_fault),
+    (1, "store down 10 ms after accepting", _store_down),
+    (1, "a watcher dies", _watcher_dies),
+    (1, "a domain is cut off for 10 s; from healing", _domain_healed),
+    (2, "a watcher dies, store down", _watcher_dies_and_store_down),
+    (2, "the watchers of two domains die", _two_watchers_die),
+    (2, "a domain is cut off, store down; from healing", _domain_healed_and_store_down),
+)
+# Cases of a cut-off domain at 270 hosts take minutes of computing time.
+CASES_AT_270 = frozenset({"none", "a watcher dies", "a watcher dies, store down"})
+
+
+def _convergence_table() -> Table:
+    rows = []
+    missed = []
+    for hosts in DOMAINS:
+        for faults, name, cause in CASES:
+            if hosts == 270 and name not in CASES_AT_270:
+                continue
+            results = [_measure(hosts, seed, cause) for seed in range(RUNS[hosts])]
+            rows.append(_row(hosts, faults, name, results))
+            if _slowest(results) > IN_FORCE_TARGET_MS:
+                missed.append(f"{hosts} hosts, {name}")
+    verdict = "met in every row" if not missed else "missed by: " + "; ".join(missed)
+    conclusion = (
+        f"Target: in force on every host within {IN_FORCE_TARGET_MS} ms; {verdict}. The document "
+        f"has {TEXT_BYTES} bytes. Store calls are those between the acceptance and the time in "
+        "force, lease renewals and starting watches included; each domain keeps one watch waiting. "
+        "The virtual network has delays but no limit of bandwidth."
+    )
+    columns = (
+        "Hosts",
+        "Faults",
+        "Case",
+        "Runs",
+        "In force, slowest ms",
+        "Store calls, most",
+        "Idle store calls/s",
+        "Peer bytes per change and host",
+    )
+    return Table(
+        "configuration-convergence",
+        "From accepted to in force on every running host",
+        COMMAND,
+        0,
+        columns,
+        tuple(rows),
+        conclusion,
+    )
+
+
+def _changed():
+    return document(2, text="x" * TEXT_BYTES)
+
+
+def _measure(hosts: int, seed: int, cause: Callable[[Cluster], None]) -> Result:
+    cluster = _settled_cluster(hosts, seed)
+    before = sum(cluster.store.calls.values())
+    idle_ms = IDLE_MS if hosts < 90 else SETTLING_MS
+    cluster.run_ms(idle_ms)
+    idle = (sum(cluster.store.calls.values()) - before) * 1_000 / idle_ms
+    sent: list[int] = []
+    cluster.on_send = lambda host, target, incarnation, message: sent.append(
+        _transfer_bytes(host.name, incarnation, message)
+    )
+    before = sum(cluster.store.calls.values())
+    cause(cluster)
+    in_force_ms = cluster.run_until(lambda: cluster.in_force(2), limit_ms=LIMIT_MS)
+    calls = sum(cluster.store.calls.values()) - before
+    return Result(in_force_ms, calls, sum(sent) // hosts, idle)
+
+
+def _settled_cluster(hosts: int, seed: int) -> Cluster:
+    names = {f"entry-{n}": f"domain-{n % DOMAINS[hosts]}" for n in range(hosts)}
+    cluster = Cluster(hosts=names, seed=seed)
+    cluster.accept(document(1))
+    for name in names:
+        cluster.start(name)
+    if cluster.run_until(lambda: cluster.in_force(1), limit_ms=LIMIT_MS) is None:
+        raise RuntimeError("the first revision is not in force")
+    cluster.run_ms(SETTLING_MS + 111 * seed)
+    return cluster
+
+
+def _transfer_bytes(sender: str, incarnation: int, message) -> int:
+    if not isinstance(message, RevisionOffer | RevisionRequest | RevisionDocument):
+        return 0
+    kind = MESSAGE_TYPES.index(type(message))
+    fields = [MESSAGE_SCHEMA_VERSION, sender, incarnation, kind, *message]
+    return len(msgspec.msgpack.encode(fields))
+
+
+def _slowest(results: list[Result]) -> float:
+    times = [LIMIT_MS if r.in_force_ms is None else r.in_force_ms for r in results]
+    return max(times)
+
+
+def _row(hosts: int, faults: int, name: str, results: list[Result]) -> tuple[str, ...]:
+    slowest = _slowest(results)
+    return (
+        str(hosts),
+        str(faults),
+        name,
+        str(len(results)),
+        f"{slowest:.0f}" if slowest < LIMIT_MS else f"not within {LIMIT_MS}",
+        str(max(result.store_calls for result in results)),
+        f"{sum(r.idle_calls_per_s for r in results) / len(results):.1f}",
+        str(sum(result.peer_bytes for result in results) // len(results)),
+    )
