--- a/tests/unit/decisions/test_convergence.py
+++ b/tests/unit/decisions/test_convergence.py
@@ -179,6 +179,37 @@
     assert WatchStore(False) in found and not part.watching(30_000)
 
 
+def test_restoring_write_that_is_late_does_not_overwrite_a_successor():
+    cluster = started()
+    cluster.accept(document(2))
+    cluster.run_ms(2_000)
+    cluster.store.go_back_to(document(1))
+    cluster.store_call_ms = 20_000
+    cluster.notify_watchers()
+    cluster.run_ms(100)
+    cluster.store_call_ms = 2
+    cluster.accept(document(3))
+    cluster.run_ms(30_000)
+    assert cluster.store.refused_restores >= 1
+    assert cluster.store.revision() == 3 and cluster.in_force(3)
+
+
+def test_watch_that_fell_silent_is_renewed_within_the_bound():
+    part = holding(alone(), 0)
+    part.on_store_document(StoreDocumentArrived(document(5), 9), 100)
+    renewed = [
+        now_ms for now_ms in range(200, 9_000, 50) if WatchStore(True) in _kept(part, now_ms)
+    ]
+    assert renewed and renewed[0] < IN_FORCE_MS
+
+
+def _kept(part, now_ms):
+    found = part.on_timer(now_ms)
+    for ask in of_kind(found, AcquireLease):
+        part.on_lease_granted(LeaseGranted(1, 77, ask.asked_ms), now_ms)
+    return found
+
+
 def test_leaving_watcher_releases_its_lease():
     part = holding(alone(), 0)
     row = MemberView("entry-1", "a", 1, MemberState.LEAVING, HostDigest())
@@ -270,6 +301,10 @@
     def lose_answers(self, lost):
         self.cluster.lose_store_answers = lost
 
+    @rule(call_ms=st.sampled_from([2, 2_500, 9_000]))
+    def slow_store_calls(self, call_ms):
+        self.cluster.store_call_ms = call_ms
+
     @rule(domains=st.sets(st.sampled_from("abc"), max_size=2), from_store=st.booleans())
     def separate(self, domains, from_store):
         self.cluster.separate(domains, from_store=from_store)
@@ -313,6 +348,7 @@
         self.cluster.separate(set())
         self.cluster.link = Link()
         self.cluster.lose_store_answers = False
+        self.cluster.store_call_ms = 2
         self.cluster.set_store_down(False)
         for host in [each for each in self._hosts() if each.paused]:
             self.cluster.resume(host.name)
