Keep failures of other store calls from delaying a renewal

Cause: every StoreUnavailable event set the next renewal anew, so a watch that failed again and again could let a lease lapse without an attempt to renew it.

Change: a failure may only bring the next renewal or watch forward.

--- a/src/redwingswitch/_internal/decisions/lease.py
+++ b/src/redwingswitch/_internal/decisions/lease.py
@@ -86,11 +86,14 @@
         return []
 
     def on_unavailable(self, now_ms: int) -> list[Action]:
-        """Note that the store failed; ask again after a doubling backoff."""
+        """Note that a call to the store failed; ask again after a doubling backoff.
+
+        The failed call may be an unrelated one, so it never delays a renewal.
+        """
         backoff_ms = min(LAST_RETRY_MS, FIRST_RETRY_MS << min(self._failures, 8))
         self._failures += 1
-        if self._wanted:
-            self._next_ask_ms = now_ms + self._jittered(backoff_ms)
+        if self._next_ask_ms is not None:
+            self._next_ask_ms = min(self._next_ask_ms, now_ms + self._jittered(backoff_ms))
         return []
 
     def next_deadline_ms(self) -> int | None:
--- a/src/redwingswitch/_internal/decisions/store_copy.py
+++ b/src/redwingswitch/_internal/decisions/store_copy.py
@@ -53,7 +53,9 @@
         self._revision = None
         backoff_ms = min(LAST_WATCH_RETRY_MS, FIRST_WATCH_RETRY_MS << min(self._failures, 8))
         self._failures += 1
-        self._next_watch_ms = now_ms + int(backoff_ms * (1 - JITTER * self._random.random()))
+        again_ms = now_ms + int(backoff_ms * (1 - JITTER * self._random.random()))
+        # Failures of other calls in quick succession must not put the watch off for ever.
+        self._next_watch_ms = min(self._next_watch_ms or again_ms, again_ms)
 
     def restore(self, document: Document, fencing_version: int, now_ms: int) -> list[Action]:
         """Return the write that brings an older store up to ``document``, at most one at a time."""
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -3,6 +3,7 @@
 import heapq
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
@@ -114,8 +115,7 @@
     def _apply(self, accepted: Document) -> None:
         now = self.cluster.now()
         self.applied.append((accepted["revision"], now))
-        digest = HostDigest(accepted["revision"], accepted["digest"])
-        self.membership.set_digest(digest)
+        self.membership.set_digest(HostDigest(accepted["revision"], accepted["digest"]))
         entries = tuple(entry(name, domain) for name, domain in self.cluster.declared.items())
         configuration = Configuration(accepted["revision"], accepted["digest"], (), (), entries, ())
         for action in self.membership.apply_configuration(configuration, now):
@@ -163,9 +163,8 @@
     def resume(self, name: str) -> None:
         host = self.hosts[name]
         host.paused = False
-        self._at(0, lambda: self._run_for(host, host.on_timer))
-        for call in host.deferred:
-            self._at(1, lambda call=call: self._run_for(host, call))
+        for delay_ms, call in enumerate([host.on_timer, *host.deferred]):
+            self._at(min(1, delay_ms), partial(self._run_for, host, call))
         host.deferred = []
 
     def separate(self, domains: set[str], *, from_store: bool = True) -> None:
@@ -212,17 +211,16 @@
         for _ in range(copies):
             if self.random.random() >= self.link.loss:
                 delay_ms = self._delay_ms(sender.domain, self.declared.get(target, ""))
-                call = self._delivery(sender, target, incarnation, message)
-                self._at(delay_ms, call)
+                self._at(delay_ms, partial(self._deliver, sender, target, incarnation, message))
 
     def set_timer(self, host: SimulatedHost, deadline_ms: int | None) -> None:
         if deadline_ms is None or host.timer_ms == deadline_ms:
             return
         host.timer_ms = deadline_ms
-        self._at(max(0, deadline_ms - self._time_ms), lambda: self._fire(host, deadline_ms))
+        self._at(max(0, deadline_ms - self._time_ms), partial(self._fire, host, deadline_ms))
 
     def call_store(self, host: SimulatedHost, action) -> None:
-        self._at(self.store_call_ms, lambda: self._at_store(host, action))
+        self._at(self.store_call_ms, partial(self._at_store, host, action))
 
     def states_of(self, name: str) -> dict[str, MemberState | None]:
         """Return the state of one host in the view of every running host."""
@@ -232,11 +230,8 @@
     def all_agree(self) -> bool:
         """Tell whether every running host sees exactly the running hosts as alive."""
         running = set(self.hosts)
-        for host in self.hosts.values():
-            rows = host.membership.view().members
-            if {m.host for m in rows if m.state == MemberState.ALIVE} != running:
-                return False
-        return True
+        views = [host.membership.view().members for host in self.hosts.values()]
+        return all({m.host for m in v if m.state == MemberState.ALIVE} == running for v in views)
 
     def in_force(self, revision: int) -> bool:
         return all(h.convergence.revision() == revision for h in self.hosts.values())
@@ -249,29 +244,21 @@
         low, high = self.link.near_delay_ms if left == right else self.link.far_delay_ms
         return low + (high - low) * self.random.random()
 
-    def _delivery(self, sender, target, incarnation, message) -> Callable[[], None]:
-        def deliver() -> None:
-            host = self.hosts.get(target)
-            if host is not None and self._reachable(sender.domain, host.domain):
-                self._run_for(host, lambda: host.receive(sender.name, incarnation, message))
+    def _deliver(self, sender, target, incarnation, message) -> None:
+        host = self.hosts.get(target)
+        if host is not None and self.reachable(sender.domain, host.domain):
+            self._run_for(host, partial(host.receive, sender.name, incarnation, message))
 
-        return deliver
-
-    def _reachable(self, left: str, right: str) -> bool:
+    def reachable(self, left: str, right: str) -> bool:
         return left == right or not self.separated & {left, right}
 
     def _run_for(self, host: SimulatedHost, call: Callable[[], None]) -> None:
-        if self.hosts.get(host.name) is not host:
-            return
-        if host.paused:
-            host.deferred.append(call)
-        else:
-            call()
+        if self.hosts.get(host.name) is host:
+            host.deferred.append(call) if host.paused else call()
 
     def _fire(self, host: SimulatedHost, deadline_ms: int) -> None:
-        if host.timer_ms != deadline_ms or host.paused:
-            return
-        if self.hosts.get(host.name) is host:
+        current = host.timer_ms == deadline_ms and self.hosts.get(host.name) is host
+        if current and not host.paused:
             host.timer_ms = None
             host.on_timer()
 
@@ -281,14 +268,12 @@
             self._answer(host, host.convergence.on_store_unavailable)
 
     def _answer(self, host: SimulatedHost, handle: Callable) -> None:
-        def call() -> None:
-            host.after(handle(self.now()))
-
-        self._at(STORE_DELAY_MS / 2, lambda: self._run_for(host, call))
+        call = partial(self._run_for, host, lambda: host.after(handle(self.now())))
+        self._at(STORE_DELAY_MS / 2, call)
 
     def _deliver_document(self, host: SimulatedHost) -> None:
         event = StoreDocumentArrived(self.store.document, self.store.version)
-        self._answer(host, lambda now: host.convergence.on_store_document(event, now))
+        self._answer(host, partial(host.convergence.on_store_document, event))
 
     def _at_store(self, host: SimulatedHost, action) -> None:
         if self.store.down or host.domain in self.store_cut:
@@ -311,7 +296,7 @@
             self._answer(host, host.convergence.on_lease_refused)
         else:
             event = LeaseGranted(lease.lease_id, lease.key_version, action.asked_ms)
-            self._answer(host, lambda now: host.convergence.on_lease_granted(event, now))
+            self._answer(host, partial(host.convergence.on_lease_granted, event))
 
     def _watch(self, host: SimulatedHost, watching: bool) -> None:
         if not watching or host.name not in self.hosts:
@@ -323,7 +308,5 @@
         self._deliver_document(host)
 
     def _restore(self, host: SimulatedHost, action) -> None:
-        key = f"redwingswitch/watcher/{host.domain}"
-        written = self.store.restore(action, key, self.now())
-        if written:
+        if self.store.restore(action, f"redwingswitch/watcher/{host.domain}", self.now()):
             self.notify_watchers()
--- a/tests/unit/decisions/test_convergence.py
+++ b/tests/unit/decisions/test_convergence.py
@@ -25,11 +25,7 @@
     MemberState,
     MemberView,
 )
-from redwingswitch._internal.models.messages import (
-    RevisionDocument,
-    RevisionOffer,
-    RevisionRequest,
-)
+from redwingswitch._internal.models.messages import RevisionDocument, RevisionOffer, RevisionRequest
 from tests.lib.cluster import Cluster, Link, document
 
 HOSTS = {f"entry-{n}": "abc"[n % 3] for n in range(1, 8)}
--- a/tests/unit/decisions/test_lease_and_drain.py
+++ b/tests/unit/decisions/test_lease_and_drain.py
@@ -61,6 +61,16 @@
     assert deadlines[-1] <= renewal_ms + TTL_MS
 
 
+def test_failures_of_other_calls_never_delay_a_renewal():
+    lease = asking()
+    lease.on_granted(LeaseGranted(1, 7, 1_000), 1_005)
+    asked = []
+    for now_ms in range(1_100, 6_000, 100):
+        lease.on_unavailable(now_ms)
+        asked += lease.on_timer(now_ms)
+    assert asked and asked[0].asked_ms <= 3_000
+
+
 def test_grant_that_arrives_after_a_release_is_given_back():
     lease = asking()
     assert lease.release(1_010) == []
--- a/tests/unit/decisions/test_membership.py
+++ b/tests/unit/decisions/test_membership.py
@@ -170,15 +170,11 @@
 
 def _wrong_rows(cluster, cut_off, *, same_side):
     """Count the dead rows about hosts on the same side, or the rows about others not dead."""
-    count = 0
-    for host in cluster.hosts.values():
-        for row in host.membership.view().members:
-            together = host.domain == row.failure_domain or not cut_off & {
-                host.domain,
-                row.failure_domain,
-            }
-            count += together == same_side and (row.state == DEAD) == same_side
-    return count
+    rows = [(h, row) for h in cluster.hosts.values() for row in h.membership.view().members]
+    sides = [not {h.domain, row.failure_domain} & cut_off for h, row in rows]
+    same = [side or h.domain == r.failure_domain for side, (h, r) in zip(sides, rows, strict=True)]
+    dead = [row.state == DEAD for _, row in rows]
+    return list(zip(same, dead, strict=True)).count((same_side, same_side))
 
 
 def test_paused_host_gives_others_the_whole_time_to_answer_again():
