--- a/src/redwingswitch/_internal/models/members.py
+++ b/src/redwingswitch/_internal/models/members.py
@@ -31,11 +31,26 @@
     failure_domain: str
 
 
+class PendingTable(NamedTuple):
+    """A table that a host prepares, or activated lately (``activates_in_ms`` 0)."""
+
+    revision: int
+    activates_in_ms: int
+
+
 class NeededRevision(NamedTuple):
-    """The oldest revision whose table a host's records still need, for one service."""
+    """What a host states about its lookup tables of one service.
+
+    ``revision`` is the oldest revision whose table its records still need, 0 for none;
+    ``oldest_held_revision`` is the oldest whose table it holds. ``records_needed`` is true while it
+    has records in buckets that were displaced by an ejection.
+    """
 
     service_id: int
     revision: int
+    oldest_held_revision: int = 0
+    pending: tuple[PendingTable, ...] = ()
+    records_needed: bool = False
 
 
 class WaitEstimate(NamedTuple):
--- a/src/redwingswitch/_internal/models/messages.py
+++ b/src/redwingswitch/_internal/models/messages.py
@@ -9,7 +9,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
-from redwingswitch._internal.models.configuration import Document
+from redwingswitch._internal.models.configuration import BackendServer, Document
 from redwingswitch._internal.models.identifiers import CallerAddress, FlowKey, PacketKind
 from redwingswitch._internal.models.members import HostDigest, MemberUpdate
 from redwingswitch._internal.models.requests import RequestHeader
@@ -78,12 +78,16 @@
 
 
 class RecordBatch(NamedTuple):
-    """Flow records of one service whose backend server differs from the oldest table's."""
+    """Flow records of one service whose backend server differs from the oldest table's.
+
+    ``complete`` is true on the last batch of a hand-over: the sender has nothing more to hand over.
+    """
 
     service_id: int
     sequence: int
     purpose: BatchPurpose
     groups: tuple[RecordGroup, ...]
+    complete: bool = False
 
 
 class RecordBatchAck(NamedTuple):
@@ -138,21 +142,31 @@
 class ClaimRequest(NamedTuple):
     """Asks a witness to grant a request id to the sender.
 
-    ``host_set_revision`` is the revision that last changed the declared entry hosts.
+    ``host_set_revision`` is the revision from which the sender knows the declared entry hosts, and
+    ``revision`` is the configuration revision that it holds. ``claimant_incarnation`` identifies
+    the sender's process: the incarnation in the envelope may rise when a suspicion is refuted.
     """
 
     request_id: bytes
     host_set_revision: int
+    revision: int = 0
+    claimant_incarnation: int = 0
 
 
 class ClaimReply(NamedTuple):
-    """Answers a ``ClaimRequest``; the holder fields are set for ``HELD``."""
+    """Answers a ``ClaimRequest``; the holder fields are set for ``GRANTED`` and ``HELD``.
+
+    ``settled`` is true when the witness knows that no change of the declared entry hosts is in
+    progress at ``revision``, the configuration revision that it holds.
+    """
 
     request_id: bytes
     decision: ClaimDecision
     holder: str = ""
     holder_incarnation: int = 0
     host_set_revision: int = 0
+    revision: int = 0
+    settled: bool = False
 
 
 class CancelRequest(NamedTuple):
@@ -162,6 +176,36 @@
     request_id: bytes
 
 
+class HistoricTable(NamedTuple):
+    """One lookup table, described by the servers that it was computed from.
+
+    ``activates_in_ms`` is 0 for a table that was activated.
+    """
+
+    revision: int
+    activates_in_ms: int
+    servers: tuple[str, ...]
+
+
+class TableHistoryRequest(NamedTuple):
+    """Asks for the tables of a service that the sender did not learn in time."""
+
+    service_id: int
+
+
+class TableHistory(NamedTuple):
+    """Answers a ``TableHistoryRequest``, oldest table first.
+
+    ``servers`` describes every server that the tables name, removed ones included.
+    ``held_servers`` names those whose buckets stay displaced after an ejection.
+    """
+
+    service_id: int
+    tables: tuple[HistoricTable, ...]
+    servers: tuple[BackendServer, ...]
+    held_servers: tuple[str, ...] = ()
+
+
 PeerMessage = (
     Ping
     | Ack
@@ -178,6 +222,8 @@
     | ClaimRequest
     | ClaimReply
     | CancelRequest
+    | TableHistoryRequest
+    | TableHistory
 )
 
 # The position of a type is its kind on the wire; append new types at the end.
@@ -197,4 +243,6 @@
     ClaimRequest,
     ClaimReply,
     CancelRequest,
+    TableHistoryRequest,
+    TableHistory,
 )
