Admit short work for half of its time and start only what fits

Useful work was overstated: runs that outlived their deadline were not counted as waste because their answers are ignored. A short request is now refused when the wait takes more than half of its time, and nothing starts that most likely ends late. Dispatches are reported to the health part, so that a probe is one request.

--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -5,6 +5,7 @@
 import random
 from collections.abc import Sequence
 from typing import Any, NamedTuple
+from unittest import mock
 
 import msgspec
 from hdrh.histogram import HdrHistogram
@@ -21,6 +22,7 @@
     Result,
 )
 from benchmarks.tables import Table
+from redwingswitch._internal.decisions import admission
 from redwingswitch._internal.decisions.hashing import maglev_table
 from redwingswitch._internal.models.messages import ClaimReply, ClaimRequest
 from redwingswitch._internal.models.requests import FailureKind, Outcome, SizeHint
@@ -54,6 +56,7 @@
         _crest_table(),
         _blocking_table(),
         _retry_table(),
+        _ideas_table(),
         _control_table(),
     ]
 
@@ -245,17 +248,11 @@
 def _useful_share(
     deployment: Deployment, busy: Sequence[BusyTime], results: Sequence[Result]
 ) -> float:
-    """Return the share of slot time at the crest that useful answers took."""
-    occupied = sum(_busy_by_server(busy, deployment.servers, CREST_BEGIN_MS, CREST_END_MS))
-    wasted = sum(
-        result.job.service_ms
-        for result in results
-        if result.answered_ms is not None
-        and not result.useful
-        and CREST_BEGIN_MS <= result.answered_ms < CREST_END_MS
-    )
+    """Return the share of slot time at the crest that useful answers took, one run a job."""
+    runs = {span.job: span for span in busy if results[span.job].useful}
+    sums = _busy_by_server(list(runs.values()), deployment.servers, CREST_BEGIN_MS, CREST_END_MS)
     slots = deployment.servers * deployment.slots
-    return (occupied - wasted) / (slots * (CREST_END_MS - CREST_BEGIN_MS))
+    return sum(sums) / (slots * (CREST_END_MS - CREST_BEGIN_MS))
 
 
 def _crest_row(results: Sequence[Result], useful: float) -> tuple[str, ...]:
@@ -398,6 +395,49 @@
     )
 
 
+def _ideas_table() -> Table:
+    rows = []
+    steps = [Step(30_000, 0.6)]
+    jobs = workload(HUON, steps, seed=SEED)
+    for label, breaking in (("no circuit breaking", False), ("circuit breaking", True)):
+        model = CoordinatedRun(
+            HUON,
+            jobs,
+            seed=SEED,
+            expected_ms=round(SHORT_MS),
+            failing=lambda server, now_ms, source: FailureKind.RESET if server == 0 else None,
+            breaking=breaking,
+        )
+        rows.append(("one of 7 servers resets", label, *_ideas_row(model.run(), long=False)))
+    mixed = workload(CHIKUSHI, [Step(60_000, 0.85)], seed=SEED, long_share=0.05)
+    for label, ageing_ms in (("no ageing", 1 << 40), ("ageing", admission.LONG_AGEING_MS)):
+        with mock.patch.object(admission, "LONG_AGEING_MS", ageing_ms):
+            results = CoordinatedRun(CHIKUSHI, mixed, seed=SEED, expected_ms=round(SHORT_MS)).run()
+        rows.append(("5 % long, 85 % load, Chikushi", label, *_ideas_row(results, long=True)))
+    return Table(
+        "service-ideas",
+        "Circuit breaking and ageing lanes",
+        COMMAND,
+        SEED,
+        ("Case", "Rule", "Short answered in time", "Short p99 ms", "Long in time", "Long p99 ms"),
+        tuple(rows),
+        "Circuit breaking ejects a server after 5 failures in a row, with a jittered backoff of 1 "
+        f"to 30 s. Ageing gives a long request that waited {admission.LONG_AGEING_MS / 1000:.0f} s "
+        "one reserved slot while no short request waits.",
+    )
+
+
+def _ideas_row(results: Sequence[Result], *, long: bool) -> tuple[str, ...]:
+    short = [r for r in results if not r.job.long]
+    lengthy = [r for r in results if r.job.long]
+    return (
+        _percent(sum(r.useful for r in short), len(short)),
+        f"{_ms(_latencies(results), 99):.0f}",
+        _percent(sum(r.useful for r in lengthy), len(lengthy)),
+        f"{_ms(_latencies(results, long=True), 99):.0f}" if long else "-",
+    )
+
+
 def _control_table() -> Table:
     rows = []
     for deployment in DEPLOYMENTS:
--- a/benchmarks/service_model.py
+++ b/benchmarks/service_model.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from redwingswitch._internal.decisions.health import BackendHealth
+from redwingswitch._internal.decisions.placement import ServerHealth
 from redwingswitch._internal.decisions.requests import RequestCoordinator
 from redwingswitch._internal.models.actions import (
     Action,
@@ -105,9 +107,10 @@
 
 
 class BusyTime(NamedTuple):
-    """A span in which a slot of a server was occupied."""
+    """A span in which a job occupied a slot of a server."""
 
     server: int
+    job: int
     from_ms: float
     until_ms: float
 
@@ -135,6 +138,9 @@
 class SteadyHealth:
     """Health of servers that the model never fails; may be replaced to try other policies."""
 
+    def on_dispatched(self, server: str, now_ms: int) -> None:
+        """Ignore a dispatch."""
+
     def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
         """Ignore an answer."""
 
@@ -216,6 +222,7 @@
         expected_ms: int,
         idempotent: bool = True,
         failing: Callable[[int, float, random.Random], FailureKind | None] | None = None,
+        breaking: bool = False,
     ) -> None:
         self.deployment, self.jobs = deployment, jobs
         self.busy: list[BusyTime] = []
@@ -225,14 +232,15 @@
         self.answered_ms: dict[int, float] = {}
         self._random = random.Random(seed)
         self._failing = failing
+        self._breaking = breaking
         self._events = Events()
         self._end_ms = max(job.deadline_ms for job in jobs) + 1_000
         self._occupied = [0] * deployment.servers
         self._waits: dict[str, tuple[WaitEstimate, ...]] = {}
         self._timers: dict[str, float] = {}
         self._domains = {f"h{i}": deployment.domain(i) for i in range(deployment.hosts)}
-        self._hosts = {name: self._coordinator(name, seed) for name in self._domains}
         config = configuration(deployment, expected_ms=expected_ms, idempotent=idempotent)
+        self._hosts = {name: self._coordinator(name, seed, config) for name in self._domains}
         for name, host in self._hosts.items():
             self._perform(name, host.apply_configuration(config, 0))
         self._heartbeat()
@@ -244,13 +252,17 @@
         self._events.run()
         return [Result(job, self.answered_ms.get(i)) for i, job in enumerate(self.jobs)]
 
-    def _coordinator(self, name: str, seed: int) -> RequestCoordinator:
+    def _coordinator(self, name: str, seed: int, config: Configuration) -> RequestCoordinator:
+        health: ServerHealth = SteadyHealth()
+        if self._breaking:
+            health = BackendHealth(random_source=random.Random(f"{seed}/{name}/health"))
+            health.apply_configuration(config, 0)
         return RequestCoordinator(
             host=name,
             failure_domain=self._domains[name],
             incarnation=1,
             random_source=random.Random(f"{seed}/{name}"),
-            health=SteadyHealth(),
+            health=health,
             abstain_until_ms=0,
         )
 
@@ -340,9 +352,10 @@
             self._events.at(now_ms + LOCAL_DELAY_MS, self._call, name, method, failed)
             return
         self._occupied[server] += 1
-        job = self.jobs[int.from_bytes(request.request_id, "big")]
+        index = int.from_bytes(request.request_id, "big")
+        job = self.jobs[index]
         end_ms = now_ms + job.service_ms / self.deployment.speed(server)
-        self.busy.append(BusyTime(server, now_ms, end_ms))
+        self.busy.append(BusyTime(server, index, now_ms, end_ms))
         self._events.at(end_ms, self._finish, name, request)
 
     def _finish(self, name: str, request: DispatchRequest) -> None:
@@ -428,7 +441,7 @@
             self._occupied[server] += 1
             now_ms = self._events.now_ms
             end_ms = now_ms + self.jobs[index].service_ms / self.deployment.speed(server)
-            self.busy.append(BusyTime(server, now_ms, end_ms))
+            self.busy.append(BusyTime(server, index, now_ms, end_ms))
             self._events.at(end_ms, self._finish, queue, server, index)
 
     def _finish(self, queue: int, server: int, index: int) -> None:
--- a/src/redwingswitch/_internal/decisions/admission.py
+++ b/src/redwingswitch/_internal/decisions/admission.py
@@ -18,7 +18,8 @@
 CALLER_SHARE = 4
 RESERVED_SHARE = 2
 LONG_MINIMUM_SHARE = 4
-LONG_AGEING_MS = 2_000
+SHORT_WAIT_SHARE = 0.5
+LONG_AGEING_MS = 5_000
 MAX_AGED_TURNS = 1
 MIN_RETRY_AFTER_MS = 50
 MAX_RETRY_AFTER_MS = 10_000
@@ -139,8 +140,7 @@
             return Refusal("the queue is full", _retry_after_ms(wait_ms))
         if self._caller_count(request.caller) >= max(1, self._bound // CALLER_SHARE):
             return Refusal("the caller's share of the queue is full", _retry_after_ms(wait_ms))
-        finish_ms = now_ms + wait_ms + self._times.cautious_ms(request.size)
-        if finish_ms > request.deadline_ms:
+        if not self._is_feasible(request, wait_ms, now_ms):
             return Refusal("the deadline is too near", _retry_after_ms(wait_ms))
         self._by_id[request.request_id] = request
         self._lanes[request.size].push(request)
@@ -168,8 +168,8 @@
         return request
 
     def last_start_ms(self, request: QueuedRequest) -> int:
-        """Return the latest time at which a request can start and still finish in time."""
-        return request.deadline_ms - round(self._times.mean_ms(request.size))
+        """Return the latest time at which a request can start and most likely finish in time."""
+        return request.deadline_ms - round(self._times.cautious_ms(request.size))
 
     def next_aged_ms(self) -> int | None:
         """Return when the oldest long request may take a reserved slot."""
@@ -184,6 +184,17 @@
             return 0.0
         return (ahead - open_slots + 1) * self._times.mean_ms(size) / slots
 
+    def _is_feasible(self, request: QueuedRequest, wait_ms: float, now_ms: int) -> bool:
+        """Return whether a request most likely finishes in time.
+
+        Service times vary, so a queue as long as the deadline allows ends in late answers. Short
+        work may wait for half of its time; long work is rare and may wait for nearly all of it.
+        """
+        left_ms = request.deadline_ms - now_ms
+        if request.size is SizeClass.SHORT and wait_ms > SHORT_WAIT_SHARE * left_ms:
+            return False
+        return wait_ms + self._times.cautious_ms(request.size) <= left_ms
+
     def _caller_count(self, caller: str) -> int:
         return sum(lane.count(caller) for lane in self._lanes.values())
 
--- a/src/redwingswitch/_internal/decisions/placement.py
+++ b/src/redwingswitch/_internal/decisions/placement.py
@@ -24,6 +24,9 @@
 class ServerHealth(Protocol):
     """What request dispatch needs to know about the health of backend servers."""
 
+    def on_dispatched(self, server: str, now_ms: int) -> object:
+        """Note that an attempt starts; towards an ejected server it is the probe."""
+
     def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
         """Note a whole answer."""
 
--- a/src/redwingswitch/_internal/decisions/request_runs.py
+++ b/src/redwingswitch/_internal/decisions/request_runs.py
@@ -251,6 +251,7 @@
             return []
         if entry.attempts_made == 0 and entry.non_starts == 0:
             dispatch.budget.note_first_attempt()
+        self._health.on_dispatched(server, now_ms)
         attempt = self._attempts.start(entry, server, now_ms)
         entry.state = RequestState.RUNNING
         if entry.idempotent and entry.size is SizeClass.SHORT and not hedge:
--- a/tests/lib/request_cluster.py
+++ b/tests/lib/request_cluster.py
@@ -30,6 +30,9 @@
     def __init__(self) -> None:
         self.failures: list[tuple[str, FailureKind]] = []
 
+    def on_dispatched(self, server: str, now_ms: int) -> None:
+        pass
+
     def on_success(self, server: str, latency_ms: int, now_ms: int) -> None:
         pass
 
