Keep the times of repeated claims in a heap

Every event asks for the next deadline, and the minimum over open claims took time in proportion to their number, up to 8,192 while witnesses are cut off. The tables and state machines of claims and requests pass.

--- a/src/redwingswitch/_internal/decisions/claims.py
+++ b/src/redwingswitch/_internal/decisions/claims.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import heapq
 from collections import Counter
 from enum import Enum, auto
 from typing import NamedTuple
@@ -132,7 +133,6 @@
         self.deadline_ms = deadline_ms
         self.state = ClaimState.PENDING
         self.rounds = 0
-        self.next_send_ms: int | None = None
         self.granted: set[str] = set()
         self.denied: dict[str, ClaimHolder] = {}
 
@@ -153,6 +153,7 @@
         self._host_sets = host_sets
         self._random_source = random_source
         self._claims: dict[bytes, _PendingClaim] = {}
+        self._sends: list[tuple[int, bytes]] = []
 
     def __len__(self) -> int:
         return len(self._claims)
@@ -199,15 +200,16 @@
     def on_timer(self, now_ms: int) -> list[SendToPeer]:
         """Ask the witnesses again that have not decided."""
         actions: list[SendToPeer] = []
-        for claim in list(self._claims.values()):
-            if claim.next_send_ms is not None and claim.next_send_ms <= now_ms:
+        while self._sends and self._sends[0][0] <= now_ms:
+            _, request_id = heapq.heappop(self._sends)
+            claim = self._claims.get(request_id)
+            if claim is not None and claim.state is ClaimState.PENDING:
                 actions.extend(self._send(claim, now_ms))
         return actions
 
     def next_deadline_ms(self) -> int | None:
-        """Return when a claim is next sent again."""
-        times = (c.next_send_ms for c in self._claims.values() if c.next_send_ms is not None)
-        return min(times, default=None)
+        """Return when a claim is next sent again; a decided one's time passes in vain."""
+        return self._sends[0][0] if self._sends else None
 
     def _counts(self, holder: ClaimHolder, reply: ClaimReply) -> bool:
         # A late reply may belong to an earlier process of this host.
@@ -225,12 +227,10 @@
             return
         elif all(len(claim.granted & set(chosen)) >= _majority(chosen) for chosen in sets):
             claim.state = ClaimState.HELD
-        if claim.state is not ClaimState.PENDING:
-            claim.next_send_ms = None
 
     def _send(self, claim: _PendingClaim, now_ms: int) -> list[SendToPeer]:
         claim.rounds += 1
-        claim.next_send_ms = self._next_send_ms(claim, now_ms)
+        self._plan_send(claim, now_ms)
         request = ClaimRequest(
             claim.request_id,
             self._host_sets.introduced_revision,
@@ -242,7 +242,7 @@
         open_hosts = [h for h in asked if h not in claim.granted and h not in claim.denied]
         return [SendToPeer(host, request) for host in open_hosts]
 
-    def _next_send_ms(self, claim: _PendingClaim, now_ms: int) -> int | None:
+    def _plan_send(self, claim: _PendingClaim, now_ms: int) -> None:
         delay_ms = backoff_ms(
             claim.rounds,
             self._random_source,
@@ -250,9 +250,8 @@
             limit_ms=CLAIM_RETRY_LIMIT_MS,
         )
         again_ms = now_ms + delay_ms
-        if claim.rounds >= MAX_CLAIM_ROUNDS or again_ms >= claim.deadline_ms:
-            return None
-        return again_ms
+        if claim.rounds < MAX_CLAIM_ROUNDS and again_ms < claim.deadline_ms:
+            heapq.heappush(self._sends, (again_ms, claim.request_id))
 
 
 def _majority(chosen: tuple[str, ...]) -> int:
