--- a/src/redwingswitch/_internal/decisions/requests.py
+++ b/src/redwingswitch/_internal/decisions/requests.py
@@ -2,39 +2,39 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.admission import Refusal
 from redwingswitch._internal.decisions.claims import (
     Claimant,
-    ClaimHolder,
     ClaimState,
     WitnessRegister,
 )
 from redwingswitch._internal.decisions.host_sets import DeclaredHostSets
 from redwingswitch._internal.decisions.placement import ServerHealth
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable, ServiceDispatch
+from redwingswitch._internal.decisions.request_dispatch import DispatchTable
+from redwingswitch._internal.decisions.request_intake import (
+    STOP_REFUSAL,
+    RequestIntake,
+    forward,
+    unknown,
+)
 from redwingswitch._internal.decisions.request_ledger import (
     RequestEntry,
     RequestLedger,
     RequestState,
 )
-from redwingswitch._internal.decisions.request_parts import MAX_PARTS, PartCollector
+from redwingswitch._internal.decisions.request_parts import PartCollector
 from redwingswitch._internal.decisions.request_routing import RequestRouting
 from redwingswitch._internal.decisions.request_runs import WAITING_STATES, RequestRuns
 from redwingswitch._internal.models.actions import (
     Action,
-    AnswerCaller,
-    Drop,
-    DropReason,
     SendToPeer,
 )
-from redwingswitch._internal.models.configuration import Configuration, Service, SizeClass
+from redwingswitch._internal.models.configuration import Configuration
 from redwingswitch._internal.models.events import (
     AnswerPartArrived,
     AttemptFailed,
     CancelArrived,
     RequestPartArrived,
 )
-from redwingswitch._internal.models.identifiers import REQUEST_ID_BYTES
 from redwingswitch._internal.models.members import MembershipView, WaitEstimate
 from redwingswitch._internal.models.messages import (
     CancelRequest,
@@ -43,18 +43,11 @@
     ForwardedRequest,
     PeerMessage,
 )
-from redwingswitch._internal.models.requests import AnswerHeader, Outcome, RequestHeader
 from redwingswitch._internal.ports import RandomSource
 
-MAX_REQUEST_LIFETIME_MS = 30_000
-MAX_REQUEST_HOPS = 4
-RELIEF_HOPS = MAX_REQUEST_HOPS - 1
-OVERLOAD_RETRY_AFTER_MS = 1_000
 TICK_MS = 1_000
 PAUSE_MS = 30_000
 DISTRUST_AFTER_PAUSE_MS = 2_000
-STOP_RETRY_AFTER_MS = 50
-STOP_REFUSAL = Refusal("the entry host stops", STOP_RETRY_AFTER_MS)
 
 
 class RequestCoordinator:
@@ -96,9 +89,16 @@
             health=health,
             random_source=random_source,
         )
-        self._stopping = False
+        self._intake = RequestIntake(
+            host=host,
+            routing=self._routing,
+            collector=self._collector,
+            ledger=self._ledger,
+            dispatches=self._dispatches,
+            runs=self._runs,
+            claimant=self._claimant,
+        )
         self._seen_at_ms: int | None = None
-        self._distrust_until_ms = 0
         self._tick_at_ms: int | None = None
 
     def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
@@ -120,7 +120,7 @@
         """Take a request part from a caller."""
         self._note_time(now_ms)
         copy = ForwardedRequest(event.header, event.body, event.caller, hops=0)
-        return self._take_part(copy, now_ms)
+        return self._intake.take_part(copy, now_ms)
 
     def on_answer_part(self, event: AnswerPartArrived, now_ms: int) -> list[Action]:
         """Take an answer part from a backend server."""
@@ -149,7 +149,7 @@
         self._note_time(now_ms)
         match message:
             case ForwardedRequest():
-                return self._take_part(message, now_ms)
+                return self._intake.take_part(message, now_ms)
             case ClaimRequest():
                 reply = self._witness.on_claim(
                     sender, incarnation, message, self._host_sets, now_ms
@@ -203,126 +203,14 @@
     def begin_stop(self, now_ms: int) -> list[Action]:
         """Refuse or pass on what waits; what runs goes on to its end."""
         self._note_time(now_ms)
-        self._stopping = True
+        self._intake.stopping = True
         self._routing.leave()
         actions: list[Action] = []
         for entry in self._ledger.live():
             if entry.state in WAITING_STATES:
                 actions.extend(self._stop_waiting(entry, now_ms))
         for copy in self._collector.drain(now_ms):
-            actions.extend(self._take_part(copy, now_ms))
-        return actions
-
-    def _take_part(self, copy: ForwardedRequest, now_ms: int) -> list[Action]:
-        header = copy.header
-        if not _is_sound(header):
-            return [Drop(DropReason.MALFORMED, "request part")]
-        service = self._routing.service(header.service)
-        if service is None:
-            return [_unknown(copy, "the service is not configured here")]
-        remaining_ms = min(header.remaining_ms, MAX_REQUEST_LIFETIME_MS)
-        copy = copy._replace(header=header._replace(remaining_ms=remaining_ms))
-        if header.parts == 1:
-            return self._take_request(service, copy, now_ms)
-        collector = self._routing.collector(header.request_id)
-        if collector not in (None, self._host) and copy.hops < MAX_REQUEST_HOPS:
-            return [_forward(collector, copy)]
-        return self._collect(service, copy, now_ms)
-
-    def _collect(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
-        deadline_ms = now_ms + copy.header.remaining_ms
-        collected = self._collector.add(
-            copy.header, copy.body, copy.caller, deadline_ms=deadline_ms, now_ms=now_ms
-        )
-        if collected.refusal:
-            return [_unknown(copy, collected.refusal, OVERLOAD_RETRY_AFTER_MS)]
-        if collected.body is None:
-            return []
-        whole = copy._replace(header=copy.header._replace(part=0, parts=1), body=collected.body)
-        return self._route(service, whole, now_ms)
-
-    def _take_request(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
-        own = self._routing.own_domains(service)
-        known = self._ledger.get(copy.header.request_id) is not None
-        if copy.hops > 0 and own and not known:
-            domain = self._dispatches.shortest(service, own, now_ms)
-            return self._admit(service, domain, copy, now_ms)
-        return self._route(service, copy, now_ms)
-
-    def _route(self, service: Service, copy: ForwardedRequest, now_ms: int) -> list[Action]:
-        entry = self._ledger.get(copy.header.request_id)
-        if entry is not None:
-            return self._take_copy(service, entry, copy, now_ms)
-        domain = self._routing.choose_domain(service, now_ms)
-        if domain is None:
-            return [_unknown(copy, "no backend server takes requests", OVERLOAD_RETRY_AFTER_MS)]
-        target = self._routing.dispatcher(service.name, domain)
-        if target not in (None, self._host) and copy.hops < MAX_REQUEST_HOPS:
-            return [_forward(target, copy)]
-        return self._admit(service, domain, copy, now_ms)
-
-    def _take_copy(
-        self, service: Service, entry: RequestEntry, copy: ForwardedRequest, now_ms: int
-    ) -> list[Action]:
-        """Handle a repeated request without a second run."""
-        if not entry.same_request(copy.header, copy.body):
-            return [_unknown(copy, "the request id is in use for another request")]
-        if entry.live:
-            entry.add_caller(copy.caller)
-            return []
-        if entry.state is RequestState.MOVED:
-            return self._send_to_holder(entry.holder, copy)
-        if entry.idempotent and entry.answer is None:
-            self._ledger.forget(entry)
-            return self._route(service, copy, now_ms)
-        return self._runs.answer_again(entry, copy.caller)
-
-    def _admit(
-        self, service: Service, domain: str, copy: ForwardedRequest, now_ms: int
-    ) -> list[Action]:
-        dispatch = self._dispatches.get(service, domain, now_ms)
-        idempotent = service.idempotent and copy.header.idempotent
-        if not idempotent and now_ms < self._distrust_until_ms:
-            return [_unknown(copy, "the entry host was paused")]
-        size = dispatch.times.classify(copy.header.size_hint)
-        relief = self._relief(dispatch, size, copy, now_ms)
-        if relief is not None:
-            return [_forward(relief, copy._replace(hops=RELIEF_HOPS))]
-        entry = RequestEntry(
-            copy=copy,
-            idempotent=idempotent,
-            domain=domain,
-            size=size,
-            deadline_ms=now_ms + copy.header.remaining_ms,
-        )
-        if not self._ledger.add(entry):
-            return [_unknown(copy, "the entry host is overloaded", OVERLOAD_RETRY_AFTER_MS)]
-        return self._begin(entry, now_ms)
-
-    def _relief(
-        self, dispatch: ServiceDispatch, size: SizeClass, copy: ForwardedRequest, now_ms: int
-    ) -> str | None:
-        """Return another failure domain's dispatcher when the wait here is much longer.
-
-        Only short work is sent on, as the advertised waits are those of short work. They are old,
-        but the wait here is exact and falls with every request that is sent on, so this stops by
-        itself. A request is sent on once, and before its claim.
-        """
-        if copy.hops >= RELIEF_HOPS or size is SizeClass.LONG:
-            return None
-        wait_ms = dispatch.queue.wait_ms(size, dispatch.use(now_ms))
-        return self._routing.relief(dispatch.service, dispatch.domain, wait_ms)
-
-    def _begin(self, entry: RequestEntry, now_ms: int) -> list[Action]:
-        actions: list[Action] = []
-        if not entry.idempotent:
-            asked = self._claimant.begin(entry.header.request_id, entry.deadline_ms, now_ms)
-            if asked is None:
-                return self._runs.abandon(entry, "too many claims are open", now_ms)
-            actions.extend(asked)
-        actions.extend(self._runs.admit(entry, now_ms))
-        if self._stopping and entry.state in WAITING_STATES:
-            actions.extend(self._runs.refuse(entry, STOP_REFUSAL, now_ms))
+            actions.extend(self._intake.take_part(copy, now_ms))
         return actions
 
     def _on_claim_reply(self, sender: str, reply: ClaimReply, now_ms: int) -> list[Action]:
@@ -339,25 +227,15 @@
 
     def _on_claim_denied(self, entry: RequestEntry, now_ms: int) -> list[Action]:
         holder = self._claimant.holder(entry.header.request_id)
-        if holder is None or not self._can_reach(holder, entry.hops):
+        if holder is None or not self._intake.can_reach(holder, entry.hops):
             return self._runs.abandon(entry, "another entry host had claimed it", now_ms)
-        actions: list[Action] = [_forward(holder.host, copy) for copy in entry.copies(now_ms)]
+        actions: list[Action] = [forward(holder.host, copy) for copy in entry.copies(now_ms)]
         entry.holder = holder
         self._claimant.forget(entry.header.request_id)
         self._dispatches.of(entry).queue.remove(entry.header.request_id)
         self._ledger.finish(entry, None, now_ms, state=RequestState.MOVED)
         return actions
 
-    def _send_to_holder(self, holder: ClaimHolder | None, copy: ForwardedRequest) -> list[Action]:
-        if holder is None or not self._can_reach(holder, copy.hops):
-            return [_unknown(copy, "another entry host had claimed it")]
-        return [_forward(holder.host, copy)]
-
-    def _can_reach(self, holder: ClaimHolder, hops: int) -> bool:
-        if holder.host == self._host or hops >= MAX_REQUEST_HOPS:
-            return False
-        return self._routing.is_serving(holder.host)
-
     def _on_cancel_request(self, message: CancelRequest, now_ms: int) -> list[Action]:
         self._collector.cancel(message.request_id)
         entry = self._ledger.get(message.request_id)
@@ -372,14 +250,14 @@
         target = self._routing.dispatcher(entry.header.service, entry.domain)
         if not entry.idempotent or entry.attempts_made or target in (None, self._host):
             return self._runs.refuse(entry, STOP_REFUSAL, now_ms)
-        actions: list[Action] = [_forward(target, copy) for copy in entry.copies(now_ms)]
+        actions: list[Action] = [forward(target, copy) for copy in entry.copies(now_ms)]
         self._dispatches.of(entry).queue.remove(entry.header.request_id)
         self._ledger.finish(entry, None, now_ms)
         return actions
 
     def _on_lapsed_collections(self, now_ms: int) -> list[Action]:
         return [
-            _unknown(lapsed.copy, "parts of the request are missing")
+            unknown(lapsed.copy, "parts of the request are missing")
             for lapsed in self._collector.on_timer(now_ms)
             if not lapsed.repeated
         ]
@@ -391,7 +269,7 @@
         so the witnesses may no longer know that their ids ran.
         """
         if self._seen_at_ms is not None and now_ms - self._seen_at_ms > PAUSE_MS:
-            self._distrust_until_ms = now_ms + DISTRUST_AFTER_PAUSE_MS
+            self._intake.distrust_until_ms = now_ms + DISTRUST_AFTER_PAUSE_MS
         if self._tick_at_ms is None:
             self._tick_at_ms = now_ms + TICK_MS
         self._seen_at_ms = now_ms
@@ -403,21 +281,3 @@
             dispatch.set_serving(target == self._host, now_ms)
             actions.extend(self._runs.pump(dispatch, now_ms))
         return actions
-
-
-def _is_sound(header: RequestHeader) -> bool:
-    if len(header.request_id) != REQUEST_ID_BYTES or header.remaining_ms <= 0:
-        return False
-    return 0 <= header.part < header.parts <= MAX_PARTS
-
-
-def _forward(host: str | None, copy: ForwardedRequest) -> SendToPeer:
-    assert host is not None
-    return SendToPeer(host, copy._replace(hops=copy.hops + 1))
-
-
-def _unknown(copy: ForwardedRequest, reason: str, retry_after_ms: int = 0) -> AnswerCaller:
-    outcome = AnswerHeader(
-        copy.header.request_id, Outcome.UNKNOWN, retry_after_ms=retry_after_ms, reason=reason
-    )
-    return AnswerCaller(copy.caller, outcome)
