--- a/src/redwingswitch/_internal/cli/ctl.py
+++ b/src/redwingswitch/_internal/cli/ctl.py
@@ -82,6 +82,7 @@
         without_hosts: bool = False,
         wait: bool = False,
         wait_limit_s: int = DEFAULT_WAIT_LIMIT_S,
+        after: int = -1,
     ) -> _Invocation:
         """Check a file and make it the next revision.
 
@@ -94,6 +95,7 @@
             without_hosts: Go on when no entry host answers.
             wait: Wait until the revision is in force in each failure domain.
             wait_limit_s: Seconds to wait at most.
+            after: Apply only when this revision is the accepted one; 0 means no file, -1 any.
 
         """
         return _Invocation(
@@ -105,6 +107,7 @@
             without_hosts=without_hosts,
             wait=wait,
             wait_limit_s=wait_limit_s,
+            after=after,
         )
 
     def show(self, *, store: str = DEFAULT_STORE, revision: int = 0) -> _Invocation:
--- a/src/redwingswitch/_internal/commands/apply.py
+++ b/src/redwingswitch/_internal/commands/apply.py
@@ -36,6 +36,7 @@
 
 APPLY_ID_BYTES = 8
 FORCE_POLL_MS = 500
+ANY_REVISION = -1
 MS_PER_S = 1_000
 
 
@@ -49,6 +50,7 @@
     without_hosts: bool
     wait: bool
     wait_limit_s: int
+    after: int
 
 
 def run(
@@ -60,9 +62,10 @@
     without_hosts: bool,
     wait: bool,
     wait_limit_s: int,
+    after: int,
 ) -> int:
     """Apply ``file``, say what became of it, and return the exit status."""
-    options = ApplyOptions(file, store, hosts, operator, without_hosts, wait, wait_limit_s)
+    options = ApplyOptions(file, store, hosts, operator, without_hosts, wait, wait_limit_s, after)
     return run_reporting(_apply(options))
 
 
@@ -89,6 +92,7 @@
         applied_at=now.strftime("%Y-%m-%dT%H:%M:%SZ"),
         hosts=host_endpoints(options.hosts),
         without_hosts=options.without_hosts,
+        after=None if options.after == ANY_REVISION else whole_number("--after", options.after),
     )
 
 
--- a/src/redwingswitch/_internal/configuration/apply.py
+++ b/src/redwingswitch/_internal/configuration/apply.py
@@ -41,7 +41,11 @@
 
 
 class ApplyRequest(NamedTuple):
-    """What an operator asks for; ``hosts`` are admin endpoints, empty for the declared ones."""
+    """What an operator asks for.
+
+    ``hosts`` are admin endpoints, empty for the declared ones. ``after`` is the revision that the
+    file was made from, None when any may precede it.
+    """
 
     text: str
     file: str
@@ -50,6 +54,7 @@
     applied_at: str
     hosts: tuple[str, ...] = ()
     without_hosts: bool = False
+    after: int | None = None
 
 
 class Plan(NamedTuple):
@@ -97,6 +102,7 @@
     stored = await store.get(CONFIGURATION_KEY)
     accepted = None if stored is None else decode_document(stored.value)
     before = None if accepted is None else parse_accepted(accepted)
+    _check_base(request, accepted, configuration)
     endpoints = request.hosts or admin_endpoints(before or configuration)
     reading = await fleet.read(endpoints)
     _check_fleet(request, accepted, reading)
@@ -172,6 +178,21 @@
     return f"{text[: MAX_SUMMARY_CHARACTERS - 3]}..."
 
 
+def _check_base(
+    request: ApplyRequest, accepted: Document | None, configuration: Configuration
+) -> None:
+    """Refuse a file that was made from another revision than the accepted one."""
+    held = 0 if accepted is None else accepted["revision"]
+    if request.after in (None, held):
+        return
+    if accepted is None:
+        raise ConfigurationConflictError(
+            f"the store holds no file, not revision {request.after}; nothing was changed"
+        )
+    if accepted["digest"] != configuration.digest:
+        raise ConfigurationConflictError(_conflict_text(accepted, configuration))
+
+
 def _check_fleet(request: ApplyRequest, accepted: Document | None, reading: FleetReading) -> None:
     if not reading.statuses:
         _check_silent_fleet(request, accepted, reading)
@@ -285,12 +306,12 @@
         return Accepted(document=document, written=True)
     if contains_apply(found, document["apply_id"]):
         return Accepted(document=document, written=True, superseded_by=found)
-    raise ConfigurationConflictError(_conflict_text(found, planned))
+    raise ConfigurationConflictError(_conflict_text(found, planned.configuration))
 
 
-def _conflict_text(winner: Document, planned: Plan) -> str:
+def _conflict_text(winner: Document, configuration: Configuration) -> str:
     theirs = parse_accepted(winner)
-    found = differences(before=theirs, after=planned.configuration)
+    found = differences(before=theirs, after=configuration)
     shown = "".join(f"\n  {difference}" for difference in found) or "\n  (none)"
     return (
         f"{winner['operator']} was first: revision {winner['revision']} (apply id "
--- a/tests/functional/test_operator_commands.py
+++ b/tests/functional/test_operator_commands.py
@@ -13,6 +13,7 @@
     STORE_UNAVAILABLE,
     SUCCESS,
 )
+from redwingswitch._internal.commands import standin_store
 from redwingswitch._internal.configuration.document import (
     CONFIGURATION_KEY,
     decode_document,
@@ -29,6 +30,11 @@
 SECOND = VALID_FILE.replace("port = 443", "port = 444")
 
 
+def test_the_store_stand_in_says_where_it_listens_and_ends(capsys):
+    assert standin_store.run(port=0, seconds=0) == SUCCESS
+    assert "listening on http://127.0.0.1:" in capsys.readouterr().out
+
+
 class BrokenPipe:
     """A standard output whose reader has gone."""
 
@@ -116,6 +122,8 @@
     (SECOND, ["--store", "store:1"], None, INVALID_INPUT, "--store"),
     (SECOND, ["--hosts", "entry-1"], None, INVALID_INPUT, "--hosts"),
     (SECOND, ["--wait_limit_s", "soon"], None, INVALID_INPUT, "--wait_limit_s"),
+    (SECOND, ["--after", "soon"], None, INVALID_INPUT, "--after"),
+    (SECOND, ["--after", "0"], None, CONFLICT, "was first: revision 1"),
     (SECOND, [], "down", STORE_UNAVAILABLE, "nothing was changed"),
     (SECOND, [], "archive lost", STORE_UNAVAILABLE, "nothing was applied"),
     (SECOND, [], "behind", CONFLICT, "entry-1 hold revision 9"),
--- a/tests/unit/configuration/test_apply.py
+++ b/tests/unit/configuration/test_apply.py
@@ -100,6 +100,21 @@
         assert words in str(ann.error)
 
 
+@pytest.mark.parametrize(
+    ("after", "text", "words"),
+    [
+        (1, text_with(3), None),
+        (0, text_with(3), "first was first: revision 1"),
+        (7, text_with(3), "slots 2 -> 3"),
+        (0, VALID_FILE, None),
+    ],
+)
+def test_a_file_made_from_another_revision_is_refused(after, text, words):
+    operator = Site().operator("ann", text, after=after).finish()
+    assert isinstance(operator.error, ConfigurationConflictError) is (words is not None)
+    assert (words or "") in str(operator.error)
+
+
 def test_an_accepted_file_stays_accepted_for_its_operator_after_a_successor():
     site = Site()
     ann = site.operator("ann", text_with(3))
