--- a/tests/lib/steering_fleet.py
+++ b/tests/lib/steering_fleet.py
@@ -138,7 +138,8 @@
         self.domains: dict[str, str] = {}
         self.deliveries: list[Delivery] = []
         self.drops: Counter[str] = Counter()
-        self.messages: Counter[str] = Counter()
+        # Revisions that hosts fetch from a peer whose heartbeat names them.
+        self.documents: dict[int, Configuration] = {}
         self.on_message: Callable[[str, PeerMessage], None] | None = None
         self.cut: Callable[[str, str], bool] = lambda _a, _b: False
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
@@ -209,6 +210,10 @@
                 self._see_at(other, host, MemberState.SUSPECTED, suspect_after_ms + lag_ms)
             self._see_at(other, host, MemberState.DEAD, dead_after_ms + lag_ms)
 
+    def show(self, host: Host, subject: Host, state: MemberState) -> None:
+        """Make one host see another in a state now."""
+        self._see(host, subject, state)
+
     def _announce(self, subject: Host, state: MemberState, spread_ms: int) -> None:
         for other in self.hosts.values():
             if other is not subject:
@@ -260,6 +265,10 @@
         if self.hosts.get(host.name) is not host or sender.name not in host.states:
             return
         host.digests[sender.name] = digest
+        document = self.documents.get(digest.revision)
+        if document is not None and document.revision > host.revision:
+            after_ms = self.now_ms + 2 * self._delay()
+            self.at(after_ms, lambda: self.apply(host.name, document))
         self._show_view(host)
 
     # Configuration and health.
@@ -272,6 +281,11 @@
         host.revision = config.revision
         self._perform(host, host.steering.apply_configuration(config, self.now_ms))
 
+    def apply_by_peers(self, name: str, config: Configuration) -> None:
+        """Put a revision in force at one host; the others learn of it from heartbeats only."""
+        self.documents[config.revision] = config
+        self.apply(name, config)
+
     def apply_unevenly(self, config: Configuration, spread_ms: int) -> None:
         """Put a revision in force at one host now and at the others within ``spread_ms``."""
         names = list(self.hosts)
@@ -319,7 +333,6 @@
         self._arm(host)
 
     def _send(self, host: Host, target: str, message: PeerMessage) -> None:
-        self.messages[type(message).__name__] += 1
         if self.on_message is not None:
             self.on_message(host.name, message)
         if target not in self.hosts or self._lost(host.name, target):
--- a/tests/unit/decisions/test_flow_steering.py
+++ b/tests/unit/decisions/test_flow_steering.py
@@ -5,9 +5,15 @@
 from collections.abc import Callable
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from redwingswitch._internal.decisions.record_sender import BATCH_INTERVAL_MS
+from redwingswitch._internal.models.actions import DropReason
 from redwingswitch._internal.models.configuration import Configuration, ServerState
 from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
+from redwingswitch._internal.models.members import MemberState
 from tests.lib.steering_fleet import Fleet, configuration, flow_key, service
 
 HOSTS = {
@@ -41,10 +47,11 @@
     def __init__(self, *, fleet: Fleet) -> None:
         self.fleet = fleet
         self.flows: list[FlowKey] = []
+        self.first_caller = 0
 
     def open(self, count: int, number: int = 1) -> None:
         for _ in range(count):
-            flow = flow_key(number, len(self.flows))
+            flow = flow_key(number, self.first_caller + len(self.flows))
             self.flows.append(flow)
             self.fleet.packet(flow, PacketKind.OPEN)
 
@@ -133,6 +140,48 @@
     fleet.at(fleet.now_ms + 500, lambda: fleet.apply_unevenly(second, UNEVEN_MS))
 
 
+def join_two(fleet: Fleet, after_ms: int = 4_000) -> None:
+    drain(fleet)
+    config = revision(2, states=LEAVING)
+    for name in ("entry-8", "entry-9"):
+        fleet.at(fleet.now_ms + after_ms, lambda n=name: fleet.join(n, "hobart", config, 1_500))
+
+
+def join_while_spreading(fleet: Fleet) -> None:
+    join_two(fleet, after_ms=1_500)
+
+
+def join_with_old_revision(fleet: Fleet) -> None:
+    drain(fleet)
+    joined = revision(2, states=LEAVING)
+    fleet.at(fleet.now_ms + 500, lambda: fleet.join("entry-8", "hobart", revision(1), 1_500))
+    fleet.at(fleet.now_ms + 2_500, lambda: fleet.apply("entry-8", joined))
+
+
+def replace_host(fleet: Fleet) -> None:
+    drain(fleet)
+    fleet.at(fleet.now_ms + 4_000, lambda: stop_host(fleet))
+    fleet.at(fleet.now_ms + 4_000, lambda: join(fleet))
+
+
+def stop_then_return(fleet: Fleet) -> None:
+    drain(fleet)
+    config = revision(2, states=LEAVING)
+    fleet.at(fleet.now_ms + 3_000, lambda: stop_host(fleet))
+    fleet.at(fleet.now_ms + 6_500, lambda: fleet.join("entry-1", "hobart", config, 1_500))
+
+
+def return_at_once(fleet: Fleet) -> None:
+    drain(fleet)
+    fleet.at(fleet.now_ms + 300, lambda: fleet.apply_unevenly(revision(3), UNEVEN_MS))
+
+
+def grow_table(fleet: Fleet) -> None:
+    """Change the table size, which displaces nearly every flow."""
+    many = SERVERS | {f"job-{n}": DOMAINS[n % 3] for n in range(8, 22)}
+    fleet.apply_unevenly(revision(2, many), UNEVEN_MS)
+
+
 PLANNED: list[Callable[[Fleet], None]] = [
     drain,
     add,
@@ -144,13 +193,238 @@
     drain_and_stop,
     drain_and_return,
     two_in_a_row,
+    join_two,
+    join_while_spreading,
+    join_with_old_revision,
+    replace_host,
+    stop_then_return,
+    return_at_once,
+    grow_table,
 ]
 
 
 @pytest.mark.parametrize("change", PLANNED, ids=lambda change: change.__name__)
+@pytest.mark.parametrize(("seed", "loss"), [(1, 0.0), (5, 0.0), (6, 0.03)])
+def test_planned_changes_break_no_flow(change, seed, loss):
+    fleet, flows = started(seed, loss)
+    change(fleet)
+    flows.run(10_000, step_ms=300, new=20)
+    assert not flows.broken()
+
+
+def drain_by_peers(fleet: Fleet) -> None:
+    """Only one host reaches the store."""
+    fleet.apply_by_peers("entry-4", revision(2, states=LEAVING))
+
+
+def drain_with_dead_owner(fleet: Fleet) -> None:
+    """A host near the leaving server crashes as the revision arrives."""
+    drain_by_peers(fleet)
+    victim = next(n for n, domain in HOSTS.items() if domain == SERVERS["job-3"])
+    fleet.crash(victim, suspect_after_ms=1_000, dead_after_ms=2_500, spread_ms=500)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [drain, remove, two_in_a_row, drain_and_stop, drain_by_peers, drain_with_dead_owner],
+    ids=lambda change: change.__name__,
+)
+@pytest.mark.parametrize(("seed", "loss"), [(1, 0.0), (4, 0.0), (6, 0.03)])
+def test_a_leaving_server_gets_no_new_flow_after_3_s(change, seed, loss):
+    fleet, flows = started(seed, loss)
+    changed_at_ms = fleet.now_ms
+    change(fleet)
+    flows.run(8_000, step_ms=50, new=10)
+    opened = [d for d in fleet.deliveries if d.kind is PacketKind.OPEN and d.server == "job-3"]
+    assert opened
+    assert max(d.at_ms for d in opened) <= changed_at_ms + 3_000
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_crash_breaks_only_flows_of_the_last_batch(seed):
+    fleet, flows = started(seed)
+    drain(fleet)
+    flows.run(5_000, step_ms=100, new=20)
+    crashed_at_ms = fleet.now_ms
+    fleet.crash("entry-1", suspect_after_ms=1_000, dead_after_ms=2_500, spread_ms=500)
+    flows.run(8_000, step_ms=300, new=20)
+    opened_at_ms = {d.flow: d.at_ms for d in reversed(fleet.deliveries)}
+    batch_ms = BATCH_INTERVAL_MS + fleet.delay_ms[1]
+    assert all(
+        crashed_at_ms - batch_ms <= opened_at_ms[flow] <= crashed_at_ms for flow in flows.broken()
+    )
+
+
+def test_a_restarted_host_gets_its_records_back():
+    fleet, flows = started(3)
+    drain(fleet)
+    flows.run(5_000, new=20)
+    del fleet.hosts["entry-1"]
+    fleet.join("entry-1", "hobart", revision(2, states=LEAVING), 200)
+    fleet.run_for(4_000)
+    opened = len(fleet.deliveries)
+    # Longer than former owners are asked, so that only records can keep the flows.
+    fleet.run_for(12_000)
+    flows.run(1_000, new=0)
+    assert len(fleet.deliveries) > opened
+    assert not flows.broken()
+
+
 @pytest.mark.parametrize("seed", [1, 2])
-def test_planned_changes_break_no_flow(change, seed):
+def test_records_of_both_sides_survive_a_healed_partition(seed):
     fleet, flows = started(seed)
-    change(fleet)
-    flows.run(10_000, step_ms=200)
+    drain(fleet)
+    flows.run(5_000)
+    sides = {name: domain == "perth" for name, domain in HOSTS.items()}
+    fleet.cut = lambda a, b: sides[a] != sides[b]
+    see_sides(fleet, sides, MemberState.DEAD)
+    # Callers reach one side each; flows that both sides serve can break during a partition.
+    flows.flows.clear()
+    flows.first_caller = 100_000
+    for number in range(400):
+        flow = flow_key(1, flows.first_caller + number)
+        near = [name for name in HOSTS if sides[name] == (number % 2 == 0)]
+        flows.flows.append(flow)
+        fleet.packet(flow, PacketKind.OPEN, near[number % len(near)])
+    fleet.run_for(2_000)
+    fleet.cut = lambda _a, _b: False
+    see_sides(fleet, sides, MemberState.ALIVE)
+    fleet.run_for(500)
+    flows.run(3_000, new=0)
+    assert not flows.broken() & set(flows.flows)
+
+
+def see_sides(fleet: Fleet, sides: dict[str, bool], state: MemberState) -> None:
+    for host in fleet.hosts.values():
+        for other in fleet.hosts.values():
+            if sides[host.name] != sides[other.name]:
+                fleet.show(host, other, state)
+
+
+def test_ejection_moves_new_flows_only_and_recovery_moves_none():
+    fleet, flows = started(2)
+    flows.run(1_000, new=20)
+    ejected_at_ms = fleet.now_ms
+    fleet.eject(frozenset({"job-3"}), 500)
+    flows.run(4_000, new=20)
+    late = [d for d in fleet.deliveries if d.at_ms > ejected_at_ms + 1_600]
+    assert any(d.server == "job-3" for d in late if d.kind is PacketKind.DATA)
+    assert not any(d.server == "job-3" for d in late if d.kind is PacketKind.OPEN)
+    recovered_at_ms = fleet.now_ms
+    fleet.eject(frozenset(), 500)
+    flows.run(4_000, new=20)
+    opened = [d for d in fleet.deliveries if d.kind is PacketKind.OPEN]
+    assert any(d.server == "job-3" and d.at_ms > recovered_at_ms + 500 for d in opened)
+    assert not flows.broken()
+
+
+@pytest.mark.parametrize("by_name", [True, False], ids=["same name", "same endpoint"])
+def test_a_server_that_changed_its_service_gets_no_packet_of_the_old_one(by_name):
+    fleet, flows = started(4)
+    flows.run(1_000, new=20)
+    rest = {name: domain for name, domain in SERVERS.items() if name != "job-3"}
+    photos = service("photos", 2, PHOTOS | {"job-3" if by_name else "photo-4": "hobart"})
+    former = next(s for s in service("job-board", 1, SERVERS).backend_servers if s.name == "job-3")
+    moved = photos.backend_servers[-1]._replace(
+        address=former.address, tunnel_port=former.tunnel_port
+    )
+    photos = photos._replace(backend_servers=(*photos.backend_servers[:-1], moved))
+    config = configuration(2, (service("job-board", 1, rest), photos), HOSTS)
+    for host in HOSTS:
+        fleet.apply(host, config)
+    changed_at_ms = fleet.now_ms
+    flows.run(2_000)
+    after = [d for d in fleet.deliveries if d.at_ms > changed_at_ms]
+    assert not any(d.server == "job-3" and d.service == "job-board" for d in after)
+    assert fleet.drops[DropReason.WRONG_SERVICE] > 0
+
+
+def test_packets_for_unknown_and_removed_services_are_dropped():
+    fleet, _ = started(5)
+    fleet.packet(flow_key(9, 1), PacketKind.OPEN)
+    assert fleet.drops[DropReason.NO_SERVICE] == 1
+    for host in HOSTS:
+        fleet.apply(host, configuration(2, (service("photos", 2, PHOTOS),), HOSTS))
+    fleet.packet(flow_key(1, 1), PacketKind.DATA)
+    assert fleet.drops[DropReason.NO_SERVICE] == 2
+
+
+def test_late_packets_of_a_closed_flow_reach_its_own_server():
+    fleet, flows = started(6)
+    drain(fleet)
+    flows.run(5_000, new=20)
+    # Former flows of the leaving server were closed; the same callers open anew elsewhere.
+    closed = {d.flow: d.server for d in fleet.deliveries if d.server == "job-3"}
+    for kind in (PacketKind.CLOSE, PacketKind.DATA):
+        for flow in closed:
+            fleet.packet(flow, kind)
+        fleet.run_for(200)
     assert not flows.broken()
+    for kind in (PacketKind.OPEN, PacketKind.CLOSE, PacketKind.DATA):
+        for flow in closed:
+            fleet.packet(flow, kind)
+        fleet.run_for(200)
+    latest = {d.flow: d.server for d in fleet.deliveries}
+    reopened = {d.flow: d.server for d in fleet.deliveries if d.kind is PacketKind.OPEN}
+    assert all(latest[flow] == reopened[flow] != "job-3" for flow in closed)
+
+
+class PlannedChanges(RuleBasedStateMachine):
+    """Planned changes in any order, with delay and 2 % loss, never move an established flow."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet, self.flows = started(7, loss=0.02)
+        self.revision = 1
+        self.states: dict[str, ServerState] = {}
+        self.servers = dict(SERVERS)
+        self.joined = 0
+
+    def change(self) -> None:
+        self.revision += 1
+        config = revision(self.revision, self.servers, self.states)
+        self.fleet.apply_unevenly(config, UNEVEN_MS)
+
+    @rule(server=st.sampled_from(sorted(SERVERS)))
+    def drain_or_return(self, server: str) -> None:
+        if self.states.pop(server, None) is None and len(self.states) < 3:
+            self.states[server] = ServerState.DRAINING
+        self.change()
+
+    @rule()
+    def add_server(self) -> None:
+        self.servers[f"job-{len(self.servers) + 1}"] = "perth"
+        self.change()
+
+    @precondition(lambda self: len(self.fleet.hosts) > 4)
+    @rule(position=st.integers(0, 3))
+    def stop_host(self, position: int) -> None:
+        name = list(self.fleet.hosts)[position]
+        if self.fleet.hosts[name].states[name] is MemberState.ALIVE:
+            self.fleet.stop(name, 1_000)
+            self.fleet.at(self.fleet.now_ms + 3_500, lambda: self.fleet.finish_stop(name, 500))
+            self.flows.run(1_500, step_ms=300)
+
+    @precondition(lambda self: len(self.fleet.hosts) < 9)
+    @rule(domain=st.sampled_from(DOMAINS))
+    def join_host(self, domain: str) -> None:
+        self.joined += 1
+        config = revision(self.revision, self.servers, self.states)
+        self.fleet.join(f"entry-new-{self.joined}", domain, config, 1_000)
+
+    @rule(span_ms=st.sampled_from([500, 3_000, 6_000]))
+    def traffic(self, span_ms: int) -> None:
+        self.flows.run(span_ms, step_ms=500, new=8)
+
+    @invariant()
+    def no_flow_moved(self) -> None:
+        assert not self.flows.broken()
+
+    @invariant()
+    def no_packet_at_another_service(self) -> None:
+        prefix = {"job-board": "job", "photos": "photo"}
+        assert all(d.server.startswith(prefix[d.service]) for d in self.fleet.deliveries)
+
+
+PlannedChanges.TestCase.settings = settings(max_examples=12, stateful_step_count=10)
+TestPlannedChanges = PlannedChanges.TestCase
