Run the daemon with the store adapter

redwingswitch-entry could not start: the adapter that it imported did not exist yet. It now builds HttpConfigStore from its settings, and redwingswitch-standin runs the store stand-in. The second clock module is gone.

--- a/src/redwingswitch/_internal/cli/standin.py
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -38,9 +38,9 @@
         """Run a whole deployment in one process through a change, a stop and a crash."""
         return _run("demo", seed=seed)
 
-    def store(self, address: str = "127.0.0.1", port: int = 0, seconds: int = 60) -> int:
-        """Run the platform's key-value service for some seconds."""
-        return _run("store_standin", address=address, port=port, seconds=seconds)
+    def store(self, port: int, address: str = "127.0.0.1", delay_ms: int = 0) -> int:
+        """Run the platform's key-value service until it is interrupted."""
+        return _run("standin_store", port=port, address=address, delay_ms=delay_ms)
 
 
 def _run(command: str, **arguments: object) -> int:
--- a/src/redwingswitch/_internal/commands/backend.py
+++ b/src/redwingswitch/_internal/commands/backend.py
@@ -7,7 +7,7 @@
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.standins.backend_server import BackendServerStandIn
-from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.clocks import MonotonicClock
 
 MAX_RUN_S = 3_600
 
--- a/src/redwingswitch/_internal/commands/demo.py
+++ b/src/redwingswitch/_internal/commands/demo.py
@@ -8,7 +8,7 @@
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.standins import demo_verdict
 from redwingswitch._internal.standins.demo import Demo
-from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.clocks import MonotonicClock
 from redwingswitch._internal.utils.logs import start_logging
 
 RUN_LIMIT_S = 58.0
--- a/src/redwingswitch/_internal/commands/entry.py
+++ b/src/redwingswitch/_internal/commands/entry.py
@@ -15,9 +15,9 @@
 from redwingswitch._internal.daemon.entry import EntryDaemon
 from redwingswitch._internal.daemon.parameters import DaemonParameters
 from redwingswitch._internal.network.peers import PeerKeys
-from redwingswitch._internal.network.store_http import open_store
+from redwingswitch._internal.network.store_http import HttpConfigStore
 from redwingswitch._internal.settings import Settings, read_settings
-from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.clocks import MonotonicClock
 from redwingswitch._internal.utils.logs import start_logging
 
 log = Logger("daemon")
@@ -38,7 +38,9 @@
         incarnation=new_incarnation(random_source),
         clock=MonotonicClock(),
         random_source=random_source,
-        store=open_store(settings),
+        store=HttpConfigStore(
+            endpoints=settings.store_endpoints, timeout_ms=settings.store_timeout_ms
+        ),
         host_list=None,
         parse=parse,
         make_entry_host=entry_host_factory(
--- a/src/redwingswitch/_internal/daemon/assembly.py
+++ b/src/redwingswitch/_internal/daemon/assembly.py
@@ -10,7 +10,7 @@
 from redwingswitch._internal.models.members import Seed as MemberSeed
 from redwingswitch._internal.ports import RandomSource
 from redwingswitch._internal.settings import Seed
-from redwingswitch._internal.utils.clock import wall_clock_ms
+from redwingswitch._internal.utils.clocks import wall_clock_ms
 
 INCARNATION_RANDOM_BITS = 16
 
--- a/src/redwingswitch/_internal/utils/clocks.py
+++ b/src/redwingswitch/_internal/utils/clocks.py
@@ -13,3 +13,8 @@
     def now_ms(self) -> int:
         """Return milliseconds since an arbitrary point; never goes back."""
         return time.monotonic_ns() // NS_PER_MS
+
+
+def wall_clock_ms() -> int:
+    """Return wall-clock milliseconds; used only for numbers that should mostly rise."""
+    return time.time_ns() // NS_PER_MS
--- a/tests/functional/test_backend_client.py
+++ b/tests/functional/test_backend_client.py
@@ -21,7 +21,7 @@
     ReportFaults,
 )
 from redwingswitch._internal.standins.work import Work, encode_work, whole_answer
-from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.loops import Recorder, run, turns
 
 REQUEST_ID = bytes(range(16))
--- a/tests/functional/test_entry_daemon.py
+++ b/tests/functional/test_entry_daemon.py
@@ -17,7 +17,7 @@
 from redwingswitch._internal.standins.memory_store import MemoryStore
 from redwingswitch._internal.standins.request_caller import RequestCaller
 from redwingswitch._internal.standins.work import Work
-from redwingswitch._internal.utils.clock import MonotonicClock
+from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.loops import run, turns
 
 SERVICES = (JOB_BOARD._replace(servers=2), PHOTOS._replace(servers=1))
