Use the store adapter and spliced connections in the demo

The demo ran with a store in memory, so that the HTTP adapter had no part in it, and it opened no spliced connection. Both are in the run now.

--- a/src/redwingswitch/_internal/standins/demo.py
+++ b/src/redwingswitch/_internal/standins/demo.py
@@ -6,17 +6,20 @@
 from random import Random
 
 from redwingswitch._internal.models.identifiers import FlowKey
+from redwingswitch._internal.network.store_http import HttpConfigStore
 from redwingswitch._internal.ports import Clock
 from redwingswitch._internal.standins import demo_verdict
 from redwingswitch._internal.standins.demo_fleet import JOB_BOARD, DemoFleet
 from redwingswitch._internal.standins.demo_load import DemoLoad
 from redwingswitch._internal.standins.demo_verdict import Check
 from redwingswitch._internal.standins.fabric import Fabric, Impairments
-from redwingswitch._internal.standins.memory_store import MemoryStore
 from redwingswitch._internal.standins.request_caller import RequestCaller
+from redwingswitch._internal.standins.store import StoreStandin
 
 START_LIMIT_S = 15.0
 WARM_UP_S = 3.0
+# Time for the spliced connections to open before their host stops.
+SPLICED_LEAD_S = 0.5
 CHANGE_LIMIT_S = 10.0
 LOAD_AFTER_CHANGE_S = 10.0
 STOP_LIMIT_S = 20.0
@@ -25,6 +28,7 @@
 FABRIC_LAG_S = 1.0
 # A leaving backend server gets no new work after this time.
 LEAVING_LIMIT_S = 3.0
+STORE_TIMEOUT_MS = 2_000
 MS_PER_S = 1_000
 IMPAIRMENTS = Impairments(
     loss_ratio=0.005, duplication_ratio=0.01, delay_ratio=0.05, max_delay_ms=30
@@ -42,8 +46,14 @@
         self._clock = clock
         self._random = random_source
         self._fabric = Fabric(random_source=random_source, impairments=IMPAIRMENTS)
+        self._store_standin = StoreStandin(clock=clock)
+        self._store_standin.start()
+        self._store = HttpConfigStore(
+            endpoints=[f"http://127.0.0.1:{self._store_standin.port}"],
+            timeout_ms=STORE_TIMEOUT_MS,
+        )
         self._fleet = DemoFleet(
-            clock=clock, random_source=random_source, store=MemoryStore(), fabric=self._fabric
+            clock=clock, random_source=random_source, store=self._store, fabric=self._fabric
         )
         self._caller = RequestCaller(
             address="127.0.0.1", fabric=self._fabric, random_source=random_source
@@ -60,6 +70,8 @@
         finally:
             self._caller.close()
             await self._fleet.close()
+            self._store.close()
+            await self._store_standin.stop()
         return self._checks
 
     async def _start(self) -> None:
@@ -68,6 +80,8 @@
         _say(f"7 entry hosts and 10 backend servers; revision 1 in force after {started_ms} ms")
         self._load.start()
         await asyncio.sleep(WARM_UP_S)
+        self._load.start_spliced(host=STOPPED_HOST)
+        await asyncio.sleep(SPLICED_LEAD_S)
 
     async def _change(self) -> None:
         fleet = self._fleet
@@ -93,6 +107,7 @@
         await self._load.finish()
         servers = list(self._fleet.servers.values())
         self._checks += demo_verdict.flow_checks(self._fleet.streams.verdicts())
+        self._checks.append(demo_verdict.spliced_check(self._load.spliced))
         self._checks += demo_verdict.server_checks(servers)
         self._checks += demo_verdict.request_checks(self._load.results, servers)
 
--- a/src/redwingswitch/_internal/standins/demo_fleet.py
+++ b/src/redwingswitch/_internal/standins/demo_fleet.py
@@ -72,7 +72,7 @@
         services: tuple[DemoService, ...] = SERVICES,
     ) -> None:
         self.clock = clock
-        self.store = store
+        self.store: ConfigStore = store
         self.fabric = fabric
         self.daemons: dict[str, EntryDaemon] = {}
         self.servers: dict[str, BackendServerStandIn] = {}
--- a/src/redwingswitch/_internal/standins/demo_load.py
+++ b/src/redwingswitch/_internal/standins/demo_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Coroutine
 from random import Random
 from typing import Any
@@ -19,6 +20,10 @@
 SHORT_FLOW_PAUSE_S = 0.03
 REQUEST_PAUSE_S = 0.03
 REQUEST_TIMEOUT_MS = 4_000
+SPLICED_CONNECTIONS = 10
+SPLICED_CHUNKS = 10
+SPLICED_CHUNK = b"progress " * 100
+SPLICED_PAUSE_S = 0.4
 MAX_TASKS = 5_000
 
 
@@ -27,8 +32,8 @@
 
     def __init__(self, *, fleet: DemoFleet, caller: RequestCaller, random_source: Random) -> None:
         self.results: list[CallResult] = []
-        self.spliced_whole = 0
-        self.spliced_broken = 0
+        # Spliced connections by whether every byte came back.
+        self.spliced: Counter[bool] = Counter()
         self._fleet = fleet
         self._caller = caller
         self._random = random_source
@@ -49,6 +54,11 @@
         self._spawn(self._open_short_flows())
         self._spawn(self._send_requests())
 
+    def start_spliced(self, *, host: str) -> None:
+        """Open connections through the TCP listener of a host that will stop."""
+        for _ in range(SPLICED_CONNECTIONS):
+            self._spawn(self._splice(host))
+
     def stop(self) -> None:
         """Start no more load."""
         self._stopping.set()
@@ -91,6 +101,24 @@
         )
         self.results.append(result)
 
+    async def _splice(self, host: str) -> None:
+        address = self._fleet.daemons[host].parameters.address
+        port = self._fleet.listen_ports[PHOTOS.name]
+        received = b""
+        try:
+            reader, writer = await asyncio.open_connection(address, port)
+            for _ in range(SPLICED_CHUNKS):
+                writer.write(SPLICED_CHUNK)
+                await asyncio.sleep(SPLICED_PAUSE_S)
+            writer.write_eof()
+            received = await reader.read()
+            writer.close()
+        except OSError:
+            self.spliced[False] += 1
+            return
+        # The server names itself in a first line.
+        self.spliced[received.endswith(b"\n" + SPLICED_CHUNK * SPLICED_CHUNKS)] += 1
+
     def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
         if len(self._tasks) >= MAX_TASKS:
             work.close()
--- a/src/redwingswitch/_internal/standins/demo_verdict.py
+++ b/src/redwingswitch/_internal/standins/demo_verdict.py
@@ -35,6 +35,12 @@
     ]
 
 
+def spliced_check(whole: Counter[bool]) -> Check:
+    """Return the figure of the connections through the TCP listener of the stopped host."""
+    text = f"{whole[True]} whole, {whole[False]} cut off"
+    return Check("spliced connections", text, whole[True] > 0 and whole[False] == 0)
+
+
 def server_checks(servers: Iterable[BackendServerStandIn]) -> list[Check]:
     """Return the figures of the backend servers."""
     servers = list(servers)
