--- a/src/redwingswitch/_internal/standins/request_caller.py
+++ b/src/redwingswitch/_internal/standins/request_caller.py
@@ -57,11 +57,18 @@
     """One caller with one UDP socket."""
 
     def __init__(
-        self, *, address: str, fabric: Fabric, random_source: RandomSource, resend_ms: int = 400
+        self,
+        *,
+        address: str,
+        fabric: Fabric,
+        random_source: RandomSource,
+        resend_ms: int = 400,
+        wait_after_deadline_ms: int = WAIT_AFTER_DEADLINE_MS,
     ) -> None:
         self._fabric = fabric
         self._random = random_source
         self._resend_ms = resend_ms
+        self._wait_after_deadline_ms = wait_after_deadline_ms
         self._calls: dict[bytes, _Call] = {}
         self._endpoint = DatagramEndpoint(address=address, port=0, on_datagram=self._on_datagram)
 
@@ -97,7 +104,7 @@
 
     async def _send_until_done(self, header: RequestHeader, call: _Call) -> int:
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + (header.remaining_ms + WAIT_AFTER_DEADLINE_MS) / MS_PER_S
+        end_s = loop.time() + (header.remaining_ms + self._wait_after_deadline_ms) / MS_PER_S
         deadline_s = loop.time() + header.remaining_ms / MS_PER_S
         sends = 0
         while loop.time() < end_s and not call.done.is_set():
