Leave out a peer without a key instead of the whole revision

A declared entry host without a public key made the update of the peers raise, so that an accepted revision was never in force on hosts that use keys. Such a peer is now left out and logged.

The new test hangs until its limit without the change and passes with it.

--- a/src/redwingswitch/_internal/cli/entry.py
+++ b/src/redwingswitch/_internal/cli/entry.py
@@ -7,7 +7,7 @@
 import fire
 
 from redwingswitch._internal.cli import status_codes
-from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.exceptions import InvalidInputGroup, RedwingswitchError
 
 
 def run(settings: str) -> int:
@@ -20,6 +20,9 @@
         for error in group.exceptions:
             print(error, file=sys.stderr)
         return status_codes.INVALID_INPUT
+    except RedwingswitchError as error:
+        print(error, file=sys.stderr)
+        return status_codes.ERROR
     except OSError as error:
         print(f"cannot start: {error}; free the port or change the settings", file=sys.stderr)
         return status_codes.ERROR
--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -30,7 +30,7 @@
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.backend_client import BackendClient
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
-from redwingswitch._internal.network.peers import PeerSockets
+from redwingswitch._internal.network.peers import PeerAddress, PeerSecurityError, PeerSockets
 from redwingswitch._internal.network.report_client import ReportClient
 from redwingswitch._internal.ports import Clock, ConfigStore, HostList, RandomSource
 from redwingswitch._internal.settings import Seed
@@ -86,6 +86,7 @@
         self._host_list = HostListPoller(host_list=host_list, submit=self._submit)
         self._directory = Directory(pinned_keys=parameters.pinned_keys)
         self._entry_host: EntryHostPort | None = None
+        self._performer: ActionPerformer | None = None
         self._pipeline: Pipeline | None = None
         self._expiry = PeriodicCallback(self._expire, EXPIRY_INTERVAL_MS)
         self._stopped = asyncio.Event()
@@ -114,11 +115,12 @@
         now_ms = self._clock.now_ms()
         abstain_until_ms = now_ms + ABSTENTION_MS if started_before else now_ms
         self._directory.set_seeds(seeds)
-        self._peers.update_peers(self._directory.peers())
+        self._update_peers()
         self._entry_host = self._make_entry_host(self._incarnation, abstain_until_ms, seeds, now_ms)
+        self._performer = self._make_performer()
         self._pipeline = Pipeline(
             entry_host=self._entry_host,
-            performer=self._performer(),
+            performer=self._performer,
             clock=self._clock,
             metrics=self.metrics,
         )
@@ -155,6 +157,8 @@
         self._expiry.stop()
         if self._pipeline is not None:
             self._pipeline.close()
+        if self._performer is not None:
+            self._performer.close()
         self._host_list.close()
         self._documents.close()
         if self._store is not None:
@@ -215,7 +219,7 @@
             store=store, random_source=random_source, metrics=self.metrics, submit=self._submit
         )
 
-    def _performer(self) -> ActionPerformer:
+    def _make_performer(self) -> ActionPerformer:
         return ActionPerformer(
             directory=self._directory,
             metrics=self.metrics,
@@ -255,13 +259,27 @@
         if self._pipeline is None:
             return
         self._directory.update(configuration, self._clock.now_ms())
-        self._peers.update_peers(self._directory.peers())
+        self._update_peers()
         self._backends.update_servers(self._directory.servers())
         self._reports.update_servers(self._directory.servers())
         self._times.apply_configuration(configuration)
         self._pipeline.apply_configuration(configuration)
         IOLoop.current().add_callback(self._listeners.update, configuration.services)
 
+    def _update_peers(self) -> None:
+        self._peers.update_peers(peer for peer in self._directory.peers() if self._is_usable(peer))
+
+    def _is_usable(self, peer: PeerAddress) -> bool:
+        # One peer that cannot be reached safely must not keep an accepted revision out of force.
+        if peer.host == self.parameters.host:
+            return False
+        try:
+            self._peers.check_peer(peer)
+        except PeerSecurityError as error:
+            log.error(f"{peer.host} is left out: {error}")
+            return False
+        return True
+
     def _choose_server(self, service: str, connection_hash: int) -> BackendServer | None:
         if self._entry_host is None:
             return None
@@ -276,7 +294,7 @@
 
     def _expire(self) -> None:
         if self._directory.expire(self._clock.now_ms()):
-            self._peers.update_peers(self._directory.peers())
+            self._update_peers()
 
     def _on_stop_completed(self, cut_off_requests: int) -> None:
         if cut_off_requests:
--- a/src/redwingswitch/_internal/network/peers.py
+++ b/src/redwingswitch/_internal/network/peers.py
@@ -120,12 +120,18 @@
         """Replace the listed peers; raise PeerSecurityError for plaintext beyond loopback."""
         listed = {peer.host: peer for peer in peers if peer.host != self._host}
         for peer in listed.values():
-            self._check_peer(peer)
+            self.check_peer(peer)
         for host, peer in self._peers.items():
             if listed.get(host) != peer:
                 self._disconnect(host)
         self._peers = listed
 
+    def check_peer(self, peer: PeerAddress) -> None:
+        """Raise PeerSecurityError when messages to ``peer`` could not be protected as required."""
+        if self._keys.encrypted and not peer.public_key:
+            raise PeerSecurityError(f"{peer.host} has no public key; add its CURVE key in Z85")
+        self._check_plaintext(peer.address)
+
     def lists_key(self, public_key: str) -> bool:
         """Return whether a listed peer has this public key."""
         return any(peer.public_key == public_key for peer in self._peers.values())
@@ -247,11 +253,6 @@
         )
         return authenticator
 
-    def _check_peer(self, peer: PeerAddress) -> None:
-        if self._keys.encrypted and not peer.public_key:
-            raise PeerSecurityError(f"{peer.host} has no public key; add its CURVE key in Z85")
-        self._check_plaintext(peer.address)
-
     def _check_plaintext(self, address: str) -> None:
         if self._keys.encrypted:
             return
--- a/tests/functional/test_entry_daemon.py
+++ b/tests/functional/test_entry_daemon.py
@@ -10,6 +10,7 @@
 
 from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
 from redwingswitch._internal.models.requests import Outcome
+from redwingswitch._internal.network.peers import PeerKeys
 from redwingswitch._internal.network.tunnel import build_packet
 from redwingswitch._internal.report import metric_names
 from redwingswitch._internal.standins.demo_fleet import JOB_BOARD, PHOTOS, DemoFleet
@@ -178,6 +179,17 @@
     run(body())
 
 
+def test_a_peer_without_a_key_does_not_keep_a_revision_out_of_force():
+    async def body():
+        async with Bench() as bench:
+            fleet = bench.fleet
+            bench.fleet._keys["entry-3"] = PeerKeys()
+            await fleet.apply()
+            await turns(lambda: min(fleet.revisions(["entry-1", "entry-2"])) == 2)
+
+    run(body())
+
+
 @pytest.mark.parametrize(
     ("port", "data"),
     [("data_port", b"not a packet"), ("request_port", b"\xc1"), ("data_port", b"")],
