--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -38,9 +38,7 @@
     return fit(name, x_unit, y_unit, [(float(size), sample(size)) for size in sizes])
 
 
-def fit(
-    name: str, x_unit: str, y_unit: str, points: Sequence[tuple[float, float]]
-) -> Slope:
+def fit(name: str, x_unit: str, y_unit: str, points: Sequence[tuple[float, float]]) -> Slope:
     """Fit a line through at least three points."""
     xs = [x for x, _ in points]
     ys = [y for _, y in points]
