Make the cost of a heartbeat independent of fleet and file size

Cause: each heartbeat changed a digest, each changed digest made a new view, and each view reached every part; BackendHealth.ejected also walked all servers, several times an event. Views that differ only by digests now go out every 250 ms, and ejected servers are kept in a set.

--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -25,6 +25,9 @@
 # A message that a part addresses to its own host is handled at once. Each hop of a forwarded
 # message produces at most one more, so that a longer chain is a fault in a part.
 MAX_LOCAL_MESSAGES = 64
+# In a large fleet nearly every heartbeat changes a digest, and each new view costs every part time
+# in proportion to the members.
+VIEW_INTERVAL_MS = 250
 
 Handler = Callable[[Any, int], list[Action]]
 
@@ -71,6 +74,7 @@
         self.stop = GracefulStop()
         self.configuration: Configuration | None = None
         self._view = MembershipView(members=())
+        self._next_view_ms = 0
         self._ejected: frozenset[str] = frozenset()
         self._server_domains: dict[int, tuple[str, str]] = {}
         self._open_connections = 0
@@ -202,9 +206,15 @@
         return actions
 
     def _on_peer_message(self, event: events.PeerMessageArrived, now_ms: int) -> list[Action]:
-        if not self.membership.accepts(event.sender, event.incarnation):
-            return [Drop(reason=DropReason.STALE_INCARNATION, subject=event.sender)]
-        return self._route_message(event, now_ms)
+        if self.membership.accepts(event.sender, event.incarnation):
+            return self._route_message(event, now_ms)
+        actions: list[Action] = [Drop(DropReason.STALE_INCARNATION, event.sender)]
+        if isinstance(event.message, messages.Ping):
+            # Tells a restarted host whose clock went back which incarnation to exceed.
+            actions += self.membership.on_message(
+                event.sender, event.incarnation, event.message, now_ms
+            )
+        return actions
 
     def _route_message(self, event: events.PeerMessageArrived, now_ms: int) -> list[Action]:
         message = event.message
@@ -238,7 +248,7 @@
     def _propagate(self, now_ms: int) -> list[Action]:
         """Hand changes of one part on to the parts that depend on it."""
         actions: list[Action] = []
-        view = self.membership.view()
+        view = self._current_view(now_ms)
         if view is not self._view:
             self._view = view
             actions += self.steering.set_members(view, now_ms)
@@ -255,6 +265,13 @@
         )
         return actions
 
+    def _current_view(self, now_ms: int) -> MembershipView:
+        """Return the members; one that differs only by digests at intervals."""
+        if not self.membership.states_changed() and now_ms < self._next_view_ms:
+            return self._view
+        self._next_view_ms = now_ms + VIEW_INTERVAL_MS
+        return self.membership.view()
+
     def _ejected_by_peers(self, view: MembershipView) -> frozenset[str]:
         """Return the servers that hosts of the servers' own failure domains report as ejected.
 
--- a/src/redwingswitch/_internal/decisions/health.py
+++ b/src/redwingswitch/_internal/decisions/health.py
@@ -28,6 +28,8 @@
         self._random = random_source
         self._servers: dict[str, ServerHealth] = {}
         self._by_service: dict[str, list[ServerHealth]] = {}
+        # Kept apart because it is asked for with every event, while few servers are ever in it.
+        self._ejected: set[str] = set()
         self._poll_order: list[str] = []
         self._next_poll_ms: int | None = None
 
@@ -39,6 +41,7 @@
         self._by_service = {}
         for service in configuration.services:
             self._take_service(service, previous, first, now_ms)
+        self._ejected = {name for name, health in self._servers.items() if health.is_ejected}
         self._poll_order = [name for name in self._poll_order if name in self._servers]
         if self._next_poll_ms is None:
             self._next_poll_ms = now_ms + self._random.randrange(POLL_INTERVAL_MS)
@@ -62,6 +65,7 @@
             health.on_shed(now_ms)
             return
         health.on_failure(now_ms, may_eject=self._may_eject(health, now_ms))
+        self._note_ejection(server, health)
 
     def on_dispatched(self, server: str, now_ms: int) -> None:
         """Note that an attempt was started, so that an ejected server gets one probe at a time."""
@@ -77,14 +81,25 @@
         return []
 
     def on_report_failed(self, server: str, now_ms: int) -> list[Action]:
-        """Ignore a silent load endpoint: its last report expires, and says nothing by itself."""
+        """Count a silent load endpoint; it ejects a server that shows no other sign of life.
+
+        A service that takes only streams gives no observations of its own, so that without this a
+        crashed server of it would get new flows for ever.
+        """
+        health = self._servers.get(server)
+        if health is not None:
+            health.on_report_failed(now_ms, may_eject=self._may_eject(health, now_ms))
+            self._note_ejection(server, health)
         return []
 
     def ejected(self, now_ms: int) -> frozenset[str]:
         """Return the servers that get no new work until a probe has succeeded."""
-        for health in self._servers.values():
+        for name in tuple(self._ejected):
+            health = self._servers[name]
             health.refresh(now_ms)
-        return frozenset(name for name, health in self._servers.items() if health.is_ejected)
+            if not health.is_ejected:
+                self._ejected.discard(name)
+        return frozenset(self._ejected)
 
     def may_dispatch(self, server: str, idempotent: bool, now_ms: int) -> bool:
         """Tell whether the server may get a request now, as ordinary work or as the one probe."""
@@ -130,6 +145,10 @@
             self._random.shuffle(self._poll_order)
         return [PollReport(self._poll_order.pop())]
 
+    def _note_ejection(self, server: str, health: ServerHealth) -> None:
+        if health.is_ejected:
+            self._ejected.add(server)
+
     def _take_service(
         self, service: Service, previous: dict[str, ServerHealth], first: bool, now_ms: int
     ) -> None:
--- a/src/redwingswitch/_internal/decisions/member_gossip.py
+++ b/src/redwingswitch/_internal/decisions/member_gossip.py
@@ -95,7 +95,7 @@
 
     def _raise_incarnation(self, stated: int) -> None:
         self.incarnation = stated + 1
-        self._table.changed = True
+        self._table.note_states_changed()
         self._table.pass_on(self._host)
 
     def _add_queued(self, chosen: dict[str, MemberUpdate]) -> None:
--- a/src/redwingswitch/_internal/decisions/member_table.py
+++ b/src/redwingswitch/_internal/decisions/member_table.py
@@ -88,6 +88,8 @@
         self.suspicions = 0
         self.deaths = 0
         self.changed = True
+        # Unlike ``changed``, not set by new digests, which arrive with nearly every heartbeat.
+        self.states_changed = True
 
     def __len__(self) -> int:
         return len(self._members)
@@ -117,7 +119,7 @@
         member = Member(host=host, failure_domain=failure_domain, incarnation=PRESUMED_INCARNATION)
         self._members[host] = member
         bisect.insort(self._names, host)
-        self.changed = True
+        self.note_states_changed()
         return member
 
     def apply(self, update: MemberUpdate, now_ms: int, *, trusted: bool = True) -> bool:
@@ -193,9 +195,14 @@
         for member in self.dead():
             self._expire_member(member, now_ms, listed=listed)
 
+    def note_states_changed(self) -> None:
+        """Note that hosts, their states or their incarnations are different."""
+        self.changed = True
+        self.states_changed = True
+
     def forget_rows(self) -> None:
         """Drop the prepared rows of the view, which depend on the configuration."""
-        self.changed = True
+        self.note_states_changed()
         for member in self:
             member.row = None
 
@@ -257,7 +264,7 @@
         suspected = state == MemberState.SUSPECTED
         self._set_suspicion(member, now_ms + SUSPICION_MS if suspected else None)
         self._set_removal(member, now_ms + REMOVAL_MS if state == MemberState.DEAD else None)
-        self.changed = True
+        self.note_states_changed()
 
     def _set_suspicion(self, member: Member, deadline_ms: int | None) -> None:
         member.suspicion_deadline_ms = deadline_ms
@@ -289,7 +296,7 @@
             self._disputed.discard(member.host)
             self._dead.discard(member.host)
             self._sends_left.pop(member.host, None)
-            self.changed = True
+            self.note_states_changed()
 
     def _count_send(self, host: str) -> None:
         self._sends_left[host] -= 1
--- a/src/redwingswitch/_internal/decisions/membership.py
+++ b/src/redwingswitch/_internal/decisions/membership.py
@@ -79,7 +79,7 @@
             return self._announce_leaving(now_ms)
         if self._gossip.leaving and not self._stop_requested:
             self._gossip.return_to_service()
-            self._table.changed = True
+            self._table.note_states_changed()
         return []
 
     def set_seeds(self, seeds: Iterable[Seed], now_ms: int) -> None:
@@ -142,8 +142,13 @@
         if self._view is None or self._table.changed:
             self._view = self._build_view()
             self._table.changed = False
+            self._table.states_changed = False
         return self._view
 
+    def states_changed(self) -> bool:
+        """Tell whether more than digests has changed since the last call of ``view``."""
+        return self._view is None or self._table.states_changed
+
     def statistics(self) -> MembershipStatistics:
         """Return the counters of this host."""
         table = self._table
@@ -217,7 +222,7 @@
         if not self._gossip.begin_leaving():
             return []
         self._enter(now_ms)
-        self._table.changed = True
+        self._table.note_states_changed()
         targets = [m.host for m in self._table if m.state <= MemberState.SUSPECTED]
         self._random.shuffle(targets)
         announced = targets[:LEAVING_ANNOUNCEMENTS]
--- a/src/redwingswitch/_internal/decisions/requests.py
+++ b/src/redwingswitch/_internal/decisions/requests.py
@@ -279,5 +279,6 @@
         for dispatch in self._dispatches:
             target = self._routing.dispatcher(dispatch.service.name, dispatch.domain)
             dispatch.set_serving(target == self._host, now_ms)
-            actions.extend(self._runs.pump(dispatch, now_ms))
+            if not dispatch.idle():
+                actions.extend(self._runs.pump(dispatch, now_ms))
         return actions
--- a/src/redwingswitch/_internal/decisions/server_health.py
+++ b/src/redwingswitch/_internal/decisions/server_health.py
@@ -45,6 +45,8 @@
         self._shed_deadlines_ms: list[int] = []
         self._report: BackendReport | None = None
         self._report_deadline_ms = 0
+        self._silent_reports = 0
+        self._answered_until_ms = 0
         self._draining_until_ms: int | None = None
 
     @property
@@ -69,6 +71,7 @@
     def on_success(self, latency_ms: int, now_ms: int) -> None:
         """Note an answer, which ends an ejection if it answers the probe."""
         self._failures_in_row = 0
+        self._answered_until_ms = now_ms + REPORT_MS
         self._smooth(latency_ms)
         if not self.is_ejected:
             self._forgive(now_ms)
@@ -99,10 +102,23 @@
     def on_report(self, report: BackendReport, now_ms: int) -> None:
         """Keep a report until its deadline."""
         self._report = report
+        self._silent_reports = 0
         self._report_deadline_ms = now_ms + REPORT_MS
         self._draining_until_ms = now_ms + DRAINING_STATEMENT_MS if report.draining else None
         self.refresh(now_ms)
 
+    def on_report_failed(self, now_ms: int, *, may_eject: bool) -> None:
+        """Count a silent load endpoint, unless the server answered requests lately."""
+        if now_ms < self._answered_until_ms:
+            return
+        self._silent_reports = min(FAILURES_TO_EJECT, self._silent_reports + 1)
+        if self._silent_reports < FAILURES_TO_EJECT:
+            return
+        if (self.is_ejected and now_ms >= self.probe_from_ms) or (
+            may_eject and not self.is_ejected
+        ):
+            self._eject(now_ms)
+
     def refresh(self, now_ms: int) -> None:
         """Drop what has passed its deadline, and end an ejection that no probe can end."""
         if self._probe_deadline_ms is not None and now_ms >= self._probe_deadline_ms:
