--- a/tests/lib/stores.py
+++ b/tests/lib/stores.py
@@ -1,11 +1,18 @@
 """The store stand-in and its adapter for tests, on a clock that the test moves."""
 
+import asyncio
 from contextlib import asynccontextmanager
 
 from redwingswitch._internal.network.store_http import HttpConfigStore
 from redwingswitch._internal.standins.store import StoreStandin
 
 PATIENT_MS = 10_000
+SCENARIO_LIMIT_S = 30
+
+
+def run(scenario):
+    """Run a scenario; one that waits for an event that never comes fails after the limit."""
+    asyncio.run(asyncio.wait_for(scenario(), SCENARIO_LIMIT_S))
 
 
 class ManualClock:
--- a/tests/unit/network/test_store_http.py
+++ b/tests/unit/network/test_store_http.py
@@ -8,7 +8,7 @@
 from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from redwingswitch._internal.ports import GrantedLease, KeyVersion
 from redwingswitch._internal.standins.store import Call
-from tests.lib.stores import running_store
+from tests.lib.stores import run, running_store
 
 KEY = "redwingswitch/configuration"
 LEASE = "redwingswitch/watcher/hobart"
@@ -99,7 +99,7 @@
                 await call(method, store, version, lease)
             assert has_effect(method, standin) is effect
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 @pytest.mark.parametrize("method", ["get", "swap", "acquire", "renew", "release"])
@@ -111,7 +111,7 @@
             with pytest.raises(UNAVAILABLE):
                 await call(method, store, version, lease)
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_values_versions_and_comparisons():
@@ -139,7 +139,7 @@
                 )
                 assert (written is not None) is wins
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_a_lease_lapses_excludes_others_and_never_reuses_a_version():
@@ -162,7 +162,7 @@
             await store.release_lease(second)
             assert standin.state.get(LEASE) is None
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_a_lost_race_for_a_lease_leaves_no_lease_behind():
@@ -175,7 +175,7 @@
             assert len(granted) == 1
             assert standin.calls()["lease/revoke"] == standin.calls()["lease/grant"] - 1
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_other_endpoints_are_asked_only_when_that_is_safe():
@@ -198,7 +198,7 @@
                     await swap(store, b"a", 0)
                 assert "kv/txn" not in second.calls()
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 class Values:
@@ -236,7 +236,7 @@
             resumed.cancel()
             assert values.queue.empty()
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_a_cancelled_watch_is_not_reported_as_a_fault_later(caplog):
@@ -252,7 +252,7 @@
                 await asyncio.sleep(0)
             assert caplog.records == []
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 @pytest.mark.parametrize("fault", ["lose_after", "lose_before", "stopped"])
@@ -272,7 +272,7 @@
             with pytest.raises(UNAVAILABLE):
                 await watching
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 def test_a_watch_finds_the_older_content_of_a_store_that_went_back():
@@ -291,7 +291,7 @@
             assert await values.next() == b"a"
             watching.cancel()
 
-    asyncio.run(scenario())
+    run(scenario)
 
 
 @pytest.mark.parametrize(
@@ -318,4 +318,4 @@
             with pytest.raises(UNAVAILABLE):
                 await store.watch(KEY, after_version=0, on_value=Values())
 
-    asyncio.run(scenario())
+    run(scenario)
