--- /dev/null
+++ b/tests/unit/configuration/test_fleet.py
@@ -0,0 +1,75 @@
+"""Guards against a revision that is reported as in force where a host may still lack it."""
+
+import pytest
+
+from redwingswitch._internal.configuration.fleet import (
+    admin_endpoints,
+    force_by_domain,
+    known_hosts,
+)
+from redwingswitch._internal.configuration.parse import parse_configuration
+from redwingswitch._internal.models.configuration import ServerState
+from redwingswitch._internal.models.status import FleetReading
+from tests.lib.operator_files import VALID_FILE
+from tests.lib.stepped_store import host_status
+
+CONFIGURATION = parse_configuration(text=VALID_FILE, file="", revision=1, digest="")
+
+
+def report(host, revision, digest="d", **peers):
+    return host_status(host, revision, digest, [(h, *said) for h, said in peers.items()])
+
+
+# Reports, and for hobart (entry-1) and bruny (entry-2) whether revision 5 is completely in force.
+CASES = [
+    ([], [False, False]),
+    ([report("entry-1", 5), report("entry-2", 6, "later")], [True, True]),
+    ([report("entry-1", 4), report("entry-2", 5, "other")], [False, False]),
+    ([report("entry-1", 5, **{"entry-2": ("alive", 5)})], [True, True]),
+    ([report("entry-1", 5, **{"entry-2": ("alive", 4)})], [True, False]),
+    ([report("entry-1", 5, **{"entry-2": ("suspected", 5)})], [True, False]),
+    ([report("entry-1", 5, **{"entry-2": ("dead", 5)})], [True, False]),
+]
+
+
+@pytest.mark.parametrize(("statuses", "complete"), CASES)
+def test_a_domain_is_complete_only_without_a_host_that_may_lack_the_revision(statuses, complete):
+    reading = FleetReading(tuple(statuses), ())
+    hosts = known_hosts(CONFIGURATION, reading)
+    domains = force_by_domain(hosts, reading, revision=5, digest="d")
+    assert [domain.complete for domain in domains] == complete
+
+
+@pytest.mark.parametrize(
+    ("said", "leaving", "complete"),
+    [
+        (["dead", "dead"], False, True),
+        (["dead", "alive"], False, False),
+        (["dead", "suspected"], False, False),
+        (["suspected", "suspected"], False, False),
+        (["suspected", "suspected"], True, True),
+    ],
+)
+def test_a_host_that_one_peer_still_trusts_may_serve(said, leaving, complete):
+    # entry-3 shares its failure domain with entry-2, which holds the revision.
+    third = CONFIGURATION.entry_hosts[1]._replace(name="entry-3", admin_port=7402)
+    if leaving:
+        third = third._replace(state=ServerState.LEAVING)
+    configuration = CONFIGURATION._replace(entry_hosts=(*CONFIGURATION.entry_hosts, third))
+    statuses = [
+        report(host, 5, **{"entry-3": (state, 4)})
+        for host, state in zip(("entry-1", "entry-2"), said, strict=True)
+    ]
+    reading = FleetReading(tuple(statuses), ())
+    hosts = known_hosts(configuration, reading)
+    domains = force_by_domain(hosts, reading, revision=5, digest="d")
+    assert [domain.complete for domain in domains] == [True, complete]
+
+
+def test_active_hosts_of_every_domain_are_asked_up_to_the_bound():
+    first, second = CONFIGURATION.entry_hosts
+    more = [first._replace(admin_port=7500 + n) for n in range(20)]
+    leaving = first._replace(state=ServerState.LEAVING)
+    configuration = CONFIGURATION._replace(entry_hosts=(leaving, *more, second))
+    expected = [f"127.0.0.1:{7500 + n}" for n in range(8)]
+    assert list(admin_endpoints(configuration)) == [*expected, "127.0.0.2:7401"]
--- a/tests/unit/configuration/test_parse.py
+++ b/tests/unit/configuration/test_parse.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from redwingswitch._internal.configuration import check
 from redwingswitch._internal.configuration.parse import parse_configuration
 from redwingswitch._internal.exceptions import InvalidInputGroup
 from redwingswitch._internal.models.configuration import ServerState
@@ -270,6 +271,16 @@
     assert problems == [f"{pair[1]!r} has the wire id of {pair[0]!r}"]
 
 
+def test_the_wire_id_that_means_none_is_refused(monkeypatch):
+    identifiers = {"job-board": 0, "job-1": 0, "job-2": 1}
+    monkeypatch.setattr(check, "wire_id", identifiers.get)
+    found = [(f.key_path, f.problem) for f in findings_of(VALID_FILE)]
+    assert found == [
+        ("services[0].name", "'job-board' has the reserved wire id 0"),
+        ("backend_servers[0].name", "'job-1' has the reserved wire id 0"),
+    ]
+
+
 def test_a_file_over_the_store_s_limit_is_refused():
     found = findings_of(VALID_FILE + "#" * 1_000_000)
     assert [f.key_path for f in found] == ["(whole file)"]
--- a/tests/unit/network/test_store_http.py
+++ b/tests/unit/network/test_store_http.py
@@ -7,7 +7,8 @@
 
 from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from redwingswitch._internal.ports import GrantedLease, KeyVersion
-from redwingswitch._internal.standins.store import Call
+from redwingswitch._internal.standins.store import Call, WatchHandler
+from redwingswitch._internal.standins.store_state import Put
 from tests.lib.stores import run, running_store
 
 KEY = "redwingswitch/configuration"
@@ -294,9 +295,38 @@
     run(scenario)
 
 
+def test_a_watch_misses_no_value_while_it_is_opened_and_skips_deletions(monkeypatch):
+    original = WatchHandler._answer
+
+    async def late(handler, faults):
+        # The value comes after the adapter's read and before its watch.
+        handler.standin.state.transact([], [Put(LEASE, b"a", 0)])
+        await original(handler, faults)
+
+    async def scenario():
+        # The turn is longer than the scenario may take, as the next turn would find the value.
+        async with running_store(watch_turn_ms=60_000) as (standin, store):
+            monkeypatch.setattr(WatchHandler, "_answer", late)
+            values = Values()
+            watching = asyncio.create_task(store.watch(LEASE, after_version=0, on_value=values))
+            assert await values.next() == b"a"
+            monkeypatch.setattr(WatchHandler, "_answer", original)
+            # The key is deleted with its lease.
+            lease = await store.acquire_lease(key="other", holder="h", ttl_ms=1_000)
+            put = Put(LEASE, b"b", lease.lease_id)
+            standin.state.transact([], [put])
+            await store.release_lease(lease)
+            await swap(store, b"c", 0, key=LEASE)
+            assert [await values.next(), await values.next()] == [b"b", b"c"]
+            watching.cancel()
+
+    run(scenario)
+
+
 @pytest.mark.parametrize(
     "line",
     [
+        b"",
         b"{}\n",
         b"not json\n",
         b'{"error": {"message": "no"}}\n',
@@ -306,15 +336,14 @@
 )
 def test_a_watch_refuses_what_it_cannot_read(line, monkeypatch):
     async def scenario():
-        async with running_store() as (_, store):
+        async with running_store(watch_turn_ms=IMPATIENT_MS) as (_, store):
 
             async def answer(handler, faults):
                 handler.write(line)
                 await handler.flush()
                 await handler._closed.wait()
 
-            handlers = "redwingswitch._internal.standins.store.WatchHandler._answer"
-            monkeypatch.setattr(handlers, answer)
+            monkeypatch.setattr(WatchHandler, "_answer", answer)
             with pytest.raises(UNAVAILABLE):
                 await store.watch(KEY, after_version=0, on_value=Values())
 
