--- a/src/redwingswitch/_internal/decisions/activation.py
+++ b/src/redwingswitch/_internal/decisions/activation.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.service_tables import ACTIVATE_AFTER_MS, HistoryEntry
+from redwingswitch._internal.decisions.history_entry import HistoryEntry
+from redwingswitch._internal.decisions.service_tables import ACTIVATE_AFTER_MS
 from redwingswitch._internal.decisions.steered_service import SteeredService
 from redwingswitch._internal.models.members import MembershipView, MemberState
 
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/history_entry.py
@@ -0,0 +1,56 @@
+"""One lookup table in the history of a service."""
+
+from __future__ import annotations
+
+from array import array
+
+from redwingswitch._internal.models.configuration import ServerState, Service
+
+
+class HistoryEntry:
+    """One lookup table; ``choices`` holds the server number of each bucket."""
+
+    def __init__(
+        self,
+        *,
+        revision: int,
+        servers: tuple[str, ...],
+        choices: array[int],
+        activate_at_ms: int,
+        activated_at_ms: int | None,
+    ) -> None:
+        # The first table of a process counts as activated until a peer says otherwise.
+        self.initial = False
+        self.revision = revision
+        self.servers = servers
+        self.choices = choices
+        self.activate_at_ms = activate_at_ms
+        self.activated_at_ms = activated_at_ms
+
+    def activates_in_ms(self, now_ms: int) -> int:
+        """Return the time left until the activation, 0 after it."""
+        if self.activated_at_ms is not None:
+            return 0
+        return max(1, self.activate_at_ms - now_ms)
+
+    def choice(self, flow_hash: int) -> int | None:
+        """Return the server number of a flow, or None when the table has no servers."""
+        size = len(self.choices)
+        return self.choices[flow_hash % size] if size else None
+
+
+def active_servers(service: Service) -> tuple[str, ...]:
+    """Return the names of the servers that take new flows, sorted."""
+    return tuple(sorted(s.name for s in service.backend_servers if s.state is ServerState.ACTIVE))
+
+
+def without_repeats(entries: list[HistoryEntry]) -> list[HistoryEntry]:
+    """Merge neighbours with the same servers; the earlier one keeps its revision."""
+    kept: list[HistoryEntry] = []
+    for entry in entries:
+        if kept and kept[-1].servers == entry.servers:
+            if kept[-1].activated_at_ms is None:
+                kept[-1].activated_at_ms = entry.activated_at_ms
+            continue
+        kept.append(entry)
+    return kept
--- a/src/redwingswitch/_internal/decisions/service_tables.py
+++ b/src/redwingswitch/_internal/decisions/service_tables.py
@@ -10,8 +10,13 @@
     maglev_table,
     rendezvous_rank,
 )
+from redwingswitch._internal.decisions.history_entry import (
+    HistoryEntry,
+    active_servers,
+    without_repeats,
+)
 from redwingswitch._internal.decisions.server_index import ServerIndex
-from redwingswitch._internal.models.configuration import BackendServer, ServerState, Service
+from redwingswitch._internal.models.configuration import BackendServer, Service
 from redwingswitch._internal.models.messages import HistoricTable, TableHistory
 
 MAX_TABLES = 8
@@ -19,38 +24,6 @@
 EJECTION_SETTLES_AFTER_MS = 1_000
 
 
-class HistoryEntry:
-    """One lookup table; ``choices`` holds the server number of each bucket."""
-
-    def __init__(
-        self,
-        *,
-        revision: int,
-        servers: tuple[str, ...],
-        choices: array[int],
-        activate_at_ms: int,
-        activated_at_ms: int | None,
-    ) -> None:
-        # The first table of a process counts as activated until a peer says otherwise.
-        self.initial = False
-        self.revision = revision
-        self.servers = servers
-        self.choices = choices
-        self.activate_at_ms = activate_at_ms
-        self.activated_at_ms = activated_at_ms
-
-    def activates_in_ms(self, now_ms: int) -> int:
-        """Return the time left until the activation, 0 after it."""
-        if self.activated_at_ms is not None:
-            return 0
-        return max(1, self.activate_at_ms - now_ms)
-
-    def choice(self, flow_hash: int) -> int | None:
-        """Return the server number of a flow, or None when the table has no servers."""
-        size = len(self.choices)
-        return self.choices[flow_hash % size] if size else None
-
-
 class ServiceTables:
     """Tables of one service, oldest first; the last one may still be in preparation."""
 
@@ -190,7 +163,7 @@
             if table.revision <= revision and table.revision not in by_revision:
                 by_revision[table.revision] = self._historic(table, now_ms)
         ordered = [by_revision[number] for number in sorted(by_revision)]
-        self.entries = _without_repeats(ordered)
+        self.entries = without_repeats(ordered)
         if self.newest.servers != newest.servers:
             # The same servers as before tables that this host skipped.
             activate_at_ms = now_ms + ACTIVATE_AFTER_MS
@@ -345,20 +318,3 @@
     def displaced_buckets(self) -> int:
         """Return how many buckets need records."""
         return self.direct.count(None)
-
-
-def active_servers(service: Service) -> tuple[str, ...]:
-    """Return the names of the servers that take new flows, sorted."""
-    return tuple(sorted(s.name for s in service.backend_servers if s.state is ServerState.ACTIVE))
-
-
-def _without_repeats(entries: list[HistoryEntry]) -> list[HistoryEntry]:
-    """Merge neighbours with the same servers; the earlier one keeps its revision."""
-    kept: list[HistoryEntry] = []
-    for entry in entries:
-        if kept and kept[-1].servers == entry.servers:
-            if kept[-1].activated_at_ms is None:
-                kept[-1].activated_at_ms = entry.activated_at_ms
-            continue
-        kept.append(entry)
-    return kept
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -4,7 +4,6 @@
 
 from collections.abc import Iterable
 from functools import singledispatchmethod
-from ipaddress import ip_address
 
 from redwingswitch._internal.decisions.activation import ActivationClock
 from redwingswitch._internal.decisions.flow_decider import FlowDecider, forward
@@ -154,7 +153,7 @@
         actions: list[Action] = []
         for service in services:
             actions += self._apply_service(service, now_ms, fresh=fresh, skipped=skipped)
-        self._index_services(configuration)
+        self._context.index_services(configuration)
         self._sweep_at_ms = self._sweep_at_ms or now_ms + SWEEP_INTERVAL_MS
         actions += self._history.advance(self._revision, now_ms)
         return actions + self._activate_due(now_ms) + self._exchange.sender.pump(now_ms)
@@ -196,21 +195,6 @@
             self._pending.pop(name, None)
             self._history.forget(name)
 
-    def _index_services(self, configuration: Configuration) -> None:
-        """Rebuild the address lookup and name the servers that changed their service."""
-        self._context.by_address = {
-            (ip_address(steered.service.address).packed, steered.service.port): steered
-            for steered in self._context.by_name.values()
-        }
-        owner_of_name: dict[str, str] = {}
-        owner_of_endpoint: dict[tuple[str, int], str] = {}
-        for service in configuration.services:
-            for server in service.backend_servers:
-                owner_of_name[server.name] = service.name
-                owner_of_endpoint[server.address, server.tunnel_port] = service.name
-        for steered in self._context.by_name.values():
-            steered.update_foreign(owner_of_name, owner_of_endpoint)
-
     # Members and health.
 
     def set_members(self, view: MembershipView, now_ms: int) -> list[Action]:
--- a/src/redwingswitch/_internal/decisions/steering_context.py
+++ b/src/redwingswitch/_internal/decisions/steering_context.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from typing import NamedTuple
 
 from redwingswitch._internal.decisions.bucket_owners import BucketOwners
 from redwingswitch._internal.decisions.flow_records import RecordUsage
 from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.models.configuration import Configuration
 
 RECORD_BOUND = 400_000
 
@@ -63,6 +65,21 @@
         self.by_address: dict[tuple[bytes, int], SteeredService] = {}
         self.counters = SteeringCounters()
 
+    def index_services(self, configuration: Configuration) -> None:
+        """Rebuild the address lookup and name the servers that changed their service."""
+        self.by_address = {
+            (ip_address(steered.service.address).packed, steered.service.port): steered
+            for steered in self.by_name.values()
+        }
+        owner_of_name: dict[str, str] = {}
+        owner_of_endpoint: dict[tuple[str, int], str] = {}
+        for service in configuration.services:
+            for server in service.backend_servers:
+                owner_of_name[server.name] = service.name
+                owner_of_endpoint[server.address, server.tunnel_port] = service.name
+        for steered in self.by_name.values():
+            steered.update_foreign(owner_of_name, owner_of_endpoint)
+
     def ranked(self, service: SteeredService, flow_hash: int) -> tuple[str, ...]:
         """Return the hosts for a flow, owner first, suspected ones included."""
         return self.owners.ranking.rank(service.wire_id, flow_hash, service.near(flow_hash))
--- a/tests/lib/steering_fleet.py
+++ b/tests/lib/steering_fleet.py
@@ -137,6 +137,8 @@
         self.hosts: dict[str, Host] = {}
         self.domains: dict[str, str] = {}
         self.deliveries: list[Delivery] = []
+        self.first_server: dict[FlowKey, str] = {}
+        self.broken: set[FlowKey] = set()
         self.drops: Counter[str] = Counter()
         # Revisions that hosts fetch from a peer whose heartbeat names them.
         self.documents: dict[int, Configuration] = {}
@@ -328,6 +330,9 @@
                         action.backend_server,
                     )
                 )
+                first = self.first_server.setdefault(action.flow, action.backend_server)
+                if first != action.backend_server:
+                    self.broken.add(action.flow)
             elif isinstance(action, Drop):
                 self.drops[action.reason] += 1
         self._arm(host)
