--- a/tests/unit/decisions/test_flow_steering.py
+++ b/tests/unit/decisions/test_flow_steering.py
@@ -12,8 +12,9 @@
 from redwingswitch._internal.decisions.record_sender import BATCH_INTERVAL_MS
 from redwingswitch._internal.models.actions import DropReason
 from redwingswitch._internal.models.configuration import Configuration, ServerState
-from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
+from redwingswitch._internal.models.identifiers import FlowKey, PacketKind, wire_id
 from redwingswitch._internal.models.members import MemberState
+from redwingswitch._internal.models.messages import BatchPurpose, RecordBatch, RecordGroup
 from tests.lib.steering_fleet import Fleet, configuration, flow_key, service
 
 HOSTS = {
@@ -267,6 +268,34 @@
     assert max(d.at_ms for d in opened) <= changed_at_ms + 3_000
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_host_that_lags_does_not_delay_the_others_beyond_3_s(seed):
+    fleet, flows = started(seed)
+    changed_at_ms = fleet.now_ms
+    config = revision(2, states=LEAVING)
+    for position, host in enumerate(HOSTS):
+        # The last host learns too late to let the others activate before the deadline.
+        lag_ms = 5_000 if host == "entry-7" else 100 * position
+        fleet.at(changed_at_ms + lag_ms, lambda h=host: fleet.apply(h, config))
+    fleet.run_for(2_800)
+    flows.run(400, step_ms=2, new=6, touch=False)
+    late = [d for d in fleet.deliveries if d.at_ms > changed_at_ms + 3_000]
+    assert not any(d.server == "job-3" and d.host != "entry-7" for d in late)
+
+
+def test_a_record_that_reaches_a_former_holder_is_passed_on_to_the_owner():
+    fleet, _ = started(9)
+    drain(fleet)
+    fleet.run_for(5_000)
+    bystander = fleet.hosts["entry-7"].steering
+    group = RecordGroup(wire_id("job-5"), b"".join(n.to_bytes(8, "big") for n in range(2_003)))
+    batch = RecordBatch(wire_id("job-board"), 1 << 30, BatchPurpose.REPLICA, (group,))
+    actions = bystander.on_message("entry-6", batch, fleet.now_ms)
+    passed_on = {a.host for a in actions if isinstance(a.message, RecordBatch)}
+    assert {"entry-1", "entry-2", "entry-3"} <= passed_on
+    assert "entry-6" not in passed_on
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_a_crash_breaks_only_flows_of_the_last_batch(seed):
     fleet, flows = started(seed)
