Ask for a lost document again after 250 ms, then at doubling times

The first repeat now comes after 250 ms, doubling to 2 s, and the only source is kept. A stale Ping goes to membership, which answers with the incarnation to exceed.

--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -208,13 +208,12 @@
     def _on_peer_message(self, event: events.PeerMessageArrived, now_ms: int) -> list[Action]:
         if self.membership.accepts(event.sender, event.incarnation):
             return self._route_message(event, now_ms)
-        actions: list[Action] = [Drop(DropReason.STALE_INCARNATION, event.sender)]
         if isinstance(event.message, messages.Ping):
-            # Tells a restarted host whose clock went back which incarnation to exceed.
-            actions += self.membership.on_message(
+            # The answer tells a restarted host whose clock went back which incarnation to exceed.
+            return self.membership.on_message(
                 event.sender, event.incarnation, event.message, now_ms
             )
-        return actions
+        return [Drop(DropReason.STALE_INCARNATION, event.sender)]
 
     def _route_message(self, event: events.PeerMessageArrived, now_ms: int) -> list[Action]:
         message = event.message
--- a/src/redwingswitch/_internal/decisions/transfers.py
+++ b/src/redwingswitch/_internal/decisions/transfers.py
@@ -8,7 +8,10 @@
 from redwingswitch._internal.ports import RandomSource
 
 REQUEST_JITTER_MS = 150
-TRANSFER_MS = 2_000
+# A lost request or document is asked for again soon, a large document on a slow link not too often.
+# With 2 s from the first attempt on, three losses in a row passed the limit of 9 s.
+FIRST_TRANSFER_MS = 250
+LAST_TRANSFER_MS = 2_000
 # An empty host asks peers that may have no document either.
 UNSURE_MS = 500
 SOURCE_LIMIT = 8
@@ -25,6 +28,7 @@
         self._sources: dict[str, int] = {}
         self._near: frozenset[str] = frozenset()
         self._asked: str | None = None
+        self._attempts = 0
         self._next_ms: int | None = None
 
     def set_peers(self, *, near: frozenset[str], known: frozenset[str]) -> None:
@@ -44,6 +48,7 @@
         """Forget the sources that have nothing newer than ``revision``."""
         self._sources = {host: rev for host, rev in self._sources.items() if rev > revision}
         self._asked = None
+        self._attempts = 0
         self._next_ms = self._soon(now_ms) if self._sources else None
 
     def declined(self, source: str, now_ms: int) -> None:
@@ -61,16 +66,21 @@
         """Ask a source, or another one when the transfer has passed its deadline."""
         if self._next_ms is None or now_ms < self._next_ms:
             return []
-        if self._asked is not None:
+        if self._asked is not None and len(self._sources) > 1:
             self._sources.pop(self._asked, None)
         self._asked = self._choose()
         if self._asked is None:
             self._next_ms = None
             return []
         known_to_have = self._sources[self._asked] > known_revision
-        self._next_ms = self._soon(now_ms) + (TRANSFER_MS if known_to_have else UNSURE_MS)
+        wait_ms = self._transfer_ms() if known_to_have else UNSURE_MS
+        self._next_ms = self._soon(now_ms) + wait_ms
         return [SendToPeer(self._asked, RevisionRequest(known_revision))]
 
+    def _transfer_ms(self) -> int:
+        self._attempts += 1
+        return min(LAST_TRANSFER_MS, FIRST_TRANSFER_MS << min(self._attempts - 1, 8))
+
     def _soon(self, now_ms: int) -> int:
         return now_ms + self._random.randrange(REQUEST_JITTER_MS)
 
