Place the owners of a drained server's buckets near the servers that replace it

Cause: owners were near the oldest table's server, so that the two or three hosts near a drained server owned all of its buckets and sent the records of all new flows. When the next table lacks that server, the owner is now near the server that replaces it; an appended table changes no owner. Packets of established flows of the drained server may cross a link once more.

--- a/src/redwingswitch/_internal/decisions/steered_service.py
+++ b/src/redwingswitch/_internal/decisions/steered_service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from redwingswitch._internal.decisions.flow_records import FlowRecords, RecordUsage
 from redwingswitch._internal.decisions.history_entry import HistoryEntry
@@ -85,12 +85,27 @@
 
     def near(self, flow_hash: int) -> str:
         """Return the failure domain that the owner of a flow should be in."""
-        return self.near_by(self.tables.oldest, flow_hash)
+        return self.near_by(self.tables.entries, flow_hash)
 
-    def near_by(self, entry: HistoryEntry, flow_hash: int) -> str:
-        """Return the failure domain of the server that ``entry`` names for a flow."""
-        choice = entry.choice(flow_hash)
-        return "" if choice is None else self.tables.index.details[choice].failure_domain
+    def near_by(self, entries: Sequence[HistoryEntry], flow_hash: int) -> str:
+        """Return the failure domain that a history of tables gives the owner of a flow.
+
+        It is that of the server that the oldest table names. When the next table that differs has
+        no such server, it is that of the server which the latter names instead. Otherwise the
+        hosts near a drained server would own all of its buckets, and send the records of all new
+        flows there. A table that is appended later changes nothing for a displaced bucket.
+        """
+        oldest = entries[0].choice(flow_hash)
+        if oldest is None:
+            return ""
+        details = self.tables.index.details
+        for entry in entries[1:]:
+            choice = entry.choice(flow_hash)
+            if choice is None or choice == oldest:
+                continue
+            stays = details[oldest].name in entry.servers
+            return details[oldest if stays else choice].failure_domain
+        return details[oldest].failure_domain
 
     # Needs.
 
--- a/src/redwingswitch/_internal/decisions/table_retention.py
+++ b/src/redwingswitch/_internal/decisions/table_retention.py
@@ -75,9 +75,10 @@
 
     def _drop_oldest(self, service: SteeredService, now_ms: int) -> HistoryEntry:
         ranking = self._context.owners.ranking
+        entries = tuple(service.tables.entries)
         dropped = service.tables.drop_oldest(now_ms)
         service.drop_settled_records()
-        before = Ownership(ranking=ranking, near=lambda h: service.near_by(dropped, h))
+        before = Ownership(ranking=ranking, near=lambda h: service.near_by(entries, h))
         after = Ownership(ranking=ranking, near=service.near)
         moves = self._exchange.move(service, before, after, now_ms)
         for host in moves.former_owners:
