--- a/tests/unit/network/test_codecs.py
+++ b/tests/unit/network/test_codecs.py
@@ -31,7 +31,7 @@
 SERVER = BackendServer(
     "job-1", "job-board", "hobart", "10.0.0.1", 1, 2, 3, 4, 2, 10, ServerState.DRAINING
 )
-GROUP = messages.RecordGroup(9, b"12345678" * 2)
+GROUP = messages.RecordGroup(9, b"123456" * 2)
 MESSAGES = [
     messages.Ping(1, (UPDATE,), DIGEST, "entry-2"),
     messages.Ack(1, "entry-1", (), DIGEST),
