Add the public coordination modules

Cause: the decision parts were reachable only through private modules, and three of them took the product's configuration.

--- /dev/null
+++ b/src/redwingswitch/coordination/admission.py
@@ -0,0 +1,23 @@
+"""A bounded queue before a fixed number of slots, some of them reserved for short work."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.admission import (
+    AdmissionQueue,
+    QueuedRequest,
+    Refusal,
+    SlotUse,
+)
+from redwingswitch._internal.decisions.service_times import ServiceTimes
+from redwingswitch._internal.models.configuration import SizeClass
+from redwingswitch._internal.models.requests import SizeHint
+
+__all__ = [
+    "AdmissionQueue",
+    "QueuedRequest",
+    "Refusal",
+    "ServiceTimes",
+    "SizeClass",
+    "SizeHint",
+    "SlotUse",
+]
--- /dev/null
+++ b/src/redwingswitch/coordination/graceful_stop.py
@@ -0,0 +1,8 @@
+"""A stop that waits for work in progress, up to a grace deadline."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.drain import GracefulStop
+from redwingswitch._internal.models.actions import Log, StopCompleted
+
+__all__ = ["GracefulStop", "Log", "StopCompleted"]
--- /dev/null
+++ b/src/redwingswitch/coordination/lease.py
@@ -0,0 +1,9 @@
+"""A lease in a key-value service, with fencing."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.lease import LeaseHolder
+from redwingswitch._internal.models.actions import AcquireLease, ReleaseLease
+from redwingswitch._internal.models.events import LeaseGranted
+
+__all__ = ["AcquireLease", "LeaseGranted", "LeaseHolder", "ReleaseLease"]
