Add records with rendezvous owners to the public library

Cause: the hand-over of flow records is tied to services and lookup tables, so embedders could not use it. Change: OwnedRecords keeps small records at the owner and the replica of a key and hands them over when the membership changes; it reuses the bucket owners, the record table and the acknowledged batches.

--- /dev/null
+++ b/src/redwingswitch/coordination/ownership.py
@@ -0,0 +1,156 @@
+"""Rendezvous ownership of keys, and the hand-over of records when owners change."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.decisions.bucket_owners import BucketOwners, OwnerRanking
+from redwingswitch._internal.decisions.flow_records import FlowRecords
+from redwingswitch._internal.decisions.hashing import MaglevTable, maglev_table, rendezvous_rank
+from redwingswitch._internal.decisions.record_sender import RecordSender, unpack_hashes
+from redwingswitch._internal.models.actions import Action, SendToPeer
+from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.members import MembershipView
+from redwingswitch._internal.models.messages import (
+    BatchPurpose,
+    PeerMessage,
+    RecordBatch,
+    RecordBatchAck,
+)
+from redwingswitch._internal.ports import RandomSource
+
+__all__ = ["MaglevTable", "OwnedRecords", "OwnerRanking", "maglev_table", "rendezvous_rank"]
+
+HOLDERS = 2
+ANYWHERE = ""
+VALUE_BITS = 32
+# A random start keeps late confirmations for an earlier process from counting for this one.
+FIRST_SEQUENCES = 1 << 16
+
+
+class OwnedRecords:
+    """Small records, each kept by the owner and the replica of its key.
+
+    A key is a 64-bit hash and a value an integer of 32 bits. A record keeps its first value until
+    it expires, between one and two idle limits after its last use.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        failure_domain: str,
+        namespace: str,
+        bound: int,
+        idle_limit_ms: int,
+        now_ms: int,
+        random_source: RandomSource,
+    ) -> None:
+        self._host = host
+        self._namespace_id = wire_id(namespace)
+        self._owners = BucketOwners(host=host, failure_domain=failure_domain)
+        self._records = FlowRecords(bound=bound, idle_limit_ms=idle_limit_ms, now_ms=now_ms)
+        first_sequence = random_source.randrange(FIRST_SEQUENCES)
+        self._sender = RecordSender(first_sequence=first_sequence)
+        self._stopping = False
+        self.refused_records = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def holders(self, key_hash: int) -> tuple[str, ...]:
+        """Return the owner and the replica of a key, the owner first."""
+        ranked = self._owners.ranking.rank(self._namespace_id, key_hash, ANYWHERE)
+        return ranked[:HOLDERS]
+
+    def is_owner(self, key_hash: int) -> bool:
+        """Return whether the local host owns a key."""
+        return self.holders(key_hash)[:1] == (self._host,)
+
+    def get(self, key_hash: int) -> int | None:
+        """Return the value of a key that the local host keeps, and count this as a use."""
+        return self._records.get(key_hash)
+
+    def put(self, key_hash: int, value: int, now_ms: int) -> int | None:
+        """Record a value for a key without one; return the value in force, None when full.
+
+        The record reaches the key's other holder with the next batch. Raises ``ValueError`` for a
+        value outside 32 bits.
+        """
+        if not 0 <= value < 1 << VALUE_BITS:
+            raise ValueError(f"{value} does not fit in {VALUE_BITS} bits; record an index instead")
+        existing = self._records.get(key_hash)
+        if existing is not None:
+            return existing
+        if not self._records.put(key_hash, value):
+            self.refused_records += 1
+            return None
+        for host in self.holders(key_hash):
+            if host != self._host:
+                self._sender.add(host, self._namespace_id, value, key_hash, now_ms)
+        return value
+
+    def set_members(self, view: MembershipView, now_ms: int) -> list[Action]:
+        """Follow the membership; hand records over to hosts that became their holders."""
+        changed = self._owners.update(view, now_ms)
+        self._sender.keep_only(self._owners.reachable)
+        return self._move(now_ms) if changed else []
+
+    def begin_stop(self, now_ms: int) -> list[Action]:
+        """Stop counting the local host as a holder, and hand its records over."""
+        if self._stopping:
+            return []
+        self._stopping = True
+        self._owners.leave(now_ms)
+        return self._move(now_ms)
+
+    def hand_over_done(self) -> bool:
+        """Return whether the stop has begun and every record sent is confirmed or given up."""
+        return self._stopping and self._sender.idle()
+
+    def on_message(self, sender: str, message: PeerMessage, now_ms: int) -> list[Action]:
+        """Handle a RecordBatch or RecordBatchAck; other messages are no concern of this part."""
+        if isinstance(message, RecordBatchAck):
+            return [*self._sender.on_ack(sender, message.sequence, now_ms)]
+        if isinstance(message, RecordBatch) and message.service_id == self._namespace_id:
+            return self._on_batch(sender, message)
+        return []
+
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is to be called next."""
+        deadlines = (self._sender.next_deadline_ms(), self._records.next_deadline_ms())
+        return min((each for each in deadlines if each is not None), default=None)
+
+    def on_timer(self, now_ms: int) -> list[Action]:
+        """Send due batches, repeat unconfirmed ones and expire idle records."""
+        self._records.rotate(now_ms)
+        self._owners.expire(now_ms)
+        return [*self._sender.on_timer(now_ms)]
+
+    def _on_batch(self, sender: str, batch: RecordBatch) -> list[Action]:
+        for group in batch.groups:
+            for key_hash in unpack_hashes(group.hashes):
+                self._receive(sender, key_hash, group.backend_server_id)
+        return [SendToPeer(sender, RecordBatchAck(batch.sequence))]
+
+    def _receive(self, sender: str, key_hash: int, value: int) -> None:
+        """Keep the known value, unless the sender owns the key."""
+        known = self._records.get(key_hash)
+        if known is not None and self.holders(key_hash)[:1] != (sender,):
+            return
+        if not self._records.put(key_hash, value):
+            self.refused_records += 1
+
+    def _move(self, now_ms: int) -> list[Action]:
+        moves: dict[str, dict[int, list[int]]] = {}
+        for key_hash, value in self._records.items():
+            for host in self._new_holders(key_hash):
+                moves.setdefault(host, {}).setdefault(value, []).append(key_hash)
+        for host, records in moves.items():
+            self._sender.hand_over(host, self._namespace_id, records, BatchPurpose.HAND_OVER)
+        return [*self._sender.flush_all(now_ms)]
+
+    def _new_holders(self, key_hash: int) -> tuple[str, ...]:
+        """Return the holders that lack a record which the local host held until now."""
+        former = self._owners.previous.rank(self._namespace_id, key_hash, ANYWHERE)[:HOLDERS]
+        if self._host not in former:
+            return ()
+        return tuple(host for host in self.holders(key_hash) if host not in former)
