Use 48-bit keys in the public record table

The records of the library share their wire form with flow records, whose hashes now have 48 bits; a longer key is refused with ValueError instead of failing later in the batch.

--- a/src/redwingswitch/coordination/ownership.py
+++ b/src/redwingswitch/coordination/ownership.py
@@ -7,7 +7,7 @@
 from redwingswitch._internal.decisions.hashing import MaglevTable, maglev_table, rendezvous_rank
 from redwingswitch._internal.decisions.record_sender import RecordSender, unpack_hashes
 from redwingswitch._internal.models.actions import Action, SendToPeer
-from redwingswitch._internal.models.identifiers import wire_id
+from redwingswitch._internal.models.identifiers import FLOW_HASH_BITS, wire_id
 from redwingswitch._internal.models.members import MembershipView
 from redwingswitch._internal.models.messages import (
     BatchPurpose,
@@ -17,10 +17,18 @@
 )
 from redwingswitch._internal.ports import RandomSource
 
-__all__ = ["MaglevTable", "OwnedRecords", "OwnerRanking", "maglev_table", "rendezvous_rank"]
+__all__ = [
+    "KEY_BITS",
+    "MaglevTable",
+    "OwnedRecords",
+    "OwnerRanking",
+    "maglev_table",
+    "rendezvous_rank",
+]
 
 HOLDERS = 2
 ANYWHERE = ""
+KEY_BITS = FLOW_HASH_BITS
 VALUE_BITS = 32
 # A random start keeps late confirmations for an earlier process from counting for this one.
 FIRST_SEQUENCES = 1 << 16
@@ -29,7 +37,7 @@
 class OwnedRecords:
     """Small records, each kept by the owner and the replica of its key.
 
-    A key is a 64-bit hash and a value an integer of 32 bits. A record keeps its first value until
+    A key is a 48-bit hash and a value an integer of 32 bits. A record keeps its first value until
     it expires, between one and two idle limits after its last use.
     """
 
@@ -73,8 +81,10 @@
         """Record a value for a key without one; return the value in force, None when full.
 
         The record reaches the key's other holder with the next batch. Raises ``ValueError`` for a
-        value outside 32 bits.
+        key outside 48 bits or a value outside 32 bits.
         """
+        if not 0 <= key_hash < 1 << KEY_BITS:
+            raise ValueError(f"{key_hash} does not fit in {KEY_BITS} bits; shorten the hash")
         if not 0 <= value < 1 << VALUE_BITS:
             raise ValueError(f"{value} does not fit in {VALUE_BITS} bits; record an index instead")
         existing = self._records.get(key_hash)
