--- a/benchmarks/run_all.py
+++ b/benchmarks/run_all.py
@@ -11,7 +11,7 @@
 
 from benchmarks.tables import Table
 
-MODULES: tuple[str, ...] = ()
+MODULES = ("flows", "service", "membership", "configuration", "packets")
 PAGE = Path(__file__).resolve().parent.parent / "docs" / "measurements.md"
 BEGIN = "<!-- generated tables: begin -->"
 END = "<!-- generated tables: end -->"
@@ -25,7 +25,7 @@
     if sys.argv[1:]:
         print(text)
         return 0
-    _write(text)
+    replace_generated(PAGE, text)
     return 0
 
 
@@ -35,11 +35,12 @@
     return result
 
 
-def _write(text: str) -> None:
-    page = PAGE.read_text(encoding="utf-8")
-    head, _, rest = page.partition(BEGIN)
+def replace_generated(page: Path, text: str) -> None:
+    """Replace what stands between the two markers of a page."""
+    old = page.read_text(encoding="utf-8")
+    head, _, rest = old.partition(BEGIN)
     _, _, tail = rest.partition(END)
-    PAGE.write_text(f"{head}{BEGIN}\n\n{text}\n{END}{tail}", encoding="utf-8")
+    page.write_text(f"{head}{BEGIN}\n\n{text}\n{END}{tail}", encoding="utf-8")
 
 
 if __name__ == "__main__":
--- a/src/redwingswitch/_internal/decisions/record_sender.py
+++ b/src/redwingswitch/_internal/decisions/record_sender.py
@@ -14,7 +14,7 @@
     RecordGroup,
 )
 
-BATCH_INTERVAL_MS = 200
+BATCH_INTERVAL_MS = 400
 BATCH_RECORDS = 512
 WINDOW_BATCHES = 8
 FIRST_RETRY_MS = 100
