Let the stand-ins serve files on fixed ports and end by themselves

No stand-in could serve a download, and backend servers took ephemeral ports only, so that a written file could not name them.

--- a/src/redwingswitch/_internal/cli/standin.py
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -22,8 +22,24 @@
         service_port: int,
         address: str = "127.0.0.1",
         seconds: int = 60,
+        ports: str | tuple[int, ...] = "",
+        file_bytes: int = 0,
     ) -> int:
-        """Run a backend server for some seconds and print its ports as TOML."""
+        """Run a backend server for some seconds and print its ports as TOML.
+
+        Args:
+            name: the backend server's name.
+            service: the service's name.
+            service_address: the service's address.
+            service_port: the service's port.
+            address: a loopback address to listen on.
+            seconds: when to end, at most 3600.
+            ports: tunnel, stream, request and report port, separated by commas; without them the
+                system chooses.
+            file_bytes: serve a file of this size over HTTP on the stream port; without it, the
+                stream port sends back what it receives.
+
+        """
         return _run(
             "backend",
             name=name,
@@ -32,15 +48,19 @@
             service_port=service_port,
             address=address,
             seconds=seconds,
+            ports=ports,
+            file_bytes=file_bytes,
         )
 
     def demo(self, seed: int = 1) -> int:
         """Run a whole deployment in one process through a change, a stop and a crash."""
         return _run("demo", seed=seed)
 
-    def store(self, port: int, address: str = "127.0.0.1", delay_ms: int = 0) -> int:
-        """Run the platform's key-value service until it is interrupted."""
-        return _run("standin_store", port=port, address=address, delay_ms=delay_ms)
+    def store(
+        self, port: int, address: str = "127.0.0.1", seconds: int = 600, delay_ms: int = 0
+    ) -> int:
+        """Run the platform's key-value service for some seconds or until it is interrupted."""
+        return _run("standin_store", port=port, address=address, seconds=seconds, delay_ms=delay_ms)
 
 
 def _run(command: str, **arguments: object) -> int:
--- a/src/redwingswitch/_internal/standins/backend_server.py
+++ b/src/redwingswitch/_internal/standins/backend_server.py
@@ -13,6 +13,7 @@
 
 from redwingswitch._internal.network.report_client import LoadReport
 from redwingswitch._internal.ports import Clock
+from redwingswitch._internal.standins.backend_files import FileEndpoint
 from redwingswitch._internal.standins.backend_requests import Behaviour, RequestEndpoint
 from redwingswitch._internal.standins.backend_streams import StreamEndpoint
 from redwingswitch._internal.standins.backend_tunnel import OnReturn, TunnelEndpoint
@@ -36,6 +37,7 @@
     false_report: LoadReport | None = None
 
 
+EPHEMERAL_PORTS = BackendPorts(0, 0, 0, 0)
 ORDINARY_BEHAVIOUR = Behaviour()
 TRUE_REPORTS = ReportFaults()
 
@@ -54,7 +56,10 @@
 
 
 class BackendServerStandIn:
-    """One backend server on ephemeral ports of ``address``."""
+    """One backend server on ``address``.
+
+    With ``file_bytes``, the stream port serves a file of that size over HTTP instead of an echo.
+    """
 
     def __init__(
         self,
@@ -67,7 +72,10 @@
         behaviour: Behaviour = ORDINARY_BEHAVIOUR,
         report_faults: ReportFaults = TRUE_REPORTS,
         on_return: OnReturn = lambda *_: None,
+        ports: BackendPorts = EPHEMERAL_PORTS,
+        file_bytes: int = 0,
     ) -> None:
+        self._wanted_ports = ports
         self.name = name
         self.service = service
         self.address = address
@@ -75,15 +83,24 @@
         self._clock = clock
         self._report_faults = report_faults
         self._reports: deque[tuple[int, LoadReport]] = deque(maxlen=MAX_HELD_REPORTS)
-        self.tunnel = TunnelEndpoint(address=address, destination=destination, on_return=on_return)
-        self.streams = StreamEndpoint(name=name)
+        self.tunnel = TunnelEndpoint(
+            address=address,
+            port=ports.tunnel_port,
+            destination=destination,
+            on_return=on_return,
+        )
+        self.streams: StreamEndpoint | FileEndpoint = (
+            FileEndpoint(name=name, size_bytes=file_bytes)
+            if file_bytes
+            else StreamEndpoint(name=name)
+        )
         self.requests = RequestEndpoint(service=service, behaviour=behaviour, clock=clock)
         self._request_port = self._listen_requests()
         self._report_server, self._report_port = self._listen_reports()
 
     async def start(self) -> None:
         """Begin to accept stream connections."""
-        await self.streams.listen(address=self.address)
+        await self.streams.listen(address=self.address, port=self._wanted_ports.stream_port)
 
     @property
     def ports(self) -> BackendPorts:
@@ -120,7 +137,7 @@
         return self._reports[0][1]
 
     def _listen_requests(self) -> int:
-        sockets = bind_sockets(0, self.address)
+        sockets = bind_sockets(self._wanted_ports.request_port, self.address)
         self.requests.add_sockets(sockets)
         port: int = sockets[0].getsockname()[1]
         return port
@@ -130,6 +147,6 @@
             [("/load", LoadHandler, {"report": self.load})], log_function=lambda _: None
         )
         server = HTTPServer(application)
-        sockets = bind_sockets(0, self.address)
+        sockets = bind_sockets(self._wanted_ports.report_port, self.address)
         server.add_sockets(sockets)
         return server, sockets[0].getsockname()[1]
--- a/src/redwingswitch/_internal/standins/backend_streams.py
+++ b/src/redwingswitch/_internal/standins/backend_streams.py
@@ -30,9 +30,9 @@
         """Return the number of open connections."""
         return len(self._writers)
 
-    async def listen(self, *, address: str) -> None:
-        """Listen on an ephemeral port."""
-        self._server = await asyncio.start_server(self._serve, address, 0)
+    async def listen(self, *, address: str, port: int = 0) -> None:
+        """Listen on ``port``, or on an ephemeral one."""
+        self._server = await asyncio.start_server(self._serve, address, port)
 
     def close(self) -> None:
         """Reset every connection."""
--- a/src/redwingswitch/_internal/standins/backend_tunnel.py
+++ b/src/redwingswitch/_internal/standins/backend_tunnel.py
@@ -20,11 +20,16 @@
     """Counts packets for each flow, and notes packets that should not have come here."""
 
     def __init__(
-        self, *, address: str, destination: tuple[bytes, int], on_return: OnReturn
+        self,
+        *,
+        address: str,
+        destination: tuple[bytes, int],
+        on_return: OnReturn,
+        port: int = 0,
     ) -> None:
         self._destination = destination
         self._on_return = on_return
-        self._endpoint = DatagramEndpoint(address=address, port=0, on_datagram=self._on_datagram)
+        self._endpoint = DatagramEndpoint(address=address, port=port, on_datagram=self._on_datagram)
         self.packets: Counter[FlowKey] = Counter()
         self.opened: set[FlowKey] = set()
         self.unknown_flows: set[FlowKey] = set()
