Export the daemon's identity and broken flows by service

The report refuses a scrape without redwingswitch_host_info, which no daemon exported, and counts broken flows by service, which the daemon exported without a service. Reports on real daemons were not possible.

The identity carries the incarnation of the process's start: a host raises its later one to refute a suspicion, and a report would take this for a restart and count all events again.

--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -69,7 +69,11 @@
         self._incarnation = incarnation
         self._clock = clock
         self._make_entry_host = make_entry_host
-        self.metrics = Metrics()
+        self.metrics = Metrics(
+            host=parameters.host,
+            failure_domain=parameters.failure_domain,
+            incarnation=incarnation,
+        )
         self._times = RequestTimes(metrics=self.metrics)
         self._documents = DocumentApplier(
             parse=parse, on_configuration=self._apply_configuration, metrics=self.metrics
--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -30,9 +30,6 @@
     1e4,
     float("inf"),
 )
-# Counters of flow steering that each stand for flows that may have been broken.
-BROKEN_FLOW_INDICATIONS = ("tables_dropped_early", "records_given_up", "unknown_servers")
-
 # Name, help text and label names of each counter.
 _COUNTERS = {
     "flows_opened_total": ("Opening packets from the fabric.", ("service",)),
@@ -49,6 +46,7 @@
     "faults_total": ("Events whose handling raised an error.", ("event",)),
 }
 _GAUGES = {
+    "host_info": ("1; the labels name this run.", ("host", "failure_domain", "incarnation")),
     "revision": ("Configuration revision in force.", ()),
     "ready": ("1 when the host takes traffic.", ()),
     "members": ("Entry hosts by state.", ("state",)),
@@ -63,7 +61,10 @@
 class Metrics:
     """The metrics of one daemon; ``render`` needs the host's status."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, host: str, failure_domain: str, incarnation: int) -> None:
+        # The incarnation of the process's start: a host raises the one in its messages to refute a
+        # suspicion, which resets no counter.
+        self._identity = (host, failure_domain, str(incarnation))
         self.counts: dict[str, Counts[tuple[str, ...]]] = {name: Counts() for name in _COUNTERS}
         self._registry = Registry()
         self._counters = {
@@ -93,12 +94,12 @@
         self, *, status: Mapping[str, Any], statistics: SteeringStatistics, open_connections: int
     ) -> tuple[bytes, str]:
         """Return the exposition text and its content type."""
-        for indication in BROKEN_FLOW_INDICATIONS:
-            # The decisions do not count these by service.
-            self.counts["broken_flows_total"]["", indication] = getattr(statistics, indication)
+        for item in statistics.broken_flows:
+            self.counts["broken_flows_total"][item.service, item.indication] = item.events
         for name, counts in self.counts.items():
             for labels, value in counts.items():
                 self._counters[name].set(_labels(_COUNTERS, name, labels), value)
+        self._gauges["host_info"].set(_labels(_GAUGES, "host_info", self._identity), 1)
         for name, labels, value in _gauge_values(status, open_connections):
             self._gauges[name].set(_labels(_GAUGES, name, labels), value)
         content, headers = render(self._registry, ["text/plain"])
--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/record_exchange.py
@@ -71,7 +71,7 @@
         for group in batch.groups:
             number = service.tables.index.by_wire_id(group.backend_server_id)
             if number is None:
-                self._context.counters.unknown_servers += 1
+                self._context.count_unknown_server(service)
                 continue
             received = _Received(sender, service, number, batch.purpose, in_order)
             for flow_hash in unpack_hashes(group.hashes):
@@ -134,7 +134,7 @@
             return False
         number = service.tables.index.by_wire_id(reply.backend_server_id)
         if number is None:
-            self._context.counters.unknown_servers += 1
+            self._context.count_unknown_server(service)
             return False
         received = _Received(sender, service, number, BatchPurpose.HAND_OVER, in_order=False)
         self._store(received, reply.flow_hash, now_ms)
--- a/src/redwingswitch/_internal/decisions/record_sender.py
+++ b/src/redwingswitch/_internal/decisions/record_sender.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
@@ -65,14 +65,15 @@
         self._sequence = first_sequence
         self.unconfirmed_hand_overs: set[tuple[str, int]] = set()
         self.records_sent = 0
-        self.records_given_up = 0
+        # Records by wire id of their service.
+        self.given_up: Counter[int] = Counter()
         self.retransmissions = 0
 
     def add(self, host: str, service_id: int, server_id: int, flow_hash: int, now_ms: int) -> None:
         """Put one record into the next replica batch to ``host``."""
         stream = self._streams.setdefault(host, _Stream())
         if stream.pending_records >= PENDING_RECORDS_PER_PEER:
-            self.records_given_up += 1
+            self.given_up[service_id] += 1
             return
         groups = stream.building.setdefault(service_id, {})
         hashes = groups.setdefault(server_id, bytearray())
@@ -216,9 +217,10 @@
         return sent
 
     def _give_up(self, stream: _Stream, sequence: int) -> None:
-        records = _count(stream.outstanding.pop(sequence).batch.groups)
+        batch = stream.outstanding.pop(sequence).batch
+        records = _count(batch.groups)
         stream.pending_records -= records
-        self.records_given_up += records
+        self.given_up[batch.service_id] += records
 
 
 def unpack_hashes(hashes: bytes) -> Iterable[int]:
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/steering.py
@@ -12,6 +12,7 @@
 from redwingswitch._internal.decisions.record_moves import Ownership
 from redwingswitch._internal.decisions.steered_service import SteeredService
 from redwingswitch._internal.decisions.steering_context import (
+    BrokenFlowCount,
     SteeringContext,
     SteeringStatistics,
 )
@@ -376,7 +377,17 @@
             displaced_buckets=sum(s.tables.displaced_buckets() for s in services),
             held_packets=len(self._decider.held),
             records_sent=sender.records_sent,
-            records_given_up=sender.records_given_up,
+            records_given_up=sender.given_up.total(),
             retransmissions=sender.retransmissions,
+            broken_flows=self._broken_flows(),
             **vars(context.counters),
         )
+
+    def _broken_flows(self) -> tuple[BrokenFlowCount, ...]:
+        context = self._context
+        counts = context.broken_flows.copy()
+        for wire_id, records in self._exchange.sender.given_up.items():
+            service = context.by_wire_id.get(wire_id)
+            if service is not None:
+                counts[service.service.name, "records_given_up"] += records
+        return tuple(BrokenFlowCount(*key, count) for key, count in sorted(counts.items()))
--- a/src/redwingswitch/_internal/decisions/steering_context.py
+++ b/src/redwingswitch/_internal/decisions/steering_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from ipaddress import ip_address
 from typing import NamedTuple
 
@@ -13,6 +14,14 @@
 RECORD_BOUND = 400_000
 
 
+class BrokenFlowCount(NamedTuple):
+    """How often something happened in a service that may have broken a flow."""
+
+    service: str
+    indication: str
+    events: int
+
+
 class SteeringStatistics(NamedTuple):
     """Counters since the start of the process, and gauges of the present state."""
 
@@ -34,6 +43,7 @@
     unknown_servers: int = 0
     tables_dropped: int = 0
     tables_dropped_early: int = 0
+    broken_flows: tuple[BrokenFlowCount, ...] = ()
 
 
 class SteeringCounters:
@@ -64,6 +74,18 @@
         self.by_wire_id: dict[int, SteeredService] = {}
         self.by_address: dict[tuple[bytes, int], SteeredService] = {}
         self.counters = SteeringCounters()
+        # Events by service name and indication, for the report.
+        self.broken_flows: Counter[tuple[str, str]] = Counter()
+
+    def count_unknown_server(self, service: SteeredService) -> None:
+        """Count a record that names a backend server that is not known here."""
+        self.counters.unknown_servers += 1
+        self.broken_flows[service.service.name, "unknown_servers"] += 1
+
+    def count_early_drop(self, service: SteeredService) -> None:
+        """Count a table that was dropped while flows may have needed it."""
+        self.counters.tables_dropped_early += 1
+        self.broken_flows[service.service.name, "tables_dropped_early"] += 1
 
     def index_services(self, configuration: Configuration) -> None:
         """Rebuild the address lookup and name the servers that changed their service."""
--- a/src/redwingswitch/_internal/decisions/table_retention.py
+++ b/src/redwingswitch/_internal/decisions/table_retention.py
@@ -57,7 +57,7 @@
         logs: list[Log] = []
         while len(service.tables.entries) > MAX_TABLES:
             dropped = self._drop_oldest(service, now_ms)
-            self._context.counters.tables_dropped_early += 1
+            self._context.count_early_drop(service)
             text = (
                 f"{service.name}: dropped the table of revision {dropped.revision}; the history "
                 f"is limited to {MAX_TABLES} tables, and flows that opened under it may break"
