Let the stand-ins send requests to the entry hosts of a file

The report's page needs requests to report on, and no program sent any to separate daemons. `redwingswitch-standin calls` sends a bounded number through the fabric stand-in and prints the outcomes.

--- a/src/redwingswitch/_internal/cli/standin.py
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -52,6 +52,28 @@
             file_bytes=file_bytes,
         )
 
+    def calls(
+        self, file: str, *, service: str, count: int = 100, service_ms: int = 20, seed: int = 1
+    ) -> int:
+        """Send requests to the entry hosts of an operators' file and print their outcomes.
+
+        Args:
+            file: the operators' file, for the entry hosts.
+            service: the service's name.
+            count: how many requests, four at a time.
+            service_ms: how long a backend server stand-in takes for each.
+            seed: of the request ids and the choice of entry hosts.
+
+        """
+        return _run(
+            "standin_calls",
+            file=file,
+            service=service,
+            count=count,
+            service_ms=service_ms,
+            seed=seed,
+        )
+
     def demo(self, seed: int = 1) -> int:
         """Run a whole deployment in one process through a change, a stop and a crash."""
         return _run("demo", seed=seed)
