Count failed attempts at backend servers

The metric backend_failures_total was defined and never counted. The daemon counts failed attempts by kind, and refused connections of the TCP listener as kind connect.

--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -26,7 +26,12 @@
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
 from redwingswitch._internal.decisions.steering_context import SteeringStatistics
 from redwingswitch._internal.models.configuration import BackendServer, Configuration
-from redwingswitch._internal.models.events import Event, StopRequested, StreamConnectFailed
+from redwingswitch._internal.models.events import (
+    AttemptFailed,
+    Event,
+    StopRequested,
+    StreamConnectFailed,
+)
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.backend_client import BackendClient
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
@@ -78,12 +83,12 @@
         self._documents = DocumentApplier(
             parse=parse, on_configuration=self._apply_configuration, metrics=self.metrics
         )
-        self._backends = BackendClient(clock=clock, on_event=self._submit)
+        self._backends = BackendClient(clock=clock, on_event=self._on_backend_event)
         self._reports = ReportClient()
         self._listeners = Listeners(
             address=parameters.address,
             choose_server=self._choose_server,
-            on_connect_failed=lambda name: self._submit(StreamConnectFailed(name)),
+            on_connect_failed=self._on_connect_failed,
             on_count=self._on_connection_count,
         )
         self._store = self._store_tasks(store, random_source)
@@ -246,6 +251,15 @@
         self._pipeline.submit(event)
         self._peers.set_incarnation(self._entry_host.incarnation)
 
+    def _on_backend_event(self, event: Event) -> None:
+        if isinstance(event, AttemptFailed):
+            self.metrics.count("backend_failures_total", event.backend_server, event.kind.value)
+        self._submit(event)
+
+    def _on_connect_failed(self, backend_server: str) -> None:
+        self.metrics.count("backend_failures_total", backend_server, "connect")
+        self._submit(StreamConnectFailed(backend_server))
+
     def _render_metrics(self) -> tuple[bytes, str]:
         statistics = SteeringStatistics()
         if self._entry_host is not None:
