--- a/tests/unit/daemon/test_daemon_filters.py
+++ b/tests/unit/daemon/test_daemon_filters.py
@@ -93,7 +93,11 @@
 
 def test_an_error_in_a_decision_is_counted_and_the_next_event_is_handled():
     async def body():
-        metrics, host, performed = Metrics(), FaultyHost(), Recorder()
+        metrics, host, performed = (
+            Metrics(host="entry-1", failure_domain="hobart", incarnation=1),
+            FaultyHost(),
+            Recorder(),
+        )
         performer = type("Performer", (), {"perform": staticmethod(performed)})()
         pipeline = Pipeline(
             entry_host=host, performer=performer, clock=MonotonicClock(), metrics=metrics
@@ -116,7 +120,10 @@
     submitted = Recorder()
     random_source = type("Source", (), {"random": staticmethod(lambda: 0.0)})()
     tasks = StoreTasks(
-        store=store, random_source=random_source, metrics=Metrics(), submit=submitted
+        store=store,
+        random_source=random_source,
+        metrics=Metrics(host="entry-1", failure_domain="hobart", incarnation=1),
+        submit=submitted,
     )
     return tasks, submitted
 
