Log the begin of a planned stop

EntryHost dropped the actions of GracefulStop.begin, so that the line with the grace never appeared; a daemon stopped by hand did not write it. The new test fails without the change.

--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -199,8 +199,8 @@
         return actions
 
     def _on_stop_requested(self, event: events.StopRequested, now_ms: int) -> list[Action]:
-        self.stop.begin(event.grace_deadline_ms, now_ms)
-        actions = list(self.membership.begin_leaving(now_ms))
+        actions = self.stop.begin(event.grace_deadline_ms, now_ms)
+        actions += self.membership.begin_leaving(now_ms)
         actions += self.steering.begin_stop(now_ms)
         actions += self.requests.begin_stop(now_ms)
         return actions
--- a/tests/functional/test_daemon_metrics.py
+++ b/tests/functional/test_daemon_metrics.py
@@ -52,6 +52,8 @@
         statistics=SteeringStatistics(broken_flows=counts),
         open_connections=0,
     )
+    # The report takes the first one.
+    assert content.decode().count("redwingswitch_host_info{") == 1
     return parse_scrape(content.decode(), taken_ms=taken_ms)
 
 
--- a/tests/functional/test_entry_fleet.py
+++ b/tests/functional/test_entry_fleet.py
@@ -3,6 +3,7 @@
 import pytest
 
 from redwingswitch._internal.models import events as ev
+from redwingswitch._internal.models.actions import Log
 from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
 from tests.lib.entry_fleet import EntryFleet
 from tests.lib.huon import huon_file
@@ -216,3 +217,11 @@
     assert all(fleet.rigs[n].done.cut_off_requests == 0 for n in ("entry-0", "entry-4"))
     assert {o for i in ids for o in fleet.outcomes(i)} <= {"answered", "not-run"}
     assert all(fleet.runs[i] == 1 for i in ids if "answered" in fleet.outcomes(i))
+
+
+def test_a_planned_stop_logs_its_grace():
+    """Guards against a log line of the stop that is decided and not handed to the driver."""
+    fleet = EntryFleet(huon_file())
+    actions = fleet.rigs["entry-1"].host.handle(ev.StopRequested(fleet.now_ms + 9), fleet.now_ms)
+    logs = [action for action in actions if isinstance(action, Log)]
+    assert logs == [Log("drain", "info", "graceful stop begun, 9 ms of grace")]
