Complete the operators' pages and try their commands

The first run had two daemons without keys and no backend servers, and there were no pages on draining, replacing, metrics, logs and the report.

New pages cover draining, replacing, metrics, logs and the report; failures.md names the statuses, words and times that the programs showed. Sample files for three and for four failure domains are checked by a test.

--- a/tests/unit/test_operator_docs.py
+++ b/tests/unit/test_operator_docs.py
@@ -1,12 +1,17 @@
 """Guards against documented files and keys that the programs do not accept."""
 
+import re
+import runpy
 from pathlib import Path
 
 import pytest
 
+from redwingswitch._internal.cli.ctl import main
+from redwingswitch._internal.cli.status_codes import SUCCESS
 from redwingswitch._internal.configuration.declared import check_declared_changes
 from redwingswitch._internal.configuration.differences import differences
 from redwingswitch._internal.configuration.parse import parse_configuration
+from redwingswitch._internal.daemon.metrics import _COUNTERS, _GAUGES
 from redwingswitch._internal.models.configuration import (
     BackendServer,
     EntryHostEntry,
@@ -15,9 +20,13 @@
     Objectives,
     Service,
 )
+from redwingswitch._internal.report.settings import read_settings as read_report_settings
 from redwingswitch._internal.settings import PeerKey, Seed, Settings, read_settings
 
-DOCS = Path(__file__).parents[2] / "docs" / "operators"
+ROOT = Path(__file__).parents[2]
+DOCS = ROOT / "docs" / "operators"
+EXAMPLES = ROOT / "examples" / "files"
+SOURCES = ROOT / "src" / "redwingswitch"
 # Fields that the files state in another unit or place.
 RENAMED = {
     "idle_limit_ms": "idle_limit_s",
@@ -45,12 +54,42 @@
     assert missing == []
 
 
-def test_the_files_of_the_first_run_are_accepted():
-    read_settings(DOCS / "first-run" / "entry-1.toml")
-    read_settings(DOCS / "first-run" / "entry-2.toml")
-    texts = [(DOCS / "first-run" / name).read_text() for name in ("fleet.toml", "drain-job-2.toml")]
-    first, second = (
-        parse_configuration(text=text, file="", revision=1, digest="") for text in texts
-    )
-    found = differences(before=first, after=second)
-    check_declared_changes(text=texts[1], file="", configuration=second, found=found)
+def test_the_files_of_the_first_run_are_accepted(tmp_path):
+    make_keys = runpy.run_path(str(DOCS / "first-run" / "make_keys.py"))
+    make_keys["make_files"](tmp_path)
+    for host in make_keys["HOSTS"]:
+        read_settings(tmp_path / f"{host}.toml")
+    read_report_settings(tmp_path / "report.toml")
+    first = (tmp_path / "fleet.toml").read_text()
+    before = parse_configuration(text=first, file="", revision=1, digest="")
+    for name in ("drain-job-1.toml", "drain-job-2.toml"):
+        text = (tmp_path / name).read_text()
+        after = parse_configuration(text=text, file="", revision=2, digest="")
+        found = differences(before=before, after=after)
+        check_declared_changes(text=text, file="", configuration=after, found=found)
+
+
+@pytest.mark.parametrize(
+    ("name", "counts"),
+    [
+        ("huon.toml", "failure domains: 3, entry hosts: 7, services: 2, backend servers: 10"),
+        ("chikushi.toml", "failure domains: 4, entry hosts: 9, services: 2, backend servers: 11"),
+    ],
+)
+def test_the_sample_files_are_accepted(name, counts, capsys):
+    with pytest.raises(SystemExit) as caught:
+        main(["check", str(EXAMPLES / name)])
+    assert caught.value.code == SUCCESS
+    assert counts in capsys.readouterr().out
+
+
+def test_every_metric_and_part_of_the_log_is_documented():
+    pages = [(DOCS / page).read_text() for page in ("metrics.md", "logs.md")]
+    metrics = [*_COUNTERS, *_GAUGES, "request_latency_ms"]
+    assert [m for m in metrics if f"`{m}`" not in pages[0]] == []
+    parts = {
+        part
+        for path in SOURCES.rglob("*.py")
+        for part in re.findall(r'\b(?:Logger|Log)\(\s*"([a-z-]+)"', path.read_text())
+    }
+    assert [part for part in sorted(parts) if f"`{part}`" not in pages[1]] == []
