--- a/tests/unit/network/test_codecs.py
+++ b/tests/unit/network/test_codecs.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from redwingswitch._internal.configuration.document import text_digest
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models import messages
 from redwingswitch._internal.models.configuration import BackendServer, ServerState
@@ -24,14 +25,14 @@
     "revision": 2,
     "apply_id": "a",
     "operator": "o",
-    "digest": "d",
+    "digest": text_digest("t"),
     "text": "t",
     "recent_apply_ids": ["a"],
 }
 SERVER = BackendServer(
     "job-1", "job-board", "hobart", "10.0.0.1", 1, 2, 3, 4, 2, 10, ServerState.DRAINING
 )
-GROUP = messages.RecordGroup(9, b"12345678" * 2)
+GROUP = messages.RecordGroup(9, b"123456" * 2)
 MESSAGES = [
     messages.Ping(1, (UPDATE,), DIGEST, "entry-2"),
     messages.Ack(1, "entry-1", (), DIGEST),
