Run all programs through one runner

Cause: the four programs had three ways to run a command, report errors and exit; only one refused a bad command line before the command ran.

--- a/src/redwingswitch/_internal/cli/report.py
+++ b/src/redwingswitch/_internal/cli/report.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from importlib import import_module
-
-from redwingswitch._internal.cli.runner import run_program
-
-COMMANDS = "redwingswitch._internal.commands"
+from redwingswitch._internal.cli.runner import Invocation, joined, run_program
 
 
 class ReportProgram:
@@ -21,7 +17,7 @@
         hosts: str = "",
         seconds: int = 60,
         json: bool = False,
-    ) -> int:
+    ) -> Invocation:
         """Show budgets and burn rates; the exit status is 0, 6 (burning) or 7 (exhausted).
 
         Args:
@@ -33,16 +29,14 @@
             json: print JSON instead of a table.
 
         """
-        command = import_module(f"{COMMANDS}.report_show")
-        return int(
-            command.run(
-                file=file,
-                directory=directory,
-                settings=settings,
-                hosts=split_list(hosts),
-                seconds=seconds,
-                as_json=json,
-            )
+        return Invocation(
+            "report_show",
+            file=file,
+            directory=directory,
+            settings=settings,
+            hosts=joined(hosts),
+            seconds=seconds,
+            as_json=json,
         )
 
     def collect(
@@ -53,7 +47,7 @@
         hosts: str = "",
         count: int = 1,
         every_s: int = 60,
-    ) -> int:
+    ) -> Invocation:
         """Save scrapes of the entry hosts in a directory.
 
         Args:
@@ -64,25 +58,16 @@
             every_s: seconds between two scrapes.
 
         """
-        command = import_module(f"{COMMANDS}.report_collect")
-        return int(
-            command.run(
-                directory=directory,
-                settings=settings,
-                hosts=split_list(hosts),
-                count=count,
-                every_s=every_s,
-            )
+        return Invocation(
+            "report_collect",
+            directory=directory,
+            settings=settings,
+            hosts=joined(hosts),
+            count=count,
+            every_s=every_s,
         )
 
 
-def split_list(text: str | tuple[str, ...]) -> tuple[str, ...]:
-    """Return the parts of a comma-separated option; fire may have split it already."""
-    if isinstance(text, str):
-        return tuple(part for part in text.split(",") if part)
-    return tuple(str(part) for part in text)
-
-
 def main() -> None:
     """Run ``redwingswitch-report``."""
-    run_program(ReportProgram, name="redwingswitch-report")
+    run_program(ReportProgram(), name="redwingswitch-report")
--- a/src/redwingswitch/_internal/cli/runner.py
+++ b/src/redwingswitch/_internal/cli/runner.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import importlib
+import os
 import sys
-from collections.abc import Callable
 
 import fire
 
@@ -11,29 +12,61 @@
 from redwingswitch._internal.exceptions import InvalidInputGroup, RedwingswitchError
 
 
-def run_program(program: Callable[[], object], *, name: str) -> None:
-    """Run a fire program whose commands return exit statuses, and exit."""
-    statuses: list[int] = []
+class Invocation:
+    """A chosen command and its options, run only when the whole command line was understood.
+
+    ``command`` names a module of ``commands`` with a function ``run`` that returns the status.
+    """
+
+    # fire offers the public attributes of what it is handed as further commands.
+    __slots__ = ("_command", "_options")
+
+    def __init__(self, command: str, **options: object) -> None:
+        self._command = command
+        self._options = options
+
+    def _run(self) -> int:
+        # Each command is imported only when it is run, so that the others cost no start-up time.
+        module = importlib.import_module(f"redwingswitch._internal.commands.{self._command}")
+        return int(module.run(**self._options))
+
+
+def run_program(program: object, *, name: str, arguments: list[str] | None = None) -> None:
+    """Run a fire program whose commands return an ``Invocation``, and exit with its status.
+
+    Prints the help when there are no arguments.
+    """
+    stated = arguments if arguments is not None else sys.argv[1:]
+    chosen = fire.Fire(program, command=stated or ["--help"], name=name, serialize=lambda _: None)
+    if isinstance(chosen, Invocation):
+        sys.exit(_status_of(chosen, name))
+
+
+def _status_of(chosen: Invocation, name: str) -> int:
     try:
-        # The commands print what they have to say; fire must not print their exit status.
-        fire.Fire(program, name=name, serialize=lambda result: _keep_status(result, statuses))
+        status = chosen._run()
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader, such as head, has gone. The interpreter must not write to it at exit either.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return status_codes.ERROR
     except InvalidInputGroup as group:
         _print_group(group)
-        sys.exit(status_codes.INVALID_INPUT)
+        return status_codes.INVALID_INPUT
     except (RedwingswitchError, OSError) as error:
         print(f"{name}: {error}", file=sys.stderr)
-        sys.exit(status_codes.ERROR)
-    sys.exit(statuses[-1] if statuses else status_codes.SUCCESS)
-
-
-def _keep_status(result: object, statuses: list[int]) -> object:
-    if not isinstance(result, int):
-        return result
-    statuses.append(result)
-    return None
+        return status_codes.ERROR
+    return status
 
 
 def _print_group(group: InvalidInputGroup) -> None:
     print(group.message, file=sys.stderr)
     for error in group.exceptions:
         print(f"  {error}", file=sys.stderr)
+
+
+def joined(value: object) -> str:
+    """Return the text of an option that fire may have split at its commas."""
+    if isinstance(value, list | tuple):
+        return ",".join(str(part) for part in value)
+    return str(value)
--- a/src/redwingswitch/_internal/cli/standin.py
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -2,12 +2,7 @@
 
 from __future__ import annotations
 
-import importlib
-import sys
-
-import fire
-
-from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.cli.runner import Invocation, run_program
 
 
 class StandIns:
@@ -24,7 +19,7 @@
         seconds: int = 60,
         ports: str | tuple[int, ...] = "",
         file_bytes: int = 0,
-    ) -> int:
+    ) -> Invocation:
         """Run a backend server for some seconds and print its ports as TOML.
 
         Args:
@@ -40,7 +35,7 @@
                 stream port sends back what it receives.
 
         """
-        return _run(
+        return Invocation(
             "backend",
             name=name,
             service=service,
@@ -54,7 +49,7 @@
 
     def calls(
         self, file: str, *, service: str, count: int = 100, service_ms: int = 20, seed: int = 1
-    ) -> int:
+    ) -> Invocation:
         """Send requests to the entry hosts of an operators' file and print their outcomes.
 
         Args:
@@ -65,7 +60,7 @@
             seed: of the request ids and the choice of entry hosts.
 
         """
-        return _run(
+        return Invocation(
             "standin_calls",
             file=file,
             service=service,
@@ -74,25 +69,19 @@
             seed=seed,
         )
 
-    def demo(self, seed: int = 1) -> int:
+    def demo(self, seed: int = 1) -> Invocation:
         """Run a whole deployment in one process through a change, a stop and a crash."""
-        return _run("demo", seed=seed)
+        return Invocation("demo", seed=seed)
 
     def store(
         self, port: int, address: str = "127.0.0.1", seconds: int = 600, delay_ms: int = 0
-    ) -> int:
+    ) -> Invocation:
         """Run the platform's key-value service for some seconds or until it is interrupted."""
-        return _run("standin_store", port=port, address=address, seconds=seconds, delay_ms=delay_ms)
-
-
-def _run(command: str, **arguments: object) -> int:
-    module = importlib.import_module(f"redwingswitch._internal.commands.{command}")
-    status: int = module.run(**arguments)
-    return status
+        return Invocation(
+            "standin_store", port=port, address=address, seconds=seconds, delay_ms=delay_ms
+        )
 
 
-def main() -> None:
-    """Parse the command line and exit with the command's status."""
-    # fire prints a return value, which would put the exit status on standard output.
-    status = fire.Fire(StandIns, name="redwingswitch-standin", serialize=lambda _: "")
-    sys.exit(status if isinstance(status, int) else status_codes.SUCCESS)
+def main(arguments: list[str] | None = None) -> None:
+    """Run the program and exit with the command's status."""
+    run_program(StandIns(), name="redwingswitch-standin", arguments=arguments)
--- a/src/redwingswitch/_internal/commands/entry.py
+++ b/src/redwingswitch/_internal/commands/entry.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.daemon.assembly import entry_host_factory, new_incarnation, parse
 from redwingswitch._internal.daemon.entry import EntryDaemon
 from redwingswitch._internal.daemon.parameters import DaemonParameters
+from redwingswitch._internal.exceptions import RedwingswitchError
 from redwingswitch._internal.network.host_list_http import HttpHostList
 from redwingswitch._internal.network.peers import PeerKeys
 from redwingswitch._internal.network.store_http import HttpConfigStore
@@ -25,10 +26,18 @@
 
 
 def run(*, settings_file: str) -> int:
-    """Run the daemon; raise InvalidInputGroup for bad settings and OSError for a taken port."""
+    """Run the daemon until it is stopped; return the exit status.
+
+    Raises InvalidInputGroup for bad settings and RedwingswitchError for a taken port.
+    """
     settings = read_settings(Path(settings_file))
     start_logging(level=settings.log_level)
-    asyncio.run(_run(settings))
+    try:
+        asyncio.run(_run(settings))
+    except OSError as error:
+        raise RedwingswitchError(
+            f"cannot start: {error}; free the port or change the settings"
+        ) from error
     return status_codes.SUCCESS
 
 
--- a/src/redwingswitch/_internal/commands/report_collect.py
+++ b/src/redwingswitch/_internal/commands/report_collect.py
@@ -8,16 +8,17 @@
 from pathlib import Path
 
 from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.commands.ctl_support import host_endpoints
 from redwingswitch._internal.exceptions import RedwingswitchError
 from redwingswitch._internal.report.collect import Fetched, fetch_all
 from redwingswitch._internal.report.scrapes import save_scrape
 from redwingswitch._internal.report.settings import ReportSettings, read_settings
 
 
-def run(*, directory: str, settings: str, hosts: Sequence[str], count: int, every_s: int) -> int:
+def run(*, directory: str, settings: str, hosts: str, count: int, every_s: int) -> int:
     """Scrape all hosts ``count`` times, ``every_s`` seconds apart, and save what answers."""
     checked = read_settings(Path(settings)) if settings else ReportSettings()
-    endpoints = tuple(hosts) or checked.hosts
+    endpoints = host_endpoints(hosts) or checked.hosts
     if not endpoints:
         raise RedwingswitchError("no entry host is named; give --hosts or a settings file")
     target = Path(directory)
--- a/src/redwingswitch/_internal/commands/report_show.py
+++ b/src/redwingswitch/_internal/commands/report_show.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.commands.ctl_support import host_endpoints
 from redwingswitch._internal.configuration.parse import parse_configuration
 from redwingswitch._internal.exceptions import RedwingswitchError
 from redwingswitch._internal.models.configuration import Service
@@ -26,7 +27,7 @@
 
 
 def run(
-    *, file: str, directory: str, settings: str, hosts: Sequence[str], seconds: int, as_json: bool
+    *, file: str, directory: str, settings: str, hosts: str, seconds: int, as_json: bool
 ) -> int:
     """Print the report and return the exit status of its worst row.
 
@@ -35,7 +36,7 @@
     """
     checked = read_settings(Path(settings)) if settings else ReportSettings()
     services = _services(file)
-    scrapes = _scrapes(directory, tuple(hosts) or checked.hosts, seconds)
+    scrapes = _scrapes(directory, host_endpoints(hosts) or checked.hosts, seconds)
     if not scrapes:
         raise RedwingswitchError("there is no scrape to report on; check --directory or --hosts")
     rows = burn_rows(
--- a/src/redwingswitch/_internal/report/collect.py
+++ b/src/redwingswitch/_internal/report/collect.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Sequence
 from typing import NamedTuple
 
@@ -11,6 +10,7 @@
 
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.report.scrapes import Scrape, parse_scrape
+from redwingswitch._internal.utils.clocks import wall_clock_ms
 
 FETCH_TIMEOUT_S = 5.0
 
@@ -29,11 +29,6 @@
     return list(await asyncio.gather(*(_fetch(endpoint) for endpoint in endpoints)))
 
 
-def wall_clock_ms() -> int:
-    """Return this machine's wall clock; only scrapes of one machine are compared with it."""
-    return time.time_ns() // 1_000_000
-
-
 async def _fetch(endpoint: str) -> Fetched:
     client = AsyncHTTPClient()
     try:
