Log the begin of a store outage and a lapsed lease

Cause: with the store down and the watch still open, nothing was logged for up to 30 s, and a lapsed lease never. Each now gives one line. The report's text for no events says what to do when scrapes exist.

--- a/src/redwingswitch/_internal/decisions/lease.py
+++ b/src/redwingswitch/_internal/decisions/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.models.actions import AcquireLease, Action, ReleaseLease
+from redwingswitch._internal.models.actions import AcquireLease, Action, Log, ReleaseLease
 from redwingswitch._internal.models.events import LeaseGranted
 from redwingswitch._internal.ports import RandomSource
 
@@ -92,9 +92,12 @@
         """
         backoff_ms = min(LAST_RETRY_MS, FIRST_RETRY_MS << min(self._failures, 8))
         self._failures += 1
-        if self._next_ask_ms is not None:
-            self._next_ask_ms = min(self._next_ask_ms, now_ms + self._jittered(backoff_ms))
-        return []
+        if self._next_ask_ms is None:
+            return []
+        self._next_ask_ms = min(self._next_ask_ms, now_ms + self._jittered(backoff_ms))
+        if self._failures > 1:
+            return []
+        return [Log("lease", "warning", f"the store did not answer; asking for {self._key} again")]
 
     def next_deadline_ms(self) -> int | None:
         """Return when to ask next, or when the lease ends."""
@@ -103,13 +106,15 @@
 
     def on_timer(self, now_ms: int) -> list[Action]:
         """Drop a lapsed lease and ask for the lease when that is due."""
+        actions: list[Action] = []
         if self._held_until_ms is not None and now_ms >= self._held_until_ms:
             self._held_until_ms = None
+            actions.append(Log("lease", "warning", f"the lease on {self._key} has lapsed"))
         if self._next_ask_ms is None or now_ms < self._next_ask_ms:
-            return []
+            return actions
         # An answer sets an earlier time; this one applies when no answer ever comes.
         self._next_ask_ms = now_ms + self._jittered(self._ttl_ms)
-        return [AcquireLease(self._key, self._holder, self._ttl_ms, now_ms)]
+        return [*actions, AcquireLease(self._key, self._holder, self._ttl_ms, now_ms)]
 
     def _renewal_ms(self) -> int:
         return self._ttl_ms // RENEWALS_PER_TTL
--- a/src/redwingswitch/_internal/report/render.py
+++ b/src/redwingswitch/_internal/report/render.py
@@ -21,7 +21,7 @@
 def render_text(rows: Sequence[BurnRow]) -> str:
     """Return an aligned table of at most 80 columns, worst rows first."""
     if not rows:
-        return "No events were found in the scrapes; collect at least two of each entry host."
+        return "No events were found between the scrapes; collect two of each host under traffic."
     ordered = sorted(rows, key=lambda row: (-row.severity, -row.burn_long))
     cells = [_HEADINGS, *(_cells(row) for row in ordered)]
     widths = _widths(cells)
--- a/tests/unit/decisions/test_health.py
+++ b/tests/unit/decisions/test_health.py
@@ -47,6 +47,30 @@
     return BackendReport(server, busy, connections, draining, healthy)
 
 
+@pytest.mark.parametrize(
+    ("events", "is_ejected"),
+    [
+        ("-----", True),
+        ("----", False),
+        ("----r----", False),
+        ("a-----", False),
+        ("a------......-----", True),
+    ],
+)
+def test_silent_load_endpoint_ejects_a_server_without_other_signs_of_life(events, is_ejected):
+    # "-" no report, "r" report, "a" answered request, "." a second without any event.
+    part = health()
+    for second, event in enumerate(events):
+        now_ms = second * 1_000
+        if event == "-":
+            part.on_report_failed("job-1", now_ms)
+        elif event == "r":
+            part.on_report(report(), now_ms)
+        elif event == "a":
+            part.on_success("job-1", 50, now_ms)
+    assert ("job-1" in part.ejected(len(events) * 1_000)) == is_ejected
+
+
 @pytest.mark.parametrize(
     ("kinds", "is_ejected"),
     [
--- a/tests/unit/decisions/test_lease_and_drain.py
+++ b/tests/unit/decisions/test_lease_and_drain.py
@@ -6,7 +6,7 @@
 
 from redwingswitch._internal.decisions.drain import GracefulStop
 from redwingswitch._internal.decisions.lease import LeaseHolder
-from redwingswitch._internal.models.actions import AcquireLease, ReleaseLease, StopCompleted
+from redwingswitch._internal.models.actions import AcquireLease, Log, ReleaseLease, StopCompleted
 from redwingswitch._internal.models.events import LeaseGranted
 
 TTL_MS = 6_000
@@ -38,6 +38,18 @@
     assert lease.fencing_version == 7
 
 
+def test_an_outage_and_a_lapse_are_each_logged_once():
+    # Without these lines an operator sees nothing of an outage while the watch stays open.
+    lease = asking()
+    lease.on_granted(LeaseGranted(1, 7, 1_000), 1_005)
+    logs = [a for _ in range(3) for a in lease.on_unavailable(2_000)]
+    logs += [a for t in (6_500, 6_600) for a in lease.on_timer(t) if isinstance(a, Log)]
+    assert [a.text for a in logs] == [
+        "the store did not answer; asking for key again",
+        "the lease on key has lapsed",
+    ]
+
+
 def test_late_answer_to_an_older_call_does_not_replace_a_newer_grant():
     lease = asking()
     lease.on_granted(LeaseGranted(2, 9, 3_000), 3_005)
--- a/tests/unit/report/test_burn.py
+++ b/tests/unit/report/test_burn.py
@@ -134,7 +134,7 @@
     rows = burn_rows(items, services=[service], windows=WINDOWS, now_ms=86_400_000)
     assert max(map(len, render_text(rows).splitlines())) <= WIDTH_COLUMNS
     assert json.loads(render_json(rows))[0]["severity"] == "exhausted"
-    assert "collect at least two" in render_text([])
+    assert "collect two of each host" in render_text([])
 
 
 def test_saved_scrapes_come_back_in_order(tmp_path):
