--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -286,7 +286,9 @@
     changes = CHANGES_PER_DAY * (4 + 2 * DOMAINS) / SECONDS_PER_DAY
     starts = RESTARTS_PER_DAY * 2 / SECONDS_PER_DAY
     return [
-        Row("leases and watches", "measured line", f"{idle:.1f} calls/s", "", "5 watchers"),
+        Row(
+            "leases and watches", "measured line", f"{idle:.1f} calls/s", "", f"{DOMAINS} watchers"
+        ),
         Row(
             "changes",
             f"{CHANGES_PER_DAY} a day x (4 + 2 x {DOMAINS}) calls",
@@ -300,7 +302,7 @@
             "sum",
             f"{idle + changes + starts:.1f} calls/s",
             f"{STORE_WRITES_PER_S} writes/s, {STORE_READS_PER_S} reads/s",
-            "does not rise with the number of hosts",
+            "watchers only; 13.0 calls/s were measured at 270 hosts",
         ),
     ]
 
