--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -315,9 +315,10 @@
         ),
         rows=tuple(rows),
         conclusion=(
-            "Record batches and their confirmations, encoded; forwarded packets are not included, "
-            "and heartbeats add about 1,190 B/s (table on membership). Without a change there is no "
-            "such traffic. The hosts near the servers that replace the drained one share the bytes."
+            "Record batches and their confirmations, encoded; forwarded packets are not "
+            "included, and heartbeats add about 1,190 B/s (table on membership). Without a change "
+            "there is no such traffic. The hosts near the servers that replace the drained one "
+            "share the bytes."
         ),
     )
 
