--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -118,7 +118,7 @@
     verdict = "met in every row" if not missed else "missed by: " + "; ".join(missed)
     conclusion = (
         f"Target: in force on every host within {IN_FORCE_TARGET_MS} ms; {verdict}. The document "
-        f"has {TEXT_BYTES} bytes of random digits. Store calls are those between the acceptance and "
+        f"has {TEXT_BYTES} bytes of random digits. Store calls are those between acceptance and "
         "the time in force, lease renewals and starting watches included; each domain keeps one "
         "watch waiting. "
         "The virtual network has delays but no limit of bandwidth."
