--- a/src/redwingswitch/_internal/cli/ctl.py
+++ b/src/redwingswitch/_internal/cli/ctl.py
@@ -108,8 +108,9 @@
         hosts: str = "",
         json: bool = False,
         every_host: bool = False,
+        burn_s: int = 0,
     ) -> Invocation:
-        """Show what is in force where, and what is suspected, draining or ejected.
+        """Show what is in force where, and what is suspected, draining, ejected or burning.
 
         Args:
             store: URLs of the key-value service, separated by commas.
@@ -117,10 +118,16 @@
                 in the accepted file.
             json: Print JSON.
             every_host: List the entry hosts without anything to note, too.
+            burn_s: Watch the metrics for so many seconds and name the error budgets that burn.
 
         """
         return Invocation(
-            "status", store=joined(store), hosts=joined(hosts), json=json, every_host=every_host
+            "status",
+            store=joined(store),
+            hosts=joined(hosts),
+            json=json,
+            every_host=every_host,
+            burn_s=burn_s,
         )
 
     def history(self, *, store: str = DEFAULT_STORE, json: bool = False) -> Invocation:
--- a/src/redwingswitch/_internal/commands/report_show.py
+++ b/src/redwingswitch/_internal/commands/report_show.py
@@ -13,7 +13,7 @@
 from redwingswitch._internal.exceptions import RedwingswitchError
 from redwingswitch._internal.models.configuration import Service
 from redwingswitch._internal.report.burn import BurnRow, Severity, burn_rows
-from redwingswitch._internal.report.collect import fetch_all
+from redwingswitch._internal.report.collect import fetch_twice
 from redwingswitch._internal.report.indicators import indicators
 from redwingswitch._internal.report.render import render_json, render_text, worst
 from redwingswitch._internal.report.scrapes import Scrape, load_scrapes
@@ -61,9 +61,7 @@
 
 
 async def _scrape_twice(hosts: Sequence[str], seconds: int) -> list[Scrape]:
-    first = await fetch_all(hosts)
-    await asyncio.sleep(seconds)
-    fetched = [*first, *await fetch_all(hosts)]
+    fetched = await fetch_twice(hosts, seconds)
     for item in fetched:
         if item.scrape is None:
             print(f"{item.endpoint}: no metrics: {item.problem}", file=sys.stderr)
--- a/src/redwingswitch/_internal/report/collect.py
+++ b/src/redwingswitch/_internal/report/collect.py
@@ -29,6 +29,13 @@
     return list(await asyncio.gather(*(_fetch(endpoint) for endpoint in endpoints)))
 
 
+async def fetch_twice(endpoints: Sequence[str], seconds: int) -> list[Fetched]:
+    """Fetch the metrics of all admin endpoints, and again ``seconds`` later."""
+    first = await fetch_all(endpoints)
+    await asyncio.sleep(seconds)
+    return [*first, *await fetch_all(endpoints)]
+
+
 async def _fetch(endpoint: str) -> Fetched:
     client = AsyncHTTPClient()
     try:
--- a/src/redwingswitch/_internal/report/render.py
+++ b/src/redwingswitch/_internal/report/render.py
@@ -34,6 +34,17 @@
     return msgspec.json.format(msgspec.json.encode(objects)).decode()
 
 
+def burning_lines(rows: Sequence[BurnRow], *, seconds: int) -> list[str]:
+    """Return a line for each budget that burns faster than it may, the fastest first."""
+    burning = sorted((row for row in rows if row.burn_short > 1), key=lambda r: -r.burn_short)
+    if not burning:
+        return [f"no error budget burned faster than it may in {seconds} s"]
+    return [f"burning in {seconds} s, relative to the budget's rate:"] + [
+        f"  {row.service} {row.failure_domain} {row.measure.value} {row.burn_short:.1f}x"
+        for row in burning
+    ]
+
+
 def _cells(row: BurnRow) -> tuple[str, ...]:
     return (
         row.service,
--- a/tests/unit/report/test_burn.py
+++ b/tests/unit/report/test_burn.py
@@ -8,7 +8,13 @@
 from redwingswitch._internal.models.configuration import Objectives, Service, SizeClass
 from redwingswitch._internal.report.burn import Severity, Windows, burn_rows
 from redwingswitch._internal.report.indicators import Indicator, Measure, indicators
-from redwingswitch._internal.report.render import WIDTH_COLUMNS, render_json, render_text, worst
+from redwingswitch._internal.report.render import (
+    WIDTH_COLUMNS,
+    burning_lines,
+    render_json,
+    render_text,
+    worst,
+)
 from redwingswitch._internal.report.scrapes import load_scrapes, parse_scrape, save_scrape
 from redwingswitch._internal.report.settings import parse_settings
 
@@ -137,6 +143,20 @@
     assert "collect two of each host" in render_text([])
 
 
+@pytest.mark.parametrize(
+    ("bad", "line"),
+    [
+        (60, "  job-board hobart failed requests 6.0x"),
+        (5, "no error budget burned faster than it may in 10 s"),
+    ],
+)
+def test_status_names_the_budgets_that_burn(bad, line):
+    rows = burn_rows(
+        [failed(86_400, bad, 1000)], services=[SERVICE], windows=WINDOWS, now_ms=86_400_000
+    )
+    assert burning_lines(rows, seconds=10)[-1] == line
+
+
 def test_saved_scrapes_come_back_in_order(tmp_path):
     for at_s in (60, 0):
         text = 'redwingswitch_host_info{host="a",failure_domain="d",incarnation="1"} 1\n'
