--- a/src/redwingswitch/_internal/standins/stream_caller.py
+++ b/src/redwingswitch/_internal/standins/stream_caller.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import NamedTuple
 
 from redwingswitch._internal.models.identifiers import FlowKey, PacketKind
@@ -41,6 +42,7 @@
         self._fabric = fabric
         self._endpoint = DatagramEndpoint(address=address, port=0, on_datagram=lambda *_: None)
         self._flows: dict[FlowKey, _Flow] = {}
+        self.packets_sent: Counter[PacketKind] = Counter()
 
     def close(self) -> None:
         """Close the socket."""
@@ -98,5 +100,6 @@
         return False
 
     def _send(self, flow: FlowKey, kind: PacketKind, content: bytes = b"") -> None:
+        self.packets_sent[kind] += 1
         packet = build_packet(flow=flow, kind=kind, content=content)
         self._fabric.spray(lambda host: self._endpoint.send(packet, (host.address, host.data_port)))
--- a/tests/functional/test_entry_daemon.py
+++ b/tests/functional/test_entry_daemon.py
@@ -87,6 +87,11 @@
     run(body())
 
 
+def _total(text, sample):
+    values = [line.rpartition(" ")[2] for line in text.splitlines() if f"{sample} " in line]
+    return sum(map(float, values))
+
+
 def test_the_admin_endpoint_shows_requests_flows_and_readiness():
     async def body():
         async with Bench() as bench:
@@ -98,8 +103,10 @@
             for name in vars(metric_names).values():
                 if str(name).startswith("redwingswitch_"):
                     assert name in text
-            assert 'requests_total{outcome="answered",service="job-board"} 1' in text
-            assert 'flows_opened_total{service="job-board"} 1' in text
+            # A caller repeats an opening packet until it is answered, and each one is counted.
+            opened = bench.fleet.streams.packets_sent[PacketKind.OPEN]
+            assert _total(text, 'requests_total{outcome="answered",service="job-board"}') == 1
+            assert _total(text, 'flows_opened_total{service="job-board"}') == opened
             for daemon in daemons:
                 assert await bench.get(daemon, "/ready") == b"ready\n"
                 assert await bench.get(daemon, "/live") == b"live\n"
