--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -25,6 +25,7 @@
 from redwingswitch._internal.daemon.request_times import RequestTimes
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
 from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+from redwingswitch._internal.exceptions import PeerSecurityError
 from redwingswitch._internal.models.configuration import BackendServer, Configuration
 from redwingswitch._internal.models.events import (
     AttemptFailed,
@@ -35,7 +36,7 @@
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.backend_client import BackendClient
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
-from redwingswitch._internal.network.peers import PeerAddress, PeerSecurityError, PeerSockets
+from redwingswitch._internal.network.peers import PeerAddress, PeerSockets
 from redwingswitch._internal.network.report_client import ReportClient
 from redwingswitch._internal.ports import Clock, ConfigStore, HostList, RandomSource
 from redwingswitch._internal.settings import Seed
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -68,3 +68,11 @@
 
 class CapacityError(RedwingswitchError):
     """A bounded table or queue is full."""
+
+
+class PeerSecurityError(RedwingswitchError):
+    """Plaintext was asked for where it is not allowed."""
+
+
+class HostListUnavailableError(RedwingswitchError):
+    """The platform's list of hosts was not read."""
--- a/src/redwingswitch/_internal/network/host_list_http.py
+++ b/src/redwingswitch/_internal/network/host_list_http.py
@@ -8,17 +8,16 @@
 from tornado.httpclient import AsyncHTTPClient
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from redwingswitch._internal.exceptions import DecodeError, RedwingswitchError
+from redwingswitch._internal.exceptions import (
+    DecodeError,
+    HostListUnavailableError,
+)
 from redwingswitch._internal.models.events import ListedHost
 
 READ_TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1_000_000
 
 
-class HostListUnavailableError(RedwingswitchError):
-    """The platform's list of hosts was not read."""
-
-
 class _Row(msgspec.Struct):
     """One host; unknown members are ignored."""
 
--- a/src/redwingswitch/_internal/network/peers.py
+++ b/src/redwingswitch/_internal/network/peers.py
@@ -10,7 +10,7 @@
 from tornado.ioloop import IOLoop
 from zmq.auth.asyncio import AsyncioAuthenticator
 
-from redwingswitch._internal.exceptions import DecodeError, RedwingswitchError
+from redwingswitch._internal.exceptions import DecodeError, PeerSecurityError
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.network.codec import Envelope, decode_message, encode_message
 
@@ -54,10 +54,6 @@
         return bool(self.secret_key)
 
 
-class PeerSecurityError(RedwingswitchError):
-    """Plaintext was asked for where it is not allowed."""
-
-
 class _ListedKeys:
     """The credentials callback of the authenticator: accepts the keys of the listed peers."""
 
--- a/tests/functional/test_host_list.py
+++ b/tests/functional/test_host_list.py
@@ -5,9 +5,9 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Application, RequestHandler
 
-from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.exceptions import DecodeError, HostListUnavailableError
 from redwingswitch._internal.models.events import ListedHost
-from redwingswitch._internal.network.host_list_http import HostListUnavailableError, HttpHostList
+from redwingswitch._internal.network.host_list_http import HttpHostList
 from tests.lib.loops import run
 
 HOSTS = [ListedHost("entry-1", False), ListedHost("entry-2", True)]
--- a/tests/functional/test_peers.py
+++ b/tests/functional/test_peers.py
@@ -3,11 +3,11 @@
 import pytest
 import zmq
 
+from redwingswitch._internal.exceptions import PeerSecurityError
 from redwingswitch._internal.models.messages import RevisionOffer
 from redwingswitch._internal.network.peers import (
     PeerAddress,
     PeerKeys,
-    PeerSecurityError,
     PeerSockets,
 )
 from tests.lib.loops import Recorder, run, turns
