Remove code that nothing uses

A protocol, an error, a factory and a query of the request ledger were written before their callers and never got any. make lint and types pass, and 192 tests of the touched parts.

--- a/src/redwingswitch/_internal/decisions/request_ledger.py
+++ b/src/redwingswitch/_internal/decisions/request_ledger.py
@@ -214,11 +214,6 @@
         for request_id in _due(self._kept, now_ms):
             self._drop_answer(request_id)
 
-    def next_expiry_ms(self) -> int | None:
-        """Return when the next entry or kept answer goes away."""
-        queues = [*self._finished.values(), self._kept]
-        return min((next(iter(q.values())) for q in queues if q), default=None)
-
     def _keep(self, entry: RequestEntry, answer: tuple[bytes, ...], now_ms: int) -> None:
         entry.answer = answer
         self._kept[entry.header.request_id] = now_ms + ANSWER_KEPT_MS
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -66,10 +66,6 @@
     """A packet or message is malformed or has an unknown schema version."""
 
 
-class CapacityError(RedwingswitchError):
-    """A bounded table or queue is full."""
-
-
 class PeerSecurityError(RedwingswitchError):
     """Plaintext was asked for where it is not allowed."""
 
--- a/src/redwingswitch/_internal/network/store_http.py
+++ b/src/redwingswitch/_internal/network/store_http.py
@@ -25,7 +25,6 @@
 )
 from redwingswitch._internal.network.etcd_watch import WATCH_TURN_MS, EtcdWatch
 from redwingswitch._internal.ports import GrantedLease, KeyVersion, StoredValue
-from redwingswitch._internal.settings import Settings
 
 ABSENT_VERSION = 0
 
@@ -165,11 +164,6 @@
         )
 
 
-def open_store(settings: Settings) -> HttpConfigStore:
-    """Return the store that a daemon's settings name."""
-    return HttpConfigStore(endpoints=settings.store_endpoints, timeout_ms=settings.store_timeout_ms)
-
-
 def _comparisons(expectation: KeyVersion) -> list[dict[str, str]]:
     key = to_base64(expectation.key.encode())
     version = str(expectation.version)
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -2,10 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol, TypeVar
 
-from redwingswitch._internal.models.actions import Action
 from redwingswitch._internal.models.events import ListedHost
 from redwingswitch._internal.models.messages import PeerMessage
 from redwingswitch._internal.models.requests import BackendReport
@@ -118,10 +117,3 @@
 
     def send(self, host: str, message: PeerMessage) -> bool:
         """Queue a message; return False when the host is unknown or its queue is full."""
-
-
-class ActionSink(Protocol):
-    """A driver that carries actions out."""
-
-    def perform(self, actions: Sequence[Action]) -> Awaitable[None] | None:
-        """Carry the actions out in order."""
