Hand forwarded packets to flow steering like its other messages

EntryHost built a PacketArrived from a forwarded packet, which FlowSteering does itself; the copy is gone. The map of wire ids is a comprehension with its real types.

--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from typing import Any
 
 from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
@@ -218,8 +218,6 @@
     def _route_message(self, event: events.PeerMessageArrived, now_ms: int) -> list[Action]:
         message = event.message
         match message:
-            case messages.ForwardedPacket():
-                return self.steering.on_packet(_arrived(message), now_ms)
             case messages.Ping() | messages.Ack():
                 self._refresh_digest(now_ms)
                 actions = list(
@@ -234,7 +232,8 @@
             ):
                 return self.convergence.on_message(event.sender, message, now_ms)
             case (
-                messages.RecordBatch()
+                messages.ForwardedPacket()
+                | messages.RecordBatch()
                 | messages.RecordBatchAck()
                 | messages.RecordQuery()
                 | messages.RecordReply()
@@ -325,18 +324,9 @@
     return isinstance(action, SendToPeer) and action.host == host
 
 
-def _arrived(message: messages.ForwardedPacket) -> events.PacketArrived:
-    return events.PacketArrived(
-        flow=message.flow,
-        flow_hash=message.flow_hash,
-        kind=message.kind,
-        payload=message.payload,
-        hops=message.hops,
-    )
-
-
 def _servers_by_wire_id(configuration: Configuration) -> dict[int, tuple[str, str]]:
-    servers: Iterable[Any] = (
-        server for service in configuration.services for server in service.backend_servers
-    )
-    return {wire_id(server.name): (server.name, server.failure_domain) for server in servers}
+    return {
+        wire_id(server.name): (server.name, server.failure_domain)
+        for service in configuration.services
+        for server in service.backend_servers
+    }
