Steer sprayed flows by cookie on the users' platform

Cause: nothing of the product starts on the users' platform, whose packets carry a field that both ends of a flow return. Ruled out: bucket owners, records and forwarding, which that field makes needless there.

--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -0,0 +1,145 @@
+"""The steering daemon: packets in, decisions, packets out; readiness; planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+from ipaddress import IPv4Address
+
+from logbook import Logger
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from redwingswitch._internal.daemon.fleet_reader import FleetReader
+from redwingswitch._internal.decisions.cookies.readiness import Readiness, readiness
+from redwingswitch._internal.decisions.cookies.steering import CookieSteering
+from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.models.cookie_flows import (
+    ForwardPacket,
+    ResetFlow,
+)
+from redwingswitch._internal.network.datagrams import DatagramEndpoint
+from redwingswitch._internal.ports import Clock, FleetStore, PacketCodec, RandomSource
+from redwingswitch._internal.steering_settings import SteeringSettings
+
+log = Logger("steering")
+
+MS_PER_S = 1_000
+# Routers check twice a second and stop sending after two misses.
+ROTATION_EXIT_MS = 1_500
+# A stop ends when no packet has come for this long.
+QUIET_MS = 400
+STOP_CHECK_MS = 100
+# Left of the grace period for the exit itself.
+EXIT_MARGIN_MS = 500
+
+
+class SteeringDaemon:
+    """One host that steers sprayed packets."""
+
+    def __init__(
+        self,
+        *,
+        settings: SteeringSettings,
+        store: FleetStore,
+        codec: PacketCodec,
+        clock: Clock,
+        random_source: RandomSource,
+    ) -> None:
+        self._settings = settings
+        self._store = store
+        self._codec = codec
+        self._clock = clock
+        self._steering = CookieSteering(
+            failure_domain=settings.failure_domain, random_source=random_source
+        )
+        self._reader = FleetReader(
+            store=store,
+            steering=self._steering,
+            clock=clock,
+            random_source=random_source,
+            on_change=self._note_readiness,
+        )
+        self._stopping = asyncio.Event()
+        self._readiness = Readiness.NOT_CONFIGURED
+        self._last_packet_ms = 0
+
+    async def run(self) -> None:
+        """Serve until a stop is requested and done."""
+        endpoint = DatagramEndpoint(
+            address=self._settings.steering.address,
+            port=self._settings.steering.port,
+            on_datagram=self._on_datagram,
+        )
+        self._endpoint = endpoint
+        server = HTTPServer(self._answer_check)
+        server.listen(self._settings.readiness.port, address=self._settings.readiness.address)
+        reading = asyncio.create_task(self._reader.run())
+        log.info(
+            f"started host={self._settings.host} failure_domain={self._settings.failure_domain}"
+        )
+        await self._stopping.wait()
+        await self._stop()
+        reading.cancel()
+        server.stop()
+        endpoint.close()
+        self._store.close()
+        log.info("stopped")
+
+    def request_stop(self) -> None:
+        """Begin a planned stop: leave the routers' rotation, but steer what still comes."""
+        log.info("stop requested")
+        self._stopping.set()
+        self._note_readiness()
+
+    async def _stop(self) -> None:
+        began_ms = self._clock.now_ms()
+        deadline_ms = began_ms + max(0, self._settings.grace_period_ms - EXIT_MARGIN_MS)
+        while True:
+            await asyncio.sleep(STOP_CHECK_MS / MS_PER_S)
+            now_ms = self._clock.now_ms()
+            out_of_rotation = now_ms - began_ms >= ROTATION_EXIT_MS
+            quiet = now_ms - self._last_packet_ms >= QUIET_MS
+            if now_ms >= deadline_ms or (out_of_rotation and quiet):
+                return
+
+    def _on_datagram(self, datagram: bytes, _address: tuple[str, int]) -> None:
+        now_ms = self._clock.now_ms()
+        self._last_packet_ms = now_ms
+        try:
+            packet = self._codec.decode(datagram)
+        except DecodeError as error:
+            log.warning(f"packet malformed reason={error}")
+            return
+        action = self._steering.on_packet(packet, now_ms)
+        if isinstance(action, ForwardPacket):
+            server = action.server
+            sent = self._codec.encode_for_server(
+                packet, cookie=action.cookie, tunnel_prefix=server.tunnel_prefix
+            )
+            self._endpoint.send(sent, (server.address, server.port))
+        elif isinstance(action, ResetFlow):
+            caller = str(IPv4Address(packet.flow.caller_address))
+            reset = self._codec.encode_reset(packet)
+            self._endpoint.send(reset, (caller, self._settings.steering.port))
+
+    def _note_readiness(self) -> None:
+        found = readiness(
+            has_routes=self._steering.routes is not None,
+            listed_servers=self._steering.directory.listed_count(),
+            stopping=self._stopping.is_set(),
+        )
+        if found is not self._readiness:
+            self._readiness = found
+            log.info(f"readiness={found}")
+
+    def _answer_check(self, request: HTTPServerRequest) -> None:
+        known = request.path == self._settings.readiness_path
+        status = 404 if not known else 200 if self._readiness is Readiness.READY else 503
+        body = b"{}"
+        headers = HTTPHeaders(
+            {"Content-Type": "application/json", "Content-Length": str(len(body))}
+        )
+        connection = request.connection
+        assert connection is not None
+        connection.write_headers(ResponseStartLine("HTTP/1.1", status, ""), headers, body)
+        connection.finish()
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/cookies/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of flows whose packets carry the identity of their backend server."""
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/cookies/choice.py
@@ -0,0 +1,91 @@
+"""Choice of the backend server for a new flow: near and least loaded first."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from redwingswitch._internal.models.cookie_flows import ListedServer, Route, ServiceShare
+from redwingswitch._internal.ports import RandomSource
+
+# An open flow without a request in progress, relative to one with a request.
+IDLE_FLOW_LOAD = 0.15
+# A server of another failure domain is taken when the near ones carry this much more for each slot.
+FAR_LOAD_PER_SLOT = 0.75
+# A server that says that it is still slow after its start gets this share of its slots.
+SLOW_START_CAPACITY = 0.5
+
+
+class ServerLoad(Protocol):
+    """What this host knows of the load of servers."""
+
+    def flows(self, server_id: str) -> int:
+        """Return the open flows at a server."""
+
+    def busy(self, server_id: str) -> int:
+        """Return the flows at a server with a request in progress."""
+
+
+class Candidate(NamedTuple):
+    """A server that may be offered a flow; ``share_of_capacity`` is 1 for a warm server."""
+
+    server: ListedServer
+    share_of_capacity: float = 1.0
+
+
+class ServerChoice:
+    """Picks the candidate with the least load for each slot.
+
+    Flows stay where they open, so the choice decides the balance for as long as they live.
+    """
+
+    def __init__(
+        self, *, failure_domain: str, load: ServerLoad, random_source: RandomSource
+    ) -> None:
+        self._near = failure_domain
+        self._load = load
+        self._random = random_source
+
+    def service(self, route: Route) -> str:
+        """Return the service for a new flow, drawn by the weights of the route's shares."""
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        return self._draw(shares)
+
+    def server(self, candidates: Sequence[Candidate]) -> ListedServer | None:
+        """Return the server to offer a flow to; None without candidates."""
+        if not candidates:
+            return None
+        near_penalty = self._near_penalty(candidates)
+        best = min(candidates, key=lambda c: (self._cost(c, near_penalty), self._random.random()))
+        return best.server
+
+    def _near_penalty(self, candidates: Sequence[Candidate]) -> float:
+        """Return what makes up for a failure domain with few slots: its callers spill earlier."""
+        slots = [c.server.slots * c.share_of_capacity for c in candidates]
+        near = sum(
+            s
+            for s, c in zip(slots, candidates, strict=True)
+            if c.server.failure_domain == self._near
+        )
+        domains = {c.server.failure_domain for c in candidates}
+        fair = sum(slots) / len(domains)
+        return FAR_LOAD_PER_SLOT * max(0.0, 1.0 - near / fair) if fair else 0.0
+
+    def _cost(self, candidate: Candidate, near_penalty: float) -> float:
+        server = candidate.server
+        busy = self._load.busy(server.server_id)
+        idle = self._load.flows(server.server_id) - busy
+        capacity = max(0.1, server.slots * candidate.share_of_capacity)
+        load = (busy + IDLE_FLOW_LOAD * idle) / capacity
+        is_near = server.failure_domain == self._near
+        return load + (near_penalty if is_near else FAR_LOAD_PER_SLOT)
+
+    def _draw(self, shares: Sequence[ServiceShare]) -> str:
+        left = self._random.random() * sum(share.weight for share in shares)
+        for share in shares:
+            left -= share.weight
+            if left < 0:
+                return share.service
+        return shares[-1].service
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/cookies/directory.py
@@ -0,0 +1,179 @@
+"""The backend servers that a host knows, through outages of the list that they register in."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from enum import StrEnum
+from typing import NamedTuple
+
+from redwingswitch._internal.decisions.cookies.cookie import flow_cookie
+from redwingswitch._internal.models.configuration import ServerState
+from redwingswitch._internal.models.cookie_flows import ListedServer, RouteAddress
+from redwingswitch._internal.models.fleet_list import ServerChange
+
+# Entries that lapsed during an outage of the list are written again within 2 s of its end; the rest
+# is the time until this host reads them.
+LAPSE_GRACE_MS = 2_500
+# Long enough for every flow of a server that has left to meet its reset; flows live up to 60 s.
+GONE_KEPT_MS = 75_000
+MAX_GONE_SERVERS = 4_096
+MAX_COOKIE_TABLES = 4_096
+
+
+class Presence(StrEnum):
+    """What the list says about a server."""
+
+    LISTED = "listed"
+    LAPSED = "lapsed"
+    GONE = "gone"
+
+
+class KnownServer(NamedTuple):
+    """A server, and until when its absence from the list does not mean that it has ended.
+
+    ``absent_since_ms`` is None while the server is listed.
+    """
+
+    server: ListedServer
+    absent_since_ms: int | None = None
+    grace_deadline_ms: int = 0
+
+    def presence(self, now_ms: int) -> Presence:
+        """Return what the list says about the server now."""
+        if self.absent_since_ms is None:
+            return Presence.LISTED
+        return Presence.LAPSED if now_ms < self.grace_deadline_ms else Presence.GONE
+
+
+class ServerDirectory:
+    """Backend servers by id and by cookie.
+
+    A server that disappears while the list is reachable has ended. One that disappears during an
+    outage, or just after it, is kept as lapsed until it had the time to register again.
+    """
+
+    def __init__(self) -> None:
+        self._known: dict[str, KnownServer] = {}
+        self._by_service: dict[str, tuple[KnownServer, ...]] = {}
+        self._by_cookie: dict[RouteAddress, dict[int, str]] = {}
+        self._list_reachable = True
+        self._grace_deadline_ms = 0
+
+    def on_list_lost(self) -> None:
+        """Note that the list cannot be read."""
+        self._list_reachable = False
+
+    def on_list_read(self, now_ms: int) -> None:
+        """Note that the list was read; after an outage this starts the grace of lapsed entries."""
+        if not self._list_reachable:
+            self._list_reachable = True
+            self._grace_deadline_ms = now_ms + LAPSE_GRACE_MS
+
+    def replace(self, entries: Iterable[ServerChange], now_ms: int) -> list[str]:
+        """Take the whole list; return the ids whose state changed."""
+        listed = {entry.server_id: entry for entry in entries}
+        removals = [
+            ServerChange(server_id=server_id, server=None, is_listed=False)
+            for server_id, known in self._known.items()
+            if known.absent_since_ms is None and server_id not in listed
+        ]
+        return self.update([*removals, *listed.values()], now_ms)
+
+    def update(self, changes: Iterable[ServerChange], now_ms: int) -> list[str]:
+        """Take changed entries; return the ids whose state changed."""
+        return [change.server_id for change in changes if self._take(change, now_ms)]
+
+    def _take(self, change: ServerChange, now_ms: int) -> bool:
+        if change.server is not None:
+            return self.put(change.server)
+        if change.is_listed:
+            return self.set_unusable(change.server_id)
+        return self.remove(change.server_id, now_ms)
+
+    def put(self, server: ListedServer) -> bool:
+        """Take one entry; return whether it changes anything but the slow start's remainder."""
+        known = self._known.get(server.server_id)
+        self._known[server.server_id] = KnownServer(server)
+        if known is None:
+            self._by_cookie.clear()
+        if known is not None and known.absent_since_ms is None and known.server == server:
+            return False
+        self._by_service.clear()
+        if known is None or known.absent_since_ms is not None:
+            return True
+        return known.server._replace(slow_start_left_ms=0) != server._replace(slow_start_left_ms=0)
+
+    def remove(self, server_id: str, now_ms: int) -> bool:
+        """Note that an entry is no longer there; return whether it was."""
+        known = self._known.get(server_id)
+        if known is None or known.absent_since_ms is not None:
+            return False
+        self._known[server_id] = KnownServer(known.server, now_ms, self._grace_deadline_ms)
+        self._by_service.clear()
+        self._forget_long_gone(now_ms)
+        return True
+
+    def set_unusable(self, server_id: str) -> bool:
+        """Give a server whose entry cannot be read no new flows; return whether it got some."""
+        known = self._known.get(server_id)
+        if known is None or known.server.state is not ServerState.ACTIVE:
+            return False
+        drained = known.server._replace(state=ServerState.DRAINING)
+        self._known[server_id] = known._replace(server=drained)
+        self._by_service.clear()
+        return True
+
+    def get(self, server_id: str) -> KnownServer | None:
+        """Return a server by its id."""
+        return self._known.get(server_id)
+
+    def by_cookie(self, cookie: int, destination: RouteAddress) -> KnownServer | None:
+        """Return the server that a cookie names in flows to ``destination``."""
+        table = self._by_cookie.get(destination)
+        if table is None:
+            table = self._cookie_table(destination)
+        return self._known.get(table.get(cookie, ""))
+
+    def of_service(self, service: str) -> tuple[KnownServer, ...]:
+        """Return the servers of a service that may be offered flows: active and not ended."""
+        found = self._by_service.get(service)
+        if found is None:
+            found = tuple(
+                known
+                for known in self._known.values()
+                if known.server.service == service and known.server.state is ServerState.ACTIVE
+            )
+            self._by_service[service] = found
+        return found
+
+    def listed_count(self) -> int:
+        """Return the number of servers that are listed now."""
+        return sum(known.absent_since_ms is None for known in self._known.values())
+
+    def all(self) -> Mapping[str, KnownServer]:
+        """Return every server that is known, those that ended lately included."""
+        return self._known
+
+    def _cookie_table(self, destination: RouteAddress) -> dict[int, str]:
+        # Reversed, so that the smallest id wins on every host when two servers share a cookie.
+        ids = sorted(self._known, reverse=True)
+        table = {flow_cookie(server_id=name, destination=destination): name for name in ids}
+        if len(self._by_cookie) >= MAX_COOKIE_TABLES:
+            self._by_cookie.clear()
+        self._by_cookie[destination] = table
+        return table
+
+    def _forget_long_gone(self, now_ms: int) -> None:
+        gone = [
+            (known.absent_since_ms, name)
+            for name, known in self._known.items()
+            if known.absent_since_ms is not None
+        ]
+        old = {name for since_ms, name in gone if now_ms - since_ms > GONE_KEPT_MS}
+        surplus = len(gone) - len(old) - MAX_GONE_SERVERS
+        if surplus > 0:
+            old.update(name for _, name in sorted(gone)[:surplus])
+        for name in old:
+            del self._known[name]
+        if old:
+            self._by_cookie.clear()
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_table.py
@@ -0,0 +1,151 @@
+"""What a host has seen of the flows whose packets pass through it."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.cookie_flows import FlowId, FlowPacket
+
+# A flow that rests longer than this no longer counts as load.
+IDLE_MS = 15_000
+SWEEP_INTERVAL_MS = 2_000
+# About 0.5 KB each: 10 MB at the bound.
+MAX_FLOWS = 20_000
+SEQUENCE_RANGE = 1 << 32
+HALF_SEQUENCE_RANGE = 1 << 31
+
+
+class FlowState:
+    """Progress of one flow, read off the caller's packets."""
+
+    __slots__ = (
+        "acknowledged",
+        "is_busy",
+        "is_closed",
+        "is_open",
+        "last_packet_ms",
+        "next_sequence",
+        "progress_ms",
+        "request_began_ms",
+        "server_id",
+        "stalls",
+        "tried",
+    )
+
+    def __init__(self, *, server_id: str, now_ms: int) -> None:
+        self.server_id = server_id
+        # Servers that this flow's opening packets went to, the latest last.
+        self.tried: tuple[str, ...] = (server_id,)
+        self.is_open = False
+        self.is_busy = False
+        self.is_closed = False
+        self.acknowledged = 0
+        self.next_sequence = 0
+        # Repeated packets since the last progress.
+        self.stalls = 0
+        self.progress_ms = now_ms
+        self.request_began_ms = now_ms
+        self.last_packet_ms = now_ms
+
+    def note_progress(self, now_ms: int) -> None:
+        """Note that the server has answered something."""
+        self.stalls = 0
+        self.progress_ms = now_ms
+
+
+def is_after(left: int, right: int) -> bool:
+    """Return whether a 32-bit sequence number comes after another, across the wrap."""
+    return 0 < (left - right) % SEQUENCE_RANGE < HALF_SEQUENCE_RANGE
+
+
+class FlowTable:
+    """Flows by their two ends, bounded in number and in rest.
+
+    Losing an entry costs only evidence and a count of load: packets are steered by their cookies.
+    """
+
+    def __init__(self, *, bound: int = MAX_FLOWS) -> None:
+        self._bound = bound
+        self._flows: dict[FlowId, FlowState] = {}
+        self._flow_count: dict[str, int] = {}
+        self._busy_count: dict[str, int] = {}
+        self._sweep_ms = 0
+
+    def __len__(self) -> int:
+        return len(self._flows)
+
+    def get(self, flow: FlowId) -> FlowState | None:
+        """Return what is known of a flow."""
+        return self._flows.get(flow)
+
+    def add(self, flow: FlowId, server_id: str, now_ms: int) -> FlowState:
+        """Start to follow a flow; at the bound the oldest entry goes."""
+        if flow in self._flows:
+            self.remove(flow)
+        if len(self._flows) >= self._bound:
+            self.remove(next(iter(self._flows)))
+        state = FlowState(server_id=server_id, now_ms=now_ms)
+        self._flows[flow] = state
+        self._flow_count[server_id] = self._flow_count.get(server_id, 0) + 1
+        return state
+
+    def remove(self, flow: FlowId) -> None:
+        """Stop following a flow."""
+        state = self._flows.pop(flow, None)
+        if state is not None:
+            self.close(state)
+
+    def close(self, state: FlowState) -> None:
+        """Stop counting a flow as load; its last packets are still followed."""
+        if not state.is_closed:
+            self.set_busy(state, False)
+            self._count(self._flow_count, state.server_id, -1)
+            state.is_closed = True
+
+    def move(self, state: FlowState, server_id: str) -> None:
+        """Note that a flow that is not open yet was offered to another server."""
+        self.close(state)
+        state.is_closed = False
+        self._count(self._flow_count, server_id, 1)
+        state.server_id = server_id
+        if server_id not in state.tried:
+            state.tried = (*state.tried, server_id)
+
+    def set_busy(self, state: FlowState, busy: bool) -> None:
+        """Note that a request of the flow began or was answered."""
+        if state.is_busy != busy and not state.is_closed:
+            state.is_busy = busy
+            self._count(self._busy_count, state.server_id, 1 if busy else -1)
+
+    def flows(self, server_id: str) -> int:
+        """Return the flows at a server that this host follows."""
+        return self._flow_count.get(server_id, 0)
+
+    def busy(self, server_id: str) -> int:
+        """Return the flows at a server that wait for an answer."""
+        return self._busy_count.get(server_id, 0)
+
+    def sweep(self, now_ms: int) -> None:
+        """Forget flows at rest, at most every ``SWEEP_INTERVAL_MS``."""
+        if now_ms < self._sweep_ms:
+            return
+        self._sweep_ms = now_ms + SWEEP_INTERVAL_MS
+        resting = [
+            flow for flow, state in self._flows.items() if now_ms - state.last_packet_ms > IDLE_MS
+        ]
+        for flow in resting:
+            self.remove(flow)
+
+    def _count(self, counts: dict[str, int], server_id: str, change: int) -> None:
+        left = counts.get(server_id, 0) + change
+        if left > 0:
+            counts[server_id] = left
+        else:
+            counts.pop(server_id, None)
+
+
+def is_repeated(state: FlowState, packet: FlowPacket) -> bool:
+    """Return whether the packet carries data that the caller sent before."""
+    if packet.data_bytes == 0 and not packet.closes:
+        return False
+    return state.next_sequence != 0 and not is_after(
+        packet.sequence + packet.data_bytes + packet.closes, state.next_sequence
+    )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/cookies/readiness.py
@@ -0,0 +1,22 @@
+"""Whether the routers should send packets to this host."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class Readiness(StrEnum):
+    """The answer to a router's readiness check; the values are metric labels."""
+
+    READY = "ready"
+    NOT_CONFIGURED = "not_configured"
+    STOPPING = "stopping"
+
+
+def readiness(*, has_routes: bool, listed_servers: int, stopping: bool) -> Readiness:
+    """Return whether a host can steer what it is sent."""
+    if stopping:
+        return Readiness.STOPPING
+    if not has_routes or not listed_servers:
+        return Readiness.NOT_CONFIGURED
+    return Readiness.READY
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -50,6 +50,10 @@
     """The key-value service did not confirm a write; it may or may not be in effect."""
 
 
+class StoreHistoryLostError(RedwingswitchError):
+    """The key-value service no longer has the changes asked for; read everything again."""
+
+
 class ConfigurationConflictError(RedwingswitchError):
     """Another operator's configuration was accepted first."""
 
--- /dev/null
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -0,0 +1,149 @@
+"""The values that operators and backend servers write into the platform's store."""
+
+from __future__ import annotations
+
+import re
+from ipaddress import AddressValueError, IPv4Address
+from typing import Literal
+
+import msgspec
+
+from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.models.configuration import ServerState
+from redwingswitch._internal.models.cookie_flows import (
+    ListedServer,
+    Route,
+    RouteAddress,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+)
+
+CONFIGURATION_KEY = "op/config"
+SERVER_PREFIX = "servers/"
+TUNNEL_PREFIX_BYTES = 8
+MAX_PORT = 65_535
+_PREFIX_PATTERN = re.compile(r"/(\d{1,5})/")
+_NOT_HEX = re.compile(r"[^0-9a-fA-F]")
+
+
+class _Share(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    weight: float = msgspec.field(name="Weight", default=1.0)
+
+
+class _Route(msgspec.Struct):
+    name: str = msgspec.field(name="Name")
+    # An IPv4 address: callers put it into the destination field of their packets.
+    host: str = msgspec.field(name="Host")
+    # A port between slashes.
+    prefix: str = msgspec.field(name="Prefix")
+    kind: Literal["idempotent", "non_idempotent", "download"] = msgspec.field(name="Type")
+    timeout_ms: float = msgspec.field(name="TimeoutMs", default=0)
+    latency_goal_ms: float = msgspec.field(name="TargetLatencyMs", default=0)
+    priority: int = msgspec.field(name="Priority", default=0)
+    service: str = msgspec.field(name="Service", default="")
+    split: list[_Share] = msgspec.field(name="Split", default_factory=list)
+
+
+class _Limits(msgspec.Struct):
+    idle_ms: int = msgspec.field(name="IdleTimeoutMs", default=0)
+
+
+class _Configuration(msgspec.Struct):
+    version: int = msgspec.field(name="Version")
+    routes: list[_Route] = msgspec.field(name="Routes")
+    limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
+
+
+class _ServerEntry(msgspec.Struct):
+    service: str = msgspec.field(name="Service")
+    address: str = msgspec.field(name="Address")
+    zone: str = msgspec.field(name="Zone")
+    slots: int = msgspec.field(name="Slots")
+    state: Literal["ready", "draining"] = msgspec.field(name="State")
+    # How much longer the server stays slow after its start.
+    slow_start_left_ms: float = msgspec.field(name="RampLeftMs")
+    # Unix milliseconds of the server's start; it tells two starts under one id apart.
+    born: int = 0
+
+
+_configuration_decoder = msgspec.json.Decoder(_Configuration)
+_entry_decoder = msgspec.json.Decoder(_ServerEntry)
+_STATES = {"ready": ServerState.ACTIVE, "draining": ServerState.DRAINING}
+
+
+def decode_routes(value: bytes) -> RouteTable:
+    """Return the routes of a configuration; raise DecodeError when it cannot be read."""
+    try:
+        decoded = _configuration_decoder.decode(value)
+        routes = [_route(route) for route in decoded.routes]
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DecodeError(f"the configuration cannot be read: {error}") from error
+    return RouteTable(
+        version=decoded.version,
+        routes={route.destination: route for route in routes},
+        idle_limit_ms=decoded.limits.idle_ms,
+    )
+
+
+def _route(route: _Route) -> Route:
+    shares = [ServiceShare(share.service, share.weight) for share in route.split]
+    if not shares:
+        shares = [ServiceShare(route.service, 1.0)]
+    return Route(
+        name=route.name,
+        destination=_destination(route),
+        shares=tuple(shares),
+        kind=RouteKind(route.kind),
+        timeout_ms=int(route.timeout_ms),
+        latency_goal_ms=int(route.latency_goal_ms),
+        priority=route.priority,
+    )
+
+
+def _destination(route: _Route) -> RouteAddress:
+    port = _PREFIX_PATTERN.fullmatch(route.prefix)
+    if port is None or int(port[1]) > MAX_PORT:
+        raise ValueError(f"route {route.name!r} has no port in {route.prefix!r}")
+    return RouteAddress(int(IPv4Address(route.host)), int(port[1]))
+
+
+def decode_server(server_id: str, value: bytes) -> ListedServer:
+    """Return a backend server's entry; raise DecodeError when it names no usable server."""
+    try:
+        entry = _entry_decoder.decode(value)
+        address, port = _endpoint(entry.address)
+        tunnel_prefix = _tunnel_prefix(server_id)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DecodeError(f"the entry of {server_id!r} cannot be read: {error}") from error
+    return ListedServer(
+        server_id=server_id,
+        instance=entry.born,
+        service=entry.service,
+        address=address,
+        port=port,
+        failure_domain=entry.zone,
+        slots=max(1, entry.slots),
+        state=_STATES[entry.state],
+        slow_start_left_ms=max(0, int(entry.slow_start_left_ms)),
+        tunnel_prefix=tunnel_prefix,
+    )
+
+
+def _endpoint(text: str) -> tuple[str, int]:
+    address, _, port = text.partition(":")
+    try:
+        IPv4Address(address)
+    except AddressValueError as error:
+        raise ValueError(f"{text!r} is no address and port") from error
+    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"{text!r} is no address and port")
+    return address, int(port)
+
+
+def _tunnel_prefix(server_id: str) -> bytes:
+    digits = _NOT_HEX.sub("", server_id.rpartition("-")[2])
+    if not digits or len(digits) > 2 * TUNNEL_PREFIX_BYTES:
+        raise ValueError("the id has no number of at most 16 hexadecimal digits")
+    return int(digits, 16).to_bytes(TUNNEL_PREFIX_BYTES, "big")
--- /dev/null
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -0,0 +1,106 @@
+"""One HTTP/1.1 connection that is used again for each call."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import NamedTuple
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+
+from redwingswitch._internal.exceptions import StoreUnavailableError
+
+MAX_RESPONSE_BYTES = 16_000_000
+MS_PER_S = 1_000
+
+
+class Response(NamedTuple):
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+class _Collector(HTTPMessageDelegate):
+    def __init__(self) -> None:
+        self.status = 0
+        self.chunks: list[bytes] = []
+        self.is_whole = False
+        self.closes = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if isinstance(start_line, ResponseStartLine):
+            self.status = start_line.code
+        self.closes = headers.get("Connection", "").lower() == "close"
+
+    def data_received(self, chunk: bytes) -> None:
+        self.chunks.append(chunk)
+
+    def finish(self) -> None:
+        self.is_whole = True
+
+
+class HttpConnection:
+    """Calls one server, one call at a time; a connection that fails is replaced by the next call.
+
+    A connection on which a call timed out may be silent for good, so it is closed.
+    """
+
+    def __init__(self, *, address: str, port: int) -> None:
+        self._address = (address, port)
+        self._stream: IOStream | None = None
+        self._parameters = HTTP1ConnectionParameters(max_body_size=MAX_RESPONSE_BYTES)
+
+    async def call(self, method: str, target: str, *, body: bytes, timeout_ms: int) -> Response:
+        """Return the response; raise StoreUnavailableError when there is none in time."""
+        try:
+            async with asyncio.timeout(timeout_ms / MS_PER_S):
+                return await self._call(method, target, body)
+        except TimeoutError as error:
+            self.close()
+            raise StoreUnavailableError(f"no response within {timeout_ms} ms") from error
+        except (OSError, StreamClosedError) as error:
+            self.close()
+            raise StoreUnavailableError(f"the connection failed: {error}") from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    async def _call(self, method: str, target: str, body: bytes) -> Response:
+        stream = await self._connected()
+        connection = HTTP1Connection(stream, True, self._parameters)
+        headers = HTTPHeaders({"Host": "%s:%d" % self._address, "Content-Length": str(len(body))})
+        if body:
+            headers["Content-Type"] = "application/json"
+        await connection.write_headers(RequestStartLine(method, target, ""), headers, body or None)
+        connection.finish()
+        collector = _Collector()
+        await connection.read_response(collector)
+        if not collector.is_whole:
+            raise StreamClosedError()
+        if collector.closes:
+            self.close()
+        return Response(collector.status, b"".join(collector.chunks))
+
+    async def _connected(self) -> IOStream:
+        if self._stream is None or self._stream.closed():
+            opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._stream = IOStream(opened)
+            await self._stream.connect(self._address)
+        return self._stream
--- /dev/null
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -0,0 +1,160 @@
+"""The platform's metadata store: reads of the configuration and of the backend servers' list."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Iterable, Mapping
+from http import HTTPStatus
+from typing import TypeVar
+from urllib.parse import urlencode
+
+import msgspec
+from logbook import Logger
+
+from redwingswitch._internal.exceptions import (
+    DecodeError,
+    StoreHistoryLostError,
+    StoreUnavailableError,
+)
+from redwingswitch._internal.models.cookie_flows import ListedServer, RouteTable
+from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList, ServerChange
+from redwingswitch._internal.platform.entries import (
+    CONFIGURATION_KEY,
+    SERVER_PREFIX,
+    decode_routes,
+    decode_server,
+)
+from redwingswitch._internal.platform.http_connection import HttpConnection
+
+log = Logger("store")
+
+T = TypeVar("T")
+
+# Operators and backend servers write under different prefixes; one watch covers both.
+EVERY_KEY = ""
+# A page has at most about 500 items; this bounds a list of a store that never ends.
+MAX_PAGES = 1_000
+
+
+class _Item(msgspec.Struct):
+    key: str = msgspec.field(name="Key")
+    revision: int = msgspec.field(name="Revision")
+    value: str = msgspec.field(name="Value", default="")
+    deleted: bool = msgspec.field(name="Deleted", default=False)
+
+
+class _Page(msgspec.Struct):
+    items: list[_Item]
+    store_revision: int = msgspec.field(name="StoreRevision")
+    has_more: bool = msgspec.field(name="HasMore", default=False)
+
+
+class _Events(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int = msgspec.field(name="StoreRevision")
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+_events_decoder = msgspec.json.Decoder(_Events)
+
+
+class PlatformStore:
+    """A ``FleetStore`` over the platform's HTTP protocol."""
+
+    def __init__(self, *, connection: HttpConnection, timeout_ms: int) -> None:
+        self._connection = connection
+        self._timeout_ms = timeout_ms
+
+    async def read_all(self) -> FleetList:
+        """Return the routes and all backend servers."""
+        items: list[_Item] = []
+        revision: int | None = None
+        after = ""
+        for _ in range(MAX_PAGES):
+            page = await self._page(after)
+            items += page.items
+            # Pages are not a snapshot: changes are followed from the first one.
+            revision = page.store_revision if revision is None else revision
+            if not page.has_more or not page.items:
+                break
+            after = page.items[-1].key
+        routes, changes = _translate(items)
+        return FleetList(routes=routes, servers=tuple(changes), revision=revision or 0)
+
+    async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
+        """Return what changed after a revision, waiting up to ``wait_ms`` for a change."""
+        query = {"Prefix": EVERY_KEY, "after": after_revision, "WaitMs": wait_ms}
+        body = await self._get("/v1/kv-watch", query, timeout_ms=self._timeout_ms + wait_ms)
+        events = _decode(_events_decoder, body)
+        routes, changes = _translate(events.events)
+        return FleetChanges(
+            routes=routes,
+            servers=tuple(changes),
+            revision=max(after_revision, events.store_revision),
+        )
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._connection.close()
+
+    async def _page(self, after: str) -> _Page:
+        query = {"Prefix": EVERY_KEY}
+        if after:
+            query["after"] = after
+        body = await self._get("/v1/kv-range", query, timeout_ms=self._timeout_ms)
+        return _decode(_page_decoder, body)
+
+    async def _get(self, path: str, query: Mapping[str, object], *, timeout_ms: int) -> bytes:
+        response = await self._connection.call(
+            "GET", f"{path}?{urlencode(query)}", body=b"", timeout_ms=timeout_ms
+        )
+        if response.status == HTTPStatus.GONE:
+            raise StoreHistoryLostError("the store has discarded the history; read the whole list")
+        if response.status != HTTPStatus.OK:
+            raise StoreUnavailableError(f"the store refused the call with {response.status}")
+        return response.body
+
+
+def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
+    try:
+        return decoder.decode(body)
+    except msgspec.MsgspecError as error:
+        raise StoreUnavailableError(f"the store's response cannot be read: {error}") from error
+
+
+def _translate(items: Iterable[_Item]) -> tuple[RouteTable | None, list[ServerChange]]:
+    """Return the newest routes and the last state of each server among the items."""
+    routes: RouteTable | None = None
+    servers: dict[str, _Item] = {}
+    for item in items:
+        if item.key == CONFIGURATION_KEY and not item.deleted:
+            routes = _routes(item) or routes
+        elif item.key.startswith(SERVER_PREFIX):
+            servers[item.key.removeprefix(SERVER_PREFIX)] = item
+    return routes, [_change(server_id, item) for server_id, item in servers.items()]
+
+
+def _routes(item: _Item) -> RouteTable | None:
+    try:
+        return decode_routes(_value(item))
+    except DecodeError as error:
+        log.error(f"configuration ignored revision={item.revision} reason={error}")
+        return None
+
+
+def _change(server_id: str, item: _Item) -> ServerChange:
+    if item.deleted:
+        return ServerChange(server_id=server_id, server=None, is_listed=False)
+    server: ListedServer | None = None
+    try:
+        server = decode_server(server_id, _value(item))
+    except DecodeError as error:
+        log.warning(f"entry unusable server={server_id} revision={item.revision} reason={error}")
+    return ServerChange(server_id=server_id, server=server, is_listed=True)
+
+
+def _value(item: _Item) -> bytes:
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise DecodeError(f"the value of {item.key!r} is not base64") from error
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import NamedTuple, Protocol, TypeVar
+from typing import TYPE_CHECKING, NamedTuple, Protocol, TypeVar
 
-from redwingswitch._internal.models.events import ListedHost
-from redwingswitch._internal.models.messages import PeerMessage
-from redwingswitch._internal.models.requests import BackendReport
-from redwingswitch._internal.models.status import FleetReading
+if TYPE_CHECKING:
+    # Each program loads only the models of the ports that it uses.
+    from redwingswitch._internal.models.cookie_flows import FlowPacket
+    from redwingswitch._internal.models.events import ListedHost
+    from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList
+    from redwingswitch._internal.models.messages import PeerMessage
+    from redwingswitch._internal.models.requests import BackendReport
+    from redwingswitch._internal.models.status import FleetReading
 
 T = TypeVar("T")
 
@@ -91,6 +95,38 @@
         """Call ``on_value`` for each later value until cancelled or the store fails."""
 
 
+class FleetStore(Protocol):
+    """The platform's list of routes and of backend servers that register themselves.
+
+    Every method raises ``StoreUnavailableError`` when nothing was read.
+    """
+
+    async def read_all(self) -> FleetList:
+        """Return the whole list."""
+
+    async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
+        """Return later changes, as soon as there are some or after ``wait_ms``.
+
+        Raises ``StoreHistoryLostError`` when the list must be read as a whole.
+        """
+
+    def close(self) -> None:
+        """Give up the connection."""
+
+
+class PacketCodec(Protocol):
+    """The format of sprayed packets that carry a cookie."""
+
+    def decode(self, datagram: bytes) -> FlowPacket:
+        """Return a caller's packet; raise ``DecodeError`` for a malformed one."""
+
+    def encode_for_server(self, packet: FlowPacket, *, cookie: int, tunnel_prefix: bytes) -> bytes:
+        """Return the datagram that takes a packet to a backend server."""
+
+    def encode_reset(self, packet: FlowPacket) -> bytes:
+        """Return a reset of the packet's flow for its caller."""
+
+
 class FleetSource(Protocol):
     """The admin endpoints of the entry hosts."""
 
--- /dev/null
+++ b/src/redwingswitch/_internal/steering_settings.py
@@ -0,0 +1,85 @@
+"""Settings of the steering daemon, read from a TOML file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import NamedTuple
+
+from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.settings import (
+    MAX_SETTINGS_BYTES,
+    MAX_STORE_TIMEOUT_MS,
+    MIN_STORE_TIMEOUT_MS,
+    MS_PER_S,
+    LogLevel,
+    read_text,
+)
+from redwingswitch._internal.utils.toml_reader import FindingCollector, TableReader, read_document
+
+# A store that answers in milliseconds may be 100 times slower before a call is given up.
+DEFAULT_STORE_TIMEOUT_MS = 1_500
+MAX_GRACE_PERIOD_S = 3_600
+MAX_FAILURE_DOMAINS = 64
+
+
+class Endpoint(NamedTuple):
+    """An IPv4 address and a port."""
+
+    address: str
+    port: int
+
+
+class SteeringSettings(NamedTuple):
+    """Settings of one steering daemon.
+
+    Packets arrive at ``steering``; callers receive resets at their address and this port.
+    """
+
+    host: str
+    failure_domain: str
+    steering: Endpoint
+    readiness: Endpoint
+    readiness_path: str
+    store: Endpoint
+    store_timeout_ms: int
+    grace_period_ms: int
+    log_level: LogLevel
+
+
+def read_steering_settings(path: Path) -> SteeringSettings:
+    """Return the settings in ``path``; raise InvalidInputGroup with all findings otherwise."""
+    text = read_text(path, limit_bytes=MAX_SETTINGS_BYTES)
+    return parse_steering_settings(text=text, file=str(path))
+
+
+def parse_steering_settings(*, text: str, file: str) -> SteeringSettings:
+    """Return the settings in ``text``."""
+    collector = FindingCollector(file=file)
+    root = read_document(text=text, collector=collector)
+    settings = None if root is None else _settings(root)
+    findings = collector.findings(text)
+    if findings or settings is None:
+        raise InvalidInputGroup.from_findings(subject=file, findings=findings)
+    return settings
+
+
+def _settings(root: TableReader) -> SteeringSettings:
+    settings = SteeringSettings(
+        host=root.name("host"),
+        failure_domain=root.name("failure_domain"),
+        steering=Endpoint(*root.endpoint("steering")),
+        readiness=Endpoint(*root.endpoint("readiness")),
+        readiness_path=root.text("readiness_path", default="/ready"),
+        store=Endpoint(*root.endpoint("store")),
+        store_timeout_ms=root.integer(
+            "store_timeout_ms",
+            minimum=MIN_STORE_TIMEOUT_MS,
+            maximum=MAX_STORE_TIMEOUT_MS,
+            default=DEFAULT_STORE_TIMEOUT_MS,
+        ),
+        grace_period_ms=MS_PER_S
+        * root.integer("grace_period_s", minimum=1, maximum=MAX_GRACE_PERIOD_S),
+        log_level=root.choice("log_level", among=tuple(LogLevel), default=LogLevel.INFO),
+    )
+    root.finish()
+    return settings
--- a/src/redwingswitch/_internal/utils/toml_lines.py
+++ b/src/redwingswitch/_internal/utils/toml_lines.py
@@ -9,13 +9,7 @@
 from tomlkit.parser import Parser
 from tomlkit.toml_document import TOMLDocument
 
-Path = tuple[str | int, ...]
-
-
-def format_path(path: Path) -> str:
-    """Return a path as operators read it, such as ``services[0].port``."""
-    text = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in path)
-    return text.removeprefix(".") or "(whole file)"
+from redwingswitch._internal.utils.toml_paths import Path
 
 
 def locate(text: str) -> dict[Path, int]:
--- /dev/null
+++ b/src/redwingswitch/_internal/utils/toml_paths.py
@@ -0,0 +1,11 @@
+"""Paths of the values in a TOML text."""
+
+from __future__ import annotations
+
+Path = tuple[str | int, ...]
+
+
+def format_path(path: Path) -> str:
+    """Return a path as operators read it, such as ``services[0].port``."""
+    text = "".join(f"[{part}]" if isinstance(part, int) else f".{part}" for part in path)
+    return text.removeprefix(".") or "(whole file)"
--- a/src/redwingswitch/_internal/utils/toml_reader.py
+++ b/src/redwingswitch/_internal/utils/toml_reader.py
@@ -10,7 +10,7 @@
 from typing import TypeVar
 
 from redwingswitch._internal.exceptions import Finding
-from redwingswitch._internal.utils.toml_lines import Path, format_path, locate
+from redwingswitch._internal.utils.toml_paths import Path, format_path
 
 E = TypeVar("E", bound=StrEnum)
 
@@ -46,7 +46,7 @@
     def findings(self, text: str) -> list[Finding]:
         """Return the findings with their lines in ``text``, in the order of lines."""
         sought = [path for path, finding in self._findings if path and not finding.line]
-        lines = locate(text) if sought else {}
+        lines = _locate(text) if sought else {}
         located = [
             finding if finding.line else finding._replace(line=_nearest_line(lines, path))
             for path, finding in self._findings
@@ -54,6 +54,13 @@
         return sorted(located, key=lambda f: (f.line or 0, f.key_path))
 
 
+def _locate(text: str) -> dict[Path, int]:
+    # Imported only for findings: tomlkit would double the start-up time of a faultless program.
+    from redwingswitch._internal.utils.toml_lines import locate  # noqa: PLC0415
+
+    return locate(text)
+
+
 def _nearest_line(lines: dict[Path, int], path: Path) -> int | None:
     """Return the line of ``path`` or of the innermost table around it."""
     for length in range(len(path), 0, -1):
@@ -164,6 +171,18 @@
         self.add(key, problem, "use the IPv4 address of one host, such as 10.1.0.1")
         return ""
 
+    def endpoint(self, key: str) -> tuple[str, int]:
+        """Return an IPv4 address and a port written as ``address:port``."""
+        value = self.text(key)
+        if not self._is_text(key):
+            return "", 0
+        address, _, port = value.partition(":")
+        problem = address_problem(address)
+        if problem is None and port.isdecimal() and 0 < int(port) <= MAX_PORT:
+            return address, int(port)
+        self.add(key, problem or f"{port!r} is not a port", "write it as 10.1.0.1:8080")
+        return "", 0
+
     def texts(self, key: str) -> list[str]:
         """Return the strings of an array; an absent array is empty."""
         found: list[str] = []
