Offer openings to another server after 40 ms, and suspect silent servers and domains

Cause: in a cut of a failure domain 40 % of the openings waited for the caller's copy at 200 ms, which is past the latency goal; flows at rest on cut servers stalled for 600 ms and more. Ruled out: two answers to one opening confuse callers (trial with each opening sent twice: no rule broken, no flow lost). Ignoring such openings: a crashed server that refuses flows drew every new one (52 failed in 2 s). Change: openings are followed for 40 ms and offered elsewhere; stalls confirmed by another server's answer condemn a server or its domain, unconfirmed ones only keep new flows away.

--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -8,6 +8,7 @@
 from logbook import Logger
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.ioloop import IOLoop
 
 from redwingswitch._internal.daemon.fleet_reader import FleetReader
 from redwingswitch._internal.decisions.cookies.readiness import Readiness, readiness
@@ -16,6 +17,7 @@
 from redwingswitch._internal.models.cookie_flows import (
     ForwardPacket,
     ResetFlow,
+    SteeringAction,
 )
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
 from redwingswitch._internal.ports import Clock, FleetStore, PacketCodec, RandomSource
@@ -62,6 +64,7 @@
         self._stopping = asyncio.Event()
         self._readiness = Readiness.NOT_CONFIGURED
         self._last_packet_ms = 0
+        self._timer_is_set = False
 
     async def run(self) -> None:
         """Serve until a stop is requested and done."""
@@ -110,7 +113,12 @@
         except DecodeError as error:
             log.warning(f"packet malformed reason={error}")
             return
-        action = self._steering.on_packet(packet, now_ms)
+        self._perform(self._steering.on_packet(packet, now_ms))
+        if not self._timer_is_set:
+            self._set_timer(now_ms)
+
+    def _perform(self, action: SteeringAction) -> None:
+        packet = action.packet
         if isinstance(action, ForwardPacket):
             server = action.server
             sent = self._codec.encode_for_server(
@@ -122,6 +130,18 @@
             reset = self._codec.encode_reset(packet)
             self._endpoint.send(reset, (caller, self._settings.steering.port))
 
+    def _set_timer(self, now_ms: int) -> None:
+        deadline_ms = self._steering.next_deadline_ms()
+        self._timer_is_set = deadline_ms is not None
+        if deadline_ms is not None:
+            IOLoop.current().call_later(max(0, deadline_ms - now_ms) / MS_PER_S, self._on_timer)
+
+    def _on_timer(self) -> None:
+        now_ms = self._clock.now_ms()
+        for action in self._steering.on_timer(now_ms):
+            self._perform(action)
+        self._set_timer(now_ms)
+
     def _note_readiness(self) -> None:
         found = readiness(
             has_routes=self._steering.routes is not None,
--- a/src/redwingswitch/_internal/decisions/cookies/evidence.py
+++ b/src/redwingswitch/_internal/decisions/cookies/evidence.py
@@ -1,114 +1,186 @@
-"""Evidence, from passing packets alone, that a backend server does not answer."""
+"""Evidence, from passing packets alone, that backend servers do not answer."""
 
 from __future__ import annotations
 
+from enum import IntEnum
+from typing import NamedTuple
+
 from redwingswitch._internal.decisions.retry import backoff_ms
-from redwingswitch._internal.models.cookie_flows import FlowId
+from redwingswitch._internal.models.cookie_flows import FlowId, ListedServer
 from redwingswitch._internal.ports import RandomSource
 
-# One lost packet stalls one flow; two flows that stall with no progress between them do not.
+# One lost packet stalls one flow. With 0.3 % of the openings lost, two that stall without an answer
+# between them are rare enough to avoid a server, and three that another server answered at once are
+# rare enough to end its flows.
 STALLED_FLOWS_TO_SUSPECT = 2
-# The third transmission of the same data: the first two were not acknowledged for 600 ms.
-REPEATS_TO_SUSPECT = 2
-# A server that answered this lately is not suspected, whatever older packets say.
-ALIVE_MS = 150
-# A suspected server is offered one new flow after this pause, which doubles with each failure. The
-# caller of such a flow loses 200 ms, until its second opening packet.
-FIRST_TRIAL_MS = 1_000
+STALLED_FLOWS_TO_CONDEMN = 3
+# The failure domain of the server counts as well when this many of its servers stall.
+STALLED_SERVERS_OF_DOMAIN = 2
+# The third transmission of the same data: the first two were not acknowledged for 600 ms. Work that
+# takes longer than 200 ms is sent twice on healthy servers too.
+REPEATS_TO_COUNT = 2
+# Stalls that are further apart than this are separate losses.
+STALL_MEMORY_MS = 2_000
+# A server that answered this lately is not suspected: the packets that stalled are older.
+ALIVE_MS = 60
+# A suspected server or failure domain is offered one new flow after this pause, which doubles with
+# each failure. The caller of such a flow loses the time until its opening packet is sent elsewhere.
+FIRST_TRIAL_MS = 500
 LAST_TRIAL_MS = 4_000
 
 
-class _ServerEvidence:
-    __slots__ = ("alive_ms", "failed_trials", "stalled", "suspected", "trial_ms")
+class Suspicion(IntEnum):
+    """How sure a host is that a server does not answer it."""
+
+    NONE = 0
+    SUSPECTED = 1
+    CONDEMNED = 2
+
+
+class _Stall(NamedTuple):
+    """A flow that a server did not answer; confirmed when the caller's packets still came here."""
+
+    server_id: str
+    flow: FlowId
+    is_confirmed: bool
 
-    def __init__(self) -> None:
+
+class _Silence:
+    """Stalls since the last answer of a server, or of any server of a failure domain."""
+
+    __slots__ = ("_needed_servers", "alive_ms", "failed_trials", "level", "stalls", "trial_ms")
+
+    def __init__(self, *, needed_servers: int) -> None:
+        self._needed_servers = needed_servers
         self.alive_ms: int | None = None
-        self.stalled: set[FlowId] = set()
-        self.suspected = False
+        self.stalls: dict[_Stall, int] = {}
+        self.level = Suspicion.NONE
         self.trial_ms = 0
         self.failed_trials = 0
 
+    def end(self, now_ms: int) -> None:
+        """Note an answer."""
+        self.alive_ms = now_ms
+        if self.stalls:
+            self.stalls.clear()
+        if self.level is not Suspicion.NONE:
+            self.level = Suspicion.NONE
+            self.failed_trials = 0
+
+    def add(self, stall: _Stall, now_ms: int) -> bool:
+        """Note a stall; return whether the suspicion rises."""
+        if self.alive_ms is not None and now_ms - self.alive_ms < ALIVE_MS:
+            return False
+        if self.level is Suspicion.NONE:
+            self._forget_old(now_ms)
+        self.stalls[stall] = now_ms
+        level = self._level()
+        if level <= self.level:
+            return False
+        self.level = level
+        return True
+
+    def _forget_old(self, now_ms: int) -> None:
+        old = [s for s, noted_ms in self.stalls.items() if now_ms - noted_ms > STALL_MEMORY_MS]
+        for stall in old:
+            del self.stalls[stall]
+
+    def _level(self) -> Suspicion:
+        if len({stall.server_id for stall in self.stalls}) < self._needed_servers:
+            return Suspicion.NONE
+        confirmed = {stall.flow for stall in self.stalls if stall.is_confirmed}
+        if len(confirmed) >= STALLED_FLOWS_TO_CONDEMN:
+            return Suspicion.CONDEMNED
+        flows = {stall.flow for stall in self.stalls}
+        return Suspicion.SUSPECTED if len(flows) >= STALLED_FLOWS_TO_SUSPECT else Suspicion.NONE
+
 
 class PathEvidence:
-    """Suspects servers whose flows stall together; one answer clears a server.
+    """Suspects servers, or whole failure domains, whose flows stall together.
 
-    The evidence is about the path from this host to the server, so it also covers a network
-    partition between them.
+    One answer clears a server and its failure domain. The evidence is about the path from this
+    host, so it also covers a network partition.
     """
 
     def __init__(self, *, random_source: RandomSource) -> None:
         self._random = random_source
-        self._servers: dict[str, _ServerEvidence] = {}
-        self._suspected: set[str] = set()
+        self._servers: dict[str, _Silence] = {}
+        self._domains: dict[str, _Silence] = {}
 
-    def on_answer(self, server_id: str, now_ms: int) -> bool:
+    def on_answer(self, server: ListedServer, now_ms: int) -> bool:
         """Note that a server answered; return whether it was suspected."""
-        seen = self._servers.get(server_id)
-        if seen is None:
-            seen = self._servers[server_id] = _ServerEvidence()
-        seen.alive_ms = now_ms
-        if not seen.stalled and not seen.suspected:
-            return False
-        seen.stalled.clear()
-        seen.failed_trials = 0
-        was_suspected = seen.suspected
-        seen.suspected = False
-        self._suspected.discard(server_id)
+        was_suspected = self.suspicion(server) is not Suspicion.NONE
+        for silence in self._silences(server):
+            silence.end(now_ms)
         return was_suspected
 
-    def on_opening_unanswered(self, server_id: str, flow: FlowId, now_ms: int) -> bool:
-        """Note that an opening packet got no answer in time; return whether suspicion begins."""
-        return self._on_stall(server_id, flow, now_ms, enough=False)
+    def on_opening_unanswered(
+        self, server: ListedServer, flow: FlowId, now_ms: int, *, is_confirmed: bool
+    ) -> bool:
+        """Note an opening without an answer; return whether suspicion rises.
 
-    def on_repeated_data(self, server_id: str, flow: FlowId, repeats: int, now_ms: int) -> bool:
-        """Note that data was sent again; return whether suspicion begins."""
-        if repeats < REPEATS_TO_SUSPECT:
-            return False
-        return self._on_stall(server_id, flow, now_ms, enough=repeats > REPEATS_TO_SUSPECT)
+        It is confirmed when the caller took another server's answer. Otherwise the server may have
+        refused the flow, or the caller's packets may take another host by now.
+        """
+        return self._on_stall(server, _Stall(server.server_id, flow, is_confirmed), now_ms)
+
+    def on_repeated_data(
+        self, server: ListedServer, flow: FlowId, repeats: int, now_ms: int
+    ) -> bool:
+        """Note that data was sent again; return whether suspicion rises."""
+        stall = _Stall(server.server_id, flow, is_confirmed=True)
+        return repeats >= REPEATS_TO_COUNT and self._on_stall(server, stall, now_ms)
 
-    def is_suspected(self, server_id: str) -> bool:
-        """Return whether a server is suspected."""
-        return server_id in self._suspected
+    def suspicion(self, server: ListedServer) -> Suspicion:
+        """Return what is held against a server or its whole failure domain."""
+        return max(silence.level for silence in self._silences(server))
 
-    def suspected(self) -> frozenset[str]:
-        """Return the suspected servers."""
-        return frozenset(self._suspected)
+    def is_suspected(self, server: ListedServer) -> bool:
+        """Return whether a server, or its whole failure domain, is suspected."""
+        return self.suspicion(server) is not Suspicion.NONE
 
-    def answered_since(self, server_id: str, since_ms: int) -> bool:
+    def answered_since(self, server: ListedServer, since_ms: int) -> bool:
         """Return whether a server answered at ``since_ms`` or later."""
-        seen = self._servers.get(server_id)
-        return seen is not None and seen.alive_ms is not None and seen.alive_ms >= since_ms
+        silence = self._servers.get(server.server_id)
+        return silence is not None and silence.alive_ms is not None and silence.alive_ms >= since_ms
 
-    def is_due_for_trial(self, server_id: str, now_ms: int) -> bool:
+    def is_due_for_trial(self, server: ListedServer, now_ms: int) -> bool:
         """Return whether a suspected server may be offered one flow."""
-        seen = self._servers.get(server_id)
-        return seen is not None and seen.suspected and now_ms >= seen.trial_ms
+        return all(
+            silence.level is Suspicion.NONE or now_ms >= silence.trial_ms
+            for silence in self._silences(server)
+        )
 
-    def on_trial(self, server_id: str, now_ms: int) -> None:
+    def on_trial(self, server: ListedServer, now_ms: int) -> None:
         """Note that a suspected server was offered a flow."""
-        seen = self._servers[server_id]
-        seen.failed_trials += 1
-        seen.trial_ms = now_ms + self._trial_pause_ms(seen.failed_trials)
+        for silence in self._silences(server):
+            if silence.level is not Suspicion.NONE:
+                silence.failed_trials += 1
+                silence.trial_ms = now_ms + self._trial_pause_ms(silence.failed_trials)
 
     def forget(self, server_id: str) -> None:
         """Drop the evidence about a server that ended or started again."""
         self._servers.pop(server_id, None)
-        self._suspected.discard(server_id)
 
-    def _on_stall(self, server_id: str, flow: FlowId, now_ms: int, *, enough: bool) -> bool:
-        seen = self._servers.get(server_id)
-        if seen is None:
-            seen = self._servers[server_id] = _ServerEvidence()
-        if seen.suspected or (seen.alive_ms is not None and now_ms - seen.alive_ms < ALIVE_MS):
-            return False
-        seen.stalled.add(flow)
-        if len(seen.stalled) < STALLED_FLOWS_TO_SUSPECT and not enough:
-            return False
-        seen.suspected = True
-        seen.stalled.clear()
-        seen.trial_ms = now_ms + self._trial_pause_ms(1)
-        self._suspected.add(server_id)
-        return True
+    def _on_stall(self, server: ListedServer, stall: _Stall, now_ms: int) -> bool:
+        rises = False
+        for silence in self._silences(server):
+            was_clear = silence.level is Suspicion.NONE
+            if silence.add(stall, now_ms):
+                rises = True
+                if was_clear:
+                    silence.trial_ms = now_ms + self._trial_pause_ms(1)
+        return rises
+
+    def _silences(self, server: ListedServer) -> tuple[_Silence, _Silence]:
+        of_server = self._servers.get(server.server_id)
+        if of_server is None:
+            of_server = self._servers[server.server_id] = _Silence(needed_servers=1)
+        of_domain = self._domains.get(server.failure_domain)
+        if of_domain is None:
+            of_domain = _Silence(needed_servers=STALLED_SERVERS_OF_DOMAIN)
+            self._domains[server.failure_domain] = of_domain
+        return of_server, of_domain
 
     def _trial_pause_ms(self, attempt: int) -> int:
         return backoff_ms(attempt, self._random, base_ms=FIRST_TRIAL_MS, limit_ms=LAST_TRIAL_MS)
--- a/src/redwingswitch/_internal/decisions/cookies/flow_table.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_table.py
@@ -18,6 +18,7 @@
 
     __slots__ = (
         "acknowledged",
+        "flow",
         "is_busy",
         "is_closed",
         "is_open",
@@ -30,7 +31,8 @@
         "tried",
     )
 
-    def __init__(self, *, server_id: str, now_ms: int) -> None:
+    def __init__(self, *, flow: FlowId, server_id: str, now_ms: int) -> None:
+        self.flow = flow
         self.server_id = server_id
         # Servers that this flow's opening packets went to, the latest last.
         self.tried: tuple[str, ...] = (server_id,)
@@ -82,7 +84,7 @@
             self.remove(flow)
         if len(self._flows) >= self._bound:
             self.remove(next(iter(self._flows)))
-        state = FlowState(server_id=server_id, now_ms=now_ms)
+        state = FlowState(flow=flow, server_id=server_id, now_ms=now_ms)
         self._flows[flow] = state
         self._flow_count[server_id] = self._flow_count.get(server_id, 0) + 1
         return state
--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -15,13 +15,22 @@
     Presence,
     ServerDirectory,
 )
-from redwingswitch._internal.decisions.cookies.evidence import REPEATS_TO_SUSPECT, PathEvidence
+from redwingswitch._internal.decisions.cookies.evidence import (
+    REPEATS_TO_COUNT,
+    PathEvidence,
+    Suspicion,
+)
 from redwingswitch._internal.decisions.cookies.flow_table import (
     FlowState,
     FlowTable,
     is_after,
     is_repeated,
 )
+from redwingswitch._internal.decisions.cookies.openings import (
+    MAX_OFFERS,
+    PendingOpening,
+    PendingOpenings,
+)
 from redwingswitch._internal.models.cookie_flows import (
     DiscardPacket,
     FlowPacket,
@@ -48,6 +57,7 @@
         self.directory = ServerDirectory()
         self.flows = FlowTable()
         self.evidence = PathEvidence(random_source=random_source)
+        self._openings = PendingOpenings()
         self._choice = ServerChoice(
             failure_domain=failure_domain, load=self.flows, random_source=random_source
         )
@@ -65,6 +75,22 @@
         self._routes = routes
         return True
 
+    def next_deadline_ms(self) -> int | None:
+        """Return when ``on_timer`` is due."""
+        return self._openings.next_deadline_ms()
+
+    def on_timer(self, now_ms: int) -> list[SteeringAction]:
+        """Offer flows whose servers do not answer to other servers.
+
+        The caller takes the first answer, so that a late one does no harm.
+        """
+        actions: list[SteeringAction] = []
+        for pending in self._openings.overdue(now_ms):
+            action = self._offer_again(pending, now_ms)
+            if action is not None:
+                actions.append(action)
+        return actions
+
     def on_packet(self, packet: FlowPacket, now_ms: int) -> SteeringAction:
         """Decide what happens to a caller's packet."""
         if self._routes is None:
@@ -81,44 +107,72 @@
 
     def _open(self, packet: FlowPacket, route: Route, now_ms: int) -> SteeringAction:
         state = self.flows.get(packet.flow)
-        tried: tuple[str, ...] = ()
         if state is not None and packet.copy_number == 0:
             # The caller uses the port of an earlier flow again.
             self.flows.remove(packet.flow)
             state = None
-        if state is not None:
-            tried = state.tried
-            if not state.is_open:
-                self.evidence.on_opening_unanswered(state.server_id, packet.flow, now_ms)
-        server = self._choose(route, tried, now_ms)
+        verdict = Verdict.OPENED if packet.copy_number == 0 else Verdict.OPENED_AGAIN
+        action = self._offer(packet, route, state, verdict, now_ms)
+        return action or ResetFlow(packet, Verdict.RESET_NO_SERVER)
+
+    def _offer_again(self, pending: PendingOpening, now_ms: int) -> SteeringAction | None:
+        state = self.flows.get(pending.flow)
+        if state is None or state.is_open or state.server_id != pending.server_id:
+            return None
+        self._note_unanswered(state, pending.server_id, now_ms, is_confirmed=False)
+        route = self._routes.routes.get(pending.flow.destination) if self._routes else None
+        if route is None or len(state.tried) >= MAX_OFFERS:
+            return None
+        return self._offer(pending.packet, route, state, Verdict.OFFERED_ELSEWHERE, now_ms)
+
+    def _offer(
+        self,
+        packet: FlowPacket,
+        route: Route,
+        state: FlowState | None,
+        verdict: Verdict,
+        now_ms: int,
+    ) -> ForwardPacket | None:
+        avoided = self._refusing(packet) if state is None else set(state.tried)
+        server = self._choose(route, avoided, now_ms, is_first=state is None)
         if server is None:
-            return ResetFlow(packet, Verdict.RESET_NO_SERVER)
-        if self.evidence.is_suspected(server.server_id):
-            self.evidence.on_trial(server.server_id, now_ms)
+            return None
+        if self.evidence.is_suspected(server):
+            self.evidence.on_trial(server, now_ms)
         if state is None:
-            self.flows.add(packet.flow, server.server_id, now_ms)
+            state = self.flows.add(packet.flow, server.server_id, now_ms)
         else:
             self.flows.move(state, server.server_id)
-            state.last_packet_ms = now_ms
+        state.last_packet_ms = now_ms
+        self._openings.add(packet, server.server_id, now_ms)
         cookie = flow_cookie(server_id=server.server_id, destination=packet.flow.destination)
-        verdict = Verdict.OPENED if packet.copy_number == 0 else Verdict.OPENED_AGAIN
         return ForwardPacket(server, cookie, packet, verdict)
 
-    def _choose(self, route: Route, tried: tuple[str, ...], now_ms: int) -> ListedServer | None:
-        service = self._choice.service(route)
+    def _refusing(self, packet: FlowPacket) -> set[str]:
+        """Return the servers that may just have refused this caller.
+
+        A caller that is refused tries again at once, from another port.
+        """
+        waiting = [self.flows.get(p.flow) for p in self._openings.of_caller(packet.flow)]
+        return {state.server_id for state in waiting if state is not None and not state.is_open}
+
+    def _choose(
+        self, route: Route, avoided: set[str], now_ms: int, *, is_first: bool
+    ) -> ListedServer | None:
         known = [
-            k for k in self.directory.of_service(service) if k.presence(now_ms) is not Presence.GONE
+            k
+            for k in self.directory.of_service(self._choice.service(route))
+            if k.presence(now_ms) is not Presence.GONE
         ]
-        fresh = [k for k in known if k.server.server_id not in tried] or known
-        usable = [k for k in fresh if self._may_offer(k, now_ms, first=not tried)]
+        fresh = [k for k in known if k.server.server_id not in avoided] or known
+        usable = [k for k in fresh if self._may_offer(k.server, now_ms, is_first=is_first)]
         return self._choice.server(_candidates(usable or fresh))
 
-    def _may_offer(self, known: KnownServer, now_ms: int, *, first: bool) -> bool:
-        server_id = known.server.server_id
-        if not self.evidence.is_suspected(server_id):
+    def _may_offer(self, server: ListedServer, now_ms: int, *, is_first: bool) -> bool:
+        if not self.evidence.is_suspected(server):
             return True
         # A caller that already waits is not used for a trial.
-        return first and self.evidence.is_due_for_trial(server_id, now_ms)
+        return is_first and self.evidence.is_due_for_trial(server, now_ms)
 
     def _steer(self, packet: FlowPacket, route: Route, now_ms: int) -> SteeringAction:
         if packet.cookie == NO_COOKIE:
@@ -126,12 +180,11 @@
         known = self.directory.by_cookie(packet.cookie, packet.flow.destination)
         if known is None:
             return DiscardPacket(packet, Verdict.DROPPED_UNKNOWN_COOKIE)
-        server_id = known.server.server_id
         if known.presence(now_ms) is Presence.GONE and not self._answered_after(known):
             self.flows.remove(packet.flow)
             return ResetFlow(packet, Verdict.RESET_SERVER_GONE)
-        state = self._follow(packet, server_id, now_ms)
-        if self._is_hopeless(state, route):
+        state = self._follow(packet, known.server, now_ms)
+        if self._is_hopeless(state, known.server, packet, route, now_ms):
             self.flows.remove(packet.flow)
             return ResetFlow(packet, Verdict.RESET_SERVER_SILENT)
         if packet.resets:
@@ -140,46 +193,75 @@
 
     def _answered_after(self, known: KnownServer) -> bool:
         since_ms = known.absent_since_ms
-        return since_ms is not None and self.evidence.answered_since(
-            known.server.server_id, since_ms
-        )
+        return since_ms is not None and self.evidence.answered_since(known.server, since_ms)
 
-    def _is_hopeless(self, state: FlowState, route: Route) -> bool:
-        """Return whether the caller is better served by a new flow.
+    def _is_hopeless(
+        self,
+        state: FlowState,
+        server: ListedServer,
+        packet: FlowPacket,
+        route: Route,
+        now_ms: int,
+    ) -> bool:
+        """Return whether the caller is better served by a new flow to another server.
 
         A request that must not repeat is never given up for its caller: it may be running.
         """
-        return (
-            route.kind is not RouteKind.NON_IDEMPOTENT
-            and state.stalls >= REPEATS_TO_SUSPECT
-            and self.evidence.is_suspected(state.server_id)
+        if route.kind is RouteKind.NON_IDEMPOTENT or not packet.data_bytes:
+            return False
+        suspicion = self.evidence.suspicion(server)
+        if suspicion is Suspicion.NONE:
+            return False
+        is_stalled = state.stalls >= REPEATS_TO_COUNT
+        return (is_stalled or suspicion is Suspicion.CONDEMNED) and self._has_other(route, now_ms)
+
+    def _has_other(self, route: Route, now_ms: int) -> bool:
+        return any(
+            known.presence(now_ms) is Presence.LISTED
+            and not self.evidence.is_suspected(known.server)
+            for share in route.shares
+            for known in self.directory.of_service(share.service)
         )
 
-    def _follow(self, packet: FlowPacket, server_id: str, now_ms: int) -> FlowState:
+    def _follow(self, packet: FlowPacket, server: ListedServer, now_ms: int) -> FlowState:
         state = self.flows.get(packet.flow)
         if state is None:
-            state = self.flows.add(packet.flow, server_id, now_ms)
+            state = self.flows.add(packet.flow, server.server_id, now_ms)
             state.is_open = True
             state.acknowledged = packet.acknowledged
-        elif state.server_id != server_id:
-            # Two servers answered copies of the opening packet and the caller took this one.
-            self.flows.move(state, server_id)
+        elif state.server_id != server.server_id:
+            # Two servers answered the opening packet and the caller took this one.
+            self.flows.move(state, server.server_id)
         state.last_packet_ms = now_ms
         if not state.is_open:
             state.is_open = True
             state.acknowledged = packet.acknowledged
-            self._note_answer(state, now_ms)
+            self._note_answer(state, server, now_ms)
+            for server_id in state.tried[:-1]:
+                if server_id != server.server_id:
+                    self._note_unanswered(state, server_id, now_ms, is_confirmed=True)
         elif is_after(packet.acknowledged, state.acknowledged):
             state.acknowledged = packet.acknowledged
             self.flows.set_busy(state, False)
-            self._note_answer(state, now_ms)
-        self._follow_data(packet, state, now_ms)
+            self._note_answer(state, server, now_ms)
+        self._follow_data(packet, state, server, now_ms)
         return state
 
-    def _follow_data(self, packet: FlowPacket, state: FlowState, now_ms: int) -> None:
+    def _note_unanswered(
+        self, state: FlowState, server_id: str, now_ms: int, *, is_confirmed: bool
+    ) -> None:
+        known = self.directory.get(server_id)
+        if known is not None:
+            self.evidence.on_opening_unanswered(
+                known.server, state.flow, now_ms, is_confirmed=is_confirmed
+            )
+
+    def _follow_data(
+        self, packet: FlowPacket, state: FlowState, server: ListedServer, now_ms: int
+    ) -> None:
         if is_repeated(state, packet):
             state.stalls += 1
-            self.evidence.on_repeated_data(state.server_id, packet.flow, state.stalls, now_ms)
+            self.evidence.on_repeated_data(server, packet.flow, state.stalls, now_ms)
         elif packet.data_bytes or packet.closes:
             state.next_sequence = packet.sequence + packet.data_bytes + packet.closes
             if packet.data_bytes and not state.is_busy:
@@ -188,9 +270,9 @@
             if packet.closes:
                 self.flows.close(state)
 
-    def _note_answer(self, state: FlowState, now_ms: int) -> None:
+    def _note_answer(self, state: FlowState, server: ListedServer, now_ms: int) -> None:
         state.note_progress(now_ms)
-        self.evidence.on_answer(state.server_id, now_ms)
+        self.evidence.on_answer(server, now_ms)
 
 
 def _candidates(known: Iterable[KnownServer]) -> list[Candidate]:
--- a/src/redwingswitch/_internal/models/cookie_flows.py
+++ b/src/redwingswitch/_internal/models/cookie_flows.py
@@ -106,6 +106,7 @@
 
     OPENED = "opened"
     OPENED_AGAIN = "opened_again"
+    OFFERED_ELSEWHERE = "offered_elsewhere"
     STEERED = "steered"
     RESET_NO_ROUTE = "reset_no_route"
     RESET_NO_SERVER = "reset_no_server"
--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -84,7 +84,9 @@
     async def _call(self, method: str, target: str, body: bytes) -> Response:
         stream = await self._connected()
         connection = HTTP1Connection(stream, True, self._parameters)
-        headers = HTTPHeaders({"Host": "%s:%d" % self._address, "Content-Length": str(len(body))})
+        headers = HTTPHeaders(
+            {"Host": ":".join(map(str, self._address)), "Content-Length": str(len(body))}
+        )
         if body:
             headers["Content-Type"] = "application/json"
         await connection.write_headers(RequestStartLine(method, target, ""), headers, body or None)
