--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -286,9 +286,11 @@
             for _ in range(MAX_OFFERS):
                 now_ms += ANSWER_LIMIT_MS
                 host.on_timer(now_ms)
-        for server_id in JOBS:
-            sent = request(flow_id(1), server_id)
-            assert verdict(host, sent, now_ms) is Verdict.STEERED
+        host.on_packet(request(flow_id(1), "i-1"), now_ms)
+        host.on_packet(acknowledgement(flow_id(1), "i-1", 500), now_ms)
+        assert not host.evidence.is_suspected(server("i-1"))
+        for server_id in ("i-2", "i-3"):
+            assert verdict(host, request(flow_id(2), server_id), now_ms) is Verdict.STEERED
 
     def test_flows_are_not_ended_without_another_server_to_take_them(self) -> None:
         host = job_host()
