Probe the store under long watches, and hold packets until their server is known

Ruled out: the history of the store (it answered with changes at once after the cut). Change: keep-alive probes end silent connections after 3 s, a read that costs a tenth shows an outage within 2.5 s, connects have their own time limit and the first call after a failure does not wait. Packets whose server or routes are not known yet are held for up to 1 s.

--- a/src/redwingswitch/_internal/daemon/fleet_reader.py
+++ b/src/redwingswitch/_internal/daemon/fleet_reader.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import NoReturn
 
 from logbook import Logger
 
@@ -17,11 +18,14 @@
 log = Logger("fleet")
 
 MS_PER_S = 1_000
-# Servers write about once a second, so each call returns soon after it is made. The pause bounds
-# the calls to one a second; a change is known within the pause, of the 3 s that it may take.
+# Entries lapse after three reports of a server, 2 s or more. An outage of that length meets a
+# probe, and is known before entries that lapsed in it are taken for servers that ended.
+PROBE_INTERVAL_MS = 1_000
+# A change is known at once after a quiet time, and within the pause, of the 3 s that it may take,
+# while changes follow each other. The pause bounds the calls of a busy time to one a second.
 PAUSE_MS = 1_000
-# A connection that has gone silent is given up after this time and the call's time limit.
-WAIT_MS = 2_000
+# The platform allows 30 s. Keep-alive probes end a connection that has gone silent sooner.
+WAIT_MS = 20_000
 FIRST_RETRY_MS = 100
 LAST_RETRY_MS = 1_000
 # After lost history every host reads the whole list; the pause spreads these reads.
@@ -70,9 +74,32 @@
     async def _read_once(self) -> None:
         if self._revision is None:
             self._take_list(await self._store.read_all())
-            return
-        changes = await self._store.read_changes(after_revision=self._revision, wait_ms=WAIT_MS)
-        self._take_changes(changes)
+        elif self._failures:
+            # No waiting: the end of an outage must be seen at once.
+            self._take_changes(await self._changes(self._revision, wait_ms=0))
+        else:
+            self._take_changes(await self._watch(self._revision))
+
+    async def _watch(self, revision: int) -> FleetChanges:
+        """Wait for changes, as long as the store answers probes."""
+        watch = asyncio.create_task(self._changes(revision, wait_ms=WAIT_MS))
+        probes = asyncio.create_task(self._probe_until_failure())
+        tasks: set[asyncio.Task[FleetChanges]] = {watch, probes}
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            return await (watch if watch in done else probes)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _probe_until_failure(self) -> NoReturn:
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_MS / MS_PER_S)
+            await self._store.probe()
+
+    async def _changes(self, revision: int, *, wait_ms: int) -> FleetChanges:
+        return await self._store.read_changes(after_revision=revision, wait_ms=wait_ms)
 
     def _take_list(self, fleet: FleetList) -> None:
         self._note_success()
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -14,7 +14,6 @@
 from tornado.netutil import bind_sockets
 
 from redwingswitch._internal.daemon.fleet_reader import FleetReader
-from redwingswitch._internal.decisions.cookies.held_datagrams import HeldDatagrams
 from redwingswitch._internal.decisions.cookies.readiness import Readiness, readiness
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
 from redwingswitch._internal.exceptions import DecodeError, InvalidInputGroup
@@ -77,7 +76,6 @@
         self.readiness_port = settings.readiness.port
         self._last_packet_ms = 0
         self._timer_is_set = False
-        self._held = HeldDatagrams()
 
     @property
     def store_is_reachable(self) -> bool:
@@ -91,9 +89,9 @@
         return None if routes is None else routes.version
 
     @property
-    def held_datagrams(self) -> int:
-        """Return the datagrams that wait for routes."""
-        return len(self._held)
+    def held_packets(self) -> int:
+        """Return the packets that wait for routes or servers."""
+        return self._steering.held_packets
 
     def offers_flows_to(self, service: str) -> list[str]:
         """Return the servers of a service that may get new flows."""
@@ -164,19 +162,6 @@
     def _on_datagram(self, datagram: bytes, _address: tuple[str, int]) -> None:
         now_ms = self._clock.now_ms()
         self._last_packet_ms = now_ms
-        if self._steering.routes is None:
-            self._held.add(datagram, now_ms)
-        else:
-            self._steer(datagram, now_ms)
-
-    def _on_list_change(self) -> None:
-        self._note_readiness()
-        if self._steering.routes is not None:
-            now_ms = self._clock.now_ms()
-            for datagram in self._held.take(now_ms):
-                self._steer(datagram, now_ms)
-
-    def _steer(self, datagram: bytes, now_ms: int) -> None:
         try:
             packet = self._codec.decode(datagram)
         except DecodeError as error:
@@ -186,6 +171,14 @@
         if not self._timer_is_set:
             self._set_timer(now_ms)
 
+    def _on_list_change(self) -> None:
+        self._note_readiness()
+        now_ms = self._clock.now_ms()
+        for action in self._steering.on_list_changed(now_ms):
+            self._perform(action)
+        if not self._timer_is_set:
+            self._set_timer(now_ms)
+
     def _perform(self, action: SteeringAction) -> None:
         packet = action.packet
         if isinstance(action, ForwardPacket):
--- a/src/redwingswitch/_internal/daemon/steering_program.py
+++ b/src/redwingswitch/_internal/daemon/steering_program.py
@@ -9,7 +9,6 @@
 from pathlib import Path
 
 from redwingswitch._internal.daemon.steering_daemon import SteeringDaemon
-from redwingswitch._internal.platform.http_connection import HttpConnection
 from redwingswitch._internal.platform.packets import PlatformPacketCodec
 from redwingswitch._internal.platform.store import PlatformStore
 from redwingswitch._internal.steering_settings import SteeringSettings
@@ -24,11 +23,15 @@
 
 
 async def _serve(settings: SteeringSettings, settings_file: Path, bound: socket.socket) -> None:
-    connection = HttpConnection(address=settings.store.address, port=settings.store.port)
+    store = PlatformStore(
+        address=settings.store.address,
+        port=settings.store.port,
+        timeout_ms=settings.store_timeout_ms,
+    )
     daemon = SteeringDaemon(
         settings=settings,
         settings_file=settings_file,
-        store=PlatformStore(connection=connection, timeout_ms=settings.store_timeout_ms),
+        store=store,
         codec=PlatformPacketCodec(),
         clock=MonotonicClock(),
         random_source=random.SystemRandom(),
--- a/src/redwingswitch/_internal/decisions/cookies/directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/directory.py
@@ -56,7 +56,7 @@
         self._known: dict[str, KnownServer] = {}
         self._by_service: dict[str, tuple[KnownServer, ...]] = {}
         self._by_cookie: dict[RouteAddress, dict[int, str]] = {}
-        self._list_reachable = True
+        self._list_reachable = False
         self._grace_deadline_ms = 0
 
     def on_list_lost(self) -> None:
@@ -64,11 +64,18 @@
         self._list_reachable = False
 
     def on_list_read(self, now_ms: int) -> None:
-        """Note that the list was read; after an outage this starts the grace of lapsed entries."""
+        """Note that the list was read.
+
+        After an outage, and at the start, this begins the grace of lapsed entries.
+        """
         if not self._list_reachable:
             self._list_reachable = True
             self._grace_deadline_ms = now_ms + LAPSE_GRACE_MS
 
+    def may_be_incomplete(self, now_ms: int) -> bool:
+        """Return whether live servers may be missing from the list."""
+        return not self._list_reachable or now_ms < self._grace_deadline_ms
+
     def replace(self, entries: Iterable[ServerChange], now_ms: int) -> list[str]:
         """Take the whole list; return the ids whose state changed."""
         listed = {entry.server_id: entry for entry in entries}
--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -26,6 +26,7 @@
     is_after,
     is_repeated,
 )
+from redwingswitch._internal.decisions.cookies.held import HeldPackets
 from redwingswitch._internal.decisions.cookies.openings import (
     MAX_OFFERS,
     PendingOpening,
@@ -45,6 +46,10 @@
 )
 from redwingswitch._internal.ports import RandomSource
 
+HELD_VERDICTS = frozenset(
+    {Verdict.HELD_NOT_CONFIGURED, Verdict.HELD_NO_SERVER, Verdict.HELD_UNKNOWN_COOKIE}
+)
+
 
 class CookieSteering:
     """Sends each packet of a flow to the backend server that its cookie names.
@@ -58,6 +63,7 @@
         self.flows = FlowTable()
         self.evidence = PathEvidence(random_source=random_source)
         self._openings = PendingOpenings()
+        self._held = HeldPackets()
         self._choice = ServerChoice(
             failure_domain=failure_domain, load=self.flows, random_source=random_source
         )
@@ -91,11 +97,33 @@
                 actions.append(action)
         return actions
 
+    @property
+    def held_packets(self) -> int:
+        """Return the packets that wait for routes or servers."""
+        return len(self._held)
+
+    def on_list_changed(self, now_ms: int) -> list[SteeringAction]:
+        """Decide on the held packets after routes or servers became known."""
+        actions: list[SteeringAction] = []
+        for deadline_ms, packet in self._held.take(now_ms):
+            action = self._decide(packet, now_ms)
+            if isinstance(action, DiscardPacket) and action.verdict in HELD_VERDICTS:
+                self._held.put_back(deadline_ms, packet)
+            else:
+                actions.append(action)
+        return actions
+
     def on_packet(self, packet: FlowPacket, now_ms: int) -> SteeringAction:
-        """Decide what happens to a caller's packet."""
+        """Decide what happens to a caller's packet; what cannot be decided yet is held."""
+        action = self._decide(packet, now_ms)
+        if isinstance(action, DiscardPacket) and action.verdict in HELD_VERDICTS:
+            self._held.add(packet, now_ms)
+        return action
+
+    def _decide(self, packet: FlowPacket, now_ms: int) -> SteeringAction:
         if self._routes is None:
             # Other hosts may know the flow's route: a reset could end a flow that works.
-            return DiscardPacket(packet, Verdict.DROPPED_NOT_CONFIGURED)
+            return DiscardPacket(packet, Verdict.HELD_NOT_CONFIGURED)
         self.flows.sweep(now_ms)
         route = self._routes.routes.get(packet.flow.destination)
         if route is None:
@@ -113,7 +141,11 @@
             state = None
         verdict = Verdict.OPENED if packet.copy_number == 0 else Verdict.OPENED_AGAIN
         action = self._offer(packet, route, state, verdict, now_ms)
-        return action or ResetFlow(packet, Verdict.RESET_NO_SERVER)
+        if action is not None:
+            return action
+        if self.directory.may_be_incomplete(now_ms):
+            return DiscardPacket(packet, Verdict.HELD_NO_SERVER)
+        return ResetFlow(packet, Verdict.RESET_NO_SERVER)
 
     def _offer_again(self, pending: PendingOpening, now_ms: int) -> SteeringAction | None:
         state = self.flows.get(pending.flow)
@@ -182,7 +214,8 @@
             return DiscardPacket(packet, Verdict.DROPPED_NO_COOKIE)
         known = self.directory.by_cookie(packet.cookie, packet.flow.destination)
         if known is None:
-            return DiscardPacket(packet, Verdict.DROPPED_UNKNOWN_COOKIE)
+            # Another host may have learned of the server first.
+            return DiscardPacket(packet, Verdict.HELD_UNKNOWN_COOKIE)
         if known.presence(now_ms) is Presence.GONE and not self._answered_after(known):
             self.flows.remove(packet.flow)
             return ResetFlow(packet, Verdict.RESET_SERVER_GONE)
--- a/src/redwingswitch/_internal/models/cookie_flows.py
+++ b/src/redwingswitch/_internal/models/cookie_flows.py
@@ -112,8 +112,9 @@
     RESET_NO_SERVER = "reset_no_server"
     RESET_SERVER_GONE = "reset_server_gone"
     RESET_SERVER_SILENT = "reset_server_silent"
-    DROPPED_NOT_CONFIGURED = "dropped_not_configured"
-    DROPPED_UNKNOWN_COOKIE = "dropped_unknown_cookie"
+    HELD_NOT_CONFIGURED = "held_not_configured"
+    HELD_NO_SERVER = "held_no_server"
+    HELD_UNKNOWN_COOKIE = "held_unknown_cookie"
     DROPPED_NO_COOKIE = "dropped_no_cookie"
 
 
@@ -134,7 +135,7 @@
 
 
 class DiscardPacket(NamedTuple):
-    """Send nothing."""
+    """Send nothing; a held packet may be decided on later."""
 
     packet: FlowPacket
     verdict: Verdict
--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -18,7 +18,17 @@
 from redwingswitch._internal.exceptions import StoreUnavailableError
 
 MAX_RESPONSE_BYTES = 16_000_000
+# A host behind a partition answers nothing; the next try may meet its end.
+CONNECT_TIMEOUT_MS = 1_000
 MS_PER_S = 1_000
+# A connection that goes silent under a long watch ends after 3 s, so that a configuration accepted
+# meanwhile is read within the 4 s after which this host counts as connected again. Seconds, but for
+# the count of probes.
+KEEP_ALIVE_OPTIONS = {
+    socket.TCP_KEEPIDLE: 1,
+    socket.TCP_KEEPINTVL: 1,
+    socket.TCP_KEEPCNT: 2,
+}
 
 
 class Response(NamedTuple):
@@ -75,6 +85,12 @@
             self.close()
             raise
 
+    def stream_socket(self) -> socket.socket:
+        """Return the socket of the open connection."""
+        if self._stream is None:
+            raise StoreUnavailableError("there is no connection; make a call first")
+        return self._stream.socket
+
     def close(self) -> None:
         """Close the connection."""
         if self._stream is not None:
@@ -101,8 +117,16 @@
 
     async def _connected(self) -> IOStream:
         if self._stream is None or self._stream.closed():
-            opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._stream = IOStream(opened)
-            await self._stream.connect(self._address)
+            self._stream = IOStream(_tcp_socket())
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+                await self._stream.connect(self._address)
         return self._stream
+
+
+def _tcp_socket() -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    opened.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    opened.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    for option, value in KEEP_ALIVE_OPTIONS.items():
+        opened.setsockopt(socket.IPPROTO_TCP, option, value)
+    return opened
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -32,6 +32,8 @@
 
 # Operators and backend servers write under different prefixes; one watch covers both.
 EVERY_KEY = ""
+# No key begins so; the answer is empty.
+ABSENT_PREFIX = "probe/"
 # A page has at most about 500 items; this bounds a list of a store that never ends.
 MAX_PAGES = 1_000
 
@@ -61,8 +63,10 @@
 class PlatformStore:
     """A ``FleetStore`` over the platform's HTTP protocol."""
 
-    def __init__(self, *, connection: HttpConnection, timeout_ms: int) -> None:
-        self._connection = connection
+    def __init__(self, *, address: str, port: int, timeout_ms: int) -> None:
+        self._connection = HttpConnection(address=address, port=port)
+        # A watch occupies its connection while it waits.
+        self._probe_connection = HttpConnection(address=address, port=port)
         self._timeout_ms = timeout_ms
 
     async def read_all(self) -> FleetList:
@@ -84,7 +88,9 @@
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
         """Return what changed after a revision, waiting up to ``wait_ms`` for a change."""
         query = {"Prefix": EVERY_KEY, "after": after_revision, "WaitMs": wait_ms}
-        body = await self._get("/v1/kv-watch", query, timeout_ms=self._timeout_ms + wait_ms)
+        body = await self._get(
+            self._connection, "/v1/kv-watch", query, timeout_ms=self._timeout_ms + wait_ms
+        )
         events = _decode(_events_decoder, body)
         routes, changes = _translate(events.events)
         return FleetChanges(
@@ -93,19 +99,27 @@
             revision=max(after_revision, events.store_revision),
         )
 
+    async def probe(self) -> None:
+        """Return when the store answers a read that costs a tenth."""
+        query = {"Prefix": ABSENT_PREFIX, "Serializable": 1}
+        await self._get(self._probe_connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
+
     def close(self) -> None:
-        """Close the connection."""
+        """Close the connections."""
         self._connection.close()
+        self._probe_connection.close()
 
     async def _page(self, after: str) -> _Page:
         query = {"Prefix": EVERY_KEY}
         if after:
             query["after"] = after
-        body = await self._get("/v1/kv-range", query, timeout_ms=self._timeout_ms)
+        body = await self._get(self._connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
         return _decode(_page_decoder, body)
 
-    async def _get(self, path: str, query: Mapping[str, object], *, timeout_ms: int) -> bytes:
-        response = await self._connection.call(
+    async def _get(
+        self, connection: HttpConnection, path: str, query: Mapping[str, object], *, timeout_ms: int
+    ) -> bytes:
+        response = await connection.call(
             "GET", f"{path}?{urlencode(query)}", body=b"", timeout_ms=timeout_ms
         )
         if response.status == HTTPStatus.GONE:
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -110,8 +110,11 @@
         Raises ``StoreHistoryLostError`` when the list must be read as a whole.
         """
 
+    async def probe(self) -> None:
+        """Return when the store answers; this is cheaper than a read."""
+
     def close(self) -> None:
-        """Give up the connection."""
+        """Give up all connections."""
 
 
 class PacketCodec(Protocol):
--- a/tests/unit/cookies/test_directory.py
+++ b/tests/unit/cookies/test_directory.py
@@ -21,6 +21,7 @@
 
 def directory_with(*server_ids: str) -> ServerDirectory:
     directory = ServerDirectory()
+    directory.on_list_read(-LAPSE_GRACE_MS)
     directory.replace([listed(server_id) for server_id in server_ids], 0)
     return directory
 
