--- a/tests/unit/daemon/test_fleet_reader.py
+++ b/tests/unit/daemon/test_fleet_reader.py
@@ -99,12 +99,12 @@
             reading.store.answers_probes = False
             await turns(lambda: not reading.reader.is_reachable)
             await turns(lambda: reading.watches()[-1] == "after 5 wait 0")
+            reading.store.answers_probes = True
             reading.store.results.put_nowait(changes(REMOVED, revision=9))
             await turns(lambda: reading.reader.is_reachable)
             known = reading.steering.directory.get("i-1")
             assert known is not None
             assert known.presence(MonotonicClock().now_ms()) is Presence.LAPSED
-            reading.store.answers_probes = True
 
     run(scenario())
 
