Do not take reordered packets of a request for repeated ones

Requests of up to five packets cross links that reorder them; each late packet counted as sent again, so two such requests condemned a server that was answering. Change: data counts as sent again only 150 ms after the last. A first packet ends a flow only when its condemned server is missing from the list or the list is out of reach; otherwise its data must have been sent again.

--- a/src/redwingswitch/_internal/decisions/cookies/directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/directory.py
@@ -72,6 +72,11 @@
             self._list_reachable = True
             self._grace_deadline_ms = now_ms + LAPSE_GRACE_MS
 
+    @property
+    def is_reachable(self) -> bool:
+        """Return whether the list could be read at the last try."""
+        return self._list_reachable
+
     def may_be_incomplete(self, now_ms: int) -> bool:
         """Return whether live servers may be missing from the list."""
         return not self._list_reachable or now_ms < self._grace_deadline_ms
--- a/src/redwingswitch/_internal/decisions/cookies/flow_table.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_table.py
@@ -9,6 +9,8 @@
 SWEEP_INTERVAL_MS = 2_000
 # About 0.5 KB each: 10 MB at the bound.
 MAX_FLOWS = 20_000
+# Callers send data again after 200 ms; what comes sooner has changed its order on the way.
+LEAST_REPEAT_MS = 150
 SEQUENCE_RANGE = 1 << 32
 HALF_SEQUENCE_RANGE = 1 << 31
 
@@ -23,6 +25,7 @@
         "is_closed",
         "is_open",
         "last_packet_ms",
+        "last_sent_ms",
         "next_sequence",
         "progress_ms",
         "request_began_ms",
@@ -46,6 +49,8 @@
         self.progress_ms = now_ms
         self.request_began_ms = now_ms
         self.last_packet_ms = now_ms
+        # When the caller last sent new data, or data again by its timer.
+        self.last_sent_ms = now_ms
 
     def note_progress(self, now_ms: int) -> None:
         """Note that the server has answered something."""
@@ -144,8 +149,8 @@
             counts.pop(server_id, None)
 
 
-def is_repeated(state: FlowState, packet: FlowPacket) -> bool:
-    """Return whether the packet carries data that the caller sent before."""
+def is_old_data(state: FlowState, packet: FlowPacket) -> bool:
+    """Return whether the packet carries no data beyond what the caller sent before."""
     if packet.data_bytes == 0 and not packet.closes:
         return False
     return state.next_sequence != 0 and not is_after(
--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -21,10 +21,11 @@
     Suspicion,
 )
 from redwingswitch._internal.decisions.cookies.flow_table import (
+    LEAST_REPEAT_MS,
     FlowState,
     FlowTable,
     is_after,
-    is_repeated,
+    is_old_data,
 )
 from redwingswitch._internal.decisions.cookies.held import HeldPackets
 from redwingswitch._internal.decisions.cookies.openings import (
@@ -248,8 +249,16 @@
         suspicion = self.evidence.suspicion(server)
         if suspicion is Suspicion.NONE:
             return False
-        is_stalled = state.stalls >= REPEATS_TO_COUNT
-        return (is_stalled or suspicion is Suspicion.CONDEMNED) and self._has_other(route, now_ms)
+        if suspicion is Suspicion.SUSPECTED:
+            is_lost = state.stalls >= REPEATS_TO_COUNT
+        else:
+            is_lost = state.stalls > 0 or not self._is_surely_listed(server)
+        return is_lost and self._has_other(route, now_ms)
+
+    def _is_surely_listed(self, server: ListedServer) -> bool:
+        known = self.directory.get(server.server_id)
+        is_listed = known is not None and known.absent_since_ms is None
+        return is_listed and self.directory.is_reachable
 
     def _has_other(self, route: Route, now_ms: int) -> bool:
         return any(
@@ -295,10 +304,13 @@
     def _follow_data(
         self, packet: FlowPacket, state: FlowState, server: ListedServer, now_ms: int
     ) -> None:
-        if is_repeated(state, packet):
-            state.stalls += 1
-            self.evidence.on_repeated_data(server, packet.flow, state.stalls, now_ms)
+        if is_old_data(state, packet):
+            if now_ms - state.last_sent_ms >= LEAST_REPEAT_MS:
+                state.last_sent_ms = now_ms
+                state.stalls += 1
+                self.evidence.on_repeated_data(server, packet.flow, state.stalls, now_ms)
         elif packet.data_bytes or packet.closes:
+            state.last_sent_ms = now_ms
             state.next_sequence = packet.sequence + packet.data_bytes + packet.closes
             if packet.data_bytes and not state.is_busy:
                 state.request_began_ms = now_ms
