--- a/src/redwingswitch/_internal/decisions/cookies/directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/directory.py
@@ -29,27 +29,34 @@
 
 
 class KnownServer(NamedTuple):
-    """A server, and until when its absence from the list does not mean that it has ended.
+    """A server, and what its absence from the list means.
 
-    ``absent_since_ms`` is None while the server is listed.
+    ``absent_since_ms`` is None while the server is listed. An absent server gets no new flow from
+    ``offer_deadline_ms`` on, and has ended from ``end_deadline_ms`` on.
     """
 
     server: ListedServer
     absent_since_ms: int | None = None
-    grace_deadline_ms: int = 0
+    offer_deadline_ms: int = 0
+    end_deadline_ms: int = 0
 
     def presence(self, now_ms: int) -> Presence:
         """Return what the list says about the server now."""
         if self.absent_since_ms is None:
             return Presence.LISTED
-        return Presence.LAPSED if now_ms < self.grace_deadline_ms else Presence.GONE
+        return Presence.LAPSED if now_ms < self.end_deadline_ms else Presence.GONE
+
+    def may_be_offered(self, now_ms: int) -> bool:
+        """Return whether the list allows new flows to the server."""
+        return self.absent_since_ms is None or now_ms < self.offer_deadline_ms
 
 
 class ServerDirectory:
     """Backend servers by id and by cookie.
 
-    A server that disappears while the list is reachable has ended. One that disappears during an
-    outage, or just after it, is kept as lapsed until it had the time to register again.
+    A draining server that disappears while the list is reachable has ended. Another one may have
+    been late with its report: it gets no new flows, but keeps those it has until it had the time to
+    register again. During an outage, and just after it, missing servers get new flows too.
     """
 
     def __init__(self) -> None:
@@ -120,7 +127,15 @@
         known = self._known.get(server_id)
         if known is None or known.absent_since_ms is not None:
             return False
-        self._known[server_id] = KnownServer(known.server, now_ms, self._grace_deadline_ms)
+        end_deadline_ms = self._grace_deadline_ms
+        if known.server.state is ServerState.ACTIVE:
+            end_deadline_ms = max(end_deadline_ms, now_ms + LAPSE_GRACE_MS)
+        self._known[server_id] = KnownServer(
+            server=known.server,
+            absent_since_ms=now_ms,
+            offer_deadline_ms=self._grace_deadline_ms,
+            end_deadline_ms=end_deadline_ms,
+        )
         self._by_service.clear()
         self._forget_long_gone(now_ms)
         return True
--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -208,7 +208,7 @@
         known = [
             k
             for k in self.directory.of_service(self._choice.service(route))
-            if k.presence(now_ms) is not Presence.GONE
+            if k.may_be_offered(now_ms)
         ]
         offered = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         others = [k for k in known if k.server.server_id not in avoided]
--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -113,6 +113,13 @@
         host.directory.remove("i-1", 0)
         assert verdict(host, request(flow_id(1), "i-1"), at_ms) is expected
 
+    def test_a_live_server_that_was_late_with_its_report_keeps_its_flows(self) -> None:
+        host = job_host()
+        host.directory.remove("i-1", 100)
+        assert verdict(host, request(flow_id(1), "i-1"), 101) is Verdict.STEERED
+        host.directory.put(server("i-1"))
+        assert verdict(host, request(flow_id(1), "i-1", sequence=101), 600) is Verdict.STEERED
+
     def test_a_server_that_answered_after_its_entry_was_removed_keeps_its_flows(self) -> None:
         host = job_host()
         open_at(host, flow_id(1), 0)
