End the process when the reader of the list fails

Cause: an unexpected error in the reader's task was kept in the task, and the host went on without ever learning of a change again. Found by reading the change. Change: the daemon waits for the task too, logs the failure and ends, so that it is started again. Figures: the new test hangs to its limit before and passes after.

--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -115,7 +115,7 @@
         reading = asyncio.create_task(self._reader.run())
         log.info(f"started host={settings.host} failure_domain={settings.failure_domain}")
         try:
-            await self._stopping.wait()
+            await self._until_stop_requested(reading)
             await self._stop()
         finally:
             reading.cancel()
@@ -125,6 +125,16 @@
             self._store.close()
             log.info("stopped")
 
+    async def _until_stop_requested(self, reading: asyncio.Task[None]) -> None:
+        stopping = asyncio.create_task(self._stopping.wait())
+        await asyncio.wait({stopping, reading}, return_when=asyncio.FIRST_COMPLETED)
+        stopping.cancel()
+        if reading.done():
+            # It ends only by a fault of the program. A host that never learns of changes again is
+            # worse than one that is started again.
+            log.error("the reader of the list failed; the process ends")
+            reading.result()
+
     def _readiness_server(self) -> StatusServer:
         settings = self._settings
         server = StatusServer(
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -158,3 +158,21 @@
             await host.task
 
     run(scenario())
+
+
+def test_a_fault_of_the_list_reader_ends_the_process_loudly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            host = await started(site, 1)
+
+            def fail(*_arguments: object) -> None:
+                raise ValueError("a fault")
+
+            monkeypatch.setattr(host.daemon, "_note_readiness", fail)
+            site.store.put("servers/i-00000001", b"")
+            with pytest.raises(ValueError, match="a fault"):
+                await host.task
+
+    run(scenario())
