--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -212,7 +212,7 @@
         ]
         offered = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         others = [k for k in known if k.server.server_id not in avoided]
-        best = [k for k in offered if k in others]
+        best = [k for k in offered if k.server.server_id not in avoided]
         # A server that may have refused this caller is better than one that answers nobody.
         rest = offered or others if is_first else others
         return self._choice.server(_candidates(best or rest or known))
