--- a/src/redwingswitch/_internal/decisions/cookies/choice.py
+++ b/src/redwingswitch/_internal/decisions/cookies/choice.py
@@ -8,11 +8,14 @@
 from redwingswitch._internal.models.cookie_flows import ListedServer, Route, ServiceShare
 from redwingswitch._internal.ports import RandomSource
 
-# An open flow without a request in progress, relative to one with a request.
+# An open flow without a request in progress, relative to one with a request: an estimate, as long
+# flows rest most of the time.
 IDLE_FLOW_LOAD = 0.15
-# A server of another failure domain is taken when the near ones carry this much more for each slot.
+# A server of another failure domain is taken when the near ones carry this much more for each slot:
+# with two slots, from two requests more on each of them.
 FAR_LOAD_PER_SLOT = 0.75
-# A server that says that it is still slow after its start gets this share of its slots.
+# A server that says that it is still slow after its start gets this share of its slots: an
+# estimate, as its entry tells how long it stays slow, not how much.
 SLOW_START_CAPACITY = 0.5
 
 
--- a/src/redwingswitch/_internal/decisions/cookies/evidence.py
+++ b/src/redwingswitch/_internal/decisions/cookies/evidence.py
@@ -21,7 +21,8 @@
 REPEATS_TO_COUNT = 2
 # Stalls that are further apart than this are separate losses.
 STALL_MEMORY_MS = 2_000
-# A server that answered this lately is not suspected: the packets that stalled are older.
+# A server that answered this lately is not suspected: the packets that stalled are older. Longer
+# than the time limit of an opening and a round trip between failure domains.
 ALIVE_MS = 60
 # A suspected server or failure domain is offered one new flow after this pause, which doubles with
 # each failure. The caller of such a flow loses the time until its opening packet is sent elsewhere.
