Group the decision parts by concern

Cause: decisions/ was one flat folder of 52 modules; a newcomer could not tell which serve streams, requests, members or the configuration. Ruled out: moving the tests as well; their modules drive several parts at once. Change: packages flows, requests, members, configuration, health beside cookies; request modules lose their prefix. Imports follow; no behaviour changes.

--- a/benchmarks/flows.py
+++ b/benchmarks/flows.py
@@ -11,7 +11,7 @@
 import msgspec
 
 from benchmarks.tables import Table
-from redwingswitch._internal.decisions.flow_records import FlowRecords
+from redwingswitch._internal.decisions.flows.flow_records import FlowRecords
 from redwingswitch._internal.decisions.hashing import maglev_table
 from redwingswitch._internal.models.configuration import Configuration, ServerState
 from redwingswitch._internal.models.identifiers import (
--- a/benchmarks/service.py
+++ b/benchmarks/service.py
@@ -22,8 +22,8 @@
     Result,
 )
 from benchmarks.tables import Table
-from redwingswitch._internal.decisions import admission
 from redwingswitch._internal.decisions.hashing import maglev_table
+from redwingswitch._internal.decisions.requests import admission
 from redwingswitch._internal.models.messages import ClaimReply, ClaimRequest
 from redwingswitch._internal.models.requests import FailureKind, Outcome, SizeHint
 
--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -24,7 +24,7 @@
 from redwingswitch._internal.daemon.pipeline import Pipeline
 from redwingswitch._internal.daemon.request_times import RequestTimes
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
-from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+from redwingswitch._internal.decisions.flows.steering_context import SteeringStatistics
 from redwingswitch._internal.exceptions import PeerSecurityError
 from redwingswitch._internal.models.configuration import BackendServer, Configuration
 from redwingswitch._internal.models.events import (
--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -13,7 +13,7 @@
 from aioprometheus.collectors import Counter, Gauge, Histogram, Registry
 from aioprometheus.renderer import render
 
-from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+from redwingswitch._internal.decisions.flows.steering_context import SteeringStatistics
 
 PREFIX = "redwingswitch_"
 LATENCY_BUCKETS_MS = (
--- a/src/redwingswitch/_internal/daemon/parameters.py
+++ b/src/redwingswitch/_internal/daemon/parameters.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
-from redwingswitch._internal.decisions.steering_context import SteeringStatistics
+from redwingswitch._internal.decisions.flows.steering_context import SteeringStatistics
 from redwingswitch._internal.models.actions import Action
 from redwingswitch._internal.models.configuration import Configuration
 from redwingswitch._internal.models.events import Event
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Distribution of the operators' document from the store to every entry host."""
--- a/src/redwingswitch/_internal/decisions/convergence.py
+++ b/src/redwingswitch/_internal/decisions/configuration/convergence.py
@@ -4,10 +4,13 @@
 
 import xxhash
 
+from redwingswitch._internal.decisions.configuration.lease import LeaseHolder
+from redwingswitch._internal.decisions.configuration.store_copy import StoreCopy
+from redwingswitch._internal.decisions.configuration.transfers import (
+    IncomingTransfer,
+    OutgoingTransfers,
+)
 from redwingswitch._internal.decisions.digest_bounds import same_digest
-from redwingswitch._internal.decisions.lease import LeaseHolder
-from redwingswitch._internal.decisions.store_copy import StoreCopy
-from redwingswitch._internal.decisions.transfers import IncomingTransfer, OutgoingTransfers
 from redwingswitch._internal.models.actions import (
     Action,
     ApplyDocument,
--- a/src/redwingswitch/_internal/decisions/entry_host.py
+++ b/src/redwingswitch/_internal/decisions/entry_host.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable, Sequence
 from typing import Any
 
-from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
+from redwingswitch._internal.decisions.configuration.convergence import ConfigurationConvergence
 from redwingswitch._internal.decisions.drain import GracefulStop
-from redwingswitch._internal.decisions.health import BackendHealth
+from redwingswitch._internal.decisions.flows.steering import FlowSteering
+from redwingswitch._internal.decisions.health.health import BackendHealth
 from redwingswitch._internal.decisions.host_status import member_statuses, server_statuses
-from redwingswitch._internal.decisions.membership import Membership
-from redwingswitch._internal.decisions.requests import RequestCoordinator
-from redwingswitch._internal.decisions.steering import FlowSteering
+from redwingswitch._internal.decisions.members.membership import Membership
+from redwingswitch._internal.decisions.requests.requests import RequestCoordinator
 from redwingswitch._internal.models import events, messages
 from redwingswitch._internal.models.actions import Action, Drop, DropReason, SendToPeer
 from redwingswitch._internal.models.configuration import Configuration
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/flows/__init__.py
@@ -0,0 +1,1 @@
+"""Steering of sprayed flows by lookup tables and flow records."""
--- a/src/redwingswitch/_internal/decisions/activation.py
+++ b/src/redwingswitch/_internal/decisions/flows/activation.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.history_entry import HistoryEntry
-from redwingswitch._internal.decisions.service_tables import ACTIVATE_AFTER_MS
-from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.history_entry import HistoryEntry
+from redwingswitch._internal.decisions.flows.service_tables import ACTIVATE_AFTER_MS
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
 from redwingswitch._internal.models.members import MembershipView, MemberState
 
 STATED_DEADLINES = 4_096
--- a/src/redwingswitch/_internal/decisions/flow_decider.py
+++ b/src/redwingswitch/_internal/decisions/flows/flow_decider.py
@@ -2,15 +2,15 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.held_packets import (
+from redwingswitch._internal.decisions.flows.held_packets import (
     ASK_AGAIN_AFTER_MS,
     HOLD_FOR_MS,
     HeldPacket,
     HeldPackets,
 )
-from redwingswitch._internal.decisions.record_exchange import RecordExchange
-from redwingswitch._internal.decisions.steered_service import SteeredService
-from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.decisions.flows.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.steering_context import SteeringContext
 from redwingswitch._internal.models.actions import (
     Action,
     Drop,
--- a/src/redwingswitch/_internal/decisions/history_requests.py
+++ b/src/redwingswitch/_internal/decisions/flows/history_requests.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable, Mapping
 
-from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
 from redwingswitch._internal.models.actions import SendToPeer
 from redwingswitch._internal.models.members import MembershipView, MemberState, MemberView
 from redwingswitch._internal.models.messages import TableHistoryRequest
--- a/src/redwingswitch/_internal/decisions/record_exchange.py
+++ b/src/redwingswitch/_internal/decisions/flows/record_exchange.py
@@ -4,10 +4,14 @@
 
 from typing import NamedTuple
 
-from redwingswitch._internal.decisions.record_moves import Ownership, RecordMoves, record_moves
-from redwingswitch._internal.decisions.record_sender import RecordSender, unpack_hashes
-from redwingswitch._internal.decisions.steered_service import SteeredService
-from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.decisions.flows.record_moves import (
+    Ownership,
+    RecordMoves,
+    record_moves,
+)
+from redwingswitch._internal.decisions.flows.record_sender import RecordSender, unpack_hashes
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.steering_context import SteeringContext
 from redwingswitch._internal.models.actions import SendToPeer
 from redwingswitch._internal.models.messages import (
     BatchPurpose,
--- a/src/redwingswitch/_internal/decisions/record_moves.py
+++ b/src/redwingswitch/_internal/decisions/flows/record_moves.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
-from redwingswitch._internal.decisions.bucket_owners import OWNER_BUCKETS, OwnerRanking
-from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.bucket_owners import OWNER_BUCKETS, OwnerRanking
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
 
 HOLDERS = 2
 
--- a/src/redwingswitch/_internal/decisions/service_tables.py
+++ b/src/redwingswitch/_internal/decisions/flows/service_tables.py
@@ -5,17 +5,17 @@
 from array import array
 from collections.abc import Collection, Iterable
 
+from redwingswitch._internal.decisions.flows.history_entry import (
+    HistoryEntry,
+    active_servers,
+    without_repeats,
+)
+from redwingswitch._internal.decisions.flows.server_index import ServerIndex
 from redwingswitch._internal.decisions.hashing import (
     TABLE_SIZES,
     maglev_table,
     rendezvous_rank,
 )
-from redwingswitch._internal.decisions.history_entry import (
-    HistoryEntry,
-    active_servers,
-    without_repeats,
-)
-from redwingswitch._internal.decisions.server_index import ServerIndex
 from redwingswitch._internal.models.configuration import BackendServer, Service
 from redwingswitch._internal.models.messages import HistoricTable, TableHistory
 
--- a/src/redwingswitch/_internal/decisions/steered_service.py
+++ b/src/redwingswitch/_internal/decisions/flows/steered_service.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Mapping, Sequence
 
-from redwingswitch._internal.decisions.flow_records import FlowRecords, RecordUsage
-from redwingswitch._internal.decisions.history_entry import HistoryEntry
-from redwingswitch._internal.decisions.service_tables import ServiceTables
+from redwingswitch._internal.decisions.flows.flow_records import FlowRecords, RecordUsage
+from redwingswitch._internal.decisions.flows.history_entry import HistoryEntry
+from redwingswitch._internal.decisions.flows.service_tables import ServiceTables
 from redwingswitch._internal.models.configuration import Service
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import NeededRevision, PendingTable
--- a/src/redwingswitch/_internal/decisions/steering.py
+++ b/src/redwingswitch/_internal/decisions/flows/steering.py
@@ -5,18 +5,18 @@
 from collections.abc import Iterable
 from functools import singledispatchmethod
 
-from redwingswitch._internal.decisions.activation import ActivationClock
-from redwingswitch._internal.decisions.flow_decider import FlowDecider, forward
-from redwingswitch._internal.decisions.history_requests import HistoryRequests
-from redwingswitch._internal.decisions.record_exchange import RecordExchange
-from redwingswitch._internal.decisions.record_moves import Ownership
-from redwingswitch._internal.decisions.steered_service import SteeredService
-from redwingswitch._internal.decisions.steering_context import (
+from redwingswitch._internal.decisions.flows.activation import ActivationClock
+from redwingswitch._internal.decisions.flows.flow_decider import FlowDecider, forward
+from redwingswitch._internal.decisions.flows.history_requests import HistoryRequests
+from redwingswitch._internal.decisions.flows.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.flows.record_moves import Ownership
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.steering_context import (
     BrokenFlowCount,
     SteeringContext,
     SteeringStatistics,
 )
-from redwingswitch._internal.decisions.table_retention import TableRetention
+from redwingswitch._internal.decisions.flows.table_retention import TableRetention
 from redwingswitch._internal.models.actions import (
     Action,
     Drop,
--- a/src/redwingswitch/_internal/decisions/steering_context.py
+++ b/src/redwingswitch/_internal/decisions/flows/steering_context.py
@@ -6,9 +6,9 @@
 from ipaddress import ip_address
 from typing import NamedTuple
 
-from redwingswitch._internal.decisions.bucket_owners import BucketOwners
-from redwingswitch._internal.decisions.flow_records import RecordUsage
-from redwingswitch._internal.decisions.steered_service import SteeredService
+from redwingswitch._internal.decisions.flows.bucket_owners import BucketOwners
+from redwingswitch._internal.decisions.flows.flow_records import RecordUsage
+from redwingswitch._internal.decisions.flows.steered_service import SteeredService
 from redwingswitch._internal.models.configuration import Configuration
 
 RECORD_BOUND = 400_000
--- a/src/redwingswitch/_internal/decisions/table_retention.py
+++ b/src/redwingswitch/_internal/decisions/flows/table_retention.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.history_entry import HistoryEntry
-from redwingswitch._internal.decisions.record_exchange import RecordExchange
-from redwingswitch._internal.decisions.record_moves import Ownership
-from redwingswitch._internal.decisions.service_tables import MAX_TABLES
-from redwingswitch._internal.decisions.steered_service import SCAN_INTERVAL_MS, SteeredService
-from redwingswitch._internal.decisions.steering_context import SteeringContext
+from redwingswitch._internal.decisions.flows.history_entry import HistoryEntry
+from redwingswitch._internal.decisions.flows.record_exchange import RecordExchange
+from redwingswitch._internal.decisions.flows.record_moves import Ownership
+from redwingswitch._internal.decisions.flows.service_tables import MAX_TABLES
+from redwingswitch._internal.decisions.flows.steered_service import SCAN_INTERVAL_MS, SteeredService
+from redwingswitch._internal.decisions.flows.steering_context import SteeringContext
 from redwingswitch._internal.models.actions import Log
 from redwingswitch._internal.models.members import MembershipView, MemberState
 from redwingswitch._internal.models.messages import BatchPurpose
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/health/__init__.py
@@ -0,0 +1,1 @@
+"""Health of backend servers from a host's own observations and from reports."""
--- a/src/redwingswitch/_internal/decisions/health.py
+++ b/src/redwingswitch/_internal/decisions/health/health.py
@@ -4,7 +4,7 @@
 
 import statistics
 
-from redwingswitch._internal.decisions.server_health import ServerHealth
+from redwingswitch._internal.decisions.health.server_health import ServerHealth
 from redwingswitch._internal.models.actions import Action, PollReport
 from redwingswitch._internal.models.configuration import Configuration, ServerState, Service
 from redwingswitch._internal.models.requests import BackendReport, FailureKind
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/members/__init__.py
@@ -0,0 +1,1 @@
+"""Which entry hosts are alive."""
--- a/src/redwingswitch/_internal/decisions/dead_probes.py
+++ b/src/redwingswitch/_internal/decisions/members/dead_probes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from redwingswitch._internal.decisions.probes import ProbeOrder
+from redwingswitch._internal.decisions.members.probes import ProbeOrder
 from redwingswitch._internal.ports import RandomSource
 
 INTERVAL_MS = 10_000
--- a/src/redwingswitch/_internal/decisions/member_gossip.py
+++ b/src/redwingswitch/_internal/decisions/members/member_gossip.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from redwingswitch._internal.decisions.member_table import Member, MemberTable
+from redwingswitch._internal.decisions.members.member_table import Member, MemberTable
 from redwingswitch._internal.models.members import MemberState, MemberUpdate
 
 UPDATES_PER_MESSAGE = 6
--- a/src/redwingswitch/_internal/decisions/membership.py
+++ b/src/redwingswitch/_internal/decisions/members/membership.py
@@ -10,10 +10,10 @@
 from collections.abc import Iterable
 
 from redwingswitch._internal.decisions.digest_bounds import bound_digest, expand_digest
-from redwingswitch._internal.decisions.member_gossip import MemberGossip
-from redwingswitch._internal.decisions.member_table import Member, MemberTable
-from redwingswitch._internal.decisions.platform_hints import PlatformHints
-from redwingswitch._internal.decisions.prober import Prober
+from redwingswitch._internal.decisions.members.member_gossip import MemberGossip
+from redwingswitch._internal.decisions.members.member_table import Member, MemberTable
+from redwingswitch._internal.decisions.members.platform_hints import PlatformHints
+from redwingswitch._internal.decisions.members.prober import Prober
 from redwingswitch._internal.models.actions import Action, Drop, DropReason, SendToPeer
 from redwingswitch._internal.models.configuration import Configuration, ServerState
 from redwingswitch._internal.models.events import HostListChanged
--- a/src/redwingswitch/_internal/decisions/prober.py
+++ b/src/redwingswitch/_internal/decisions/members/prober.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.dead_probes import DeadProbes
-from redwingswitch._internal.decisions.member_gossip import MemberGossip
-from redwingswitch._internal.decisions.member_table import MemberTable
-from redwingswitch._internal.decisions.platform_hints import PlatformHints
-from redwingswitch._internal.decisions.probes import (
+from redwingswitch._internal.decisions.members.dead_probes import DeadProbes
+from redwingswitch._internal.decisions.members.member_gossip import MemberGossip
+from redwingswitch._internal.decisions.members.member_table import MemberTable
+from redwingswitch._internal.decisions.members.platform_hints import PlatformHints
+from redwingswitch._internal.decisions.members.probes import (
     RELAY_MS,
     PendingProbe,
     PendingProbes,
--- a/src/redwingswitch/_internal/decisions/admission.py
+++ b/src/redwingswitch/_internal/decisions/requests/admission.py
@@ -11,7 +11,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from redwingswitch._internal.decisions.service_times import ServiceTimes
+from redwingswitch._internal.decisions.requests.service_times import ServiceTimes
 from redwingswitch._internal.models.configuration import SizeClass
 
 QUEUE_BOUND = 1_024
--- a/src/redwingswitch/_internal/decisions/request_attempts.py
+++ b/src/redwingswitch/_internal/decisions/requests/attempts.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable
-from redwingswitch._internal.decisions.request_ledger import Attempt, RequestEntry
+from redwingswitch._internal.decisions.requests.dispatch import DispatchTable
+from redwingswitch._internal.decisions.requests.ledger import Attempt, RequestEntry
 from redwingswitch._internal.models.actions import CancelAttempt
 from redwingswitch._internal.ports import RandomSource
 
--- a/src/redwingswitch/_internal/decisions/claims.py
+++ b/src/redwingswitch/_internal/decisions/requests/claims.py
@@ -12,7 +12,10 @@
 from enum import Enum, auto
 from typing import NamedTuple
 
-from redwingswitch._internal.decisions.host_sets import CLAIM_RETENTION_MS, DeclaredHostSets
+from redwingswitch._internal.decisions.requests.host_sets import (
+    CLAIM_RETENTION_MS,
+    DeclaredHostSets,
+)
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.models.actions import SendToPeer
 from redwingswitch._internal.models.messages import ClaimDecision, ClaimReply, ClaimRequest
--- a/src/redwingswitch/_internal/decisions/request_dispatch.py
+++ b/src/redwingswitch/_internal/decisions/requests/dispatch.py
@@ -4,17 +4,17 @@
 
 from collections.abc import Iterator, Sequence
 
-from redwingswitch._internal.decisions.admission import (
+from redwingswitch._internal.decisions.requests.admission import (
     AdmissionQueue,
     QueuedRequest,
     Refusal,
     SlotUse,
 )
-from redwingswitch._internal.decisions.offered_load import OfferedLoad, expected_wait_ms
-from redwingswitch._internal.decisions.placement import ServerHealth, ServerSlots
-from redwingswitch._internal.decisions.request_ledger import Attempt, RequestEntry
+from redwingswitch._internal.decisions.requests.ledger import Attempt, RequestEntry
+from redwingswitch._internal.decisions.requests.offered_load import OfferedLoad, expected_wait_ms
+from redwingswitch._internal.decisions.requests.placement import ServerHealth, ServerSlots
+from redwingswitch._internal.decisions.requests.service_times import ServiceTimes
 from redwingswitch._internal.decisions.retry import RetryBudget
-from redwingswitch._internal.decisions.service_times import ServiceTimes
 from redwingswitch._internal.models.configuration import Service, SizeClass
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.members import WaitEstimate
--- a/src/redwingswitch/_internal/decisions/request_intake.py
+++ b/src/redwingswitch/_internal/decisions/requests/intake.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.admission import Refusal
-from redwingswitch._internal.decisions.claims import (
+from redwingswitch._internal.decisions.requests.admission import Refusal
+from redwingswitch._internal.decisions.requests.claims import (
     Claimant,
     ClaimHolder,
 )
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable, ServiceDispatch
-from redwingswitch._internal.decisions.request_ledger import (
+from redwingswitch._internal.decisions.requests.dispatch import DispatchTable, ServiceDispatch
+from redwingswitch._internal.decisions.requests.ledger import (
     RequestEntry,
     RequestLedger,
     RequestState,
 )
-from redwingswitch._internal.decisions.request_parts import MAX_PARTS, PartCollector
-from redwingswitch._internal.decisions.request_routing import RequestRouting
-from redwingswitch._internal.decisions.request_runs import WAITING_STATES, RequestRuns
+from redwingswitch._internal.decisions.requests.parts import MAX_PARTS, PartCollector
+from redwingswitch._internal.decisions.requests.routing import RequestRouting
+from redwingswitch._internal.decisions.requests.runs import WAITING_STATES, RequestRuns
 from redwingswitch._internal.models.actions import (
     Action,
     AnswerCaller,
--- a/src/redwingswitch/_internal/decisions/request_ledger.py
+++ b/src/redwingswitch/_internal/decisions/requests/ledger.py
@@ -7,10 +7,10 @@
 
 import xxhash
 
-from redwingswitch._internal.decisions.admission import QueuedRequest, Refusal
-from redwingswitch._internal.decisions.claims import ClaimHolder
-from redwingswitch._internal.decisions.host_sets import CLAIM_RETENTION_MS
-from redwingswitch._internal.decisions.request_answers import AnswerAssembly
+from redwingswitch._internal.decisions.requests.admission import QueuedRequest, Refusal
+from redwingswitch._internal.decisions.requests.answers import AnswerAssembly
+from redwingswitch._internal.decisions.requests.claims import ClaimHolder
+from redwingswitch._internal.decisions.requests.host_sets import CLAIM_RETENTION_MS
 from redwingswitch._internal.models.configuration import SizeClass
 from redwingswitch._internal.models.identifiers import CallerAddress
 from redwingswitch._internal.models.messages import ForwardedRequest
--- a/src/redwingswitch/_internal/decisions/requests.py
+++ b/src/redwingswitch/_internal/decisions/requests/requests.py
@@ -2,28 +2,28 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.claims import (
+from redwingswitch._internal.decisions.requests.claims import (
     Claimant,
     ClaimState,
     WitnessRegister,
 )
-from redwingswitch._internal.decisions.host_sets import DeclaredHostSets
-from redwingswitch._internal.decisions.placement import ServerHealth
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable
-from redwingswitch._internal.decisions.request_intake import (
+from redwingswitch._internal.decisions.requests.dispatch import DispatchTable
+from redwingswitch._internal.decisions.requests.host_sets import DeclaredHostSets
+from redwingswitch._internal.decisions.requests.intake import (
     STOP_REFUSAL,
     RequestIntake,
     forward,
     unknown,
 )
-from redwingswitch._internal.decisions.request_ledger import (
+from redwingswitch._internal.decisions.requests.ledger import (
     RequestEntry,
     RequestLedger,
     RequestState,
 )
-from redwingswitch._internal.decisions.request_parts import PartCollector
-from redwingswitch._internal.decisions.request_routing import RequestRouting
-from redwingswitch._internal.decisions.request_runs import WAITING_STATES, RequestRuns
+from redwingswitch._internal.decisions.requests.parts import PartCollector
+from redwingswitch._internal.decisions.requests.placement import ServerHealth
+from redwingswitch._internal.decisions.requests.routing import RequestRouting
+from redwingswitch._internal.decisions.requests.runs import WAITING_STATES, RequestRuns
 from redwingswitch._internal.models.actions import (
     Action,
     SendToPeer,
--- a/src/redwingswitch/_internal/decisions/request_runs.py
+++ b/src/redwingswitch/_internal/decisions/requests/runs.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.admission import QueuedRequest, Refusal
-from redwingswitch._internal.decisions.claims import Claimant
-from redwingswitch._internal.decisions.placement import ServerHealth
-from redwingswitch._internal.decisions.request_answers import AssemblyState
-from redwingswitch._internal.decisions.request_attempts import AttemptTable
-from redwingswitch._internal.decisions.request_dispatch import DispatchTable, ServiceDispatch
-from redwingswitch._internal.decisions.request_ledger import (
+from redwingswitch._internal.decisions.requests.admission import QueuedRequest, Refusal
+from redwingswitch._internal.decisions.requests.answers import AssemblyState
+from redwingswitch._internal.decisions.requests.attempts import AttemptTable
+from redwingswitch._internal.decisions.requests.claims import Claimant
+from redwingswitch._internal.decisions.requests.dispatch import DispatchTable, ServiceDispatch
+from redwingswitch._internal.decisions.requests.ledger import (
     Attempt,
     RequestEntry,
     RequestLedger,
     RequestState,
     outcome_header,
 )
+from redwingswitch._internal.decisions.requests.placement import ServerHealth
+from redwingswitch._internal.decisions.requests.timers import Timer, TimerKind, Timers
 from redwingswitch._internal.decisions.retry import backoff_ms
-from redwingswitch._internal.decisions.timers import Timer, TimerKind, Timers
 from redwingswitch._internal.models.actions import (
     Action,
     AnswerCaller,
--- a/src/redwingswitch/coordination/admission.py
+++ b/src/redwingswitch/coordination/admission.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.admission import (
+from redwingswitch._internal.decisions.requests.admission import (
     AdmissionQueue,
     QueuedRequest,
     Refusal,
     SlotUse,
 )
-from redwingswitch._internal.decisions.service_times import ServiceTimes
+from redwingswitch._internal.decisions.requests.service_times import ServiceTimes
 from redwingswitch._internal.models.configuration import SizeClass
 from redwingswitch._internal.models.requests import SizeHint
 
--- a/src/redwingswitch/coordination/claims.py
+++ b/src/redwingswitch/coordination/claims.py
@@ -4,13 +4,13 @@
 
 from collections.abc import Mapping
 
-from redwingswitch._internal.decisions.claims import (
+from redwingswitch._internal.decisions.requests.claims import (
     Claimant,
     ClaimHolder,
     ClaimState,
     WitnessRegister,
 )
-from redwingswitch._internal.decisions.host_sets import (
+from redwingswitch._internal.decisions.requests.host_sets import (
     CLAIM_RETENTION_MS,
     DeclaredHostSets,
     witnesses,
--- a/src/redwingswitch/coordination/convergence.py
+++ b/src/redwingswitch/coordination/convergence.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
+from redwingswitch._internal.decisions.configuration.convergence import ConfigurationConvergence
 from redwingswitch._internal.models.configuration import (
     DOCUMENT_SCHEMA_VERSION,
     MAX_DOCUMENT_BYTES,
--- a/src/redwingswitch/coordination/lease.py
+++ b/src/redwingswitch/coordination/lease.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.lease import LeaseHolder
+from redwingswitch._internal.decisions.configuration.lease import LeaseHolder
 from redwingswitch._internal.models.actions import AcquireLease, ReleaseLease
 from redwingswitch._internal.models.events import LeaseGranted
 
--- a/src/redwingswitch/coordination/membership.py
+++ b/src/redwingswitch/coordination/membership.py
@@ -4,8 +4,8 @@
 
 from collections.abc import Mapping
 
-from redwingswitch._internal.decisions.bucket_owners import REFUTATION_BITS
-from redwingswitch._internal.decisions.membership import Membership
+from redwingswitch._internal.decisions.flows.bucket_owners import REFUTATION_BITS
+from redwingswitch._internal.decisions.members.membership import Membership
 from redwingswitch._internal.models.members import MembershipView, MemberState, Seed
 from redwingswitch._internal.ports import RandomSource
 
--- a/src/redwingswitch/coordination/ownership.py
+++ b/src/redwingswitch/coordination/ownership.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from redwingswitch._internal.decisions.bucket_owners import BucketOwners, OwnerRanking
-from redwingswitch._internal.decisions.flow_records import FlowRecords
+from redwingswitch._internal.decisions.flows.bucket_owners import BucketOwners, OwnerRanking
+from redwingswitch._internal.decisions.flows.flow_records import FlowRecords
+from redwingswitch._internal.decisions.flows.record_sender import RecordSender, unpack_hashes
 from redwingswitch._internal.decisions.hashing import MaglevTable, maglev_table, rendezvous_rank
-from redwingswitch._internal.decisions.record_sender import RecordSender, unpack_hashes
 from redwingswitch._internal.models.actions import Action, SendToPeer
 from redwingswitch._internal.models.identifiers import FLOW_HASH_BITS, wire_id
 from redwingswitch._internal.models.members import MembershipView
--- a/tests/functional/test_daemon_metrics.py
+++ b/tests/functional/test_daemon_metrics.py
@@ -3,7 +3,10 @@
 import pytest
 
 from redwingswitch._internal.daemon.metrics import Metrics
-from redwingswitch._internal.decisions.steering_context import BrokenFlowCount, SteeringStatistics
+from redwingswitch._internal.decisions.flows.steering_context import (
+    BrokenFlowCount,
+    SteeringStatistics,
+)
 from redwingswitch._internal.models.events import AttemptFailed
 from redwingswitch._internal.models.requests import FailureKind
 from redwingswitch._internal.report.indicators import Measure, indicators
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -6,8 +6,8 @@
 from functools import partial
 from typing import NamedTuple
 
-from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
-from redwingswitch._internal.decisions.membership import Membership
+from redwingswitch._internal.decisions.configuration.convergence import ConfigurationConvergence
+from redwingswitch._internal.decisions.members.membership import Membership
 from redwingswitch._internal.models import actions as act
 from redwingswitch._internal.models.configuration import (
     Configuration,
--- a/tests/unit/decisions/test_admission.py
+++ b/tests/unit/decisions/test_admission.py
@@ -6,16 +6,20 @@
 
 import pytest
 
-from redwingswitch._internal.decisions import placement
-from redwingswitch._internal.decisions.admission import (
+from redwingswitch._internal.decisions.requests import placement
+from redwingswitch._internal.decisions.requests.admission import (
     LONG_AGEING_MS,
     AdmissionQueue,
     QueuedRequest,
     SlotUse,
 )
-from redwingswitch._internal.decisions.placement import DomainChooser, DomainLoad, ServerSlots
+from redwingswitch._internal.decisions.requests.placement import (
+    DomainChooser,
+    DomainLoad,
+    ServerSlots,
+)
+from redwingswitch._internal.decisions.requests.service_times import ServiceTimes
 from redwingswitch._internal.decisions.retry import RetryBudget, backoff_ms
-from redwingswitch._internal.decisions.service_times import ServiceTimes
 from redwingswitch._internal.models.configuration import SizeClass
 from tests.lib.request_cluster import FakeHealth, server
 
--- a/tests/unit/decisions/test_claims.py
+++ b/tests/unit/decisions/test_claims.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from redwingswitch._internal.decisions.claims import (
+from redwingswitch._internal.decisions.requests.claims import (
     Claimant,
     ClaimHolder,
     ClaimState,
     WitnessRegister,
 )
-from redwingswitch._internal.decisions.host_sets import DeclaredHostSets, witnesses
+from redwingswitch._internal.decisions.requests.host_sets import DeclaredHostSets, witnesses
 from redwingswitch._internal.models.members import (
     HostDigest,
     MembershipView,
--- a/tests/unit/decisions/test_claims_machine.py
+++ b/tests/unit/decisions/test_claims_machine.py
@@ -9,8 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from redwingswitch._internal.decisions.claims import Claimant, ClaimState, WitnessRegister
-from redwingswitch._internal.decisions.host_sets import (
+from redwingswitch._internal.decisions.requests.claims import Claimant, ClaimState, WitnessRegister
+from redwingswitch._internal.decisions.requests.host_sets import (
     CLAIM_RETENTION_MS,
     DeclaredHostSets,
     witnesses,
--- a/tests/unit/decisions/test_convergence.py
+++ b/tests/unit/decisions/test_convergence.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from redwingswitch._internal.decisions.convergence import ConfigurationConvergence
+from redwingswitch._internal.decisions.configuration.convergence import ConfigurationConvergence
 from redwingswitch._internal.models.actions import (
     AcquireLease,
     ApplyDocument,
--- a/tests/unit/decisions/test_flow_records.py
+++ b/tests/unit/decisions/test_flow_records.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from redwingswitch._internal.decisions.flow_records import CLOSED_LINGER_MS, FlowRecords
+from redwingswitch._internal.decisions.flows.flow_records import CLOSED_LINGER_MS, FlowRecords
 
 IDLE_MS = 900_000
 BOUND = 12
--- a/tests/unit/decisions/test_flow_steering.py
+++ b/tests/unit/decisions/test_flow_steering.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from redwingswitch._internal.decisions.record_sender import BATCH_INTERVAL_MS
+from redwingswitch._internal.decisions.flows.record_sender import BATCH_INTERVAL_MS
 from redwingswitch._internal.models.actions import DropReason
 from redwingswitch._internal.models.configuration import Configuration, ServerState
 from redwingswitch._internal.models.identifiers import FlowKey, PacketKind, wire_id
--- a/tests/unit/decisions/test_health.py
+++ b/tests/unit/decisions/test_health.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from redwingswitch._internal.decisions.health import BackendHealth
+from redwingswitch._internal.decisions.health.health import BackendHealth
 from redwingswitch._internal.models.actions import PollReport
 from redwingswitch._internal.models.configuration import (
     BackendServer,
--- a/tests/unit/decisions/test_lease_and_drain.py
+++ b/tests/unit/decisions/test_lease_and_drain.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from redwingswitch._internal.decisions.configuration.lease import LeaseHolder
 from redwingswitch._internal.decisions.drain import GracefulStop
-from redwingswitch._internal.decisions.lease import LeaseHolder
 from redwingswitch._internal.models.actions import AcquireLease, Log, ReleaseLease, StopCompleted
 from redwingswitch._internal.models.events import LeaseGranted
 
--- a/tests/unit/decisions/test_membership.py
+++ b/tests/unit/decisions/test_membership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from redwingswitch._internal.decisions.membership import Membership
+from redwingswitch._internal.decisions.members.membership import Membership
 from redwingswitch._internal.models.events import HostListChanged, ListedHost
 from redwingswitch._internal.models.members import (
     HostDigest,
--- a/tests/unit/decisions/test_requests.py
+++ b/tests/unit/decisions/test_requests.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from redwingswitch._internal.decisions import request_ledger, requests
+from redwingswitch._internal.decisions.requests import ledger, requests
 from redwingswitch._internal.models import actions as act
 from redwingswitch._internal.models import events as ev
 from redwingswitch._internal.models.identifiers import CallerAddress
@@ -54,7 +54,7 @@
 def _answer_evicted(cluster: RequestCluster) -> None:
     _answered(cluster)
     cluster.told.clear()
-    cluster.run(request_ledger.ANSWER_KEPT_MS + requests.TICK_MS)
+    cluster.run(ledger.ANSWER_KEPT_MS + requests.TICK_MS)
     cluster.send("h1", ID, "orders", parts=3)
     cluster.run(500)
 
