Hold the walk-through's download until its server leaves

The socket buffers on the way (tcp_rmem up to 33 MB here) take the whole file of 8 MB: without the drain, no download is in progress 50 ms after its first 100 KB were read. Ruled out: a drain that cuts the download off; its content was whole in each run. Change: the stand-in holds the download at 200 KB until the new server is in force. All assertions stay; more of the file than before has to pass after the drain. Conclusion: the test no longer depends on the machine's buffers.

--- a/src/redwingswitch/_internal/standins/backend_files.py
+++ b/src/redwingswitch/_internal/standins/backend_files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 from collections.abc import Iterator
 
@@ -38,9 +39,13 @@
         endpoint.accepted += 1
         endpoint.open_connections += 1
         try:
+            sent_bytes = 0
             for chunk in file_chunks(endpoint.size_bytes):
+                if sent_bytes >= endpoint.hold_at_bytes:
+                    await endpoint.released.wait()
                 self.write(chunk)
                 await self.flush()
+                sent_bytes += len(chunk)
         except StreamClosedError:
             return
         finally:
@@ -48,13 +53,19 @@
 
 
 class FileEndpoint:
-    """Serves one file of ``size_bytes``; ``open_connections`` counts downloads in progress."""
+    """Serves one file of ``size_bytes``; ``open_connections`` counts downloads in progress.
 
-    def __init__(self, *, name: str, size_bytes: int) -> None:
+    With ``hold_at_bytes``, each download stops there until ``released`` is set, so that it is in
+    progress for certain: socket buffers on the way may take a whole file.
+    """
+
+    def __init__(self, *, name: str, size_bytes: int, hold_at_bytes: int | None = None) -> None:
         if not 0 < size_bytes <= MAX_FILE_BYTES:
             raise ValueError(f"the file needs 1 to {MAX_FILE_BYTES} bytes")
         self.name = name
         self.size_bytes = size_bytes
+        self.hold_at_bytes = size_bytes if hold_at_bytes is None else hold_at_bytes
+        self.released = asyncio.Event()
         self.accepted = 0
         self.open_connections = 0
         self.port = 0
--- a/tests/functional/test_walk_through.py
+++ b/tests/functional/test_walk_through.py
@@ -15,8 +15,9 @@
 from tests.lib.loops import run, turns
 
 FILE_BYTES = 8_000_000
-# Below this, the answer could be in socket buffers when the drain begins.
 HEAD_BYTES = 100_000
+# The rest is sent after the drain began: socket buffers can hold the whole file.
+HOLD_AT_BYTES = 200_000
 STREAM_LIMIT_BYTES = 4_096
 
 
@@ -25,7 +26,9 @@
     for name, server in bench.fleet.servers.items():
         if server.service == JOB_BOARD.name:
             server.streams.close()
-            server.streams = FileEndpoint(name=name, size_bytes=FILE_BYTES)
+            server.streams = FileEndpoint(
+                name=name, size_bytes=FILE_BYTES, hold_at_bytes=HOLD_AT_BYTES
+            )
             await server.streams.listen(address=server.address)
     await bench.in_force(await bench.fleet.apply())
 
@@ -69,9 +72,10 @@
             digest = sha256(await reader.readexactly(HEAD_BYTES))
             bench.fleet._states[server] = state
             await bench.in_force(await bench.fleet.apply())
-            # The reader has taken next to nothing, so most of the file is yet to come.
-            assert bench.fleet.servers[server].streams.open_connections == 1
+            files = bench.fleet.servers[server].streams
+            assert files.open_connections == 1
             await wait_for_another_server(bench, daemon, server)
+            files.released.set()
             await finish(reader, writer, digest, FILE_BYTES - HEAD_BYTES)
             assert digest.digest() == sha256(b"".join(file_chunks(FILE_BYTES))).digest()
 
