--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -78,7 +78,7 @@
     host.apply_routes(RouteTable(1, {route.destination: route for route in routes}, 15_000))
     host.directory.on_list_read(-10_000)
     for number in range(servers):
-        host.directory.put(_server(number))
+        host.directory.put(_server(number), 0)
     return host
 
 
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/list_peers.py
@@ -0,0 +1,139 @@
+"""Datagrams between the hosts of a failure domain that share the list of backend servers."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, FollowedChanges
+from redwingswitch._internal.network.list_messages import decode_list_message, encode_list_message
+from redwingswitch._internal.ports import Clock
+from redwingswitch._internal.utils.event_log import EventLog
+
+Address = tuple[str, int]
+# Three requests fit into the time after which a reader's silence counts.
+REQUEST_INTERVAL_MS = 500
+# A reader tells its followers of a change at once, as long as they asked in this time.
+FOLLOWER_KEPT_MS = 2_000
+# The hosts of a failure domain at the growth target are 94.
+MAX_FOLLOWERS = 256
+
+
+class DatagramSender(Protocol):
+    """Sends datagrams to other hosts."""
+
+    def send(self, data: bytes, address: Address) -> bool:
+        """Send a datagram; return False when the network refuses it."""
+
+
+class _Follower:
+    """The latest request of a follower, and until when it is told of changes."""
+
+    __slots__ = ("deadline_ms", "request")
+
+    def __init__(self, *, request: FeedRequest, deadline_ms: int) -> None:
+        self.request = request
+        self.deadline_ms = deadline_ms
+
+
+class ListPeers:
+    """Asks the reader for changes, and answers those who ask this host."""
+
+    def __init__(
+        self,
+        *,
+        sharing: ListSharing,
+        clock: Clock,
+        metrics: SteeringMetrics,
+        list_age_ms: Callable[[], int],
+        on_changes: Callable[[FollowedChanges], None],
+    ) -> None:
+        self._sharing = sharing
+        self._clock = clock
+        self._metrics = metrics
+        self._events = EventLog(part="peers", clock=clock)
+        self._list_age_ms = list_age_ms
+        self._on_changes = on_changes
+        self._sender: DatagramSender | None = None
+        self._followers: dict[Address, _Follower] = {}
+        self._request_deadline_ms = 0
+
+    def attach(self, sender: DatagramSender) -> None:
+        """Use a sender for all messages."""
+        self._sender = sender
+
+    def ask_when_due(self) -> None:
+        """Ask the reader for changes, once each ``REQUEST_INTERVAL_MS``."""
+        if self._clock.now_ms() >= self._request_deadline_ms:
+            self.ask()
+
+    def ask(self) -> None:
+        """Ask the reader for changes now."""
+        asked = self._sharing.request()
+        if asked is None:
+            return
+        self._request_deadline_ms = self._clock.now_ms() + REQUEST_INTERVAL_MS
+        reader, request = asked
+        self._send(request, (reader.address, reader.port))
+
+    def tell_followers(self) -> None:
+        """Send what changed to the hosts that asked lately."""
+        now_ms = self._clock.now_ms()
+        for address, follower in list(self._followers.items()):
+            if now_ms >= follower.deadline_ms:
+                del self._followers[address]
+                continue
+            update = self._answer(follower.request)
+            if update is None:
+                continue
+            # The next one begins where this one ends; what is lost is asked for.
+            follower.request = FeedRequest(
+                feed=update.feed,
+                position=update.first_position + len(update.changes),
+                revision=update.revision,
+            )
+            self._send(update, address)
+
+    def on_datagram(self, datagram: bytes, address: Address) -> None:
+        """Take a message of another host."""
+        try:
+            message = decode_list_message(datagram).message
+        except DecodeError as error:
+            self._metrics.count("list_updates_total", "malformed")
+            self._events.warn("message malformed", sender=address[0], reason=error)
+            return
+        if isinstance(message, FeedUpdate):
+            self._on_update(message)
+        else:
+            self._on_request(message, address)
+
+    def _on_request(self, request: FeedRequest, address: Address) -> None:
+        update = self._answer(request)
+        if update is None:
+            return
+        if address in self._followers or len(self._followers) < MAX_FOLLOWERS:
+            deadline_ms = self._clock.now_ms() + FOLLOWER_KEPT_MS
+            self._followers[address] = _Follower(request=request, deadline_ms=deadline_ms)
+        self._send(update, address)
+
+    def _answer(self, request: FeedRequest) -> FeedUpdate | None:
+        return self._sharing.answer(request, list_age_ms=self._list_age_ms())
+
+    def _on_update(self, update: FeedUpdate) -> None:
+        taken = self._sharing.on_update(update, self._clock.now_ms())
+        self._metrics.count("list_updates_total", "gap" if taken.has_gap else "taken")
+        self._on_changes(taken)
+        if taken.has_gap:
+            self.ask()
+
+    def _send(self, message: FeedRequest | FeedUpdate, address: Address) -> None:
+        local = self._sharing.local
+        if self._sender is None or local is None:
+            return
+        data = encode_list_message(incarnation=local.incarnation, message=message)
+        if not self._sender.send(data, address):
+            self._metrics.count("send_failures_total")
+            self._events.warn("send refused", address=f"{address[0]}:{address[1]}")
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -9,13 +9,16 @@
 
 from logbook import Logger
 
-from redwingswitch._internal.daemon.fleet_reader import FleetReader
+from redwingswitch._internal.daemon.fleet_reader import FleetReader, reader_age_limit_ms
 from redwingswitch._internal.daemon.packet_path import PacketPath
 from redwingswitch._internal.daemon.status_server import Answer, StatusServer
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.readiness import Readiness, readiness
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.models.list_readers import Reader
+from redwingswitch._internal.models.list_sharing import ListRole
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
 from redwingswitch._internal.ports import Clock, FleetStore, PacketCodec, RandomSource
 from redwingswitch._internal.steering_settings import SteeringSettings, read_steering_settings
@@ -32,6 +35,8 @@
 # Left of the grace period for the exit itself.
 EXIT_MARGIN_MS = 500
 METRICS_PATH = "/metrics"
+# Two hosts draw the same one, or one host draws one again, with a chance of one in 2^53.
+INCARNATIONS = 1 << 53
 
 
 class SteeringDaemon:
@@ -59,12 +64,19 @@
             failure_domain=settings.failure_domain, random_source=random_source
         )
         self._metrics = SteeringMetrics()
+        self._sharing = ListSharing(
+            local=_local_reader(settings, random_source),
+            age_limit_ms=reader_age_limit_ms(settings.list_age_limit_ms),
+            random_source=random_source,
+        )
         self._reader = FleetReader(
             store=store,
             steering=self._steering,
+            sharing=self._sharing,
             clock=clock,
             random_source=random_source,
             metrics=self._metrics,
+            list_age_limit_ms=settings.list_age_limit_ms,
             on_change=self._on_list_change,
         )
         self._path = PacketPath(
@@ -85,6 +97,11 @@
         """Return whether the latest call to the store succeeded."""
         return self._reader.is_reachable
 
+    @property
+    def list_role(self) -> ListRole:
+        """Return where this host has the list of backend servers from."""
+        return self._reader.role
+
     @property
     def routes_version(self) -> int | None:
         """Return the version of the routes in force."""
@@ -111,6 +128,7 @@
             bound=self._bound,
         )
         self._path.attach(endpoint)
+        endpoints = [endpoint, *self._peer_endpoints()]
         servers = [self._readiness_server(), *self._metrics_servers()]
         reading = asyncio.create_task(self._reader.run())
         log.info(f"started host={settings.host} failure_domain={settings.failure_domain}")
@@ -121,10 +139,21 @@
             reading.cancel()
             for server in servers:
                 server.close()
-            endpoint.close()
+            for each in endpoints:
+                each.close()
             self._store.close()
             log.info("stopped")
 
+    def _peer_endpoints(self) -> list[DatagramEndpoint]:
+        peers = self._settings.peers
+        if peers is None:
+            return []
+        endpoint = DatagramEndpoint(
+            address=peers.address, port=peers.port, on_datagram=self._reader.peers.on_datagram
+        )
+        self._reader.peers.attach(endpoint)
+        return [endpoint]
+
     async def _until_stop_requested(self, reading: asyncio.Task[None]) -> None:
         stopping = asyncio.create_task(self._stopping.wait())
         await asyncio.wait({stopping, reading}, return_when=asyncio.FIRST_COMPLETED)
@@ -229,6 +258,8 @@
             "ready": ((), float(self.readiness is Readiness.READY)),
             "routes_version": ((), float(self.routes_version or 0)),
             "list_age_ms": ((), float(self._reader.list_age_ms())),
+            "serves_list": ((), float(self.list_role is ListRole.SERVING)),
+            "follows_reader": ((), float(self.list_role is ListRole.FOLLOWING)),
             "listed_servers": ((), float(directory.listed_count())),
             "followed_flows": ((), float(len(self._steering.flows))),
             "held_packets": ((), float(self._steering.held_packets)),
@@ -237,3 +268,14 @@
         if self._log_stream is not None:
             self._metrics.counts["log_lines_lost_total"][()] = self._log_stream.lost_lines
         return self._metrics.render(gauges)
+
+
+def _local_reader(settings: SteeringSettings, random_source: RandomSource) -> Reader | None:
+    if settings.peers is None:
+        return None
+    return Reader(
+        host=settings.host,
+        address=settings.peers.address,
+        port=settings.peers.port,
+        incarnation=1 + int(random_source.random() * (INCARNATIONS - 1)),
+    )
--- a/src/redwingswitch/_internal/daemon/steering_program.py
+++ b/src/redwingswitch/_internal/daemon/steering_program.py
@@ -35,6 +35,7 @@
         address=settings.store.address,
         port=settings.store.port,
         timeout_ms=settings.store_timeout_ms,
+        failure_domain=settings.failure_domain,
     )
     daemon = SteeringDaemon(
         settings=settings,
--- a/src/redwingswitch/_internal/decisions/cookies/directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/directory.py
@@ -32,10 +32,12 @@
     """A server, and what its absence from the list means.
 
     ``absent_since_ms`` is None while the server is listed. An absent server gets no new flow from
-    ``offer_deadline_ms`` on, and has ended from ``end_deadline_ms`` on.
+    ``offer_deadline_ms`` on, and has ended from ``end_deadline_ms`` on. The server is slow until
+    ``slow_start_deadline_ms``.
     """
 
     server: ListedServer
+    slow_start_deadline_ms: int = 0
     absent_since_ms: int | None = None
     offer_deadline_ms: int = 0
     end_deadline_ms: int = 0
@@ -104,23 +106,23 @@
 
     def _take(self, change: ServerChange, now_ms: int) -> bool:
         if change.server is not None:
-            return self.put(change.server)
+            return self.put(change.server, now_ms)
         if change.is_listed:
             return self.set_unusable(change.server_id)
         return self.remove(change.server_id, now_ms)
 
-    def put(self, server: ListedServer) -> bool:
+    def put(self, server: ListedServer, now_ms: int) -> bool:
         """Take one entry; return whether it changes anything but the slow start's remainder."""
         known = self._known.get(server.server_id)
-        self._known[server.server_id] = KnownServer(server)
+        entry = server._replace(slow_start_left_ms=0)
+        is_new_state = known is None or known.absent_since_ms is not None or known.server != entry
+        if not is_new_state and not server.slow_start_left_ms:
+            return False
         if known is None:
             self._by_cookie.clear()
-        if known is not None and known.absent_since_ms is None and known.server == server:
-            return False
+        self._known[server.server_id] = KnownServer(entry, now_ms + server.slow_start_left_ms)
         self._by_service.clear()
-        if known is None or known.absent_since_ms is not None:
-            return True
-        return known.server._replace(slow_start_left_ms=0) != server._replace(slow_start_left_ms=0)
+        return is_new_state
 
     def remove(self, server_id: str, now_ms: int) -> bool:
         """Note that an entry is no longer there; return whether it was."""
@@ -130,8 +132,7 @@
         end_deadline_ms = self._grace_deadline_ms
         if known.server.state is ServerState.ACTIVE:
             end_deadline_ms = max(end_deadline_ms, now_ms + LAPSE_GRACE_MS)
-        self._known[server_id] = KnownServer(
-            server=known.server,
+        self._known[server_id] = known._replace(
             absent_since_ms=now_ms,
             offer_deadline_ms=self._grace_deadline_ms,
             end_deadline_ms=end_deadline_ms,
--- a/src/redwingswitch/_internal/decisions/cookies/steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/steering.py
@@ -215,7 +215,7 @@
         best = [k for k in offered if k.server.server_id not in avoided]
         # A server that may have refused this caller is better than one that answers nobody.
         rest = offered or others if is_first else others
-        return self._choice.server(_candidates(best or rest or known))
+        return self._choice.server(_candidates(best or rest or known, now_ms))
 
     def _may_offer(self, server: ListedServer, now_ms: int, *, is_first: bool) -> bool:
         if not self.evidence.is_suspected(server):
@@ -347,8 +347,8 @@
             self._note_suspicion(state.flow, server)
 
 
-def _candidates(known: Iterable[KnownServer]) -> list[Candidate]:
+def _candidates(known: Iterable[KnownServer], now_ms: int) -> list[Candidate]:
     return [
-        Candidate(k.server, SLOW_START_CAPACITY if k.server.slow_start_left_ms > 0 else 1.0)
+        Candidate(k.server, SLOW_START_CAPACITY if now_ms < k.slow_start_deadline_ms else 1.0)
         for k in known
     ]
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -0,0 +1,77 @@
+"""The changes of the list, as the host that reads them passes them on."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable
+from itertools import islice
+
+from redwingswitch._internal.models.fleet_list import ServerChange
+from redwingswitch._internal.models.list_sharing import FeedChange, FeedRequest, FeedUpdate
+
+# A change has up to 180 bytes, and a datagram stays whole up to 1,200.
+MAX_UPDATE_CHANGES = 6
+# More than the changes of a failure domain's loss at 3,500 servers in 5 domains; about 0.5 MB.
+MAX_KEPT_CHANGES = 1_024
+
+
+class ListFeed:
+    """Numbers the changes of the list and answers requests for them.
+
+    It keeps the latest changes only; a host that lacks older ones reads the store.
+    """
+
+    def __init__(self, *, incarnation: int) -> None:
+        self._incarnation = incarnation
+        self._changes: deque[FeedChange] = deque(maxlen=MAX_KEPT_CHANGES)
+        self._end = 0
+        self._revision = 0
+        # The changes kept follow this revision without a gap.
+        self._begin_revision = 0
+        self._outages = 0
+
+    @property
+    def end_position(self) -> int:
+        """Return the number of changes so far."""
+        return self._end
+
+    def begin(self, revision: int) -> None:
+        """Start anew at a revision up to which this host knows the list."""
+        self._changes.clear()
+        self._revision = revision
+        self._begin_revision = revision
+
+    def append(self, changes: Iterable[ServerChange], revision: int) -> None:
+        """Take the changes up to a revision."""
+        for change in changes:
+            if len(self._changes) == MAX_KEPT_CHANGES:
+                self._begin_revision = self._changes[0].revision
+            self._changes.append(FeedChange(revision, change))
+            self._end += 1
+        self._revision = max(self._revision, revision)
+
+    def note_outage(self) -> None:
+        """Note that the store was lost: entries may lapse before it is back."""
+        self._outages += 1
+
+    def update(self, request: FeedRequest, *, list_age_ms: int) -> FeedUpdate:
+        """Return what the sender of a request lacks, or the first part of it."""
+        first = self._end - len(self._changes)
+        if request.feed == self._incarnation and first <= request.position <= self._end:
+            position, from_revision = request.position, request.revision
+        else:
+            known = sum(change.revision <= request.revision for change in self._changes)
+            position = first + known
+            from_revision = max(request.revision, self._begin_revision)
+        begin = position - first
+        changes = tuple(islice(self._changes, begin, begin + MAX_UPDATE_CHANGES))
+        return FeedUpdate(
+            feed=self._incarnation,
+            first_position=position,
+            from_revision=from_revision,
+            changes=changes,
+            end_position=self._end,
+            revision=self._revision,
+            outages=self._outages,
+            list_age_ms=list_age_ms,
+        )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -0,0 +1,113 @@
+"""A host that takes the list's changes from the host that reads them."""
+
+from __future__ import annotations
+
+from redwingswitch._internal.models.list_readers import Reader
+from redwingswitch._internal.models.list_sharing import (
+    FeedRequest,
+    FeedUpdate,
+    FollowedChanges,
+)
+
+
+class FeedFollower:
+    """Follows one reader's feed as long as the reader answers with a list that is fresh.
+
+    ``age_limit_ms`` bounds both the reader's silence and the age of its list.
+    """
+
+    def __init__(self, *, age_limit_ms: int) -> None:
+        self._age_limit_ms = age_limit_ms
+        self._reader: Reader | None = None
+        self._feed = 0
+        self._position = 0
+        self._revision = 0
+        # Changes up to this revision came from the store itself.
+        self._read_revision = 0
+        self._outages = 0
+        self._is_complete = False
+        # When the reader's list was last known to be up to date.
+        self._fresh_ms: int | None = None
+
+    @property
+    def reader(self) -> Reader | None:
+        """Return the reader that is asked."""
+        return self._reader
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which the list is known."""
+        return self._revision
+
+    def choose(self, reader: Reader | None) -> None:
+        """Ask another reader from now on."""
+        if reader != self._reader:
+            self._reader = reader
+            self.stop()
+            self._fresh_ms = None
+
+    def stop(self) -> None:
+        """Follow no feed until a reader answers again."""
+        self._feed = 0
+        self._is_complete = False
+
+    def on_read(self, revision: int) -> None:
+        """Note that this host read the store itself."""
+        self._revision = max(self._revision, revision)
+        self._read_revision = self._revision
+
+    def request(self) -> FeedRequest:
+        """Return the request for what this host lacks."""
+        return FeedRequest(self._feed, self._position, self._revision)
+
+    def hears_reader(self, now_ms: int) -> bool:
+        """Return whether the reader answers, with a list that is fresh."""
+        return self._fresh_ms is not None and now_ms - self._fresh_ms <= self._age_limit_ms
+
+    def is_following(self, now_ms: int) -> bool:
+        """Return whether the list is up to date through the feed."""
+        return self._is_complete and self.hears_reader(now_ms)
+
+    def list_age_ms(self, now_ms: int) -> int:
+        """Return milliseconds since the reader's list was last known to be up to date."""
+        return now_ms if self._fresh_ms is None else now_ms - self._fresh_ms
+
+    def on_update(self, update: FeedUpdate, now_ms: int) -> FollowedChanges:
+        """Take an update of the chosen reader; any other one brings nothing."""
+        if self._reader is None or update.feed != self._reader.incarnation:
+            return FollowedChanges()
+        self._fresh_ms = now_ms - update.list_age_ms
+        is_fresh = self.hears_reader(now_ms)
+        continues = update.feed == self._feed and update.first_position <= self._position
+        if not continues and not self._adopt(update):
+            # The next request states the revision instead of the position.
+            had_feed = self._feed != 0
+            self.stop()
+            return FollowedChanges(has_gap=had_feed, is_fresh=is_fresh)
+        return self._take(update, is_fresh)
+
+    def _adopt(self, update: FeedUpdate) -> bool:
+        """Continue with a feed at its position; return False when that leaves a gap."""
+        if update.from_revision > self._revision:
+            return False
+        if update.feed != self._feed:
+            self._outages = update.outages
+        self._feed = update.feed
+        self._position = update.first_position
+        return True
+
+    def _take(self, update: FeedUpdate, is_fresh: bool) -> FollowedChanges:
+        new = update.changes[self._position - update.first_position :]
+        self._position += len(new)
+        self._is_complete = self._position >= update.end_position
+        after_outage = update.outages != self._outages
+        self._outages = update.outages
+        if self._is_complete:
+            self._revision = max(self._revision, update.revision)
+        return FollowedChanges(
+            # The reader may be behind what this host read itself.
+            changes=tuple(each.change for each in new if each.revision > self._read_revision),
+            after_outage=after_outage,
+            has_gap=not self._is_complete,
+            is_fresh=is_fresh,
+        )
--- /dev/null
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -0,0 +1,141 @@
+"""Which host of a failure domain reads the list for the others."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from redwingswitch._internal.decisions.list_sharing.feed import ListFeed
+from redwingswitch._internal.decisions.list_sharing.follower import FeedFollower
+from redwingswitch._internal.decisions.retry import backoff_ms
+from redwingswitch._internal.models.fleet_list import ServerChange
+from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
+from redwingswitch._internal.models.list_sharing import (
+    FeedRequest,
+    FeedUpdate,
+    FollowedChanges,
+    ListRole,
+)
+from redwingswitch._internal.ports import RandomSource
+
+# Two hosts of a failure domain seldom draw the same moment: 20 hosts are 25 ms apart on average.
+FIRST_CLAIM_MS = 1_000
+# A host that hears no other, but reaches the store, takes the part over and over; this bounds it.
+LAST_CLAIM_MS = 30_000
+
+
+class ListSharing:
+    """Decides whether this host reads the list for itself, serves it, or follows a reader.
+
+    The part of the reader is taken by a conditional write of its record in the store. It saves
+    calls and nothing else: two readers at a time do no harm, and a host that hears none reads for
+    itself. Hence it has no lease.
+    """
+
+    def __init__(
+        self, *, local: Reader | None, age_limit_ms: int, random_source: RandomSource
+    ) -> None:
+        self._local = local
+        self._random = random_source
+        self._feed = ListFeed(incarnation=local.incarnation if local else 0)
+        self._follower = FeedFollower(age_limit_ms=age_limit_ms)
+        self._registered = NO_READER
+        self._claims = 0
+        self._claim_deadline_ms: int | None = None
+
+    @property
+    def registered(self) -> RegisteredReader:
+        """Return the reader's record in the store as last seen."""
+        return self._registered
+
+    @property
+    def local(self) -> Reader | None:
+        """Return this host as a reader; None when it shares nothing."""
+        return self._local
+
+    @property
+    def revision(self) -> int:
+        """Return the store's revision up to which the list is known."""
+        return self._follower.revision
+
+    def role(self, now_ms: int) -> ListRole:
+        """Return where this host has the list from."""
+        if self._is_reader():
+            return ListRole.SERVING
+        if self._follower.is_following(now_ms):
+            return ListRole.FOLLOWING
+        return ListRole.READING
+
+    def list_age_ms(self, now_ms: int) -> int:
+        """Return the age of the followed list."""
+        return self._follower.list_age_ms(now_ms)
+
+    def on_registered(self, registered: RegisteredReader, now_ms: int) -> None:
+        """Take the reader's record; an older one than the last is ignored."""
+        if registered.reader is not None and registered.revision < self._registered.revision:
+            return
+        changed = registered.reader != self._registered.reader
+        self._registered = registered
+        if not changed:
+            return
+        self._claim_deadline_ms = None
+        if self._is_reader():
+            self._feed.begin(self._follower.revision)
+            self._follower.choose(None)
+        else:
+            self._follower.choose(registered.reader)
+        self._plan_claim(now_ms)
+
+    def on_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
+        """Note what this host read itself."""
+        self._follower.on_read(revision)
+        if self._is_reader():
+            self._feed.append(changes, revision)
+        self._plan_claim(now_ms)
+
+    def on_store_lost(self) -> None:
+        """Note that this host cannot read the store."""
+        self._feed.note_outage()
+        self._claim_deadline_ms = None
+
+    def on_reader_lost(self, now_ms: int) -> None:
+        """Note that this host reads for itself again."""
+        self._follower.stop()
+        self._plan_claim(now_ms)
+
+    def claim_deadline_ms(self, now_ms: int) -> int | None:
+        """Return when this host should take the part of the reader, unless one is heard."""
+        if self._is_reader() or self._follower.hears_reader(now_ms):
+            self._claim_deadline_ms = None
+        return self._claim_deadline_ms
+
+    def on_claim(self) -> None:
+        """Note that this host tried to take the part."""
+        self._claims += 1
+        self._claim_deadline_ms = None
+
+    def request(self) -> tuple[Reader, FeedRequest] | None:
+        """Return what to ask the reader; None when there is none or it is this host."""
+        reader = self._follower.reader
+        return None if reader is None else (reader, self._follower.request())
+
+    def answer(self, request: FeedRequest, *, list_age_ms: int) -> FeedUpdate | None:
+        """Return the answer to a request; None when this host is not the reader."""
+        return self._feed.update(request, list_age_ms=list_age_ms) if self._is_reader() else None
+
+    def on_update(self, update: FeedUpdate, now_ms: int) -> FollowedChanges:
+        """Take an update of the reader."""
+        taken = self._follower.on_update(update, now_ms)
+        if self._follower.is_following(now_ms):
+            self._claims = 0
+        return taken
+
+    def _is_reader(self) -> bool:
+        return self._local is not None and self._registered.reader == self._local
+
+    def _plan_claim(self, now_ms: int) -> None:
+        if self._local is None or self._is_reader() or self._claim_deadline_ms is not None:
+            return
+        pause_ms = backoff_ms(
+            self._claims + 1, self._random, base_ms=FIRST_CLAIM_MS, limit_ms=LAST_CLAIM_MS
+        )
+        self._claim_deadline_ms = now_ms + pause_ms
--- a/src/redwingswitch/_internal/platform/entries.py
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -18,9 +18,12 @@
     RouteTable,
     ServiceShare,
 )
+from redwingswitch._internal.models.list_readers import Reader
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
+# The hosts' own records, one for each failure domain.
+READER_PREFIX = "redwingswitch/readers/"
 TUNNEL_PREFIX_BYTES = 8
 MAX_PORT = 65_535
 _PREFIX_PATTERN = re.compile(r"/(\d{1,5})/")
@@ -68,8 +71,16 @@
     born: int = 0
 
 
+class _ReaderRecord(msgspec.Struct):
+    host: str
+    address: str
+    port: int
+    incarnation: int
+
+
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _entry_decoder = msgspec.json.Decoder(_ServerEntry)
+_reader_decoder = msgspec.json.Decoder(_ReaderRecord)
 _STATES = {"ready": ServerState.ACTIVE, "draining": ServerState.DRAINING}
 
 
@@ -131,6 +142,23 @@
     )
 
 
+def encode_reader(reader: Reader) -> bytes:
+    """Return the record of the host that reads the list for its failure domain."""
+    return msgspec.json.encode(_ReaderRecord(*reader))
+
+
+def decode_reader(value: bytes) -> Reader:
+    """Return the host that a record names; raise DecodeError when it cannot be read."""
+    try:
+        record = _reader_decoder.decode(value)
+        IPv4Address(record.address)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise DecodeError(f"the record of a reader cannot be read: {error}") from error
+    if not 0 < record.port <= MAX_PORT:
+        raise DecodeError(f"the record of a reader has the port {record.port}")
+    return Reader(record.host, record.address, record.port, record.incarnation)
+
+
 def _endpoint(text: str) -> tuple[str, int]:
     address, _, port = text.partition(":")
     try:
--- a/src/redwingswitch/_internal/platform/standins/store.py
+++ b/src/redwingswitch/_internal/platform/standins/store.py
@@ -119,6 +119,8 @@
             _respond(request, HTTPStatus.OK, self._range(request))
         elif request.path == "/v1/kv-watch":
             await self._watch(request)
+        elif request.path == "/v1/kv-txn":
+            self._transact(request)
         else:
             _respond(request, HTTPStatus.NOT_FOUND, b"{}")
 
@@ -129,15 +131,37 @@
         has_more = len(keys) > self._page_items
         return _json({"items": page, "HasMore": has_more, "StoreRevision": self._revision})
 
+    def _transact(self, request: HTTPServerRequest) -> None:
+        body = json.loads(request.body)
+        expected = {row["Key"]: row["Revision"] for row in body["ExpectedRev"]}
+        held = {key: self._items[key] for key in expected if key in self._items}
+        if any(
+            revision != (held[key].revision if key in held else 0)
+            for key, revision in expected.items()
+        ):
+            items = [_item(event) for event in held.values()]
+            _respond(request, HTTPStatus.PRECONDITION_FAILED, _json({"items": items}))
+            return
+        for entry in body["SetKeys"]:
+            self.put(entry["Key"], base64.b64decode(entry["Value"]))
+        for key in body["Remove"]:
+            self.remove(key)
+        _respond(request, HTTPStatus.OK, _json({"Revision": self._revision}))
+
     async def _watch(self, request: HTTPServerRequest) -> None:
         after = int(_argument(request, "after"))
+        prefix = _argument(request, "Prefix")
         wait_s = int(_argument(request, "WaitMs")) / MS_PER_S
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
             if after < self._history_begins_after:
                 _respond(request, HTTPStatus.GONE, b"{}")
                 return
-            found = [event for event in self._history if event.revision > after]
+            found = [
+                event
+                for event in self._history
+                if event.revision > after and event.key.startswith(prefix)
+            ]
             left_s = deadline_s - asyncio.get_running_loop().time()
             if found or left_s <= 0:
                 events = [_item(event) for event in found]
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -1,4 +1,4 @@
-"""The platform's metadata store: reads of the configuration and of the backend servers' list."""
+"""The platform's metadata store: the configuration, the backend servers' list, reader records."""
 
 from __future__ import annotations
 
@@ -17,14 +17,23 @@
     StoreUnavailableError,
 )
 from redwingswitch._internal.models.cookie_flows import ListedServer, RouteTable
-from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList, ServerChange
+from redwingswitch._internal.models.fleet_list import (
+    FleetChanges,
+    FleetList,
+    RoutesChange,
+    ServerChange,
+)
+from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
 from redwingswitch._internal.platform.entries import (
     CONFIGURATION_KEY,
+    READER_PREFIX,
     SERVER_PREFIX,
+    decode_reader,
     decode_routes,
     decode_server,
+    encode_reader,
 )
-from redwingswitch._internal.platform.http_connection import HttpConnection
+from redwingswitch._internal.platform.http_connection import HttpConnection, Response
 
 log = Logger("store")
 
@@ -34,6 +43,7 @@
 EVERY_KEY = ""
 # No key begins so; the answer is empty.
 ABSENT_PREFIX = "probe/"
+NO_LEASE = 0
 # A page has at most about 500 items; this bounds a list of a store that never ends.
 MAX_PAGES = 1_000
 
@@ -56,18 +66,29 @@
     store_revision: int = msgspec.field(name="StoreRevision")
 
 
+class _Written(msgspec.Struct):
+    revision: int = msgspec.field(name="Revision")
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item]
+
+
 _page_decoder = msgspec.json.Decoder(_Page)
 _events_decoder = msgspec.json.Decoder(_Events)
+_written_decoder = msgspec.json.Decoder(_Written)
+_conflict_decoder = msgspec.json.Decoder(_Conflict)
 
 
 class PlatformStore:
     """A ``FleetStore`` over the platform's HTTP protocol."""
 
-    def __init__(self, *, address: str, port: int, timeout_ms: int) -> None:
+    def __init__(self, *, address: str, port: int, timeout_ms: int, failure_domain: str) -> None:
         self._connection = HttpConnection(address=address, port=port)
         # A watch occupies its connection while it waits.
         self._probe_connection = HttpConnection(address=address, port=port)
         self._timeout_ms = timeout_ms
+        self._reader_key = READER_PREFIX + failure_domain
 
     async def read_all(self) -> FleetList:
         """Return the routes and all backend servers."""
@@ -83,22 +104,46 @@
                 break
             after = page.items[-1].key
         routes, changes = _translate(items)
-        return FleetList(routes=routes, servers=tuple(changes), revision=revision or 0)
+        return FleetList(
+            routes=routes,
+            servers=tuple(changes),
+            revision=revision or 0,
+            reader=self._reader(items) or NO_READER,
+        )
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
         """Return what changed after a revision, waiting up to ``wait_ms`` for a change."""
-        query = {"Prefix": EVERY_KEY, "after": after_revision, "WaitMs": wait_ms}
-        body = await self._get(
-            self._connection, "/v1/kv-watch", query, timeout_ms=self._timeout_ms + wait_ms
-        )
-        events = _decode(_events_decoder, body)
+        events = await self._watch(EVERY_KEY, after_revision, wait_ms)
         routes, changes = _translate(events.events)
         return FleetChanges(
             routes=routes,
             servers=tuple(changes),
             revision=max(after_revision, events.store_revision),
+            reader=self._reader(events.events),
         )
 
+    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
+        """Return the routes after a revision, waiting up to ``wait_ms`` for a change."""
+        events = await self._watch(CONFIGURATION_KEY, after_revision, wait_ms)
+        routes, _ = _translate(events.events)
+        return RoutesChange(routes=routes, revision=max(after_revision, events.store_revision))
+
+    async def register_reader(self, reader: Reader, *, expected: int) -> RegisteredReader:
+        """Record a reader if the record still has the revision ``expected``."""
+        value = base64.b64encode(encode_reader(reader)).decode()
+        body = {
+            "ExpectedRev": [{"Key": self._reader_key, "Revision": expected}],
+            "SetKeys": [{"Key": self._reader_key, "Value": value, "Lease": NO_LEASE}],
+            "Remove": [],
+        }
+        response = await self._connection.call(
+            "POST", "/v1/kv-txn", body=msgspec.json.encode(body), timeout_ms=self._timeout_ms
+        )
+        if response.status == HTTPStatus.PRECONDITION_FAILED:
+            return self._reader(_decode(_conflict_decoder, response.body).items) or NO_READER
+        _check_status(response)
+        return RegisteredReader(reader, _decode(_written_decoder, response.body).revision)
+
     async def probe(self) -> None:
         """Return when the store answers a read that costs a tenth."""
         query = {"Prefix": ABSENT_PREFIX, "Serializable": 1}
@@ -109,6 +154,20 @@
         self._connection.close()
         self._probe_connection.close()
 
+    async def _watch(self, prefix: str, after_revision: int, wait_ms: int) -> _Events:
+        query = {"Prefix": prefix, "after": after_revision, "WaitMs": wait_ms}
+        timeout_ms = self._timeout_ms + wait_ms
+        body = await self._get(self._connection, "/v1/kv-watch", query, timeout_ms=timeout_ms)
+        return _decode(_events_decoder, body)
+
+    def _reader(self, items: Iterable[_Item]) -> RegisteredReader | None:
+        """Return the last record of this failure domain's reader among the items."""
+        found: RegisteredReader | None = None
+        for item in items:
+            if item.key == self._reader_key:
+                found = _registered_reader(item)
+        return found
+
     async def _page(self, after: str) -> _Page:
         query = {"Prefix": EVERY_KEY}
         if after:
@@ -124,11 +183,15 @@
         )
         if response.status == HTTPStatus.GONE:
             raise StoreHistoryLostError("the store has discarded the history; read the whole list")
-        if response.status != HTTPStatus.OK:
-            raise StoreUnavailableError(f"the store refused the call with {response.status}")
+        _check_status(response)
         return response.body
 
 
+def _check_status(response: Response) -> None:
+    if response.status != HTTPStatus.OK:
+        raise StoreUnavailableError(f"the store refused the call with {response.status}")
+
+
 def _decode(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
     try:
         return decoder.decode(body)
@@ -156,6 +219,17 @@
         return None
 
 
+def _registered_reader(item: _Item) -> RegisteredReader:
+    if item.deleted or not item.revision:
+        return NO_READER
+    try:
+        return RegisteredReader(decode_reader(_value(item)), item.revision)
+    except DecodeError as error:
+        log.warning(f"reader record ignored key={item.key} revision={item.revision} reason={error}")
+        # It can still be replaced.
+        return RegisteredReader(None, item.revision)
+
+
 def _change(server_id: str, item: _Item) -> ServerChange:
     if item.deleted:
         return ServerChange(server_id=server_id, server=None, is_listed=False)
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -9,7 +9,8 @@
     # Each program loads only the models of the ports that it uses.
     from redwingswitch._internal.models.cookie_flows import FlowPacket
     from redwingswitch._internal.models.events import ListedHost
-    from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList
+    from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList, RoutesChange
+    from redwingswitch._internal.models.list_readers import Reader, RegisteredReader
     from redwingswitch._internal.models.messages import PeerMessage
     from redwingswitch._internal.models.requests import BackendReport
     from redwingswitch._internal.models.status import FleetReading
@@ -110,6 +111,19 @@
         Raises ``StoreHistoryLostError`` when the list must be read as a whole.
         """
 
+    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
+        """Return later routes, as soon as there are some or after ``wait_ms``.
+
+        Raises ``StoreHistoryLostError`` when the list must be read as a whole.
+        """
+
+    async def register_reader(self, reader: Reader, *, expected: int) -> RegisteredReader:
+        """Record the reader of a failure domain unless the record has changed.
+
+        ``expected`` is the revision of the record that is replaced, 0 for none. Returns the record
+        that is in the store now.
+        """
+
     async def probe(self) -> None:
         """Return when the store answers; this is cheaper than a read."""
 
--- a/src/redwingswitch/_internal/steering_settings.py
+++ b/src/redwingswitch/_internal/steering_settings.py
@@ -19,7 +19,11 @@
 # A store that answers in milliseconds may be 100 times slower before a call is given up.
 DEFAULT_STORE_TIMEOUT_MS = 1_500
 MAX_GRACE_PERIOD_S = 3_600
-MAX_FAILURE_DOMAINS = 64
+# The README's bound for new work at leaving backend servers.
+DEFAULT_LIST_AGE_LIMIT_MS = 3_000
+# Below this a host would call the store more than 30 times a second.
+MIN_LIST_AGE_LIMIT_MS = 100
+MAX_LIST_AGE_LIMIT_MS = 60_000
 
 
 class Endpoint(NamedTuple):
@@ -33,7 +37,9 @@
     """Settings of one steering daemon.
 
     Packets arrive at ``steering``; callers receive resets at their address and this port.
-    Metrics are served at ``/metrics`` of ``metrics``, unless that is None.
+    Metrics are served at ``/metrics`` of ``metrics``, unless that is None. Hosts of one failure
+    domain share the list of backend servers by datagrams between their ``peers`` addresses, unless
+    that is None. A leaving server gets no new flow after ``list_age_limit_ms``.
     """
 
     host: str
@@ -42,9 +48,11 @@
     readiness: Endpoint
     readiness_path: str
     metrics: Endpoint | None
+    peers: Endpoint | None
     store: Endpoint
     store_timeout_ms: int
     grace_period_ms: int
+    list_age_limit_ms: int
     log_level: LogLevel
 
 
@@ -73,6 +81,7 @@
         readiness=Endpoint(*root.endpoint("readiness")),
         readiness_path=root.text("readiness_path", default="/ready"),
         metrics=Endpoint(*root.endpoint("metrics")) if root.has("metrics") else None,
+        peers=Endpoint(*root.endpoint("peers")) if root.has("peers") else None,
         store=Endpoint(*root.endpoint("store")),
         store_timeout_ms=root.integer(
             "store_timeout_ms",
@@ -82,6 +91,14 @@
         ),
         grace_period_ms=MS_PER_S
         * root.integer("grace_period_s", minimum=1, maximum=MAX_GRACE_PERIOD_S),
+        list_age_limit_ms=int(
+            root.number(
+                "list_age_limit_ms",
+                minimum=MIN_LIST_AGE_LIMIT_MS,
+                maximum=MAX_LIST_AGE_LIMIT_MS,
+                default=DEFAULT_LIST_AGE_LIMIT_MS,
+            )
+        ),
         log_level=root.choice("log_level", among=tuple(LogLevel), default=LogLevel.INFO),
     )
     root.finish()
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -7,6 +7,7 @@
 from tornado.iostream import IOStream
 
 from redwingswitch._internal.decisions.cookies.readiness import Readiness
+from redwingswitch._internal.models.list_sharing import ListRole
 from redwingswitch._internal.platform.standins.documents import StandinRoute
 from redwingswitch._internal.platform.standins.store import Fault
 from tests.lib.loops import run, turns
@@ -160,6 +161,55 @@
     run(scenario())
 
 
+async def started_domain(site: SteeringSite) -> list[RunningHost]:
+    """Start three hosts of one failure domain, and return them with the one that reads first."""
+    first = await started(site, 1, 2)
+    for number in (1, 2):
+        await until_ready(site.add_host(number))
+    await turns(lambda: roles(site) == ["following", "following", "serving"])
+    assert first in site.hosts
+    return sorted(site.hosts, key=lambda host: host.daemon.list_role is not ListRole.SERVING)
+
+
+async def until_all_offer(site: SteeringSite, server: str) -> None:
+    def offered() -> list[list[str]]:
+        return [host.daemon.offers_flows_to("job-board") for host in site.hosts]
+
+    await turns(lambda: offered() == [[server]] * len(site.hosts))
+
+
+def roles(site: SteeringSite) -> list[str]:
+    return sorted(str(host.daemon.list_role) for host in site.hosts)
+
+
+def test_hosts_of_a_failure_domain_learn_of_a_drain_from_the_one_that_reads() -> None:
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            reader, *followers = await started_domain(site)
+            watches = site.store.calls.count("/v1/kv-watch")
+            site.list_server(site.servers["i-00000001"], state="draining")
+            await until_all_offer(site, "i-00000002")
+            # The reader's watch returns, and begins again at most once.
+            assert site.store.calls.count("/v1/kv-watch") <= watches + 1
+            assert reader.daemon.list_role is ListRole.SERVING
+            assert len(followers) == 2
+
+    run(scenario())
+
+
+def test_another_host_takes_the_part_of_a_reader_that_was_killed() -> None:
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            reader, *_ = await started_domain(site)
+            await reader.kill()
+            site.hosts.remove(reader)
+            site.list_server(site.servers["i-00000001"], state="draining")
+            await until_all_offer(site, "i-00000002")
+            await turns(lambda: roles(site) == ["following", "serving"])
+
+    run(scenario())
+
+
 def test_a_fault_of_the_list_reader_ends_the_process_loudly(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/lib/cookie_flows.py
+++ b/tests/lib/cookie_flows.py
@@ -95,7 +95,7 @@
     host.apply_routes(routes or route_table())
     host.directory.on_list_read(-LAPSE_GRACE_MS)
     for each in servers:
-        host.directory.put(each)
+        host.directory.put(each, 0)
     return host
 
 
--- a/tests/lib/steering_site.py
+++ b/tests/lib/steering_site.py
@@ -27,6 +27,14 @@
 DESTINATION = ("198.18.0.1", 443)
 GRACE_PERIOD_MS = 3_000
 STORE_TIMEOUT_MS = 300
+LIST_AGE_LIMIT_MS = 3_000
+
+
+def _free_port() -> int:
+    """Return a port that is free on the address of the last host."""
+    with bind_datagram_socket(HOST_ADDRESSES[-1], 0) as probe:
+        port: int = probe.getsockname()[1]
+    return port
 
 
 class RunningHost:
@@ -51,6 +59,7 @@
         self.callers = StandinCaller(address=CALLER_ADDRESS)
         self.servers: dict[str, StandinServer] = {}
         self.hosts: list[RunningHost] = []
+        self.peer_port = _free_port()
         self._sequence = 0
 
     async def __aenter__(self) -> SteeringSite:
@@ -103,16 +112,21 @@
             readiness=Endpoint(HOST_ADDRESSES[number], 0),
             readiness_path="/ready",
             metrics=None,
+            peers=Endpoint(HOST_ADDRESSES[number], self.peer_port),
             store=Endpoint(STORE_ADDRESS, self.store.port),
             store_timeout_ms=STORE_TIMEOUT_MS,
             grace_period_ms=GRACE_PERIOD_MS,
+            list_age_limit_ms=LIST_AGE_LIMIT_MS,
             log_level=LogLevel.INFO,
         )
         daemon = SteeringDaemon(
             settings=settings,
             settings_file=settings_file,
             store=PlatformStore(
-                address=STORE_ADDRESS, port=self.store.port, timeout_ms=STORE_TIMEOUT_MS
+                address=STORE_ADDRESS,
+                port=self.store.port,
+                timeout_ms=STORE_TIMEOUT_MS,
+                failure_domain="huon",
             ),
             codec=PlatformPacketCodec(),
             clock=MonotonicClock(),
--- a/tests/unit/cookies/test_cookie.py
+++ b/tests/unit/cookies/test_cookie.py
@@ -31,7 +31,7 @@
 @pytest.mark.parametrize("other", [PHOTOS, SIGN_OFFS])
 def test_a_cookie_copied_to_another_destination_names_no_server(other: RouteAddress) -> None:
     directory = ServerDirectory()
-    directory.put(server("i-1"))
+    directory.put(server("i-1"), 0)
     cookie = flow_cookie(server_id="i-1", destination=JOB_BOARD)
     known = directory.by_cookie(cookie, JOB_BOARD)
     assert known is not None
@@ -50,7 +50,7 @@
     for order in (("i-1", "i-2"), ("i-2", "i-1")):
         directory = ServerDirectory()
         for server_id in order:
-            directory.put(server(server_id))
+            directory.put(server(server_id), 0)
         known = directory.by_cookie(7, JOB_BOARD)
         assert known is not None
         assert known.server.server_id == "i-1"
--- a/tests/unit/cookies/test_directory.py
+++ b/tests/unit/cookies/test_directory.py
@@ -65,7 +65,7 @@
     state: ServerState, outage: bool, after_ms: int, expected: Presence, is_offered: bool
 ) -> None:
     directory = directory_with("i-1", "i-2")
-    directory.put(server("i-1", state=state))
+    directory.put(server("i-1", state=state), 0)
     if outage:
         directory.on_list_lost()
     directory.on_list_read(1_000)
@@ -122,10 +122,10 @@
 def test_ended_servers_are_forgotten_in_time_and_beyond_a_bound() -> None:
     directory = ServerDirectory()
     for number in range(MAX_GONE_SERVERS + 10):
-        directory.put(server(f"i-{number}"))
+        directory.put(server(f"i-{number}"), 0)
         directory.remove(f"i-{number}", number)
     assert len(directory.all()) == MAX_GONE_SERVERS
     assert directory.get("i-0") is None
-    directory.put(server("i-1000000"))
+    directory.put(server("i-1000000"), 0)
     directory.remove("i-1000000", MAX_GONE_SERVERS + 11 + GONE_KEPT_MS)
     assert list(directory.all()) == ["i-1000000"]
--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -88,7 +88,7 @@
         self, state: ServerState, service: str
     ) -> None:
         host = job_host()
-        host.directory.put(server("i-1", state=state, service=service))
+        host.directory.put(server("i-1", state=state, service=service), 0)
         assert forwarded(host.on_packet(request(flow_id(1), "i-1"), 5)).server.server_id == "i-1"
 
     def test_a_changed_route_leaves_open_flows_where_they_are(self) -> None:
@@ -117,7 +117,7 @@
         host = job_host()
         host.directory.remove("i-1", 100)
         assert verdict(host, request(flow_id(1), "i-1"), 101) is Verdict.STEERED
-        host.directory.put(server("i-1"))
+        host.directory.put(server("i-1"), 0)
         assert verdict(host, request(flow_id(1), "i-1", sequence=101), 600) is Verdict.STEERED
 
     def test_a_server_that_answered_after_its_entry_was_removed_keeps_its_flows(self) -> None:
@@ -127,7 +127,7 @@
         host.on_packet(request(flow, "i-1"), 0)
         host.directory.remove("i-1", 100)
         # The acknowledgement of an answer that was on its way when the entry went.
-        host.directory.put(server("i-1"))
+        host.directory.put(server("i-1"), 0)
         host.on_packet(acknowledgement(flow, "i-1", 2_000), 150)
         host.directory.remove("i-1", 140)
         assert verdict(host, request(flow, "i-1", sequence=101), 5_000) is Verdict.STEERED
@@ -176,10 +176,12 @@
     @pytest.mark.parametrize(
         "change",
         [
-            pytest.param(lambda d: d.put(server("i-1", state=ServerState.DRAINING)), id="drains"),
+            pytest.param(
+                lambda d: d.put(server("i-1", state=ServerState.DRAINING), 0), id="drains"
+            ),
             pytest.param(lambda d: d.remove("i-1", 0), id="ended"),
             pytest.param(lambda d: d.set_unusable("i-1"), id="entry unreadable"),
-            pytest.param(lambda d: d.put(server("i-1", service="photos")), id="other service"),
+            pytest.param(lambda d: d.put(server("i-1", service="photos"), 0), id="other service"),
         ],
     )
     def test_servers_that_get_no_new_flow(self, change: object) -> None:
--- a/tests/unit/cookies/test_steering_machine.py
+++ b/tests/unit/cookies/test_steering_machine.py
@@ -69,7 +69,7 @@
         host.apply_routes(route_table(*self.routes, version=self.version))
         host.directory.on_list_read(self.now_ms - LAPSE_GRACE_MS)
         for each in self.listed.values():
-            host.directory.put(each)
+            host.directory.put(each, 0)
         return host
 
     def add(self, service: str, failure_domain: str) -> None:
@@ -77,7 +77,7 @@
         added = server(f"i-{self.next_server}", service=service, failure_domain=failure_domain)
         self.listed[added.server_id] = added
         for host in self.hosts:
-            host.directory.put(added)
+            host.directory.put(added, 0)
 
     @rule(service=st.sampled_from(["job-board", "new-board", "photos"]), far=st.booleans())
     def server_starts(self, service: str, far: bool) -> None:
@@ -88,7 +88,7 @@
         name = data.draw(st.sampled_from(sorted(self.listed)))
         self.listed[name] = self.listed[name]._replace(state=ServerState.DRAINING)
         for host in self.hosts:
-            host.directory.put(self.listed[name])
+            host.directory.put(self.listed[name], 0)
 
     @rule(data=st.data())
     def server_ends(self, data: st.DataObject) -> None:
@@ -108,7 +108,7 @@
         directory.replace([], self.now_ms)
         self.now_ms += 1_000
         for each in self.listed.values():
-            directory.put(each)
+            directory.put(each, 0)
 
     @rule(index=st.integers(0, HOSTS - 1))
     def host_restarts(self, index: int) -> None:
--- a/tests/unit/daemon/test_fleet_reader.py
+++ b/tests/unit/daemon/test_fleet_reader.py
@@ -10,13 +10,27 @@
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.directory import Presence
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
-from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList, ServerChange
+from redwingswitch._internal.models.fleet_list import (
+    FleetChanges,
+    FleetList,
+    RoutesChange,
+    ServerChange,
+)
+from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
+from redwingswitch._internal.models.list_sharing import FeedChange, FeedUpdate, ListRole
+from redwingswitch._internal.network.list_messages import encode_list_message
 from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.cookie_flows import route_table, server
 from tests.lib.loops import run, turns
 
 LISTED = ServerChange("i-1", server("i-1"), is_listed=True)
+LIST_AGE_LIMIT_MS = 30
+# No test takes that long.
+AGE_LIMIT_MS = 60_000
+LOCAL = Reader("entry-0", "127.0.0.1", 7720, 5)
+OTHER = Reader("entry-1", "127.0.0.3", 7720, 6)
 REMOVED = ServerChange("i-1", None, is_listed=False)
 
 
@@ -27,10 +41,23 @@
         self.calls: list[str] = []
         self.results: asyncio.Queue[FleetChanges | Exception] = asyncio.Queue()
         self.answers_probes = True
+        self.reader = NO_READER
 
     async def read_all(self) -> FleetList:
         self.calls.append("all")
-        return FleetList(routes=route_table(), servers=(LISTED,), revision=5)
+        return FleetList(routes=route_table(), servers=(LISTED,), revision=5, reader=self.reader)
+
+    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
+        self.calls.append(f"routes after {after_revision} wait {wait_ms}")
+        if wait_ms:
+            await asyncio.Event().wait()
+        return RoutesChange(routes=None, revision=after_revision)
+
+    async def register_reader(self, reader: Reader, *, expected: int) -> RegisteredReader:
+        self.calls.append(f"register expected {expected}")
+        if expected == self.reader.revision:
+            self.reader = RegisteredReader(reader, expected + 6)
+        return self.reader
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
         self.calls.append(f"after {after_revision} wait {wait_ms}")
@@ -54,22 +81,37 @@
 
 @pytest.fixture(autouse=True)
 def _fast(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in ("PAUSE_MS", "PROBE_INTERVAL_MS", "FIRST_RETRY_MS", "LAST_RETRY_MS"):
+    for name in ("FOLLOW_CHECK_MS", "PROBE_INTERVAL_MS", "FIRST_RETRY_MS", "LAST_RETRY_MS"):
         monkeypatch.setattr(fleet_reader, name, 2)
 
 
 class Reading:
     """A reader that runs against a scripted store."""
 
-    async def __aenter__(self) -> "Reading":
+    def __init__(
+        self,
+        *,
+        local: Reader | None = None,
+        reader: RegisteredReader = NO_READER,
+        age_limit_ms: int = AGE_LIMIT_MS,
+    ) -> None:
         self.store = ScriptedStore()
+        self.store.reader = reader
+        self.local = local
+        self.age_limit_ms = age_limit_ms
+
+    async def __aenter__(self) -> "Reading":
         self.steering = CookieSteering(failure_domain="huon", random_source=random.Random(1))
         self.reader = FleetReader(
             store=self.store,
             steering=self.steering,
+            sharing=ListSharing(
+                local=self.local, age_limit_ms=self.age_limit_ms, random_source=random.Random(1)
+            ),
             clock=MonotonicClock(),
             random_source=random.Random(1),
             metrics=SteeringMetrics(),
+            list_age_limit_ms=LIST_AGE_LIMIT_MS,
             on_change=lambda: None,
         )
         self.task = asyncio.create_task(self.reader.run())
@@ -128,3 +170,73 @@
             await turns(lambda: any("after 17" in call for call in reading.watches()))
 
     run(scenario())
+
+
+def update(*servers: ServerChange, revision: int, position: int = 0) -> bytes:
+    """Return a reader's update as it comes over the network."""
+    changes = tuple(FeedChange(revision, each) for each in servers)
+    sent = FeedUpdate(
+        feed=OTHER.incarnation,
+        first_position=position,
+        from_revision=0,
+        changes=changes,
+        end_position=position + len(changes),
+        revision=revision,
+        outages=0,
+        list_age_ms=0,
+    )
+    return encode_list_message(incarnation=OTHER.incarnation, message=sent)
+
+
+PEER = (OTHER.address, OTHER.port)
+FOLLOWS = RegisteredReader(OTHER, 4)
+
+
+def test_a_host_without_a_reader_takes_the_part_and_goes_on_reading() -> None:
+    async def scenario() -> None:
+        async with Reading(local=LOCAL) as reading:
+            reading.store.results.put_nowait(changes(revision=6))
+            for revision in range(7, 200):
+                reading.store.results.put_nowait(changes(revision=revision))
+                if reading.reader.role is ListRole.SERVING:
+                    break
+                await asyncio.sleep(0.01)
+            assert "register expected 0" in reading.store.calls
+
+    run(scenario())
+
+
+def test_a_follower_watches_only_the_routes_and_takes_changes_from_its_reader() -> None:
+    async def scenario() -> None:
+        async with Reading(local=LOCAL, reader=FOLLOWS) as reading:
+            reading.reader.peers.on_datagram(update(LISTED, revision=9), PEER)
+            await turns(lambda: any(c.startswith("routes") for c in reading.store.calls))
+            reading.reader.peers.on_datagram(update(REMOVED, revision=10, position=1), PEER)
+            known = reading.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is not None
+
+    run(scenario())
+
+
+def test_a_follower_whose_reader_falls_silent_reads_what_it_missed_at_once() -> None:
+    async def scenario() -> None:
+        async with Reading(local=LOCAL, reader=FOLLOWS, age_limit_ms=200) as reading:
+            reading.reader.peers.on_datagram(update(revision=9), PEER)
+            await turns(lambda: reading.store.calls[-1] == "after 9 wait 0")
+            assert reading.store.calls[-2] == "routes after 5 wait 0"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "datagram",
+    [pytest.param(b"", id="empty"), pytest.param(b"\xff" * 40, id="no message")],
+)
+def test_a_malformed_datagram_changes_nothing(datagram: bytes) -> None:
+    async def scenario() -> None:
+        async with Reading(local=LOCAL, reader=FOLLOWS) as reading:
+            reading.reader.peers.on_datagram(datagram, PEER)
+            assert reading.reader.role is ListRole.READING
+
+    run(scenario())
--- /dev/null
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -0,0 +1,210 @@
+"""Guards against hosts that believe an old list while readers crash, stand still or are cut off."""
+
+import random
+from collections import deque
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.models.fleet_list import ServerChange
+from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
+from redwingswitch._internal.models.list_sharing import ListRole
+
+AGE_LIMIT_MS = 2_000
+TICK_MS = 250
+READ_INTERVAL_MS = 1_000
+REQUEST_INTERVAL_MS = 500
+# A reader that wakes takes its list for as old as before until it reads again.
+WAKE_GRACE_MS = READ_INTERVAL_MS + TICK_MS
+HOSTS = 4
+SERVERS = 5
+MAX_HISTORY = 12
+
+
+class Store:
+    """Servers that are listed or not, the history of changes, and the reader's record."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.listed: frozenset[int] = frozenset(range(SERVERS))
+        # (time, listed servers from then on)
+        self.past: list[tuple[int, frozenset[int]]] = [(-10_000, self.listed)]
+        self.history: deque[tuple[int, int]] = deque(maxlen=MAX_HISTORY)
+        self.record = NO_READER
+
+    def toggle(self, number: int, now_ms: int) -> None:
+        self.revision += 1
+        self.listed = self.listed ^ {number}
+        self.past.append((now_ms, self.listed))
+        self.history.append((self.revision, number))
+
+
+class Host:
+    """A host of the failure domain; its clock stops while it stands still."""
+
+    def __init__(self, *, number: int, incarnation: int) -> None:
+        self.local = Reader(f"entry-{number}", "10.0.0.1", 7000 + number, incarnation)
+        self.sharing = ListSharing(
+            local=self.local, age_limit_ms=AGE_LIMIT_MS, random_source=random.Random(incarnation)
+        )
+        self.listed: set[int] = set()
+        self.has_list = False
+        self.now_ms = 0
+        self.answered_ms = 0
+        self.read_deadline_ms = 0
+        self.request_deadline_ms = 0
+        self.is_frozen = False
+        self.reaches_store = True
+        self.reaches_peers = True
+
+    def read(self, store: Store) -> None:
+        begin = store.history[0][0] if len(store.history) == MAX_HISTORY else 0
+        if not self.has_list or self.sharing.revision + 1 < begin:
+            numbers = set(range(SERVERS))
+        else:
+            numbers = {n for revision, n in store.history if revision > self.sharing.revision}
+        changes = [_change(n, n in store.listed) for n in sorted(numbers)]
+        self.take(changes)
+        self.has_list = True
+        self.answered_ms = self.now_ms
+        self.sharing.on_read(changes, store.revision, self.now_ms)
+        self.sharing.on_registered(store.record, self.now_ms)
+
+    def take(self, changes: list[ServerChange]) -> None:
+        for change in changes:
+            number = int(change.server_id)
+            (self.listed.add if change.is_listed else self.listed.discard)(number)
+
+
+def _change(number: int, is_listed: bool) -> ServerChange:
+    return ServerChange(str(number), None, is_listed)
+
+
+class SharingMachine(RuleBasedStateMachine):
+    """Drives the hosts of one failure domain against one store."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now_ms = 0
+        self.store = Store()
+        self.incarnations = iter(range(1, 10_000))
+        self.hosts = [Host(number=n, incarnation=next(self.incarnations)) for n in range(HOSTS)]
+        self.random = random.Random(7)
+        self.loses_datagrams = False
+        self.last_wake_ms = -WAKE_GRACE_MS
+
+    @rule(ticks=st.integers(1, 20))
+    def pass_time(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.now_ms += TICK_MS
+            for host in self.hosts:
+                if not host.is_frozen:
+                    host.now_ms += TICK_MS
+                    self._tick(host)
+
+    @rule(number=st.integers(0, SERVERS - 1))
+    def change_a_server(self, number: int) -> None:
+        self.store.toggle(number, self.now_ms)
+
+    @rule(number=st.integers(0, HOSTS - 1))
+    def crash(self, number: int) -> None:
+        started = Host(number=number, incarnation=next(self.incarnations))
+        started.now_ms = self.random.randrange(10_000)
+        started.answered_ms = started.read_deadline_ms = started.now_ms
+        self.hosts[number] = started
+
+    @rule(number=st.integers(0, HOSTS - 1))
+    def stand_still_or_wake(self, number: int) -> None:
+        host = self.hosts[number]
+        host.is_frozen = not host.is_frozen
+        if not host.is_frozen:
+            self.last_wake_ms = self.now_ms
+
+    @rule(number=st.integers(0, HOSTS - 1), cut=st.booleans())
+    def store_path(self, number: int, cut: bool) -> None:
+        self.hosts[number].reaches_store = not cut
+
+    @rule(number=st.integers(0, HOSTS - 1), cut=st.booleans())
+    def peer_path(self, number: int, cut: bool) -> None:
+        self.hosts[number].reaches_peers = not cut
+
+    @rule(loses=st.booleans())
+    def lose_half_of_the_datagrams(self, loses: bool) -> None:
+        self.loses_datagrams = loses
+
+    @invariant()
+    def followed_lists_are_fresh(self) -> None:
+        if self.now_ms - self.last_wake_ms < WAKE_GRACE_MS:
+            return
+        for host in self.hosts:
+            # A host that stands still decides nothing.
+            if host.is_frozen:
+                continue
+            if host.sharing.role(host.now_ms) is ListRole.FOLLOWING:
+                assert self._was_listed_lately(frozenset(host.listed))
+
+    def teardown(self) -> None:
+        """After all faults have ended, one host reads and all lists are the store's."""
+        if not hasattr(self, "hosts"):
+            return
+        self.loses_datagrams = False
+        for host in self.hosts:
+            host.is_frozen = False
+            host.reaches_store = host.reaches_peers = True
+        self.pass_time(400)
+        roles = sorted(host.sharing.role(host.now_ms) for host in self.hosts)
+        assert roles == [ListRole.FOLLOWING] * (HOSTS - 1) + [ListRole.SERVING]
+        assert all(host.listed == self.store.listed for host in self.hosts)
+
+    def _was_listed_lately(self, listed: frozenset[int]) -> bool:
+        oldest_ms = self.now_ms - AGE_LIMIT_MS - TICK_MS
+        recent = [state for since_ms, state in self.store.past if since_ms >= oldest_ms]
+        before = [state for since_ms, state in self.store.past if since_ms < oldest_ms]
+        return listed in [*before[-1:], *recent]
+
+    def _tick(self, host: Host) -> None:
+        if host.sharing.role(host.now_ms) is not ListRole.FOLLOWING:
+            self._read_when_due(host)
+        asked = host.sharing.request()
+        if asked is None or host.now_ms < host.request_deadline_ms:
+            return
+        host.request_deadline_ms = host.now_ms + REQUEST_INTERVAL_MS
+        reader = next((h for h in self.hosts if h.local.port == asked[0].port), None)
+        for _ in range(10):
+            if reader is None or not self._delivers(host, reader):
+                return
+            update = reader.sharing.answer(
+                host.sharing.request()[1], list_age_ms=reader.now_ms - reader.answered_ms
+            )
+            if update is None:
+                return
+            taken = host.sharing.on_update(update, host.now_ms)
+            host.take(list(taken.changes))
+            if not taken.has_gap:
+                return
+
+    def _read_when_due(self, host: Host) -> None:
+        if host.now_ms < host.read_deadline_ms:
+            return
+        host.read_deadline_ms = host.now_ms + READ_INTERVAL_MS
+        if not host.reaches_store:
+            host.sharing.on_store_lost()
+            return
+        deadline_ms = host.sharing.claim_deadline_ms(host.now_ms)
+        if deadline_ms is not None and host.now_ms >= deadline_ms:
+            host.sharing.on_claim()
+            if self.store.record.revision == host.sharing.registered.revision:
+                self.store.revision += 1
+                self.store.record = RegisteredReader(host.local, self.store.revision)
+        host.read(self.store)
+
+    def _delivers(self, left: Host, right: Host) -> bool:
+        if right.is_frozen or not (left.reaches_peers and right.reaches_peers):
+            return False
+        return not self.loses_datagrams or self.random.random() < 0.5
+
+
+TestSharing = SharingMachine.TestCase
+TestSharing.settings = settings(max_examples=60, stateful_step_count=40, deadline=None)
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -5,6 +5,7 @@
 import pytest
 
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
+from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
 from redwingswitch._internal.platform.http_connection import HttpConnection
 from redwingswitch._internal.platform.standins.documents import (
     StandinRoute,
@@ -18,6 +19,8 @@
 TIMEOUT_MS = 300
 # Calm hosts must know a configuration within 4 s of the moment at which connections went silent.
 LONGEST_SILENCE_S = 4
+READER = Reader("entry-1", "10.0.0.1", 7720, 2**50)
+READER_KEY = "redwingswitch/readers/huon"
 
 
 def entry(port: int = 8080, **fields: object) -> dict[str, object]:
@@ -37,7 +40,9 @@
 
     async def __aenter__(self) -> "Fixture":
         self.standin.start()
-        self.store = PlatformStore(address=LOOPBACK, port=self.standin.port, timeout_ms=TIMEOUT_MS)
+        self.store = PlatformStore(
+            address=LOOPBACK, port=self.standin.port, timeout_ms=TIMEOUT_MS, failure_domain="huon"
+        )
         return self
 
     async def __aexit__(self, *_error: object) -> None:
@@ -167,3 +172,71 @@
             connection.close()
 
     run(scenario())
+
+
+def test_a_routes_watch_sees_no_other_changes() -> None:
+    async def scenario() -> None:
+        async with Fixture() as fixture:
+            begin = fixture.standin.put("servers/i-1", entry())
+            idle = await fixture.store.read_routes(after_revision=begin, wait_ms=5)
+            assert idle.routes is None
+            fixture.standin.put("servers/i-1", entry(state="draining"))
+            fixture.standin.put("op/config", routes(2))
+            found = await fixture.store.read_routes(after_revision=begin, wait_ms=5)
+            assert found.routes is not None
+            assert found.routes.version == 2
+            assert found.revision == begin + 2
+
+    run(scenario())
+
+
+def test_a_reader_is_recorded_once_and_seen_in_the_list_and_in_changes() -> None:
+    async def scenario() -> None:
+        async with Fixture() as fixture:
+            first = await fixture.store.read_all()
+            assert first.reader == NO_READER
+            recorded = await fixture.store.register_reader(READER, expected=0)
+            assert recorded.reader == READER
+            later = READER._replace(incarnation=2)
+            # Another host was first.
+            assert await fixture.store.register_reader(later, expected=0) == recorded
+            assert (await fixture.store.read_all()).reader == recorded
+            changes = await fixture.store.read_changes(after_revision=first.revision, wait_ms=1)
+            assert changes.reader == recorded
+            replaced = await fixture.store.register_reader(later, expected=recorded.revision)
+            assert replaced.reader == later
+            assert replaced.revision > recorded.revision
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        pytest.param(b"\xff", id="no text"),
+        pytest.param(b"{}", id="no fields"),
+        pytest.param(b'{"host":"h","address":"h","port":1,"incarnation":1}', id="a host name"),
+        pytest.param(b'{"host":"h","address":"10.0.0.1","port":0,"incarnation":1}', id="port 0"),
+    ],
+)
+def test_an_unreadable_reader_record_can_be_replaced(value: bytes) -> None:
+    async def scenario() -> None:
+        async with Fixture() as fixture:
+            revision = fixture.standin.put(READER_KEY, value)
+            found = (await fixture.store.read_all()).reader
+            assert found == RegisteredReader(None, revision)
+            replaced = await fixture.store.register_reader(READER, expected=found.revision)
+            assert replaced.reader == READER
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("fault", list(Fault))
+def test_a_refused_registration_is_an_error(fault: Fault) -> None:
+    async def scenario() -> None:
+        async with Fixture() as fixture:
+            fixture.standin.fault = fault
+            with pytest.raises(StoreUnavailableError):
+                await fixture.store.register_reader(READER, expected=0)
+
+    run(scenario())
--- a/tests/unit/test_steering_settings.py
+++ b/tests/unit/test_steering_settings.py
@@ -9,7 +9,11 @@
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.cli.steer import main
 from redwingswitch._internal.exceptions import InvalidInputGroup
-from redwingswitch._internal.steering_settings import Endpoint, parse_steering_settings
+from redwingswitch._internal.steering_settings import (
+    DEFAULT_LIST_AGE_LIMIT_MS,
+    Endpoint,
+    parse_steering_settings,
+)
 
 TEMPLATE = Path(__file__).parents[2] / "deploy" / "settings.toml.template"
 VALID = """
@@ -21,6 +25,8 @@
 metrics = "10.1.0.10:9464"
 store = "10.200.1.7:8169"
 grace_period_s = 6
+peers = "10.1.0.10:7720"
+list_age_limit_ms = 5000.0
 """
 FIELDS = {
     "Node": "edge-huon-1",
@@ -29,19 +35,29 @@
     "Listen.DatagramAddr": "10.1.0.10:8172",
     "Listen.Ready": "10.1.0.10:8167",
     "platform.Address": "10.200.1.7:8169",
+    "InternalPorts.0": 7720,
     "Bounds.GraceS": 6,
+    "Bounds.DrainMs": 5000.0,
 }
 
 
-def filled(template: str) -> str:
-    """Fill in a template as the platform does: ``|json`` quotes, a bare name does not."""
+def filled(template: str, fields: dict[str, object] = FIELDS) -> str:
+    """Fill in a template as the platform does: ``|json`` quotes, a bare name does not.
+
+    A section is filled in once where its name has a value.
+    """
+
+    def section(match: re.Match[str]) -> str:
+        name = match[1]
+        return match[2].replace("{{.}}", str(fields[name])) if name in fields else ""
 
     def value(match: re.Match[str]) -> str:
         name, _, form = match[1].partition("|")
-        found = FIELDS[name]
+        found = fields[name]
         return json.dumps(found) if form == "json" else str(found)
 
-    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+    plain = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, template)
+    return re.sub(r"\{\{([^}]+)\}\}", value, plain)
 
 
 @pytest.mark.parametrize("text", [VALID, filled(TEMPLATE.read_text())], ids=["file", "template"])
@@ -52,6 +68,16 @@
     assert settings.metrics == Endpoint("10.1.0.10", 9464)
     assert settings.readiness_path == "/v1/ready"
     assert settings.grace_period_ms == 6_000
+    assert settings.peers == Endpoint("10.1.0.10", 7720)
+    assert settings.list_age_limit_ms == 5_000
+
+
+def test_a_platform_without_a_bound_for_leaving_servers_gets_the_default() -> None:
+    fields = {name: value for name, value in FIELDS.items() if name != "Bounds.DrainMs"}
+    settings = parse_steering_settings(
+        text=filled(TEMPLATE.read_text(), fields), file="settings.toml"
+    )
+    assert settings.list_age_limit_ms == DEFAULT_LIST_AGE_LIMIT_MS
 
 
 @pytest.mark.parametrize(
