Mend three ways in which a shared list could miss a change

A state machine of four hosts with crashes, standstills, cuts and lost datagrams found what can cause it: 1. a response of a host's own watch was taken after the feed had brought a later list, and took it back; the feed does not repeat a change; 2. a reader that lost and regained its part kept counting positions, so that a follower did not see the gap between; 3. a host that woke counted a response from before its standstill as fresh. Ruled out: a fault of the cookie (the flow had been steered for 19 s), a removed entry (other hosts had it listed). Change: overtaken responses are ignored; a read by the host itself asks for a batch again; a feed that begins again skips its old positions; the age of the list is measured on the boot clock and counts only calls that began after waking.

--- a/src/redwingswitch/_internal/daemon/fleet_reader.py
+++ b/src/redwingswitch/_internal/daemon/fleet_reader.py
@@ -9,6 +9,7 @@
 from redwingswitch._internal.daemon.list_peers import ListPeers
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.age import ListAge
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
@@ -67,6 +68,7 @@
         steering: CookieSteering,
         sharing: ListSharing,
         clock: Clock,
+        age_clock: Clock,
         random_source: RandomSource,
         metrics: SteeringMetrics,
         list_age_limit_ms: int,
@@ -76,11 +78,12 @@
         self._steering = steering
         self._sharing = sharing
         self._clock = clock
+        self._age_clock = age_clock
         self._random = random_source
         self._metrics = metrics
         self._events = EventLog(part="fleet", clock=clock)
         self._pause_ms = list_age_limit_ms // PAUSES_PER_AGE_LIMIT
-        self._answered_ms = clock.now_ms()
+        self._age = ListAge(now_ms=age_clock.now_ms())
         self._on_change = on_change
         self._failures = 0
         self._has_list = False
@@ -88,7 +91,7 @@
         self._role = ListRole.READING
         self.peers = ListPeers(
             sharing=sharing,
-            clock=clock,
+            clock=age_clock,
             metrics=metrics,
             list_age_ms=self._store_age_ms,
             on_changes=self._take_followed,
@@ -102,12 +105,12 @@
     @property
     def role(self) -> ListRole:
         """Return where this host has the list from."""
-        return self._sharing.role(self._clock.now_ms())
+        return self._sharing.role(self._age_clock.now_ms())
 
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
         if self.role is ListRole.FOLLOWING:
-            return self._sharing.list_age_ms(self._clock.now_ms())
+            return self._sharing.list_age_ms(self._age_clock.now_ms())
         return self._store_age_ms()
 
     async def run(self) -> None:
@@ -147,6 +150,7 @@
 
     async def _ask_peers(self) -> None:
         while True:
+            self._age.on_tick(self._age_clock.now_ms())
             self.peers.ask_when_due()
             await asyncio.sleep(FOLLOW_CHECK_MS / MS_PER_S)
 
@@ -158,7 +162,7 @@
         if watch in await _first_done(watch, lost):
             self._take_routes(await watch)
             return
-        self._sharing.on_reader_lost(self._clock.now_ms())
+        self._sharing.on_reader_lost(self._age_clock.now_ms())
         self._note_role()
         # What the feed has not brought must be known before the next watch waits.
         self._take_routes(await self._routes(wait_ms=0))
@@ -169,7 +173,7 @@
             await asyncio.sleep(FOLLOW_CHECK_MS / MS_PER_S)
 
     async def _claim_when_due(self) -> None:
-        now_ms = self._clock.now_ms()
+        now_ms = self._age_clock.now_ms()
         deadline_ms = self._sharing.claim_deadline_ms(now_ms)
         local = self._sharing.local
         if local is None or deadline_ms is None or now_ms < deadline_ms:
@@ -195,7 +199,7 @@
 
     def _watch_wait_ms(self) -> int:
         """Return the time to wait for changes: not beyond a planned claim of the reader's part."""
-        now_ms = self._clock.now_ms()
+        now_ms = self._age_clock.now_ms()
         deadline_ms = self._sharing.claim_deadline_ms(now_ms)
         if deadline_ms is None:
             return WAIT_MS
@@ -221,6 +225,7 @@
         )
 
     async def _call(self, operation: str, call: Awaitable[Result]) -> Result:
+        began_ms = self._age_clock.now_ms()
         try:
             result = await call
         except StoreHistoryLostError:
@@ -230,13 +235,16 @@
             self._metrics.count("store_calls_total", operation, "failed")
             raise
         self._metrics.count("store_calls_total", operation, "ok")
-        self._answered_ms = self._clock.now_ms()
+        self._age.on_answer(began_ms, self._age_clock.now_ms())
         return result
 
     def _take_list(self, fleet: FleetList) -> None:
         now_ms = self._note_success()
         self._has_list = True
         self._routes_revision = fleet.revision
+        if self._sharing.is_overtaken(fleet.revision):
+            self._take_beside_feed(fleet.routes, fleet.reader)
+            return
         changed = self._steering.directory.replace(fleet.servers, now_ms)
         by_id = {change.server_id: change for change in fleet.servers}
         removed = [ServerChange(name, None, is_listed=False) for name in changed]
@@ -247,6 +255,9 @@
     def _take_changes(self, fleet: FleetChanges) -> None:
         now_ms = self._note_success()
         self._routes_revision = max(self._routes_revision, fleet.revision)
+        if self._sharing.is_overtaken(fleet.revision):
+            self._take_beside_feed(fleet.routes, fleet.reader)
+            return
         changed = set(self._steering.directory.update(fleet.servers, now_ms))
         changes = [change for change in fleet.servers if change.server_id in changed]
         self._take(fleet.routes, changes, fleet.revision)
@@ -256,15 +267,22 @@
     def _take(
         self, routes: RouteTable | None, changes: Iterable[ServerChange], revision: int
     ) -> None:
-        self._sharing.on_read(changes, revision, self._clock.now_ms())
+        self._sharing.on_read(changes, revision, self._age_clock.now_ms())
         self._apply_routes(routes)
         self._log_servers(changes)
         self.peers.tell_followers()
         self._on_change()
 
+    def _take_beside_feed(self, routes: RouteTable | None, reader: RegisteredReader | None) -> None:
+        """Take what the feed does not bring from a response that it has overtaken."""
+        self._apply_routes(routes)
+        if reader is not None:
+            self._take_reader(reader)
+        self._on_change()
+
     def _take_reader(self, registered: RegisteredReader) -> None:
         before = self._sharing.registered.reader
-        self._sharing.on_registered(registered, self._clock.now_ms())
+        self._sharing.on_registered(registered, self._age_clock.now_ms())
         reader = self._sharing.registered.reader
         if reader == before or reader is None:
             return
@@ -328,7 +346,7 @@
         return True
 
     def _store_age_ms(self) -> int:
-        return self._clock.now_ms() - self._answered_ms
+        return self._age.age_ms(self._age_clock.now_ms())
 
     def _note_success(self) -> int:
         """Note that the store was read; return the time."""
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -40,7 +40,10 @@
 
 
 class SteeringDaemon:
-    """One host that steers sprayed packets."""
+    """One host that steers sprayed packets.
+
+    ``age_clock`` goes on while the host is suspended, unlike ``clock``.
+    """
 
     def __init__(
         self,
@@ -49,6 +52,7 @@
         store: FleetStore,
         codec: PacketCodec,
         clock: Clock,
+        age_clock: Clock,
         random_source: RandomSource,
         settings_file: Path | None = None,
         bound: socket.socket | None = None,
@@ -74,6 +78,7 @@
             steering=self._steering,
             sharing=self._sharing,
             clock=clock,
+            age_clock=age_clock,
             random_source=random_source,
             metrics=self._metrics,
             list_age_limit_ms=settings.list_age_limit_ms,
--- a/src/redwingswitch/_internal/daemon/steering_program.py
+++ b/src/redwingswitch/_internal/daemon/steering_program.py
@@ -13,7 +13,7 @@
 from redwingswitch._internal.platform.packets import PlatformPacketCodec
 from redwingswitch._internal.platform.store import PlatformStore
 from redwingswitch._internal.steering_settings import SteeringSettings
-from redwingswitch._internal.utils.clocks import MonotonicClock
+from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 from redwingswitch._internal.utils.event_log import NonBlockingStream
 from redwingswitch._internal.utils.logs import start_logging
 
@@ -43,6 +43,7 @@
         store=store,
         codec=PlatformPacketCodec(),
         clock=MonotonicClock(),
+        age_clock=BootClock(),
         random_source=random.SystemRandom(),
         bound=bound,
         log_stream=stream,
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -32,12 +32,16 @@
 
     @property
     def end_position(self) -> int:
-        """Return the number of changes so far."""
+        """Return the position that follows the latest change."""
         return self._end
 
     def begin(self, revision: int) -> None:
-        """Start anew at a revision up to which this host knows the list."""
+        """Start anew at a revision up to which this host knows the list.
+
+        Positions from before are skipped: what changed meanwhile is not in the feed.
+        """
         self._changes.clear()
+        self._end += 1
         self._revision = revision
         self._begin_revision = revision
 
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -52,7 +52,12 @@
         self._is_complete = False
 
     def on_read(self, revision: int) -> None:
-        """Note that this host read the store itself."""
+        """Note that this host read the store itself.
+
+        A batch that was taken in part is asked for again, since the store's response may have taken
+        some of it back.
+        """
+        self.stop()
         self._revision = max(self._revision, revision)
         self._read_revision = self._revision
 
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -85,6 +85,13 @@
             self._follower.choose(registered.reader)
         self._plan_claim(now_ms)
 
+    def is_overtaken(self, revision: int) -> bool:
+        """Return whether the feed has brought a later list than a response of the store.
+
+        Such a response must not be used: the feed does not repeat what it would take back.
+        """
+        return revision < self._follower.revision
+
     def on_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
         """Note what this host read itself."""
         self._follower.on_read(revision)
--- a/src/redwingswitch/_internal/utils/clocks.py
+++ b/src/redwingswitch/_internal/utils/clocks.py
@@ -15,6 +15,14 @@
         return time.monotonic_ns() // NS_PER_MS
 
 
+class BootClock:
+    """A ``Clock`` that goes on while the host is suspended; it tells how old knowledge is."""
+
+    def now_ms(self) -> int:
+        """Return milliseconds since the host booted; never goes back."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // NS_PER_MS
+
+
 def wall_clock_ms() -> int:
     """Return wall-clock milliseconds; used only for numbers that should mostly rise."""
     return time.time_ns() // NS_PER_MS
--- a/tests/lib/steering_site.py
+++ b/tests/lib/steering_site.py
@@ -19,7 +19,7 @@
 from redwingswitch._internal.platform.store import PlatformStore
 from redwingswitch._internal.settings import LogLevel
 from redwingswitch._internal.steering_settings import Endpoint, SteeringSettings
-from redwingswitch._internal.utils.clocks import MonotonicClock
+from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 
 STORE_ADDRESS = "127.0.0.1"
 CALLER_ADDRESS = "127.0.0.2"
@@ -130,6 +130,7 @@
             ),
             codec=PlatformPacketCodec(),
             clock=MonotonicClock(),
+            age_clock=BootClock(),
             random_source=random.Random(number),
             bound=bind_datagram_socket(*address),
         )
--- a/tests/unit/daemon/test_fleet_reader.py
+++ b/tests/unit/daemon/test_fleet_reader.py
@@ -21,7 +21,7 @@
 from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import FeedChange, FeedUpdate, ListRole
 from redwingswitch._internal.network.list_messages import encode_list_message
-from redwingswitch._internal.utils.clocks import MonotonicClock
+from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 from tests.lib.cookie_flows import route_table, server
 from tests.lib.loops import run, turns
 
@@ -109,6 +109,7 @@
                 local=self.local, age_limit_ms=self.age_limit_ms, random_source=random.Random(1)
             ),
             clock=MonotonicClock(),
+            age_clock=BootClock(),
             random_source=random.Random(1),
             metrics=SteeringMetrics(),
             list_age_limit_ms=LIST_AGE_LIMIT_MS,
@@ -219,6 +220,21 @@
     run(scenario())
 
 
+def test_a_response_that_the_feed_has_overtaken_takes_nothing_back() -> None:
+    # Found on a played day: a host that had just begun to follow took the older response of its own
+    # watch, believed that a live server had ended, and reset its flows 20 s later.
+    async def scenario() -> None:
+        async with Reading(local=LOCAL, reader=FOLLOWS) as reading:
+            reading.store.results.put_nowait(changes(REMOVED, revision=7))
+            reading.reader.peers.on_datagram(update(LISTED, revision=9), PEER)
+            await turns(lambda: any(c.startswith("routes") for c in reading.store.calls))
+            known = reading.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is None
+
+    run(scenario())
+
+
 def test_a_follower_whose_reader_falls_silent_reads_what_it_missed_at_once() -> None:
     async def scenario() -> None:
         async with Reading(local=LOCAL, reader=FOLLOWS, age_limit_ms=200) as reading:
--- a/tests/unit/list_sharing/test_feed.py
+++ b/tests/unit/list_sharing/test_feed.py
@@ -95,6 +95,18 @@
     assert target.revision == 10
 
 
+def test_a_reader_that_lost_and_regained_its_part_does_not_hide_what_it_did_not_keep() -> None:
+    source, target = feed(11), follower()
+    take_all(source, target)
+    # Another host read meanwhile, so that the change at revision 12 is not in the feed.
+    source.begin(13)
+    assert take_all(source, target) == []
+    assert not target.is_following(0)
+    target.on_read(13)
+    take_all(source, target)
+    assert target.is_following(0)
+
+
 def test_a_lost_update_leaves_a_gap_that_the_next_one_shows() -> None:
     source, target = feed(11), follower()
     take_all(source, target)
@@ -139,6 +151,17 @@
     assert not target.hears_reader(0)
 
 
+def test_a_read_between_the_parts_of_a_batch_brings_the_whole_batch_again() -> None:
+    source = ListFeed(incarnation=READER.incarnation)
+    source.begin(10)
+    source.append([change(n) for n in range(2 * MAX_UPDATE_CHANGES)], 30)
+    target = follower()
+    assert target.on_update(source.update(target.request(), list_age_ms=0), 0).has_gap
+    # This response of the store may hold older states of the changes that were taken.
+    target.on_read(20)
+    assert len(take_all(source, target)) == 2 * MAX_UPDATE_CHANGES
+
+
 def test_an_outage_of_the_store_is_told_once() -> None:
     source, target = feed(11), follower()
     take_all(source, target)
