Add a fault soak of the steering program, and a demo of it

Change: tests/soak starts the program as separate processes behind TCP proxies to the store, with signals, server and store faults drawn from a seed, and judges what callers and servers see. `redwingswitch-standin steering_demo` runs hosts and stand-ins in one process; the stand-in site moves from tests/lib to the stand-ins for that. With the service in the cookie, the drain exclusion or the removal of routes switched off, the soak fails.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 demo: $(STAMP)
 	$(BIN)/redwingswitch-standin demo
+	$(BIN)/redwingswitch-standin steering_demo
 
 test: format lint types unit
 
--- a/src/redwingswitch/_internal/cli/standin.py
+++ b/src/redwingswitch/_internal/cli/standin.py
@@ -71,7 +71,11 @@
 
     def demo(self, seed: int = 1) -> Invocation:
         """Run a whole deployment in one process through a change, a stop and a crash."""
-        return Invocation("demo", seed=seed)
+        return Invocation("demo", seed=seed, steering=False)
+
+    def steering_demo(self, seed: int = 1) -> Invocation:
+        """Run steering hosts in one process through a drain, a crash and an outage of the store."""
+        return Invocation("demo", seed=seed, steering=True)
 
     def store(
         self, port: int, address: str = "127.0.0.1", seconds: int = 600, delay_ms: int = 0
--- a/src/redwingswitch/_internal/commands/demo.py
+++ b/src/redwingswitch/_internal/commands/demo.py
@@ -1,11 +1,13 @@
-"""``redwingswitch-standin demo``: a whole deployment in one process."""
+"""``redwingswitch-standin demo`` and ``steering-demo``: a whole deployment in one process."""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
 from random import Random
 
 from redwingswitch._internal.cli import status_codes
+from redwingswitch._internal.platform.standins.demo import SteeringDemo
 from redwingswitch._internal.standins import demo_verdict
 from redwingswitch._internal.standins.demo import Demo
 from redwingswitch._internal.utils.clocks import MonotonicClock
@@ -14,11 +16,14 @@
 RUN_LIMIT_S = 58.0
 
 
-def run(*, seed: int) -> int:
-    """Run the demo; return INVARIANT_BROKEN when an invariant did not hold."""
+def run(*, seed: int, steering: bool) -> int:
+    """Run a demo; return INVARIANT_BROKEN when an invariant did not hold.
+
+    With ``steering`` the hosts steer by cookies, as on a platform whose packets carry one.
+    """
     start_logging(level="error")
     try:
-        checks = asyncio.run(_run(seed))
+        checks = asyncio.run(_run(seed, steering))
     except TimeoutError:
         print(f"the demo did not end within {RUN_LIMIT_S:.0f} s")
         return status_codes.INVARIANT_BROKEN
@@ -28,6 +33,12 @@
     return status_codes.SUCCESS if held else status_codes.INVARIANT_BROKEN
 
 
-async def _run(seed: int) -> list[demo_verdict.Check]:
+async def _run(seed: int, steering: bool) -> list[demo_verdict.Check]:
     async with asyncio.timeout(RUN_LIMIT_S):
-        return await Demo(clock=MonotonicClock(), random_source=Random(seed)).run()
+        return await _play(Random(seed), steering)
+
+
+def _play(random_source: Random, steering: bool) -> Awaitable[list[demo_verdict.Check]]:
+    if steering:
+        return SteeringDemo(random_source=random_source).run()
+    return Demo(clock=MonotonicClock(), random_source=random_source).run()
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -76,3 +76,7 @@
 
 class HostListUnavailableError(RedwingswitchError):
     """The platform's list of hosts was not read."""
+
+
+class FlowRefusedError(RedwingswitchError):
+    """A flow did not open."""
--- a/src/redwingswitch/_internal/platform/standins/flows.py
+++ b/src/redwingswitch/_internal/platform/standins/flows.py
@@ -67,8 +67,8 @@
     def __init__(self, owner: StandinServer | StandinCaller) -> None:
         self._owner = owner
 
-    def datagram_received(self, data: bytes, _addr: object) -> None:
-        self._owner.on_datagram(data)
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        self._owner.on_datagram(data, addr)
 
 
 class StandinServer:
@@ -101,7 +101,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def on_datagram(self, data: bytes) -> None:
+    def on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Answer a packet that is meant for this server."""
         if not self.answers or data[:TUNNEL_PREFIX_BYTES] != self._prefix:
             return
@@ -157,7 +157,7 @@
         if self._transport is not None:
             self._transport.close()
 
-    def on_datagram(self, data: bytes) -> None:
+    def on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Hand a packet to the flow that it belongs to."""
         packet = decode(data)
         queue = self._waiting.get(packet.destination_port)
@@ -198,7 +198,7 @@
         self._port = port
         self._destination = destination
         self._received = received
-        self._cookie = 0
+        self.cookie = 0
         self._sequence = 1
         self._acknowledged = 0
 
@@ -211,7 +211,7 @@
                 continue
             if reply.flags & RESET:
                 return False
-            self._cookie = reply.cookie
+            self.cookie = reply.cookie
             self._sequence += 1
             self._send(host, ACKNOWLEDGE, b"")
             return True
@@ -243,7 +243,7 @@
     ) -> None:
         address, port = self._destination
         packet = Packet(
-            cookie=self._cookie,
+            cookie=self.cookie,
             sequence=self._sequence,
             acknowledged=self._acknowledged if acknowledged is None else acknowledged,
             source_port=self._port,
--- a/tests/lib/steering_site.py
+++ b/src/redwingswitch/_internal/platform/standins/site.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from redwingswitch._internal.daemon.steering_daemon import SteeringDaemon
+from redwingswitch._internal.exceptions import FlowRefusedError
 from redwingswitch._internal.network.sockets import bind_datagram_socket
 from redwingswitch._internal.platform.packets import PlatformPacketCodec
 from redwingswitch._internal.platform.standins.documents import (
@@ -139,7 +140,10 @@
         return host
 
     async def flow(self, host: RunningHost) -> Flow:
-        """Open a flow through a host."""
+        """Open a flow through a host; raise FlowRefusedError when it does not open."""
         flow = self.callers.open(DESTINATION)
-        assert await flow.open(host.address)
+        if not await flow.open(host.address):
+            raise FlowRefusedError(
+                f"no flow opened through {host.address[0]}; see the host's log lines for its reason"
+            )
         return flow
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -9,9 +9,9 @@
 from redwingswitch._internal.decisions.cookies.readiness import Readiness
 from redwingswitch._internal.models.list_sharing import ListRole
 from redwingswitch._internal.platform.standins.documents import StandinRoute
+from redwingswitch._internal.platform.standins.site import DESTINATION, RunningHost, SteeringSite
 from redwingswitch._internal.platform.standins.store import Fault
 from tests.lib.loops import run, turns
-from tests.lib.steering_site import DESTINATION, RunningHost, SteeringSite
 
 
 async def started(site: SteeringSite, *numbers: int) -> RunningHost:
--- /dev/null
+++ b/tests/functional/test_steering_demo.py
@@ -0,0 +1,15 @@
+"""Guards against a demo of steering hosts that shows what does not hold."""
+
+import random
+
+import pytest
+
+from redwingswitch._internal.platform.standins.demo import SteeringDemo
+from tests.lib.loops import run
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_the_steering_demo_holds(seed: int) -> None:
+    checks = run(SteeringDemo(random_source=random.Random(seed)).run())
+    assert [check.text for check in checks if check.held is False] == []
+    assert sum(check.held is True for check in checks) == 5
--- a/tests/functional/test_steering_reports.py
+++ b/tests/functional/test_steering_reports.py
@@ -6,8 +6,8 @@
 import pytest
 
 from redwingswitch._internal.daemon.steering_metrics import COUNTERS, GAUGES, LATENCIES, PREFIX
+from redwingswitch._internal.platform.standins.site import SteeringSite
 from tests.lib.loops import run, turns
-from tests.lib.steering_site import SteeringSite
 
 SECRET = "the caller's secret"
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,115 @@
+"""Callers of the soak, and the routers that hand each of their packets to some host."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from ipaddress import IPv4Address
+
+from redwingswitch._internal.platform.standins.flows import (
+    ACKNOWLEDGE,
+    RESET,
+    Flow,
+    Packet,
+    StandinCaller,
+    decode,
+)
+
+CHECK_INTERVAL_S = 0.5
+CHECK_TIMEOUT_S = 0.4
+MISSES_TO_LEAVE = 2
+READY_LINE = b"HTTP/1.1 200"
+
+Address = tuple[str, int]
+
+
+class Routers:
+    """Check each host's readiness twice a second and spread flows over those that answer."""
+
+    def __init__(self, hosts: list[Address]) -> None:
+        self._hosts = hosts
+        self._misses = dict.fromkeys(hosts, MISSES_TO_LEAVE)
+
+    def rotation(self) -> list[Address]:
+        """Return the hosts that get packets; all of them when fewer than half are ready."""
+        ready = [host for host in self._hosts if self._misses[host] < MISSES_TO_LEAVE]
+        return ready if 2 * len(ready) >= len(self._hosts) else self._hosts
+
+    def is_in_rotation(self, host: Address) -> bool:
+        """Return whether a host answers its readiness checks."""
+        return self._misses[host] < MISSES_TO_LEAVE
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        while True:
+            await asyncio.gather(*(self._check(host) for host in self._hosts))
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    async def _check(self, host: Address) -> None:
+        is_ready = False
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CHECK_TIMEOUT_S):
+                is_ready = await self._ask(host)
+        self._misses[host] = 0 if is_ready else self._misses[host] + 1
+
+    async def _ask(self, host: Address) -> bool:
+        reader, writer = await asyncio.open_connection(*host)
+        try:
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+            return (await reader.readline()).startswith(READY_LINE)
+        finally:
+            writer.close()
+
+
+class SoakCaller(StandinCaller):
+    """Callers whose packets take the host that the routers choose at that moment.
+
+    ``on_reset`` is told the port of the flow and the address that sent the reset.
+    """
+
+    def __init__(
+        self, *, address: str, routers: Routers, on_reset: Callable[[int, str], None]
+    ) -> None:
+        super().__init__(address=address)
+        self._routers = routers
+        self._on_reset = on_reset
+        self._pinned: dict[int, Address] = {}
+
+    def open_through(self, host: Address, destination: Address) -> tuple[int, Flow]:
+        """Return a new flow whose packets all take one host, and its port."""
+        port = self._next_port
+        self._pinned[port] = host
+        return port, self.open(destination)
+
+    def open_routed(self, destination: Address) -> tuple[int, Flow]:
+        """Return a new flow, and its port."""
+        return self._next_port, self.open(destination)
+
+    def send_astray(self, flow: Flow, port: int, destination: Address) -> None:
+        """Send a packet with a flow's cookie to an address of another service."""
+        packet = Packet(
+            cookie=flow.cookie,
+            sequence=1,
+            acknowledged=0,
+            source_port=port,
+            destination_port=destination[1],
+            destination=int(IPv4Address(destination[0])),
+            source=self.address,
+            flags=ACKNOWLEDGE,
+            data=b"astray",
+        )
+        self.send(packet, ("", 0))
+
+    def on_datagram(self, data: bytes, sender: Address) -> None:
+        """Note resets, then hand the packet to its flow."""
+        packet = decode(data)
+        if packet.flags & RESET:
+            self._on_reset(packet.destination_port, sender[0])
+        super().on_datagram(data, sender)
+
+    def send(self, packet: Packet, host: Address) -> None:
+        """Send a packet to the host that the routers choose."""
+        rotation = self._routers.rotation()
+        routed = rotation[hash((packet.source_port, packet.destination_port)) % len(rotation)]
+        super().send(packet, self._pinned.get(packet.source_port, routed))
--- /dev/null
+++ b/tests/soak/faulty.py
@@ -0,0 +1,56 @@
+"""The steering program with one mechanism switched off, to show that the soak finds the fault.
+
+Run as ``python -m tests.soak.faulty MECHANISM``.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+
+from redwingswitch._internal.decisions.cookies import directory, steering
+from redwingswitch._internal.models.cookie_flows import RouteTable
+from redwingswitch._internal.platform.__main__ import main
+
+
+def _without_service_in_cookie() -> None:
+    """Make a cookie name its server in flows of every service."""
+    real = steering.flow_cookie
+
+    def flow_cookie(*, server_id: str, destination: object) -> int:
+        del destination
+        return real(server_id=server_id, destination=directory.RouteAddress(0, 0))
+
+    steering.flow_cookie = flow_cookie
+    directory.flow_cookie = flow_cookie
+
+
+def _without_drain_exclusion() -> None:
+    """Offer new flows to draining servers."""
+
+    def of_service(self, service):
+        return tuple(k for k in self._known.values() if k.server.service == service)
+
+    directory.ServerDirectory.of_service = of_service
+
+
+def _without_route_removal() -> None:
+    """Keep routes that a newer configuration has dropped."""
+    real = steering.CookieSteering.apply_routes
+
+    def apply_routes(self, routes: RouteTable) -> bool:
+        before = self.routes.routes if self.routes else {}
+        return real(self, routes._replace(routes={**before, **routes.routes}))
+
+    steering.CookieSteering.apply_routes = apply_routes
+
+
+MECHANISMS: dict[str, Callable[[], None]] = {
+    "service_in_cookie": _without_service_in_cookie,
+    "drain_exclusion": _without_drain_exclusion,
+    "route_removal": _without_route_removal,
+}
+
+if __name__ == "__main__":
+    MECHANISMS[sys.argv[1]]()
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,53 @@
+"""Backend servers of the soak: they report packets that should not have reached them."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from redwingswitch._internal.platform.standins.flows import (
+    OPEN,
+    TUNNEL_PREFIX_BYTES,
+    Packet,
+    StandinServer,
+    decode,
+)
+
+# The server, the address of the host that sent the packet, the packet.
+OnPacket = Callable[["SoakServer", str, Packet], None]
+
+
+class SoakServer(StandinServer):
+    """A server that tells a judge of each packet meant for it.
+
+    ``lost_from`` maps a host's address to the share of its packets that is lost on the way.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        number: int,
+        service: str,
+        caller_port: int,
+        on_opening: OnPacket,
+        on_other: OnPacket,
+    ) -> None:
+        super().__init__(name=name, number=number, caller_port=caller_port)
+        self.service = service
+        self.lost_from: dict[str, float] = {}
+        self.draining_since_ms: int | None = None
+        self.is_ended = False
+        self._on_opening = on_opening
+        self._on_other = on_other
+        self._random = random.Random(number)
+
+    def on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
+        """Tell the judge, then answer."""
+        host = sender[0]
+        if self._random.random() < self.lost_from.get(host, 0.0):
+            return
+        if self.answers and data[:TUNNEL_PREFIX_BYTES] == self._prefix:
+            packet = decode(data[TUNNEL_PREFIX_BYTES:])
+            (self._on_opening if packet.flags & OPEN else self._on_other)(self, host, packet)
+        super().on_datagram(data, sender)
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,313 @@
+"""The site of the soak: host processes behind proxies, a store, servers and callers."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+import socket
+from ipaddress import IPv4Address
+from pathlib import Path
+
+from redwingswitch._internal.platform.standins.documents import (
+    StandinRoute,
+    configuration,
+    server_entry,
+)
+from redwingswitch._internal.platform.standins.store import StandinStore
+from tests.soak.callers import Routers, SoakCaller
+from tests.soak.judge import IN_FORCE_MS, UNSTABLE_STORE_MS, Judge, OpenFlow
+from tests.soak.processes import PROGRAM, HostProcess
+from tests.soak.proxy import StoreProxy
+from tests.soak.servers import SoakServer
+from tests.soak.timeline import Timeline, now_ms
+
+STORE_ADDRESS = "127.0.0.1"
+CALLER_ADDRESS = "127.0.0.2"
+FIRST_HOST = int(IPv4Address("127.0.1.1"))
+DESTINATIONS = {"job-board": ("198.18.0.1", 443), "photos": ("198.18.0.2", 443)}
+EXTRA_ADDRESS = "198.18.0.3"
+SERVERS_A_SERVICE = 3
+CALLERS = 24
+ASK_PAUSE_S = (0.05, 0.4)
+ASKS_A_FLOW = (2, 30)
+START_LIMIT_S = 20.0
+LOOP_LAG_S = 0.2
+PROCESS_CHECK_S = 0.2
+SIGNALLED = frozenset({0, -signal.SIGTERM, -signal.SIGKILL})
+# The users' bound for service after all hosts are back.
+RECOVERY_S = 12.0
+SERVED_AFTER_RECOVERY = 0.9
+RECOVERY_SAMPLE_S = 2.0
+
+
+def free_port(address: str, kind: socket.SocketKind) -> int:
+    """Return a port that is free on an address."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((address, 0))
+        port: int = probe.getsockname()[1]
+    return port
+
+
+class SoakSite:
+    """Everything that one run starts, and ends by itself."""
+
+    def __init__(
+        self, *, hosts: int, folder: Path, seed: int, program: tuple[str, ...] = PROGRAM
+    ) -> None:
+        self.random = random.Random(seed)
+        self.timeline = Timeline()
+        self.judge = Judge(self.timeline)
+        self.store = StandinStore()
+        self.hosts: list[HostProcess] = []
+        self.proxies: dict[str, StoreProxy] = {}
+        self.servers: dict[str, SoakServer] = {}
+        self.served = 0
+        self.asked = 0
+        self._addresses = [str(IPv4Address(FIRST_HOST + n)) for n in range(hosts)]
+        self._folder = folder
+        self._program = program
+        self._routes = [
+            StandinRoute(*destination, service) for service, destination in DESTINATIONS.items()
+        ]
+        self._version = 0
+        self._numbers = iter(range(1, 1_000_000))
+        self._sequence = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Start the store, servers, hosts and callers; return when all hosts are in rotation."""
+        self.store.start()
+        port = free_port(CALLER_ADDRESS, socket.SOCK_DGRAM)
+        peer_port = free_port(self._addresses[0], socket.SOCK_DGRAM)
+        self.routers = Routers([(address, port) for address in self._addresses])
+        self.callers = SoakCaller(
+            address=CALLER_ADDRESS, routers=self.routers, on_reset=self.judge.on_reset
+        )
+        await self.callers.start(port=port)
+        self.configure()
+        for service in DESTINATIONS:
+            for _ in range(SERVERS_A_SERVICE):
+                await self.add_server(service)
+        for number, address in enumerate(self._addresses):
+            await self._add_host(number, address, port, peer_port)
+        self.run(self.routers.run())
+        self.run(self._watch_processes())
+        self.run(self._watch_loop())
+        async with asyncio.timeout(START_LIMIT_S):
+            while not all(self.routers.is_in_rotation((a, port)) for a in self._addresses):
+                await asyncio.sleep(0.1)
+        for _ in range(CALLERS):
+            self.run(self._call())
+
+    async def close(self) -> None:
+        """End everything that was started."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for host in self.hosts:
+            await host.end()
+        for proxy in self.proxies.values():
+            await proxy.close()
+        for server in self.servers.values():
+            server.close()
+        self.callers.close()
+        await self.store.close()
+
+    def run(self, work) -> None:
+        """Run a coroutine until it ends or the site is closed."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.judge.report(f"soak: {task.exception()!r}")
+
+    def configure(self) -> None:
+        """Write the present routes as a new version."""
+        self._version += self.random.randint(1, 5)
+        for route in self._routes:
+            destination = (int(IPv4Address(route.address)), route.port)
+            self.judge.allowed.setdefault(destination, set()).add(route.service)
+        self.store.put("op/config", configuration(version=self._version, routes=self._routes))
+
+    def add_route(self) -> tuple[str, int]:
+        """Put a further route of the job board in force; return its destination."""
+        destination = (EXTRA_ADDRESS, 1_000 + self._version)
+        self._routes.append(StandinRoute(*destination, "job-board"))
+        self.configure()
+        return destination
+
+    def remove_route(self, destination: tuple[str, int]) -> None:
+        """Put a configuration without a route in force."""
+        self._routes = [r for r in self._routes if (r.address, r.port) != destination]
+        self.configure()
+        key = (int(IPv4Address(destination[0])), destination[1])
+        self.judge.removed_ms[key] = now_ms()
+
+    async def add_server(self, service: str) -> SoakServer:
+        """Start a server and list it."""
+        number = next(self._numbers)
+        server = SoakServer(
+            name=f"i-{number:08x}",
+            number=number,
+            service=service,
+            caller_port=self.callers.port,
+            on_opening=self.judge.on_opening,
+            on_other=self.judge.on_other,
+        )
+        await server.start()
+        self.servers[server.name] = server
+        self.list_server(server)
+        return server
+
+    def list_server(self, server: SoakServer, *, state: str = "ready") -> None:
+        """Write the entry of a server."""
+        self._sequence += 1
+        entry = server_entry(
+            service=server.service,
+            address=f"{STORE_ADDRESS}:{server.port}",
+            state=state,
+            sequence=self._sequence,
+        )
+        self.store.put(f"servers/{server.name}", entry)
+
+    def end_server(self, server: SoakServer) -> None:
+        """End a server; its flows end with it."""
+        server.is_ended = True
+        server.answers = False
+        server.close()
+        del self.servers[server.name]
+
+    def undisturbed_servers(self, service: str) -> list[SoakServer]:
+        """Return the servers of a service that are not leaving."""
+        return [
+            server
+            for server in self.servers.values()
+            if server.service == service and server.draining_since_ms is None and server.answers
+        ]
+
+    async def check_route(self, destination: tuple[str, int]) -> None:
+        """Check that every undisturbed host uses a route that has been accepted for a while."""
+        accepted_ms = now_ms()
+        await asyncio.sleep(IN_FORCE_MS / 1_000)
+        for host in self.hosts:
+            if not self.timeline.is_calm(host.address, "store", "machine"):
+                continue
+            port, flow = self.callers.open_through((host.address, host.port), destination)
+            if await flow.open((host.address, host.port)):
+                continue
+            calm = self.timeline.is_calm(host.address, "store", "machine", since_ms=accepted_ms)
+            if calm or now_ms() - accepted_ms > IN_FORCE_MS + UNSTABLE_STORE_MS:
+                self.judge.report(f"configuration: {host.name} does not use a new route ({port})")
+
+    async def check_recovery(self) -> None:
+        """Kill all hosts at once, start them, and check that callers are served again."""
+        for host in self.hosts:
+            self.disturb(host)
+            host.signal(signal.SIGKILL)
+        await asyncio.gather(*(host.wait() for host in self.hosts if host.is_running))
+        await asyncio.gather(*(host.start() for host in self.hosts))
+        for host in self.hosts:
+            self.settle(host)
+        deadline_ms = now_ms() + int(RECOVERY_S * 1_000)
+        while not await self._are_callers_served():
+            if now_ms() > deadline_ms:
+                self.judge.report(f"recovery: not served {RECOVERY_S} s after all hosts were back")
+                return
+
+    async def _are_callers_served(self) -> bool:
+        served, asked = self.served, self.asked
+        await asyncio.sleep(RECOVERY_SAMPLE_S)
+        asked_since = self.asked - asked
+        return bool(asked_since) and self.served - served >= SERVED_AFTER_RECOVERY * asked_since
+
+    async def check_stop(self) -> None:
+        """Stop all hosts; each must end in its grace period, by itself."""
+        for host in self.hosts:
+            self.disturb(host)
+            host.signal(signal.SIGTERM)
+        for host in self.hosts:
+            try:
+                async with asyncio.timeout(START_LIMIT_S):
+                    status = await host.wait()
+            except TimeoutError:
+                status = None
+            if status != 0 and not (status == -signal.SIGTERM and host.is_young):
+                self.judge.report(f"stop: {host.name} ended with {status}")
+
+    def disturb(self, host: HostProcess) -> None:
+        """Note that a host is disturbed and may end."""
+        self.timeline.begin(host.address)
+
+    def settle(self, host: HostProcess) -> None:
+        """Note that a host is left alone again."""
+        self.timeline.end(host.address)
+
+    async def _add_host(self, number: int, address: str, port: int, peer_port: int) -> None:
+        proxy = StoreProxy(address=address, target=(STORE_ADDRESS, self.store.port))
+        await proxy.start()
+        self.proxies[address] = proxy
+        host = HostProcess(
+            name=f"entry-{number}",
+            address=address,
+            port=port,
+            peer_port=peer_port,
+            store=(address, proxy.port),
+            folder=self._folder,
+            program=self._program,
+        )
+        self.hosts.append(host)
+        self.timeline.touch(address)
+        await host.start()
+
+    async def _call(self) -> None:
+        """Open flows one after the other, and ask on each until it ends."""
+        while True:
+            destination = self.random.choice(list(DESTINATIONS.values()))
+            port, flow = self.callers.open_routed(destination)
+            self.asked += 1
+            if not await flow.open(("", 0)):
+                await asyncio.sleep(ASK_PAUSE_S[1])
+                continue
+            self.served += 1
+            await self._ask(port, flow, destination)
+            self.judge.open_flows.pop(port, None)
+
+    async def _ask(self, port: int, flow, destination: tuple[str, int]) -> None:
+        key = (int(IPv4Address(destination[0])), destination[1])
+        for _ in range(self.random.randint(*ASKS_A_FLOW)):
+            self.asked += 1
+            answer = await flow.ask(("", 0), "request")
+            if answer is None:
+                return
+            self.served += 1
+            if port not in self.judge.open_flows and answer in self.servers:
+                self.judge.open_flows[port] = OpenFlow(self.servers[answer], key)
+            self.judge.on_answer(port, answer)
+            await asyncio.sleep(self.random.uniform(*ASK_PAUSE_S))
+
+    async def _watch_processes(self) -> None:
+        """Report each process that ended by itself, once."""
+        reported: set[str] = set()
+        while True:
+            await asyncio.sleep(PROCESS_CHECK_S)
+            for host in self.hosts:
+                if host.is_running:
+                    reported.discard(host.name)
+                elif host.name not in reported and self._ended_by_itself(host):
+                    reported.add(host.name)
+                    self.judge.report(f"process: {host.name} ended with {host.exit_status}")
+
+    def _ended_by_itself(self, host: HostProcess) -> bool:
+        return host.exit_status not in SIGNALLED or self.timeline.is_calm(host.address)
+
+    async def _watch_loop(self) -> None:
+        """Count the times in which this process itself stood still as a disturbance of all."""
+        while True:
+            before_ms = now_ms()
+            await asyncio.sleep(LOOP_LAG_S)
+            if now_ms() - before_ms > 2_000 * LOOP_LAG_S:
+                self.timeline.touch("machine")
--- /dev/null
+++ b/tests/soak/timeline.py
@@ -0,0 +1,42 @@
+"""Which hosts were undisturbed, and since when."""
+
+from __future__ import annotations
+
+import time
+
+# The users' bound: a host that was undisturbed for this long must keep the bounds in time.
+STABLE_WINDOW_MS = 4_000
+
+
+def now_ms() -> int:
+    """Return monotonic milliseconds."""
+    return time.monotonic_ns() // 1_000_000
+
+
+class Timeline:
+    """Open and ended disturbances of each subject: a host, ``store`` or ``machine``."""
+
+    def __init__(self) -> None:
+        self._open: dict[str, int] = {}
+        self._ended_ms: dict[str, int] = {}
+
+    def begin(self, subject: str) -> None:
+        """Note that a disturbance begins; several may overlap."""
+        self._open[subject] = self._open.get(subject, 0) + 1
+
+    def end(self, subject: str) -> None:
+        """Note that one disturbance of a subject ends."""
+        self._open[subject] -= 1
+        self._ended_ms[subject] = now_ms()
+
+    def touch(self, subject: str) -> None:
+        """Note a disturbance without duration."""
+        self._ended_ms[subject] = now_ms()
+
+    def is_calm(self, *subjects: str, since_ms: int | None = None) -> bool:
+        """Return whether the subjects were undisturbed for a stable window before ``since_ms``."""
+        latest_ms = (now_ms() if since_ms is None else since_ms) - STABLE_WINDOW_MS
+        return not any(
+            self._open.get(subject) or self._ended_ms.get(subject, -STABLE_WINDOW_MS) > latest_ms
+            for subject in subjects
+        )
