--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -35,6 +35,8 @@
 # Left of the grace period for the exit itself.
 EXIT_MARGIN_MS = 500
 METRICS_PATH = "/metrics"
+# The file may change without a signal; a change must be known before the process is stopped.
+SETTINGS_CHECK_MS = 2_000
 # Two hosts draw the same one, or one host draws one again, with a chance of one in 2^53.
 INCARNATIONS = 1 << 53
 
@@ -137,12 +139,14 @@
         endpoints = [endpoint, *self._peer_endpoints()]
         servers = [self._readiness_server(), *self._metrics_servers()]
         reading = asyncio.create_task(self._reader.run())
+        watching = asyncio.create_task(self._watch_settings())
         log.info(f"started host={settings.host} failure_domain={settings.failure_domain}")
         try:
             await self._until_stop_requested(reading)
             await self._stop()
         finally:
             reading.cancel()
+            watching.cancel()
             for server in servers:
                 server.close()
             for each in endpoints:
@@ -194,6 +198,26 @@
             )
         ]
 
+    async def _watch_settings(self) -> None:
+        """Read the settings file again whenever it has changed."""
+        seen_ns = self._settings_changed_ns()
+        while True:
+            await asyncio.sleep(SETTINGS_CHECK_MS / MS_PER_S)
+            changed_ns = self._settings_changed_ns()
+            if changed_ns != seen_ns:
+                seen_ns = changed_ns
+                self.reload()
+
+    def _settings_changed_ns(self) -> int:
+        if self._settings_file is None:
+            return 0
+        try:
+            return self._settings_file.stat().st_mtime_ns
+        except OSError as error:
+            # It may be replaced at this moment; the settings in force hold.
+            log.warning(f"settings unreadable reason={error}")
+            return 0
+
     def request_stop(self) -> None:
         """Begin a planned stop: leave the routers' rotation, but steer what still comes."""
         log.info("stop requested")
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -1,11 +1,15 @@
 """Guards the whole path of the steering daemon: sockets, store, steering, stop and reload."""
 
 import asyncio
+import os
 import socket
+from pathlib import Path
 
+import logbook
 import pytest
 from tornado.iostream import IOStream
 
+from redwingswitch._internal.daemon import steering_daemon
 from redwingswitch._internal.decisions.cookies.readiness import Readiness
 from redwingswitch._internal.models.list_sharing import ListRole
 from redwingswitch._internal.platform.standins.documents import StandinRoute
@@ -210,6 +214,43 @@
     run(scenario())
 
 
+VALID_SETTINGS = """
+host = "entry-0"
+failure_domain = "huon"
+steering = "127.0.0.1:8172"
+readiness = "127.0.0.1:8167"
+store = "127.0.0.1:8169"
+grace_period_s = {grace_period_s}
+"""
+
+
+@pytest.mark.parametrize(
+    ("content", "line"),
+    [
+        pytest.param(VALID_SETTINGS.format(grace_period_s=9), "reload done", id="valid"),
+        pytest.param(VALID_SETTINGS.format(grace_period_s=0), "reload refused", id="invalid"),
+    ],
+)
+def test_a_change_of_the_settings_file_is_noticed_without_a_signal(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, content: str, line: str
+) -> None:
+    monkeypatch.setattr(steering_daemon, "SETTINGS_CHECK_MS", 5)
+
+    async def scenario() -> None:
+        settings_file = tmp_path / "settings.toml"
+        settings_file.write_text(VALID_SETTINGS.format(grace_period_s=3))
+        async with SteeringSite() as site:
+            site.configure()
+            await site.add_server(1)
+            await until_ready(site.add_host(settings_file=settings_file))
+            os.utime(settings_file, ns=(0, 0))
+            settings_file.write_text(content)
+            await turns(lambda: any(line in r.message for r in handler.records))
+
+    with logbook.TestHandler() as handler:
+        run(scenario())
+
+
 def test_a_fault_of_the_list_reader_ends_the_process_loudly(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
