Keep a starting host alive through SIGHUP, and count store calls in one place

Change: the signal is ignored from the first statement on; a change of the file meanwhile is found by its time. The settings reader is loaded after that. Store calls are counted, and their age kept, by MeteredStore instead of the fleet reader; a fault of the task that asks the reader ends the process loudly. Conclusion: the test fails without the change.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -12,8 +12,11 @@
 from collections.abc import Callable
 
 from benchmarks.slopes import measure
+from redwingswitch._internal.daemon.list_peers import ListPeers
+from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie import flow_cookie
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import (
     FlowId,
@@ -26,15 +29,22 @@
     RouteTable,
     ServiceShare,
 )
+from redwingswitch._internal.models.fleet_list import ServerChange
+from redwingswitch._internal.models.list_readers import Reader, RegisteredReader
+from redwingswitch._internal.models.list_sharing import FeedRequest
+from redwingswitch._internal.network.list_messages import encode_list_message
 from redwingswitch._internal.platform.entries import decode_routes, decode_server
 from redwingswitch._internal.platform.standins.documents import (
     StandinRoute,
     configuration,
     server_entry,
 )
+from redwingswitch._internal.utils.clocks import MonotonicClock
 
 SERVERS = (10, 75, 300, 1_200)
 FLOWS = (2_500, 5_000, 10_000, 20_000)
+FOLLOWERS = (6, 22, 94, 188)
+CHANGES = (0, 1, 3, 6)
 ROUTES = (100, 200, 400, 800)
 PACKETS = 5_000
 # 200 new flows a second, twice the rate of a host at full size.
@@ -177,6 +187,63 @@
     return (time.perf_counter_ns() - began) / NS_PER_MS
 
 
+class _Discard:
+    """A network that takes datagrams and forgets them."""
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        self.sent_bytes += len(data)
+        return True
+
+
+def _reader(followers: int) -> tuple[ListPeers, ListSharing, _Discard]:
+    """Return a reader that was asked by each of its followers."""
+    local = Reader("entry-1", "10.0.0.1", 7_720, 1)
+    sharing = ListSharing(local=local, age_limit_ms=2_000, random_source=random.Random(1))
+    sharing.on_registered(RegisteredReader(local, 1), 0)
+    peers = ListPeers(
+        sharing=sharing,
+        clock=MonotonicClock(),
+        metrics=SteeringMetrics(),
+        list_age_ms=lambda: 0,
+        on_changes=lambda _: None,
+    )
+    network = _Discard()
+    peers.attach(network)
+    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1))
+    for number in range(followers):
+        peers.on_datagram(request, ("10.0.0.2", 1 + number))
+    return peers, sharing, network
+
+
+def _telling_ms(followers: int) -> float:
+    peers, sharing, _ = _reader(followers)
+    sharing.on_read([ServerChange("i-1", _server(1), is_listed=True)], 2, 0)
+    began = time.perf_counter_ns()
+    peers.tell_followers()
+    return (time.perf_counter_ns() - began) / NS_PER_MS
+
+
+def _answering_us(followers: int) -> float:
+    peers, _, _ = _reader(0)
+    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1))
+    began = time.perf_counter_ns()
+    for number in range(followers):
+        peers.on_datagram(request, ("10.0.0.2", 1 + number))
+    return (time.perf_counter_ns() - began) / followers / NS_PER_US
+
+
+def _telling_bytes(changes: int) -> float:
+    peers, sharing, network = _reader(1)
+    before = network.sent_bytes
+    listed = [ServerChange(f"i-{n:08x}", _server(n), is_listed=True) for n in range(changes)]
+    sharing.on_read(listed, 2, 0)
+    peers.tell_followers()
+    return float(network.sent_bytes - before)
+
+
 MEASURED: tuple[tuple[str, str, str, tuple[int, ...], Callable[[int], float]], ...] = (
     ("opening packet", "servers", "us", SERVERS, _opening_us),
     ("packet of an open flow", "servers", "us", SERVERS, _steered_us),
@@ -184,6 +251,9 @@
     ("servers and their cookies", "servers", "MB", SERVERS, _servers_mb),
     ("reading a configuration", "routes", "ms", ROUTES, _routes_ms),
     ("reading the list", "servers", "ms", SERVERS, _list_ms),
+    ("telling followers of a change", "followers", "ms", FOLLOWERS, _telling_ms),
+    ("answering a follower", "followers", "us", FOLLOWERS, _answering_us),
+    ("datagram to a follower", "changes", "B", CHANGES, _telling_bytes),
 )
 
 
--- a/src/redwingswitch/_internal/commands/steer.py
+++ b/src/redwingswitch/_internal/commands/steer.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import importlib
+import signal
 from pathlib import Path
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.exceptions import RedwingswitchError
 from redwingswitch._internal.network.sockets import bind_datagram_socket
-from redwingswitch._internal.steering_settings import read_steering_settings
 
+SETTINGS_MODULE = "redwingswitch._internal.steering_settings"
 PROGRAM_MODULE = "redwingswitch._internal.daemon.steering_program"
 
 
@@ -18,7 +19,10 @@
 
     Raises InvalidInputGroup for bad settings and RedwingswitchError for a taken port.
     """
-    settings = read_steering_settings(Path(settings_file))
+    # Until the daemon handles it, the signal would end the process. Settings that change meanwhile
+    # are found by their file's time.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    settings = importlib.import_module(SETTINGS_MODULE).read_steering_settings(Path(settings_file))
     try:
         # Loading the rest takes 0.2 s. Packets that come meanwhile wait in the socket: their
         # callers would send them again only after up to 1.6 s.
--- a/src/redwingswitch/_internal/daemon/fleet_reader.py
+++ b/src/redwingswitch/_internal/daemon/fleet_reader.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
-from typing import Any, NoReturn, TypeVar
+from collections.abc import Callable, Iterable
+from typing import Any, NoReturn
 
 from redwingswitch._internal.daemon.list_peers import ListPeers
+from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.steering import CookieSteering
-from redwingswitch._internal.decisions.list_sharing.age import ListAge
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
@@ -25,8 +25,6 @@
 from redwingswitch._internal.ports import Clock, FleetStore, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
-Result = TypeVar("Result")
-
 MS_PER_S = 1_000
 # Entries lapse after three reports of a server, 2 s or more. An outage of that length meets a
 # probe, and is known before entries that lapsed in it are taken for servers that ended.
@@ -74,16 +72,14 @@
         list_age_limit_ms: int,
         on_change: Callable[[], None],
     ) -> None:
-        self._store = store
+        self._store = MeteredStore(store=store, metrics=metrics, age_clock=age_clock)
         self._steering = steering
         self._sharing = sharing
         self._clock = clock
         self._age_clock = age_clock
         self._random = random_source
-        self._metrics = metrics
         self._events = EventLog(part="fleet", clock=clock)
         self._pause_ms = list_age_limit_ms // PAUSES_PER_AGE_LIMIT
-        self._age = ListAge(now_ms=age_clock.now_ms())
         self._on_change = on_change
         self._failures = 0
         self._has_list = False
@@ -93,7 +89,7 @@
             sharing=sharing,
             clock=age_clock,
             metrics=metrics,
-            list_age_ms=self._store_age_ms,
+            list_age_ms=self._store.age_ms,
             on_changes=self._take_followed,
         )
 
@@ -111,14 +107,16 @@
         """Return milliseconds since the list was last known to be up to date."""
         if self.role is ListRole.FOLLOWING:
             return self._sharing.list_age_ms(self._age_clock.now_ms())
-        return self._store_age_ms()
+        return self._store.age_ms()
 
     async def run(self) -> None:
         """Follow the list; failures of the store only delay it."""
         asking = asyncio.create_task(self._ask_peers())
         try:
-            while True:
+            while not asking.done():
                 await asyncio.sleep(await self._step() / MS_PER_S)
+            # It ends only by a fault of the program.
+            asking.result()
         finally:
             asking.cancel()
 
@@ -136,7 +134,7 @@
 
     async def _read_once(self) -> None:
         if not self._has_list:
-            self._take_list(await self._call("list", self._store.read_all()))
+            self._take_list(await self._store.read_all())
         elif self.role is ListRole.FOLLOWING:
             await self._follow()
         elif self._failures:
@@ -150,7 +148,7 @@
 
     async def _ask_peers(self) -> None:
         while True:
-            self._age.on_tick(self._age_clock.now_ms())
+            self._store.on_tick()
             self.peers.ask_when_due()
             await asyncio.sleep(FOLLOW_CHECK_MS / MS_PER_S)
 
@@ -180,9 +178,7 @@
             return
         self._sharing.on_claim()
         expected = self._sharing.registered.revision
-        found = await self._call(
-            "register_reader", self._store.register_reader(local, expected=expected)
-        )
+        found = await self._store.register_reader(local, expected=expected)
         self._take_reader(found)
 
     async def _watch(self) -> FleetChanges | None:
@@ -208,35 +204,17 @@
     async def _probe_until_failure(self) -> NoReturn:
         while True:
             # Followers give a reader up whose list gets too old.
-            due_ms = max(SHORTEST_PROBE_PAUSE_MS, PROBE_INTERVAL_MS - self._store_age_ms())
+            due_ms = max(SHORTEST_PROBE_PAUSE_MS, PROBE_INTERVAL_MS - self._store.age_ms())
             await asyncio.sleep(due_ms / MS_PER_S)
-            await self._call("probe", self._store.probe())
+            await self._store.probe()
 
     async def _changes(self, *, wait_ms: int) -> FleetChanges:
-        after_revision = self._sharing.revision
-        return await self._call(
-            "changes", self._store.read_changes(after_revision=after_revision, wait_ms=wait_ms)
+        return await self._store.read_changes(
+            after_revision=self._sharing.revision, wait_ms=wait_ms
         )
 
     async def _routes(self, *, wait_ms: int) -> RoutesChange:
-        return await self._call(
-            "routes",
-            self._store.read_routes(after_revision=self._routes_revision, wait_ms=wait_ms),
-        )
-
-    async def _call(self, operation: str, call: Awaitable[Result]) -> Result:
-        began_ms = self._age_clock.now_ms()
-        try:
-            result = await call
-        except StoreHistoryLostError:
-            self._metrics.count("store_calls_total", operation, "history_lost")
-            raise
-        except StoreUnavailableError:
-            self._metrics.count("store_calls_total", operation, "failed")
-            raise
-        self._metrics.count("store_calls_total", operation, "ok")
-        self._age.on_answer(began_ms, self._age_clock.now_ms())
-        return result
+        return await self._store.read_routes(after_revision=self._routes_revision, wait_ms=wait_ms)
 
     def _take_list(self, fleet: FleetList) -> None:
         now_ms = self._note_success()
@@ -246,9 +224,8 @@
             self._take_beside_feed(fleet.routes, fleet.reader)
             return
         changed = self._steering.directory.replace(fleet.servers, now_ms)
-        by_id = {change.server_id: change for change in fleet.servers}
-        removed = [ServerChange(name, None, is_listed=False) for name in changed]
-        changes = [by_id.get(change.server_id, change) for change in removed]
+        listed = {change.server_id: change for change in fleet.servers}
+        changes = [listed.get(name, ServerChange(name, None, is_listed=False)) for name in changed]
         self._take(fleet.routes, changes, fleet.revision)
         self._take_reader(fleet.reader)
 
@@ -345,9 +322,6 @@
         self._role = role
         return True
 
-    def _store_age_ms(self) -> int:
-        return self._age.age_ms(self._age_clock.now_ms())
-
     def _note_success(self) -> int:
         """Note that the store was read; return the time."""
         if self._failures:
--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -0,0 +1,74 @@
+"""The platform's store with a count of its calls and the time of its last answer."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import TypeVar
+
+from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
+from redwingswitch._internal.decisions.list_sharing.age import ListAge
+from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
+from redwingswitch._internal.models.fleet_list import FleetChanges, FleetList, RoutesChange
+from redwingswitch._internal.models.list_readers import Reader, RegisteredReader
+from redwingswitch._internal.ports import Clock, FleetStore
+
+Result = TypeVar("Result")
+
+
+class MeteredStore:
+    """A ``FleetStore`` that counts calls by operation and result."""
+
+    def __init__(self, *, store: FleetStore, metrics: SteeringMetrics, age_clock: Clock) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._clock = age_clock
+        self._age = ListAge(now_ms=age_clock.now_ms())
+
+    def age_ms(self) -> int:
+        """Return milliseconds since the store last answered."""
+        return self._age.age_ms(self._clock.now_ms())
+
+    def on_tick(self) -> None:
+        """Note that the host runs; called several times a second."""
+        self._age.on_tick(self._clock.now_ms())
+
+    async def read_all(self) -> FleetList:
+        """Return the whole list."""
+        return await self._call("list", self._store.read_all())
+
+    async def read_changes(self, *, after_revision: int, wait_ms: int) -> FleetChanges:
+        """Return later changes."""
+        call = self._store.read_changes(after_revision=after_revision, wait_ms=wait_ms)
+        return await self._call("changes", call)
+
+    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
+        """Return later routes."""
+        call = self._store.read_routes(after_revision=after_revision, wait_ms=wait_ms)
+        return await self._call("routes", call)
+
+    async def register_reader(self, reader: Reader, *, expected: int) -> RegisteredReader:
+        """Record the reader of a failure domain unless the record has changed."""
+        call = self._store.register_reader(reader, expected=expected)
+        return await self._call("register_reader", call)
+
+    async def probe(self) -> None:
+        """Return when the store answers."""
+        await self._call("probe", self._store.probe())
+
+    def close(self) -> None:
+        """Give up all connections."""
+        self._store.close()
+
+    async def _call(self, operation: str, call: Awaitable[Result]) -> Result:
+        began_ms = self._clock.now_ms()
+        try:
+            result = await call
+        except StoreHistoryLostError:
+            self._metrics.count("store_calls_total", operation, "history_lost")
+            raise
+        except StoreUnavailableError:
+            self._metrics.count("store_calls_total", operation, "failed")
+            raise
+        self._metrics.count("store_calls_total", operation, "ok")
+        self._age.on_answer(began_ms, self._clock.now_ms())
+        return result
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -15,6 +15,8 @@
 GRACE_PERIOD_S = 6
 # The interpreter and the program's modules load in 0.3 s, and in more beside other work.
 START_MS = 2_000
+# No program can handle a signal before the interpreter runs it.
+INTERPRETER_START_MS = 150
 
 
 class HostProcess:
@@ -67,6 +69,11 @@
         """
         return now_ms() - self._started_ms < START_MS
 
+    @property
+    def runs_program(self) -> bool:
+        """Return whether the interpreter has surely begun with the program's code."""
+        return now_ms() - self._started_ms >= INTERPRETER_START_MS
+
     @property
     def exit_status(self) -> int | None:
         """Return the status of the last process once it has ended."""
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -18,5 +18,6 @@
     Regression(105, 15.0, "the soak: two restarts of one host overlapped and took the same port"),
     Regression(106, 15.0, "the soak: as 105; the process that lost the port ended at its stop"),
     Regression(113, 15.0, "the soak: as 105"),
+    Regression(144, 15.0, "SIGHUP before the daemon handled it ended the process"),
     Regression(136, 15.0, "the soak: as 105"),
 )
--- a/tests/unit/daemon/test_fleet_reader.py
+++ b/tests/unit/daemon/test_fleet_reader.py
@@ -256,3 +256,19 @@
             assert reading.reader.role is ListRole.READING
 
     run(scenario())
+
+
+def test_a_fault_while_asking_the_reader_is_not_hidden(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with Reading() as reading:
+
+            def fail() -> None:
+                raise ValueError("a fault")
+
+            monkeypatch.setattr(reading.reader.peers, "ask_when_due", fail)
+            for revision in range(6, 1_000):
+                reading.store.results.put_nowait(changes(revision=revision))
+            with pytest.raises(ValueError, match="a fault"):
+                await reading.task
+
+    run(scenario())
--- a/tests/unit/test_steering_settings.py
+++ b/tests/unit/test_steering_settings.py
@@ -2,12 +2,14 @@
 
 import json
 import re
+import signal
 from pathlib import Path
 
 import pytest
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.cli.steer import main
+from redwingswitch._internal.commands import steer
 from redwingswitch._internal.exceptions import InvalidInputGroup
 from redwingswitch._internal.steering_settings import (
     DEFAULT_LIST_AGE_LIMIT_MS,
@@ -117,3 +119,14 @@
     with pytest.raises(SystemExit) as caught:
         main(["check", str(file)])
     assert caught.value.code == status
+
+
+def test_a_hangup_before_the_daemon_runs_does_not_end_the_process(tmp_path: Path) -> None:
+    # Found by seed 144 of the soak: a settings change just after a start killed the process.
+    before = signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    try:
+        with pytest.raises(InvalidInputGroup):
+            steer.run(settings_file=str(tmp_path / "missing.toml"))
+        assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+    finally:
+        signal.signal(signal.SIGHUP, before)
