--- a/src/redwingswitch/_internal/report/indicators.py
+++ b/src/redwingswitch/_internal/report/indicators.py
@@ -9,7 +9,7 @@
 from redwingswitch._internal.models.configuration import Objectives, Service, SizeClass
 from redwingswitch._internal.models.cookie_flows import Verdict
 from redwingswitch._internal.models.requests import Outcome
-from redwingswitch._internal.report import metric_names
+from redwingswitch._internal.report import metric_names, steering_metric_names
 from redwingswitch._internal.report.scrapes import SampleKey, Scrape
 
 MIN_SERVERS_TO_COMPARE = 2
@@ -100,7 +100,7 @@
         key.label("service")
         for scrape in scrapes
         for key in scrape.samples
-        if key.name == metric_names.STEERED_PACKETS and key.label("service")
+        if key.name == steering_metric_names.PACKETS and key.label("service")
     }
     return [SteeredService(name, objectives) for name in sorted(names)]
 
@@ -149,14 +149,14 @@
 def _broken_flows(interval: Interval, service: MeasuredService) -> tuple[float, float]:
     broken = _sum(interval, _keys(interval, metric_names.BROKEN_FLOWS, service))
     opened = _sum(interval, _keys(interval, metric_names.FLOWS_OPENED, service))
-    steered = _keys(interval, metric_names.STEERED_PACKETS, service)
+    steered = _keys(interval, steering_metric_names.PACKETS, service)
     broken += _sum(interval, [key for key in steered if key.label("verdict") in BROKEN_VERDICTS])
     opened += _sum(interval, [key for key in steered if key.label("verdict") == Verdict.OPENED])
     return broken, max(opened, broken)
 
 
 def _late_answers(interval: Interval, service: MeasuredService) -> tuple[float, float]:
-    keys = _keys(interval, metric_names.STEERED_ANSWERS, service)
+    keys = _keys(interval, steering_metric_names.ANSWERS, service)
     late = [key for key in keys if key.label("result") == "late"]
     return _sum(interval, late), _sum(interval, keys)
 
--- a/src/redwingswitch/_internal/report/metric_names.py
+++ b/src/redwingswitch/_internal/report/metric_names.py
@@ -1,11 +1,7 @@
-"""Names of the daemons' metrics that the report reads."""
+"""Names of the entry daemons' metrics that the report reads."""
 
 FLOWS_OPENED = "redwingswitch_flows_opened_total"
 BROKEN_FLOWS = "redwingswitch_broken_flows_total"
 REQUESTS = "redwingswitch_requests_total"
 REQUEST_LATENCY_BUCKET = "redwingswitch_request_latency_ms_bucket"
 BUSY_SLOTS = "redwingswitch_busy_slots"
-
-# Of hosts that steer by cookies.
-STEERED_PACKETS = "redwingswitch_steering_packets_total"
-STEERED_ANSWERS = "redwingswitch_steering_answers_total"
