Pass on every change that the reader of the list sees

The feed held only what changed the reader's own list. A follower that read the store between two reads of its reader, or a reader whose list was ahead of its revision, could differ from it, and the feed then lacked a change that the follower needed. It claimed to be complete all the same. Ruled out: late reads: the bound leaves 1.6 s beyond the longest age of a followed list. Lost datagrams: a gap in the positions is asked for. Change: the feed takes every change of a read; a whole read begins it anew, since what changed is not known.

--- a/src/redwingswitch/_internal/daemon/fleet_reader.py
+++ b/src/redwingswitch/_internal/daemon/fleet_reader.py
@@ -18,7 +18,6 @@
     FleetChanges,
     FleetList,
     RoutesChange,
-    ServerChange,
 )
 from redwingswitch._internal.models.list_readers import RegisteredReader
 from redwingswitch._internal.models.list_sharing import FollowedChanges, ListRole
@@ -224,9 +223,8 @@
             self._take_beside_feed(fleet.routes, fleet.reader)
             return
         changed = self._steering.directory.replace(fleet.servers, now_ms)
-        listed = {change.server_id: change for change in fleet.servers}
-        changes = [listed.get(name, ServerChange(name, None, is_listed=False)) for name in changed]
-        self._take(fleet.routes, changes, fleet.revision)
+        self._sharing.on_list(fleet.revision, self._age_clock.now_ms())
+        self._finish_read(fleet.routes, changed)
         self._take_reader(fleet.reader)
 
     def _take_changes(self, fleet: FleetChanges) -> None:
@@ -235,18 +233,15 @@
         if self._sharing.is_overtaken(fleet.revision):
             self._take_beside_feed(fleet.routes, fleet.reader)
             return
-        changed = set(self._steering.directory.update(fleet.servers, now_ms))
-        changes = [change for change in fleet.servers if change.server_id in changed]
-        self._take(fleet.routes, changes, fleet.revision)
+        changed = self._steering.directory.update(fleet.servers, now_ms)
+        self._sharing.on_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
+        self._finish_read(fleet.routes, changed)
         if fleet.reader is not None:
             self._take_reader(fleet.reader)
 
-    def _take(
-        self, routes: RouteTable | None, changes: Iterable[ServerChange], revision: int
-    ) -> None:
-        self._sharing.on_read(changes, revision, self._age_clock.now_ms())
+    def _finish_read(self, routes: RouteTable | None, changed: Iterable[str]) -> None:
         self._apply_routes(routes)
-        self._log_servers(changes)
+        self._log_servers(changed)
         self.peers.tell_followers()
         self._on_change()
 
@@ -283,8 +278,7 @@
             directory.on_list_read(now_ms)
         if not taken.changes:
             return
-        changed = set(directory.update(taken.changes, now_ms))
-        self._log_servers(change for change in taken.changes if change.server_id in changed)
+        self._log_servers(directory.update(taken.changes, now_ms))
         self._on_change()
 
     def _apply_routes(self, routes: RouteTable | None) -> None:
@@ -296,9 +290,9 @@
                 store_revision=self._routes_revision,
             )
 
-    def _log_servers(self, changes: Iterable[ServerChange]) -> None:
-        for change in changes:
-            known = self._steering.directory.get(change.server_id)
+    def _log_servers(self, server_ids: Iterable[str]) -> None:
+        for server_id in server_ids:
+            known = self._steering.directory.get(server_id)
             if known is None:
                 continue
             server = known.server
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -104,8 +104,19 @@
         """
         return revision < self._follower.revision
 
+    def on_list(self, revision: int, now_ms: int) -> None:
+        """Note that this host read the whole list itself."""
+        self._follower.on_read(revision)
+        if self._is_reader():
+            # What changed since the last read is not known, only what the list holds now.
+            self._feed.begin(revision)
+        self._plan_claim(now_ms)
+
     def on_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
-        """Note what this host read itself."""
+        """Note the changes that this host read itself, all of them.
+
+        One that changes nothing here may change the list of a follower that read in between.
+        """
         self._follower.on_read(revision)
         if self._is_reader():
             self._feed.append(changes, revision)
--- a/tests/unit/daemon/test_fleet_reader.py
+++ b/tests/unit/daemon/test_fleet_reader.py
@@ -19,8 +19,16 @@
     ServerChange,
 )
 from redwingswitch._internal.models.list_readers import NO_READER, Reader, RegisteredReader
-from redwingswitch._internal.models.list_sharing import FeedChange, FeedUpdate, ListRole
-from redwingswitch._internal.network.list_messages import encode_list_message
+from redwingswitch._internal.models.list_sharing import (
+    FeedChange,
+    FeedRequest,
+    FeedUpdate,
+    ListRole,
+)
+from redwingswitch._internal.network.list_messages import (
+    decode_list_message,
+    encode_list_message,
+)
 from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 from tests.lib.cookie_flows import route_table, server
 from tests.lib.loops import run, turns
@@ -245,6 +253,36 @@
     run(scenario())
 
 
+class SentDatagrams:
+    """A network that keeps what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        self.sent.append(data)
+        return True
+
+
+def test_a_reader_passes_on_what_changed_back_between_its_reads() -> None:
+    # Found on a played day: a follower that had read the store between two reads of its reader
+    # missed the later change of a server, and opened a flow at it 5.4 s after it began to drain.
+    async def scenario() -> None:
+        async with Reading(local=LOCAL, reader=RegisteredReader(LOCAL, 4)) as reading:
+            network = SentDatagrams()
+            reading.reader.peers.attach(network)
+            # The follower saw the server go at revision 7; its reader sees it back at revision 9.
+            reading.store.results.put_nowait(changes(LISTED, revision=9))
+            await turns(lambda: any("after 9" in call for call in reading.watches()))
+            request = encode_list_message(incarnation=6, message=FeedRequest(0, 0, 7))
+            reading.reader.peers.on_datagram(request, PEER)
+            answer = decode_list_message(network.sent[-1]).message
+            assert isinstance(answer, FeedUpdate)
+            assert [each.change for each in answer.changes] == [LISTED]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "datagram",
     [pytest.param(b"", id="empty"), pytest.param(b"\xff" * 40, id="no message")],
--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -48,6 +48,7 @@
     changes: list[ServerChange]
     revision: int
     record: RegisteredReader
+    is_whole: bool
     began_ms: int
     arrival_ms: int
 
@@ -74,13 +75,16 @@
     def begin_read(self, store: Store, *, latency_ms: int) -> None:
         """Ask the store."""
         begin = store.history[0][0] if len(store.history) == MAX_HISTORY else 0
-        if not self.has_list or self.sharing.revision + 1 < begin:
+        is_whole = not self.has_list or self.sharing.revision + 1 < begin
+        if is_whole:
             numbers = set(range(SERVERS))
         else:
             numbers = {n for revision, n in store.history if revision > self.sharing.revision}
         changes = [_change(n, n in store.listed) for n in sorted(numbers)]
         arrival_ms = self.now_ms + latency_ms
-        self.response = Response(changes, store.revision, store.record, self.now_ms, arrival_ms)
+        self.response = Response(
+            changes, store.revision, store.record, is_whole, self.now_ms, arrival_ms
+        )
 
     def end_read(self) -> None:
         """Take the response of the store once it is there."""
@@ -93,7 +97,10 @@
             return
         self.take(response.changes)
         self.has_list = True
-        self.sharing.on_read(response.changes, response.revision, self.now_ms)
+        if response.is_whole:
+            self.sharing.on_list(response.revision, self.now_ms)
+        else:
+            self.sharing.on_read(response.changes, response.revision, self.now_ms)
 
     def take(self, changes: list[ServerChange]) -> None:
         for change in changes:
