Keep one protocol for senders of datagrams, and drop code that nothing calls

Cause: a read of the whole change. list_peers and packet_path each defined the same protocol; the end of an outage was noted in two places; ListFeed.end_position had no caller; the soak read the clock by its own copy of MonotonicClock. Ruled out: one `_send` for both parts: one sends encoded packets, the other encodes messages. Change: DatagramSender stands in ports.py, the other three are reduced to one place or removed. No behaviour changes, and no test.

--- a/src/redwingswitch/_internal/commands/demo.py
+++ b/src/redwingswitch/_internal/commands/demo.py
@@ -1,4 +1,4 @@
-"""``redwingswitch-standin demo`` and ``steering-demo``: a whole deployment in one process."""
+"""``redwingswitch-standin demo`` and ``steering_demo``: a whole deployment in one process."""
 
 from __future__ import annotations
 
--- a/src/redwingswitch/_internal/daemon/fleet_reader.py
+++ b/src/redwingswitch/_internal/daemon/fleet_reader.py
@@ -262,9 +262,7 @@
         self.peers.ask()
 
     def _take_routes(self, change: RoutesChange) -> None:
-        if self._failures:
-            self._events.write("store regained", failures=self._failures)
-            self._failures = 0
+        self._note_answer()
         self._routes_revision = change.revision
         self._apply_routes(change.routes)
         self._on_change()
@@ -316,11 +314,14 @@
         self._role = role
         return True
 
-    def _note_success(self) -> int:
-        """Note that the store was read; return the time."""
+    def _note_answer(self) -> None:
         if self._failures:
             self._events.write("store regained", failures=self._failures)
         self._failures = 0
+
+    def _note_success(self) -> int:
+        """Note that the list was read from the store; return the time."""
+        self._note_answer()
         now_ms = self._clock.now_ms()
         self._steering.directory.on_list_read(now_ms)
         return now_ms
--- a/src/redwingswitch/_internal/daemon/list_peers.py
+++ b/src/redwingswitch/_internal/daemon/list_peers.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, FollowedChanges
 from redwingswitch._internal.network.list_messages import decode_list_message, encode_list_message
-from redwingswitch._internal.ports import Clock
+from redwingswitch._internal.ports import Clock, DatagramSender
 from redwingswitch._internal.utils.event_log import EventLog
 
 Address = tuple[str, int]
@@ -22,13 +21,6 @@
 MAX_FOLLOWERS = 256
 
 
-class DatagramSender(Protocol):
-    """Sends datagrams to other hosts."""
-
-    def send(self, data: bytes, address: Address) -> bool:
-        """Send a datagram; return False when the network refuses it."""
-
-
 class _Follower:
     """The latest request of a follower, and until when it is told of changes."""
 
--- a/src/redwingswitch/_internal/daemon/packet_path.py
+++ b/src/redwingswitch/_internal/daemon/packet_path.py
@@ -23,7 +23,7 @@
     SuspicionChanged,
     Verdict,
 )
-from redwingswitch._internal.ports import Clock, PacketCodec
+from redwingswitch._internal.ports import Clock, DatagramSender, PacketCodec
 from redwingswitch._internal.utils.event_log import EventLog
 
 MS_PER_S = 1_000
@@ -31,13 +31,6 @@
 UNLOGGED_VERDICT = Verdict.STEERED
 
 
-class Endpoint(Protocol):
-    """Sends datagrams."""
-
-    def send(self, data: bytes, address: tuple[str, int]) -> bool:
-        """Send a datagram; return False when the network refuses it."""
-
-
 class ListAge(Protocol):
     """How old a host's knowledge is."""
 
@@ -66,12 +59,12 @@
         self._events = events
         self._list_age = list_age
         self._caller_port = caller_port
-        self._endpoint: Endpoint | None = None
+        self._endpoint: DatagramSender | None = None
         self._timer_deadline_ms: int | None = None
         self.timer_lag_ms = 0
         self.last_packet_ms = 0
 
-    def attach(self, endpoint: Endpoint) -> None:
+    def attach(self, endpoint: DatagramSender) -> None:
         """Use an endpoint for everything that is sent."""
         self._endpoint = endpoint
 
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -30,11 +30,6 @@
         self._begin_revision = 0
         self._outages = 0
 
-    @property
-    def end_position(self) -> int:
-        """Return the position that follows the latest change."""
-        return self._end
-
     def begin(self, revision: int) -> None:
         """Start anew at a revision up to which this host knows the list.
 
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -96,6 +96,13 @@
         """Call ``on_value`` for each later value until cancelled or the store fails."""
 
 
+class DatagramSender(Protocol):
+    """Sends datagrams to an address and a port."""
+
+    def send(self, data: bytes, address: tuple[str, int]) -> bool:
+        """Send a datagram; return False when the network refuses it."""
+
+
 class FleetStore(Protocol):
     """The platform's list of routes and of backend servers that register themselves.
 
--- a/tests/soak/timeline.py
+++ b/tests/soak/timeline.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import time
+from redwingswitch._internal.utils.clocks import MonotonicClock
 
 # The users' bound: a host that was undisturbed for this long must keep the bounds in time.
 STABLE_WINDOW_MS = 4_000
 
 
-def now_ms() -> int:
-    """Return monotonic milliseconds."""
-    return time.monotonic_ns() // 1_000_000
+now_ms = MonotonicClock().now_ms
 
 
 class Timeline:
