Ignore signals between the end of the work and the exit

Cause: closing the event loop restores the default action of SIGHUP, SIGTERM and SIGINT.

Change: both daemons install their handlers through handle_signals, which ignores the signals afterwards.

--- a/src/redwingswitch/_internal/commands/entry.py
+++ b/src/redwingswitch/_internal/commands/entry.py
@@ -25,6 +25,7 @@
 from redwingswitch._internal.settings import Settings, read_settings
 from redwingswitch._internal.utils.clocks import MonotonicClock
 from redwingswitch._internal.utils.logs import configure_logging
+from redwingswitch._internal.utils.signals import handle_signals
 
 log = Logger("daemon")
 
@@ -63,9 +64,16 @@
             random_source=random_source,
         ),
     )
-    _install_signal_handlers(daemon)
-    await daemon.start(seeds=settings.seeds)
-    await daemon.wait_stopped()
+    handlers = {
+        signal.SIGTERM: daemon.request_stop,
+        signal.SIGINT: daemon.request_stop,
+        # Settings are read only at start. The default action of SIGHUP would end the process and
+        # break its flows.
+        signal.SIGHUP: lambda: log.info("SIGHUP changes nothing; restart to read the settings"),
+    }
+    with handle_signals(handlers):
+        await daemon.start(seeds=settings.seeds)
+        await daemon.wait_stopped()
 
 
 def daemon_parameters(settings: Settings) -> DaemonParameters:
@@ -87,14 +95,3 @@
         pinned_keys=settings.peers,
         grace_period_ms=settings.grace_period_ms,
     )
-
-
-def _install_signal_handlers(daemon: EntryDaemon) -> None:
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
-    loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
-    # Settings are read only at start. The default action of SIGHUP would end the process and
-    # break its flows.
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: log.info("SIGHUP changes nothing; restart to read the settings")
-    )
--- a/src/redwingswitch/_internal/daemon/steering_program.py
+++ b/src/redwingswitch/_internal/daemon/steering_program.py
@@ -16,6 +16,7 @@
 from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 from redwingswitch._internal.utils.event_log import NonBlockingStream
 from redwingswitch._internal.utils.logs import configure_logging
+from redwingswitch._internal.utils.signals import handle_signals
 
 
 def serve(*, settings: SteeringSettings, settings_file: Path, bound_socket: socket.socket) -> None:
@@ -48,8 +49,10 @@
         bound_socket=bound_socket,
         log_stream=stream,
     )
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, daemon.request_stop)
-    loop.add_signal_handler(signal.SIGINT, daemon.request_stop)
-    loop.add_signal_handler(signal.SIGHUP, daemon.reload)
-    await daemon.run()
+    handlers = {
+        signal.SIGTERM: daemon.request_stop,
+        signal.SIGINT: daemon.request_stop,
+        signal.SIGHUP: daemon.reload,
+    }
+    with handle_signals(handlers):
+        await daemon.run()
--- a/tests/unit/daemon/test_steering_program.py
+++ b/tests/unit/daemon/test_steering_program.py
@@ -11,6 +11,7 @@
 from redwingswitch._internal.daemon.steering_daemon import SteeringDaemon
 from redwingswitch._internal.steering_settings import parse_steering_settings
 from redwingswitch._internal.utils.event_log import NonBlockingStream
+from redwingswitch._internal.utils.signals import handle_signals
 
 SETTINGS = """
 host = "entry-0"
@@ -41,3 +42,24 @@
         finally:
             for number, handler in before.items():
                 signal.signal(number, handler)
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_a_signal_after_the_work_has_no_effect(number: signal.Signals) -> None:
+    # A second SIGTERM, or a SIGHUP, may arrive while the interpreter shuts down.
+    calls: list[signal.Signals] = []
+
+    async def work() -> None:
+        with handle_signals({number: lambda: calls.append(number)}):
+            signal.raise_signal(number)
+            while not calls:
+                await asyncio.sleep(0)
+        signal.raise_signal(number)
+
+    before = signal.getsignal(number)
+    try:
+        asyncio.run(work())
+        signal.raise_signal(number)
+    finally:
+        signal.signal(number, before)
+    assert calls == [number]
