--- /dev/null
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -0,0 +1,193 @@
+"""Applies what was read from the store, or received from another host, to this host's list.
+
+The list has the routes and the backend servers. ``server_list_sync`` decides when to read it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
+from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
+from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.models.cookie_flows import RouteTable
+from redwingswitch._internal.models.list_readers import RegisteredReader
+from redwingswitch._internal.models.list_sharing import ListSharingRole, ReceivedChanges
+from redwingswitch._internal.models.server_list import (
+    ServerList,
+    ServerListChanges,
+    StoredRoutes,
+)
+from redwingswitch._internal.ports import Clock
+from redwingswitch._internal.utils.event_log import EventLog
+
+NO_ROUTES = StoredRoutes(None, 0)
+
+
+class ListUpdates:
+    """Passes each read to the steering, to the sharing of the list and to the followers.
+
+    A list that may be stale is unconfirmed: its routes are not used until the reader's feed, or the
+    store, has shown that the list is up to date. Packets wait meanwhile.
+    """
+
+    def __init__(
+        self,
+        *,
+        steering: CookieSteering,
+        sharing: ListSharing,
+        clock: Clock,
+        age_clock: Clock,
+        metrics: SteeringMetrics,
+        list_age_ms: Callable[[], int],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._steering = steering
+        self._sharing = sharing
+        self._clock = clock
+        self._age_clock = age_clock
+        self._event_log = EventLog(part="fleet", clock=clock)
+        self._on_change = on_change
+        self._unconfirmed_routes = NO_ROUTES
+        self._feed_received = asyncio.Event()
+        self.peers = ServerListExchange(
+            sharing=sharing,
+            clock=age_clock,
+            metrics=metrics,
+            list_age_ms=list_age_ms,
+            on_changes=self._apply_feed_changes,
+        )
+
+    async def wait_for_feed(self) -> None:
+        """Wait until the reader sends something."""
+        self._feed_received.clear()
+        await self._feed_received.wait()
+
+    def apply_unconfirmed_list(self, fleet: ServerList) -> None:
+        """Apply a whole list that may be stale."""
+        changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
+        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
+        self._sharing.on_routes_read(fleet.routes_revision, is_newest=False)
+        self._log_servers(changed)
+        self._unconfirmed_routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        self.apply_reader(fleet.reader)
+
+    def apply_list(self, fleet: ServerList) -> None:
+        """Apply the whole list."""
+        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        if self._sharing.is_outdated(fleet.revision):
+            self._apply_outdated(routes, fleet.reader)
+            return
+        now_ms = self._clock.now_ms()
+        changed = self._steering.directory.replace(fleet.servers, now_ms)
+        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
+        self._finish_read(routes, changed)
+        self.apply_reader(fleet.reader)
+
+    def apply_changes(self, fleet: ServerListChanges) -> None:
+        """Apply the changes after the revision up to which the list is known."""
+        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        if self._sharing.is_outdated(fleet.revision):
+            self._apply_outdated(routes, fleet.reader)
+            return
+        now_ms = self._clock.now_ms()
+        changed = self._steering.directory.update(fleet.servers, now_ms)
+        self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
+        self._finish_read(routes, changed)
+        if fleet.reader is not None:
+            self.apply_reader(fleet.reader)
+
+    def apply_server_changes(self, fleet: ServerListChanges) -> None:
+        """Apply changes that were read without the routes; these must be read next."""
+        if self._sharing.is_outdated(fleet.revision):
+            return
+        changed = self._steering.directory.update(fleet.servers, self._clock.now_ms())
+        self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
+        self._log_servers(changed)
+
+    def apply_routes(self, routes: StoredRoutes, *, is_newest: bool) -> None:
+        """Apply routes that were read alone."""
+        self._sharing.on_routes_read(routes.revision, is_newest=is_newest)
+        self._put_in_force(routes)
+        self._on_change()
+
+    def apply_reader(self, registered: RegisteredReader) -> None:
+        """Apply the record of the failure domain's reader; send a new one a request at once."""
+        before = self._sharing.registered_reader.reader
+        self._sharing.on_reader_registered(registered, self._age_clock.now_ms())
+        reader = self._sharing.registered_reader.reader
+        if reader == before or reader is None:
+            return
+        self._event_log.info(
+            "reader recorded", host=reader.host, store_revision=registered.revision
+        )
+        self.peers.request_changes()
+
+    def _finish_read(self, routes: StoredRoutes, changed: Iterable[str]) -> None:
+        self._sharing.on_routes_read(routes.revision, is_newest=False)
+        self._put_in_force(routes)
+        self._log_servers(changed)
+        self.peers.notify_followers()
+        self._on_change()
+
+    def _apply_outdated(self, routes: StoredRoutes, reader: RegisteredReader | None) -> None:
+        """Apply only the routes and the reader record of a response that is older than the feed."""
+        self._sharing.on_routes_read(routes.revision, is_newest=False)
+        self._put_in_force(routes)
+        if reader is not None:
+            self.apply_reader(reader)
+        self._on_change()
+
+    def _apply_feed_changes(self, received: ReceivedChanges) -> None:
+        directory = self._steering.directory
+        now_ms = self._clock.now_ms()
+        if received.after_outage:
+            directory.on_list_lost()
+        if received.is_fresh:
+            directory.on_list_read(now_ms)
+        self._log_servers(directory.update(received.changes, now_ms))
+        is_confirmed = self._confirm_routes()
+        if received.changes or is_confirmed:
+            self._on_change()
+        self._feed_received.set()
+
+    def _confirm_routes(self) -> bool:
+        """Put unconfirmed routes in force if the reader knows no newer ones."""
+        is_following = self._sharing.role(self._age_clock.now_ms()) is ListSharingRole.FOLLOWING
+        if not is_following or self._sharing.needs_routes or not self._unconfirmed_routes.revision:
+            return False
+        self._put_in_force(self._unconfirmed_routes)
+        return True
+
+    def _put_in_force(self, routes: StoredRoutes) -> None:
+        """Put routes in force, and unconfirmed ones in place of those that are missing."""
+        usable = self._unconfirmed_routes if routes.routes is None else routes
+        self._unconfirmed_routes = NO_ROUTES
+        if usable.routes is not None and self._steering.apply_routes(usable.routes):
+            self._log_routes(usable.routes, usable.revision)
+
+    def _log_routes(self, routes: RouteTable, store_revision: int) -> None:
+        self._event_log.info(
+            "routes in force",
+            version=routes.version,
+            routes=len(routes.routes),
+            store_revision=store_revision,
+        )
+
+    def _log_servers(self, server_ids: Iterable[str]) -> None:
+        for server_id in server_ids:
+            known = self._steering.directory.get(server_id)
+            if known is None:
+                continue
+            server = known.server
+            self._event_log.info(
+                "server changed",
+                server=server.server_id,
+                service=server.service,
+                failure_domain=server.failure_domain,
+                state=server.state,
+                presence=known.presence(self._clock.now_ms()),
+                store_revision=self._sharing.revision,
+            )
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -1,4 +1,4 @@
-"""Counts the calls to the store of the routes and backend servers, and times its last answer."""
+"""Counts the calls to the store of the routes and backend servers, and knows the list's age."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from redwingswitch._internal.decisions.list_sharing.list_age import ListAge
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
-from redwingswitch._internal.models.server_list import RoutesChange, ServerList, ServerListChanges
+from redwingswitch._internal.models.server_list import ServerList, ServerListChanges, StoredRoutes
 from redwingswitch._internal.ports import Clock, ServerListStore
 
 Result = TypeVar("Result")
@@ -26,27 +26,38 @@
         self._clock = age_clock
         self._list_age = ListAge(now_ms=age_clock.now_ms())
 
-    def time_since_answer_ms(self) -> int:
-        """Return milliseconds since the store last answered."""
+    def list_age_ms(self) -> int:
+        """Return milliseconds since the store last showed that the list is up to date."""
         return self._list_age.age_ms(self._clock.now_ms())
 
     def on_tick(self) -> None:
         """Record that the host is running; must be called several times a second."""
         self._list_age.on_tick(self._clock.now_ms())
 
-    async def read_all(self) -> ServerList:
-        """Return the full list."""
-        return await self._call("list", self._store.read_all())
+    async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
+        """Return the full list; one that may be stale does not make the list younger."""
+        call = self._store.read_all(may_be_stale=may_be_stale)
+        operation = "stale_list" if may_be_stale else "list"
+        return await self._call(operation, call, confirms_list=not may_be_stale)
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         """Return the changes after a revision."""
         call = self._store.read_changes(after_revision=after_revision, wait_ms=wait_ms)
-        return await self._call("changes", call)
+        return await self._call("changes", call, confirms_list=True)
 
-    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
-        """Return the routes when they change after a revision."""
-        call = self._store.read_routes(after_revision=after_revision, wait_ms=wait_ms)
-        return await self._call("routes", call)
+    async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
+        """Return the changes of backend servers after a revision."""
+        call = self._store.read_server_changes(after_revision=after_revision)
+        return await self._call("changes", call, confirms_list=True)
+
+    async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
+        """Return the newest routes."""
+        operation = "stale_routes" if may_be_stale else "routes"
+        return await self._call(operation, self._store.read_routes(may_be_stale=may_be_stale))
+
+    async def read_reader(self) -> RegisteredReader:
+        """Return the reader's record, which may be stale."""
+        return await self._call("reader", self._store.read_reader())
 
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         """Record ``reader`` as the host that reads the list for its failure domain.
@@ -57,14 +68,16 @@
         return await self._call("register_reader", call)
 
     async def probe(self) -> None:
-        """Wait until the store answers."""
-        await self._call("probe", self._store.probe())
+        """Wait until the store answers while a watch waits that knows all earlier changes."""
+        await self._call("probe", self._store.probe(), confirms_list=True)
 
     def close(self) -> None:
         """Close all connections."""
         self._store.close()
 
-    async def _call(self, operation: str, call: Awaitable[Result]) -> Result:
+    async def _call(
+        self, operation: str, call: Awaitable[Result], *, confirms_list: bool = False
+    ) -> Result:
         began_ms = self._clock.now_ms()
         try:
             result = await call
@@ -75,5 +88,6 @@
             self._metrics.count("store_calls_total", operation, "failed")
             raise
         self._metrics.count("store_calls_total", operation, "ok")
-        self._list_age.on_response(began_ms, self._clock.now_ms())
+        if confirms_list:
+            self._list_age.on_response(began_ms, self._clock.now_ms())
         return result
--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -70,10 +70,11 @@
 
     def request_changes(self) -> None:
         """Request changes from the reader now; do nothing without a reader."""
-        next_request = self._sharing.build_request()
+        now_ms = self._clock.now_ms()
+        next_request = self._sharing.build_request(now_ms)
         if next_request is None:
             return
-        self._next_request_ms = self._clock.now_ms() + REQUEST_INTERVAL_MS
+        self._next_request_ms = now_ms + REQUEST_INTERVAL_MS
         reader, request = next_request
         self._send(request, (reader.address, reader.port))
 
@@ -92,6 +93,7 @@
                 feed=update.feed,
                 position=update.first_position + len(update.changes),
                 revision=update.revision,
+                sent_ms=follower.request.sent_ms,
             )
             self._send(update, address)
 
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -4,16 +4,19 @@
 the routes, which operators write, and one entry per backend server, which the server renews.
 
 To save calls to the store, the hosts of a failure domain share the list: one of them, the reader,
-reads it and sends the changes, called its feed, to the others, its followers. A host claims the
-role of the reader by writing its own address into the domain's reader record in the store.
+reads it and sends the changes, called its feed, to the others, its followers. The feed also tells
+when the routes have changed; followers then read them by a cheap call that may return stale ones. A
+host claims the role of the reader by writing its own address into the domain's reader record in the
+store.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Any, NoReturn
 
+from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
@@ -21,14 +24,8 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
-from redwingswitch._internal.models.cookie_flows import RouteTable
-from redwingswitch._internal.models.list_readers import RegisteredReader
-from redwingswitch._internal.models.list_sharing import ListSharingRole, ReceivedChanges
-from redwingswitch._internal.models.server_list import (
-    RoutesChange,
-    ServerList,
-    ServerListChanges,
-)
+from redwingswitch._internal.models.list_sharing import ListSharingRole
+from redwingswitch._internal.models.server_list import ServerListChanges
 from redwingswitch._internal.ports import Clock, RandomSource, ServerListStore
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -55,6 +52,11 @@
 MAX_RELOAD_JITTER_MS = 100
 # How often a host checks whether its reader is silent and whether a request is due.
 FOLLOW_CHECK_INTERVAL_MS = 250
+# Hosts of a failure domain answer each other within a few ms. A longer wait would delay the packets
+# that callers sent to a host which has just started.
+READER_ANSWER_TIMEOUT_MS = 60
+# How often a host without a working reader looks for the record of a new one.
+READER_LOOKUP_INTERVAL_MS = 500
 
 
 def reader_age_limit_ms(list_age_limit_ms: int) -> int:
@@ -63,10 +65,10 @@
 
 
 class ServerListSynchronizer:
-    """Reads the full list once and then watches for changes, until cancelled.
+    """Reads the full list once and then follows its changes, until cancelled.
 
-    While another host of the failure domain reads the list for this one (``ListRole.FOLLOWING``),
-    only the routes are watched in the store; the changes of the list arrive through ``peers``.
+    While another host of the failure domain reads the list for this one
+    (``ListSharingRole.FOLLOWING``), its changes arrive through ``peers``.
     """
 
     def __init__(
@@ -83,26 +85,36 @@
         on_change: Callable[[], None],
     ) -> None:
         self._store = MeteredStore(store=store, metrics=metrics, age_clock=age_clock)
-        self._steering = steering
+        self._directory = steering.directory
         self._sharing = sharing
         self._clock = clock
         self._age_clock = age_clock
         self._random = random_source
         self._event_log = EventLog(part="fleet", clock=clock)
         self._read_interval_ms = list_age_limit_ms // READS_PER_AGE_LIMIT
-        self._on_change = on_change
         self._consecutive_failures = 0
         self._has_list = False
-        self._routes_revision = 0
+        self._may_load_stale_list = True
+        # A new reader may lack changes after the last update of its predecessor. Only a read that
+        # does not wait shows that the list is complete.
+        self._is_new_reader = False
+        self._next_lookup_ms = 0
         self._role = ListSharingRole.READING
-        self.peers = ServerListExchange(
+        self._updates = ListUpdates(
+            steering=steering,
             sharing=sharing,
-            clock=age_clock,
+            clock=clock,
+            age_clock=age_clock,
             metrics=metrics,
-            list_age_ms=self._store.time_since_answer_ms,
-            on_changes=self._apply_feed_changes,
+            list_age_ms=self._store.list_age_ms,
+            on_change=on_change,
         )
 
+    @property
+    def peers(self) -> ServerListExchange:
+        """Return the exchange of datagrams with the other hosts."""
+        return self._updates.peers
+
     @property
     def is_store_reachable(self) -> bool:
         """Return whether the latest call to the store succeeded."""
@@ -117,7 +129,7 @@
         """Return milliseconds since the list was last known to be up to date."""
         if self.role is ListSharingRole.FOLLOWING:
             return self._sharing.list_age_ms(self._age_clock.now_ms())
-        return self._store.time_since_answer_ms()
+        return self._store.list_age_ms()
 
     async def run(self) -> None:
         """Keep the list up to date; a failing store only delays this."""
@@ -134,63 +146,150 @@
         """Read once; return the delay until the next read."""
         try:
             await self._read_once()
+            if self._update_role():
+                return 0
+            await self._pause_after_read()
         except StoreHistoryLostError as error:
             self._event_log.info("history lost", revision=self._sharing.revision, reason=error)
             self._has_list = False
             return int(self._random.random() * MAX_RELOAD_JITTER_MS)
         except StoreUnavailableError as error:
             return self._on_failure(error)
-        return 0 if self._update_role() else self._read_interval_ms
+        return 0
 
     async def _read_once(self) -> None:
+        self._update_role()
         if not self._has_list:
-            self._apply_list(await self._store.read_all())
+            await self._load_list()
         elif self.role is ListSharingRole.FOLLOWING:
             await self._follow_reader()
-        elif self._consecutive_failures:
+        elif self._consecutive_failures or self._is_new_reader:
             # Without a wait, so that the end of an outage is noticed immediately.
-            self._apply_changes(await self._read_changes(wait_ms=0))
-        else:
-            await self._claim_if_due()
+            await self._catch_up()
+            self._is_new_reader = False
+        elif not await self._claim_if_due():
             changes = await self._watch_changes()
             if changes is not None:
                 self._apply_changes(changes)
 
+    async def _pause_after_read(self) -> None:
+        """Wait until the next read is due; meanwhile look for a reader if there is none."""
+        deadline_ms = self._age_clock.now_ms() + self._read_interval_ms
+        while (left_ms := deadline_ms - self._age_clock.now_ms()) > 0:
+            if self.role is not self._role or self.role is ListSharingRole.FOLLOWING:
+                return
+            if self.role is ListSharingRole.SERVING or self._sharing.local_reader is None:
+                await asyncio.sleep(left_ms / MS_PER_S)
+                return
+            await self._look_for_reader()
+
     async def _send_due_requests(self) -> None:
         while True:
             self._store.on_tick()
             self.peers.request_if_due()
             await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
 
+    async def _load_list(self) -> None:
+        """Read the whole list.
+
+        At the start, a list that may be stale is enough if the reader's feed continues it.
+        """
+        if not self._may_load_stale_list:
+            fleet = await self._store.read_all()
+            self._record_list_read()
+            self._updates.apply_list(fleet)
+            self._has_list = True
+            return
+        stale = await self._store.read_all(may_be_stale=True)
+        self._may_load_stale_list = False
+        self._record_store_response()
+        self._updates.apply_unconfirmed_list(stale)
+        self._has_list = True
+        if not await self._is_following_soon():
+            self._apply_changes(await self._read_changes(wait_ms=0))
+
     async def _follow_reader(self) -> None:
-        """Watch the routes until they change or the reader is lost."""
-        wait_ms = 0 if self._consecutive_failures else MAX_WATCH_WAIT_MS
-        watch = asyncio.create_task(self._read_routes(wait_ms=wait_ms))
-        reader_lost = asyncio.create_task(self._wait_for_role(following=False))
-        if watch in await _wait_for_first(watch, reader_lost):
-            self._apply_routes_change(await watch)
+        """Follow the reader until it is lost, and then read what it did not send."""
+        while await self._is_following_soon():
+            if self._sharing.needs_routes:
+                await self._read_announced_routes()
+            if self._sharing.is_reader_silent(self._age_clock.now_ms()):
+                self._sharing.on_reader_silent(self._age_clock.now_ms())
+                await self._look_for_reader()
+            else:
+                await self._wait_for_feed(FOLLOW_CHECK_INTERVAL_MS)
+        if self.role is ListSharingRole.SERVING:
             return
         self._sharing.on_reader_lost(self._age_clock.now_ms())
         self._update_role()
-        # Reads the changes that the reader did not send, before the next watch waits.
-        self._apply_routes_change(await self._read_routes(wait_ms=0))
-        self._apply_changes(await self._read_changes(wait_ms=0))
+        await self._catch_up()
+
+    async def _is_following_soon(self) -> bool:
+        """Return whether the list is up to date through a reader; wait for its answer if needed."""
+        deadline_ms = self._age_clock.now_ms() + READER_ANSWER_TIMEOUT_MS
+        while self.role is ListSharingRole.READING and self._sharing.has_other_reader:
+            left_ms = deadline_ms - self._age_clock.now_ms()
+            if left_ms <= 0:
+                break
+            await self._wait_for_feed(left_ms)
+        return self.role is ListSharingRole.FOLLOWING
+
+    async def _wait_for_feed(self, limit_ms: int) -> None:
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_S):
+                await self._updates.wait_for_feed()
+        except TimeoutError:
+            return
 
-    async def _wait_for_role(self, *, following: bool) -> None:
-        while (self.role is ListSharingRole.FOLLOWING) is not following:
+    async def _read_announced_routes(self) -> None:
+        """Read routes at least as new as the reader announced."""
+        routes = await self._store.read_routes(may_be_stale=True)
+        is_stale = routes.revision < self._sharing.announced_routes_revision
+        if is_stale:
+            routes = await self._store.read_routes()
+        self._record_store_response()
+        self._updates.apply_routes(routes, is_newest=is_stale)
+
+    async def _look_for_reader(self) -> None:
+        """Look for another reader's record, and claim the role if that is due."""
+        now_ms = self._age_clock.now_ms()
+        if now_ms >= self._next_lookup_ms:
+            self._next_lookup_ms = now_ms + READER_LOOKUP_INTERVAL_MS
+            self._updates.apply_reader(await self._store.read_reader())
+            self._record_store_response()
+        await self._claim_if_due()
+        await self._wait_for_feed(FOLLOW_CHECK_INTERVAL_MS)
+
+    async def _catch_up(self) -> None:
+        """Read everything that has changed, without waiting for more."""
+        if self.role is ListSharingRole.SERVING:
+            # The followers need each change in its order, that of the reader's record included.
+            self._apply_changes(await self._read_changes(wait_ms=0))
+            return
+        changes = await self._store.read_server_changes(after_revision=self._sharing.revision)
+        self._record_list_read()
+        self._updates.apply_server_changes(changes)
+        self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
+        self._updates.apply_reader(await self._store.read_reader())
+
+    async def _wait_until_following(self) -> None:
+        while self.role is not ListSharingRole.FOLLOWING:
             await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
 
-    async def _claim_if_due(self) -> None:
-        """Try to become the reader of the failure domain if a claim is due."""
+    async def _claim_if_due(self) -> bool:
+        """Try to become the reader of the failure domain if a claim is due; return whether it was.
+
+        The store keeps another host's record if it is newer than the one that this host knows.
+        """
         now_ms = self._age_clock.now_ms()
         deadline_ms = self._sharing.claim_deadline_ms(now_ms)
         local = self._sharing.local_reader
         if local is None or deadline_ms is None or now_ms < deadline_ms:
-            return
+            return False
         self._sharing.on_claim_attempt()
         expected = self._sharing.registered_reader.revision
-        registered = await self._store.register_reader(local, expected=expected)
-        self._apply_reader_record(registered)
+        self._updates.apply_reader(await self._store.register_reader(local, expected=expected))
+        return True
 
     async def _watch_changes(self) -> ServerListChanges | None:
         """Wait for changes; return None when this host starts to follow a reader.
@@ -199,7 +298,7 @@
         """
         watch = asyncio.create_task(self._read_changes(wait_ms=self._watch_wait_ms()))
         probe_task = asyncio.create_task(self._probe_until_failure())
-        role_change = asyncio.create_task(self._wait_for_role(following=True))
+        role_change = asyncio.create_task(self._wait_until_following())
         done = await _wait_for_first(watch, probe_task, role_change)
         if watch in done:
             return await watch
@@ -219,9 +318,7 @@
         while True:
             # Without probes, the list would seem too old to the followers, which then abandon this
             # reader.
-            delay_ms = max(
-                MIN_PROBE_DELAY_MS, PROBE_INTERVAL_MS - self._store.time_since_answer_ms()
-            )
+            delay_ms = max(MIN_PROBE_DELAY_MS, PROBE_INTERVAL_MS - self._store.list_age_ms())
             await asyncio.sleep(delay_ms / MS_PER_S)
             await self._store.probe()
 
@@ -230,101 +327,9 @@
             after_revision=self._sharing.revision, wait_ms=wait_ms
         )
 
-    async def _read_routes(self, *, wait_ms: int) -> RoutesChange:
-        return await self._store.read_routes(after_revision=self._routes_revision, wait_ms=wait_ms)
-
-    def _apply_list(self, fleet: ServerList) -> None:
-        now_ms = self._record_list_read()
-        self._has_list = True
-        self._routes_revision = fleet.revision
-        if self._sharing.is_outdated(fleet.revision):
-            self._apply_outdated_response(fleet.routes, fleet.reader)
-            return
-        changed = self._steering.directory.replace(fleet.servers, now_ms)
-        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
-        self._finish_read(fleet.routes, changed)
-        self._apply_reader_record(fleet.reader)
-
-    def _apply_changes(self, fleet: ServerListChanges) -> None:
-        now_ms = self._record_list_read()
-        self._routes_revision = max(self._routes_revision, fleet.revision)
-        if self._sharing.is_outdated(fleet.revision):
-            self._apply_outdated_response(fleet.routes, fleet.reader)
-            return
-        changed = self._steering.directory.update(fleet.servers, now_ms)
-        self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
-        self._finish_read(fleet.routes, changed)
-        if fleet.reader is not None:
-            self._apply_reader_record(fleet.reader)
-
-    def _finish_read(self, routes: RouteTable | None, changed: Iterable[str]) -> None:
-        self._apply_routes(routes)
-        self._log_servers(changed)
-        self.peers.notify_followers()
-        self._on_change()
-
-    def _apply_outdated_response(
-        self, routes: RouteTable | None, reader: RegisteredReader | None
-    ) -> None:
-        """Apply only the routes and the reader record of a response that is older than the feed."""
-        self._apply_routes(routes)
-        if reader is not None:
-            self._apply_reader_record(reader)
-        self._on_change()
-
-    def _apply_reader_record(self, registered: RegisteredReader) -> None:
-        before = self._sharing.registered_reader.reader
-        self._sharing.on_reader_registered(registered, self._age_clock.now_ms())
-        reader = self._sharing.registered_reader.reader
-        if reader == before or reader is None:
-            return
-        self._event_log.info(
-            "reader recorded", host=reader.host, store_revision=registered.revision
-        )
-        self.peers.request_changes()
-
-    def _apply_routes_change(self, change: RoutesChange) -> None:
-        self._record_store_response()
-        self._routes_revision = change.revision
-        self._apply_routes(change.routes)
-        self._on_change()
-
-    def _apply_feed_changes(self, received: ReceivedChanges) -> None:
-        directory = self._steering.directory
-        now_ms = self._clock.now_ms()
-        if received.after_outage:
-            directory.on_list_lost()
-        if received.is_fresh:
-            directory.on_list_read(now_ms)
-        if not received.changes:
-            return
-        self._log_servers(directory.update(received.changes, now_ms))
-        self._on_change()
-
-    def _apply_routes(self, routes: RouteTable | None) -> None:
-        if routes is not None and self._steering.apply_routes(routes):
-            self._event_log.info(
-                "routes in force",
-                version=routes.version,
-                routes=len(routes.routes),
-                store_revision=self._routes_revision,
-            )
-
-    def _log_servers(self, server_ids: Iterable[str]) -> None:
-        for server_id in server_ids:
-            known = self._steering.directory.get(server_id)
-            if known is None:
-                continue
-            server = known.server
-            self._event_log.info(
-                "server changed",
-                server=server.server_id,
-                service=server.service,
-                failure_domain=server.failure_domain,
-                state=server.state,
-                presence=known.presence(self._clock.now_ms()),
-                store_revision=self._sharing.revision,
-            )
+    def _apply_changes(self, changes: ServerListChanges) -> None:
+        self._record_list_read()
+        self._updates.apply_changes(changes)
 
     def _update_role(self) -> bool:
         """Log a change of the role; return whether it changed."""
@@ -334,6 +339,7 @@
         reader = self._sharing.registered_reader.reader
         self._event_log.info("list role", role=role, reader=reader.host if reader else "none")
         self._role = role
+        self._is_new_reader = role is ListSharingRole.SERVING
         return True
 
     def _record_store_response(self) -> None:
@@ -341,18 +347,16 @@
             self._event_log.info("store regained", failures=self._consecutive_failures)
         self._consecutive_failures = 0
 
-    def _record_list_read(self) -> int:
-        """Record a successful read of the list from the store; return the current time."""
+    def _record_list_read(self) -> None:
+        """Record a successful read of the list from the store."""
         self._record_store_response()
-        now_ms = self._clock.now_ms()
-        self._steering.directory.on_list_read(now_ms)
-        return now_ms
+        self._directory.on_list_read(self._clock.now_ms())
 
     def _on_failure(self, error: StoreUnavailableError) -> int:
         self._consecutive_failures += 1
         if self.role is not ListSharingRole.FOLLOWING:
             self._sharing.on_store_lost()
-            self._steering.directory.on_list_lost()
+            self._directory.on_list_lost()
         retry_delay_ms = backoff_ms(
             self._consecutive_failures, self._random, base_ms=MIN_RETRY_MS, limit_ms=MAX_RETRY_MS
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -58,7 +58,9 @@
         """Record an outage of the store, during which entries of running servers may expire."""
         self._outages += 1
 
-    def build_update(self, request: FeedRequest, *, list_age_ms: int) -> FeedUpdate:
+    def build_update(
+        self, request: FeedRequest, *, list_age_ms: int, routes_revision: int
+    ) -> FeedUpdate:
         """Return the changes that the sender of a request lacks, or as many as fit one update."""
         first = self._end - len(self._changes)
         if request.feed == self._incarnation and first <= request.position <= self._end:
@@ -78,4 +80,6 @@
             revision=self._revision,
             outages=self._outages,
             list_age_ms=list_age_ms,
+            request_sent_ms=request.sent_ms,
+            routes_revision=routes_revision,
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -16,8 +16,9 @@
 class FeedFollower:
     """Follows the feed of one reader while the reader answers with a fresh list.
 
-    A list is fresh while its age at the reader plus the time since the reader's last update is at
-    most ``age_limit_ms``.
+    A list is fresh while its age at the reader plus the time since the request that the reader last
+    answered is at most ``age_limit_ms``. The time of the request counts, not that of the update, so
+    that an update which waited in a socket while this host was paused does not seem recent.
     """
 
     def __init__(self, *, age_limit_ms: int) -> None:
@@ -30,8 +31,14 @@
         self._store_read_revision = 0
         self._outages = 0
         self._is_complete = False
-        # The latest time at which the reader's list was known to be up to date.
-        self._last_fresh_ms: int | None = None
+        # The latest time at which the reader's list was known to be up to date, and the latest one
+        # at which this host had all of that list.
+        self._reader_fresh_ms: int | None = None
+        self._list_fresh_ms: int | None = None
+        # The time of the latest request that the reader answered.
+        self._answered_request_ms: int | None = None
+        # The highest store revision of the routes that a reader announced.
+        self._announced_routes_revision = 0
 
     @property
     def reader(self) -> ListReader | None:
@@ -43,12 +50,19 @@
         """Return the store revision up to which the list is known."""
         return self._revision
 
+    @property
+    def announced_routes_revision(self) -> int:
+        """Return the store revision of the newest routes that a reader announced."""
+        return self._announced_routes_revision
+
     def set_reader(self, reader: ListReader | None) -> None:
         """Send requests to another reader, or to none, from now on."""
         if reader != self._reader:
             self._reader = reader
             self.stop_following()
-            self._last_fresh_ms = None
+            self._reader_fresh_ms = None
+            self._list_fresh_ms = None
+            self._answered_request_ms = None
 
     def stop_following(self) -> None:
         """Leave the feed until the reader answers the next request."""
@@ -65,30 +79,45 @@
         self._revision = max(self._revision, revision)
         self._store_read_revision = self._revision
 
-    def build_request(self) -> FeedRequest:
+    def build_request(self, now_ms: int) -> FeedRequest:
         """Return the request for the changes that this host lacks."""
-        return FeedRequest(self._feed_incarnation, self._position, self._revision)
+        return FeedRequest(self._feed_incarnation, self._position, self._revision, now_ms)
 
     def has_fresh_reader(self, now_ms: int) -> bool:
         """Return whether the reader has answered with a list that is still fresh."""
-        return (
-            self._last_fresh_ms is not None and now_ms - self._last_fresh_ms <= self._age_limit_ms
-        )
+        return self._is_recent(self._reader_fresh_ms, now_ms)
 
     def is_following(self, now_ms: int) -> bool:
         """Return whether the list is up to date through the feed."""
-        return self._is_complete and self.has_fresh_reader(now_ms)
+        return self._is_complete and self._is_recent(self._list_fresh_ms, now_ms)
 
     def list_age_ms(self, now_ms: int) -> int:
-        """Return the milliseconds since the reader's list was last known to be up to date."""
-        return now_ms if self._last_fresh_ms is None else now_ms - self._last_fresh_ms
+        """Return the milliseconds since this host's list was last known to be up to date."""
+        return now_ms if self._list_fresh_ms is None else now_ms - self._list_fresh_ms
+
+    def silence_ms(self, now_ms: int) -> int:
+        """Return the milliseconds since the latest request that the reader answered."""
+        return now_ms if self._answered_request_ms is None else now_ms - self._answered_request_ms
+
+    def on_routes_checked(self, revision: int) -> None:
+        """Forget the announcement of newer routes than the store has."""
+        self._announced_routes_revision = min(self._announced_routes_revision, revision)
+
+    def _is_recent(self, fresh_ms: int | None, now_ms: int) -> bool:
+        return fresh_ms is not None and now_ms - fresh_ms <= self._age_limit_ms
 
     def on_update(self, update: FeedUpdate, now_ms: int) -> ReceivedChanges:
         """Apply an update of the current reader; ignore updates of others."""
         if self._reader is None or update.feed != self._reader.incarnation:
             return ReceivedChanges()
-        self._last_fresh_ms = now_ms - update.list_age_ms
-        is_fresh = self.has_fresh_reader(now_ms)
+        # A request cannot have been sent later than now, whatever the reader returns.
+        request_ms = min(update.request_sent_ms, now_ms)
+        self._answered_request_ms = _latest(self._answered_request_ms, request_ms)
+        fresh_ms = request_ms - update.list_age_ms
+        self._reader_fresh_ms = _latest(self._reader_fresh_ms, fresh_ms)
+        self._announced_routes_revision = max(
+            self._announced_routes_revision, update.routes_revision
+        )
         continues = (
             update.feed == self._feed_incarnation and update.first_position <= self._position
         )
@@ -97,8 +126,11 @@
             # Forget the feed and the position in it, so that the reader answers the next request
             # with the changes after this host's revision.
             self.stop_following()
-            return ReceivedChanges(has_gap=had_feed, is_fresh=is_fresh)
-        return self._apply(update, is_fresh)
+            return ReceivedChanges(has_gap=had_feed)
+        received = self._apply(update)
+        if self._is_complete:
+            self._list_fresh_ms = _latest(self._list_fresh_ms, fresh_ms)
+        return received._replace(is_fresh=self.is_following(now_ms))
 
     def _join(self, update: FeedUpdate) -> bool:
         """Join a feed at the update's position; return False when changes would be missed."""
@@ -110,7 +142,7 @@
         self._position = update.first_position
         return True
 
-    def _apply(self, update: FeedUpdate, is_fresh: bool) -> ReceivedChanges:
+    def _apply(self, update: FeedUpdate) -> ReceivedChanges:
         new_changes = update.changes[self._position - update.first_position :]
         self._position += len(new_changes)
         self._is_complete = self._position >= update.end_position
@@ -126,5 +158,8 @@
             ),
             after_outage=after_outage,
             has_gap=not self._is_complete,
-            is_fresh=is_fresh,
         )
+
+
+def _latest(known_ms: int | None, new_ms: int) -> int:
+    return new_ms if known_ms is None else max(known_ms, new_ms)
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -17,11 +17,13 @@
 from redwingswitch._internal.models.server_list import ServerChange
 from redwingswitch._internal.ports import RandomSource
 
-# Spreads the claims of the hosts of a failure domain: 20 hosts are 25 ms apart on average.
-FIRST_CLAIM_DELAY_MS = 1_000
+# Spreads the claims of the hosts of a failure domain: 20 hosts are 15 ms apart on average.
+FIRST_CLAIM_DELAY_MS = 600
 # Hosts with less bandwidth claim the reader role only when no other host does. On a day when 30 %
 # of 3,000 servers are replaced, the changes took 5.8 Mbit/s of a reader with 100 followers.
 MIN_READER_LINK_MBPS = 50.0
+# A follower sends a request every 500 ms; two of them and their answers may be lost.
+READER_SILENCE_LIMIT_MS = 1_250
 # By then a host with a wider link has claimed the role and answered as the reader.
 NARROW_LINK_CLAIM_DELAY_MS = 2_000
 # A host that can reach the store but cannot reach other hosts claims the role again and again; this
@@ -52,10 +54,15 @@
         self._narrow_link_delay_ms = NARROW_LINK_CLAIM_DELAY_MS if is_narrow else 0
         self._random = random_source
         self._feed = ListFeed(incarnation=local_reader.incarnation if local_reader else 0)
+        # Whether the feed has all changes that this host knows since it last read the whole list.
+        # It then serves the followers of a former reader from the start.
+        self._is_feed_continuous = False
         self._follower = FeedFollower(age_limit_ms=age_limit_ms)
         self._registered_reader = NO_READER
         self._claim_attempts = 0
         self._claim_deadline_ms: int | None = None
+        # The store revision of the newest routes that this host has read.
+        self._routes_revision = 0
 
     @property
     def registered_reader(self) -> RegisteredReader:
@@ -72,6 +79,28 @@
         """Return the store revision up to which the list is known."""
         return self._follower.revision
 
+    @property
+    def needs_routes(self) -> bool:
+        """Return whether the reader announced newer routes than this host has read."""
+        return self._follower.announced_routes_revision > self._routes_revision
+
+    @property
+    def announced_routes_revision(self) -> int:
+        """Return the store revision of the newest routes that a reader announced."""
+        return self._follower.announced_routes_revision
+
+    @property
+    def has_other_reader(self) -> bool:
+        """Return whether another host is recorded as the reader."""
+        return self._follower.reader is not None
+
+    def is_reader_silent(self, now_ms: int) -> bool:
+        """Return whether the followed reader left several requests unanswered."""
+        return (
+            self._follower.reader is not None
+            and self._follower.silence_ms(now_ms) > READER_SILENCE_LIMIT_MS
+        )
+
     def role(self, now_ms: int) -> ListSharingRole:
         """Return how this host gets the list."""
         if self._is_reader():
@@ -94,7 +123,8 @@
             return
         self._claim_deadline_ms = None
         if self._is_reader():
-            self._feed.begin(self._follower.revision)
+            if not self._is_feed_continuous:
+                self._begin_feed(self._follower.revision)
             self._follower.set_reader(None)
         else:
             self._follower.set_reader(registered.reader)
@@ -111,9 +141,8 @@
     def on_list_read(self, revision: int, now_ms: int) -> None:
         """Record that this host read the whole list from the store."""
         self._follower.on_store_read(revision)
-        if self._is_reader():
-            # The list shows only the current state, not the changes since the last read.
-            self._feed.begin(revision)
+        # The list shows only the current state, not the changes since the last read.
+        self._begin_feed(revision)
         self._schedule_claim(now_ms)
 
     def on_changes_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
@@ -123,10 +152,23 @@
         read the list in between.
         """
         self._follower.on_store_read(revision)
-        if self._is_reader():
+        if self._is_feed_continuous:
             self._feed.append(changes, revision)
         self._schedule_claim(now_ms)
 
+    def on_routes_read(self, revision: int, *, is_newest: bool) -> None:
+        """Record the store revision of routes that this host read from the store.
+
+        ``is_newest`` is false for routes that the store may have replaced since.
+        """
+        self._routes_revision = max(self._routes_revision, revision)
+        if is_newest:
+            self._follower.on_routes_checked(self._routes_revision)
+
+    def on_reader_silent(self, now_ms: int) -> None:
+        """Prepare to claim the role of a reader that does not answer."""
+        self._schedule_claim(now_ms)
+
     def on_store_lost(self) -> None:
         """Record that this host cannot read the store."""
         self._feed.note_outage()
@@ -139,7 +181,8 @@
 
     def claim_deadline_ms(self, now_ms: int) -> int | None:
         """Return when to claim the reader role, or None when no claim is due."""
-        if self._is_reader() or self._follower.has_fresh_reader(now_ms):
+        has_reader = self._follower.has_fresh_reader(now_ms) and not self.is_reader_silent(now_ms)
+        if self._is_reader() or has_reader:
             self._claim_deadline_ms = None
         return self._claim_deadline_ms
 
@@ -148,24 +191,33 @@
         self._claim_attempts += 1
         self._claim_deadline_ms = None
 
-    def build_request(self) -> tuple[ListReader, FeedRequest] | None:
+    def build_request(self, now_ms: int) -> tuple[ListReader, FeedRequest] | None:
         """Return the reader and the request for it; None when there is none or it is this host."""
         reader = self._follower.reader
-        return None if reader is None else (reader, self._follower.build_request())
+        return None if reader is None else (reader, self._follower.build_request(now_ms))
 
     def build_update(self, request: FeedRequest, *, list_age_ms: int) -> FeedUpdate | None:
         """Return the answer to a request; None when this host is not the reader."""
-        return (
-            self._feed.build_update(request, list_age_ms=list_age_ms) if self._is_reader() else None
+        if not self._is_reader():
+            return None
+        return self._feed.build_update(
+            request, list_age_ms=list_age_ms, routes_revision=self._routes_revision
         )
 
     def on_update(self, update: FeedUpdate, now_ms: int) -> ReceivedChanges:
         """Apply an update of the reader."""
+        known_revision = self._follower.revision
         taken = self._follower.on_update(update, now_ms)
+        if taken.changes or self._follower.revision != known_revision:
+            self._is_feed_continuous = False
         if self._follower.is_following(now_ms):
             self._claim_attempts = 0
         return taken
 
+    def _begin_feed(self, revision: int) -> None:
+        self._feed.begin(revision)
+        self._is_feed_continuous = True
+
     def _is_reader(self) -> bool:
         return (
             self._local_reader is not None and self._registered_reader.reader == self._local_reader
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -27,12 +27,14 @@
     """Asks a reader for the changes that the sender does not have.
 
     ``feed`` is the incarnation of the reader whose feed the sender has followed up to ``position``,
-    or 0. ``revision`` is the store revision up to which the sender has the list.
+    or 0. ``revision`` is the store revision up to which the sender has the list. ``sent_ms`` is the
+    time of the request on the sender's own clock.
     """
 
     feed: int
     position: int
     revision: int
+    sent_ms: int
 
 
 class FeedChange(NamedTuple):
@@ -48,6 +50,9 @@
     The changes continue ``from_revision`` without a gap. A receiver that has the feed up to its end
     has the complete list of ``revision``. ``outages`` counts how often the reader lost its
     connection to the store. ``list_age_ms`` is the time since the store last answered the reader.
+    ``request_sent_ms`` is copied from the receiver's last request: the update was sent after it, so
+    an update that was delayed on the way is not taken for a recent one. ``routes_revision`` is the
+    store revision of the newest routes that the reader knows.
     """
 
     feed: int
@@ -58,6 +63,8 @@
     revision: int
     outages: int
     list_age_ms: int
+    request_sent_ms: int
+    routes_revision: int
 
 
 class ReceivedChanges(NamedTuple):
--- a/src/redwingswitch/_internal/models/server_list.py
+++ b/src/redwingswitch/_internal/models/server_list.py
@@ -23,25 +23,35 @@
     """The whole list at ``revision``; ``routes`` is None when there are none yet.
 
     ``reader`` is the record of the host that reads the list on behalf of this failure domain.
+    ``routes_revision`` is the store revision at which the routes were written, 0 without routes.
     """
 
     routes: RouteTable | None
     servers: tuple[ServerChange, ...]
     revision: int
     reader: RegisteredReader = NO_READER
+    routes_revision: int = 0
 
 
 class ServerListChanges(NamedTuple):
-    """The changes up to ``revision``; ``routes`` and ``reader`` are None when unchanged."""
+    """The changes up to ``revision``; ``routes`` and ``reader`` are None when unchanged.
+
+    ``routes_revision`` is the store revision at which the routes were written, 0 when unchanged.
+    """
 
     routes: RouteTable | None
     servers: tuple[ServerChange, ...]
     revision: int
     reader: RegisteredReader | None = None
+    routes_revision: int = 0
 
 
-class RoutesChange(NamedTuple):
-    """The routes at ``revision``; ``routes`` is None when unchanged."""
+class StoredRoutes(NamedTuple):
+    """The newest routes and the store revision at which they were written.
+
+    ``routes`` is None, and ``revision`` 0, when there are none; routes that cannot be decoded have
+    a revision only.
+    """
 
     routes: RouteTable | None
     revision: int
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -12,7 +12,7 @@
 from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate
 from redwingswitch._internal.network.packing import check_integer, convert_to_model, pack, unpack
 
-LIST_SCHEMA_VERSION = 1
+LIST_SCHEMA_VERSION = 2
 LEADING_FIELD_COUNT = 3
 MAX_UINT64 = 2**64 - 1
 
--- a/src/redwingswitch/_internal/platform/standins/store.py
+++ b/src/redwingswitch/_internal/platform/standins/store.py
@@ -37,12 +37,14 @@
 class PlatformStoreStandin:
     """An in-memory store that is served over HTTP on a loopback port.
 
-    ``fault`` applies to all calls until it is set to None. ``calls`` lists the paths of all calls.
+    ``fault`` applies to all calls until it is set to None. ``calls`` lists the paths of all calls,
+    and ``queries`` their query arguments.
     """
 
     def __init__(self, *, page_items: int = PAGE_ITEMS) -> None:
         self.fault: Fault | None = None
         self.calls: list[str] = []
+        self.queries: list[dict[str, str]] = []
         self._page_items = page_items
         self._items: dict[str, _Event] = {}
         self._history: list[_Event] = []
@@ -97,6 +99,9 @@
 
     def _on_request(self, request: HTTPServerRequest) -> None:
         self.calls.append(request.path)
+        self.queries.append(
+            {name: values[0].decode() for name, values in request.query_arguments.items()}
+        )
         asyncio.get_running_loop().create_task(self._answer(request))
 
     async def _answer(self, request: HTTPServerRequest) -> None:
@@ -117,6 +122,8 @@
     async def _serve(self, request: HTTPServerRequest) -> None:
         if request.path == "/v1/kv-range":
             _respond(request, HTTPStatus.OK, self._range(request))
+        elif request.path == "/v1/kv-key":
+            self._read_key(request)
         elif request.path == "/v1/kv-watch":
             await self._watch(request)
         elif request.path == "/v1/kv-txn":
@@ -124,6 +131,14 @@
         else:
             _respond(request, HTTPStatus.NOT_FOUND, b"{}")
 
+    def _read_key(self, request: HTTPServerRequest) -> None:
+        found = self._items.get(_query_argument(request, "Key"))
+        if found is None:
+            _respond(request, HTTPStatus.NOT_FOUND, b"{}")
+            return
+        body = {**_encode_item(found), "StoreRevision": self._revision}
+        _respond(request, HTTPStatus.OK, _encode_json(body))
+
     def _range(self, request: HTTPServerRequest) -> bytes:
         prefix, after = _query_argument(request, "Prefix"), _query_argument(request, "after")
         keys = sorted(key for key in self._items if key.startswith(prefix) and key > after)
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -16,13 +16,13 @@
     StoreHistoryLostError,
     StoreUnavailableError,
 )
-from redwingswitch._internal.models.cookie_flows import ListedServer, RouteTable
+from redwingswitch._internal.models.cookie_flows import ListedServer
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
 from redwingswitch._internal.models.server_list import (
-    RoutesChange,
     ServerChange,
     ServerList,
     ServerListChanges,
+    StoredRoutes,
 )
 from redwingswitch._internal.platform.entries import (
     CONFIGURATION_KEY,
@@ -44,6 +44,7 @@
 # No key has this prefix, so the response is empty.
 ABSENT_PREFIX = "probe/"
 NO_LEASE = 0
+NO_ROUTES = StoredRoutes(None, 0)
 # A page has at most about 500 items. The bound ends the listing if a faulty store always
 # announces another page.
 MAX_PAGES = 1_000
@@ -75,6 +76,7 @@
     items: list[_Item]
 
 
+_item_decoder = msgspec.json.Decoder(_Item)
 _page_decoder = msgspec.json.Decoder(_Page)
 _events_decoder = msgspec.json.Decoder(_Events)
 _write_result_decoder = msgspec.json.Decoder(_WriteResult)
@@ -91,25 +93,30 @@
         self._timeout_ms = timeout_ms
         self._reader_key = READER_PREFIX + failure_domain
 
-    async def read_all(self) -> ServerList:
-        """Return the full list: the routes, all backend servers and the reader."""
+    async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
+        """Return the full list: the routes, all backend servers and the reader.
+
+        A list that may be stale can be seconds old and costs the store a tenth.
+        """
         items: list[_Item] = []
         revision: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
-            page = await self._read_page(after)
+            page = await self._read_page(after, may_be_stale)
             items += page.items
-            # Pages are not a snapshot, so changes are followed from the revision of the first one.
-            revision = page.store_revision if revision is None else revision
+            # Pages are not a snapshot, and stale pages are not in order, so changes are followed
+            # from the oldest one.
+            revision = min(page.store_revision, revision or page.store_revision)
             if not page.has_more or not page.items:
                 break
             after = page.items[-1].key
         routes, changes = _translate_items(items)
         return ServerList(
-            routes=routes,
+            routes=routes.routes,
             servers=tuple(changes),
             revision=revision or 0,
             reader=self._find_reader(items) or NO_READER,
+            routes_revision=routes.revision,
         )
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
@@ -117,17 +124,36 @@
         events = await self._watch(ALL_KEYS_PREFIX, after_revision, wait_ms)
         routes, changes = _translate_items(events.events)
         return ServerListChanges(
-            routes=routes,
+            routes=routes.routes,
             servers=tuple(changes),
             revision=max(after_revision, events.store_revision),
             reader=self._find_reader(events.events),
+            routes_revision=routes.revision,
+        )
+
+    async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
+        """Return what changed of the backend servers after a revision, without a wait.
+
+        A watch returns each version of a value. The routes change many times in a storm of
+        configurations, and a narrow link needs seconds for all their versions.
+        """
+        events = await self._watch(SERVER_PREFIX, after_revision, 0)
+        _, changes = _translate_items(events.events)
+        return ServerListChanges(
+            routes=None,
+            servers=tuple(changes),
+            revision=max(after_revision, events.store_revision),
         )
 
-    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
-        """Return the routes after a revision, waiting up to ``wait_ms`` for a change."""
-        events = await self._watch(CONFIGURATION_KEY, after_revision, wait_ms)
-        routes, _ = _translate_items(events.events)
-        return RoutesChange(routes=routes, revision=max(after_revision, events.store_revision))
+    async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
+        """Return the newest routes."""
+        item = await self._read_item(CONFIGURATION_KEY, may_be_stale=may_be_stale)
+        return NO_ROUTES if item is None else _routes_from_item(item)
+
+    async def read_reader(self) -> RegisteredReader:
+        """Return the record of this failure domain's reader; it may be seconds old."""
+        item = await self._read_item(self._reader_key, may_be_stale=True)
+        return NO_READER if item is None else _reader_from_item(item)
 
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         """Store a reader's record if the record still has the revision ``expected``.
@@ -155,7 +181,7 @@
 
     async def probe(self) -> None:
         """Return when the store answers; a serializable read costs it a tenth of a normal one."""
-        query = {"Prefix": ABSENT_PREFIX, "Serializable": 1}
+        query = {"Prefix": ABSENT_PREFIX, **_stale_query(True)}
         await self._get(self._probe_connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
 
     def close(self) -> None:
@@ -177,8 +203,17 @@
                 found = _reader_from_item(item)
         return found
 
-    async def _read_page(self, after: str) -> _Page:
-        query = {"Prefix": ALL_KEYS_PREFIX}
+    async def _read_item(self, key: str, *, may_be_stale: bool) -> _Item | None:
+        query = {"Key": key, **_stale_query(may_be_stale)}
+        target = f"/v1/kv-key?{urlencode(query)}"
+        response = await self._connection.call("GET", target, body=b"", timeout_ms=self._timeout_ms)
+        if response.status == HTTPStatus.NOT_FOUND:
+            return None
+        _check_status(response)
+        return _decode_response(_item_decoder, response.body)
+
+    async def _read_page(self, after: str, may_be_stale: bool) -> _Page:
+        query: dict[str, object] = {"Prefix": ALL_KEYS_PREFIX, **_stale_query(may_be_stale)}
         if after:
             query["after"] = after
         body = await self._get(self._connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
@@ -196,6 +231,10 @@
         return response.body
 
 
+def _stale_query(may_be_stale: bool) -> dict[str, object]:
+    return {"Serializable": 1} if may_be_stale else {}
+
+
 def _check_status(response: Response) -> None:
     if response.status != HTTPStatus.OK:
         raise StoreUnavailableError(f"the store refused the call with status {response.status}")
@@ -208,24 +247,25 @@
         raise StoreUnavailableError(f"the store's response cannot be decoded: {error}") from error
 
 
-def _translate_items(items: Iterable[_Item]) -> tuple[RouteTable | None, list[ServerChange]]:
-    """Return the newest routes and the last state of each server among the items."""
-    routes: RouteTable | None = None
+def _translate_items(items: Iterable[_Item]) -> tuple[StoredRoutes, list[ServerChange]]:
+    """Return the newest usable routes and the last state of each server among the items."""
+    routes = NO_ROUTES
     servers: dict[str, _Item] = {}
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.deleted:
-            routes = _routes_from_item(item) or routes
+            found = _routes_from_item(item)
+            routes = routes if found.routes is None else found
         elif item.key.startswith(SERVER_PREFIX):
             servers[item.key.removeprefix(SERVER_PREFIX)] = item
     return routes, [_change_from_item(server_id, item) for server_id, item in servers.items()]
 
 
-def _routes_from_item(item: _Item) -> RouteTable | None:
+def _routes_from_item(item: _Item) -> StoredRoutes:
     try:
-        return decode_routes(_decode_value(item))
+        return StoredRoutes(decode_routes(_decode_value(item)), item.revision)
     except DecodeError as error:
         log.error(f"configuration ignored revision={item.revision} reason={error}")
-        return None
+        return StoredRoutes(None, item.revision)
 
 
 def _reader_from_item(item: _Item) -> RegisteredReader:
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -17,9 +17,9 @@
     from redwingswitch._internal.models.messages import PeerMessage
     from redwingswitch._internal.models.requests import BackendReport
     from redwingswitch._internal.models.server_list import (
-        RoutesChange,
         ServerList,
         ServerListChanges,
+        StoredRoutes,
     )
     from redwingswitch._internal.models.status import FleetStatus
 
@@ -117,8 +117,8 @@
     Every method raises ``StoreUnavailableError`` when the store cannot be read.
     """
 
-    async def read_all(self) -> ServerList:
-        """Return the whole list."""
+    async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
+        """Return the whole list; one that may be seconds old costs the store a tenth."""
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         """Return the changes after ``after_revision``, waiting up to ``wait_ms`` for one.
@@ -126,12 +126,19 @@
         Raises ``StoreHistoryLostError`` when the list must be read as a whole.
         """
 
-    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
-        """Return the routes after ``after_revision``, waiting up to ``wait_ms`` for a change.
+    async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
+        """Return the changes of backend servers after ``after_revision``, without a wait.
 
-        Raises ``StoreHistoryLostError`` when the list must be read as a whole.
+        Unlike ``read_changes``, this does not transfer each version of the routes. Raises
+        ``StoreHistoryLostError`` when the list must be read as a whole.
         """
 
+    async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
+        """Return the newest routes; those that may be seconds old cost the store a tenth."""
+
+    async def read_reader(self) -> RegisteredReader:
+        """Return the record of this failure domain's reader, which may be seconds old."""
+
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         """Store the record of a failure domain's reader unless it was changed since ``expected``.
 
--- a/tests/functional/test_steering_reports.py
+++ b/tests/functional/test_steering_reports.py
@@ -71,6 +71,6 @@
     sample = f'{PREFIX}packets_total{{service="job-board",verdict="opened"}} 1'
     assert sample in text
     assert f'{PREFIX}packets_total{{service="",verdict="reset_no_route"}} 1' in text
-    assert f'{PREFIX}store_calls_total{{operation="list",result="ok"}} 1' in text
+    assert f'{PREFIX}store_calls_total{{operation="stale_list",result="ok"}} 1' in text
     assert SECRET not in text
     assert all(name.endswith("_total") for name in COUNTERS)
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
+from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
@@ -24,10 +25,10 @@
     ListSharingRole,
 )
 from redwingswitch._internal.models.server_list import (
-    RoutesChange,
     ServerChange,
     ServerList,
     ServerListChanges,
+    StoredRoutes,
 )
 from redwingswitch._internal.network.list_messages import (
     decode_list_message,
@@ -47,25 +48,45 @@
 
 
 class ScriptedStore:
-    """A store that returns queued results; a watch waits until one is queued."""
+    """A store that returns queued results; a watch waits until one is queued.
+
+    A read without a wait returns ``changes_since`` if no result is queued. ``routes`` are read
+    alone; ``stale_routes`` is what a read that may be stale returns instead.
+    """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.results: asyncio.Queue[ServerListChanges | Exception] = asyncio.Queue()
         self.answers_probes = True
         self.reader = NO_READER
+        self.changes_since: tuple[ServerChange, ...] = ()
+        self.routes = StoredRoutes(route_table(), 3)
+        self.stale_routes: StoredRoutes | None = None
 
-    async def read_all(self) -> ServerList:
-        self.calls.append("all")
+    async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
+        self.calls.append("stale list" if may_be_stale else "all")
         return ServerList(
-            routes=route_table(), servers=(LISTED_CHANGE,), revision=5, reader=self.reader
+            routes=self.routes.routes,
+            servers=(LISTED_CHANGE,),
+            revision=5,
+            reader=self.reader,
+            routes_revision=self.routes.revision,
         )
 
-    async def read_routes(self, *, after_revision: int, wait_ms: int) -> RoutesChange:
-        self.calls.append(f"routes after {after_revision} wait {wait_ms}")
-        if wait_ms:
-            await asyncio.Event().wait()
-        return RoutesChange(routes=None, revision=after_revision)
+    async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
+        self.calls.append("stale routes" if may_be_stale else "routes")
+        return self.stale_routes or self.routes if may_be_stale else self.routes
+
+    async def read_reader(self) -> RegisteredReader:
+        self.calls.append("reader")
+        return self.reader
+
+    async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
+        self.calls.append(f"servers after {after_revision}")
+        result = self.results.get_nowait() if self.results.qsize() else None
+        if isinstance(result, Exception):
+            raise result
+        return result or changes(*self.changes_since, revision=after_revision)
 
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         self.calls.append(f"register expected {expected}")
@@ -75,6 +96,8 @@
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         self.calls.append(f"after {after_revision} wait {wait_ms}")
+        if not wait_ms and not self.results.qsize():
+            return changes(*self.changes_since, revision=after_revision)
         result = await self.results.get()
         if isinstance(result, Exception):
             raise result
@@ -132,7 +155,7 @@
             on_change=lambda: None,
         )
         self.task = asyncio.create_task(self.reader.run())
-        await wait_until(lambda: len(self.store.calls) > 1)
+        await wait_until(lambda: len(self.store.calls) > 0)
         return self
 
     async def __aexit__(self, *_error: object) -> None:
@@ -146,8 +169,10 @@
 def test_a_long_watch_follows_the_first_read() -> None:
     async def scenario() -> None:
         async with RunningReader() as running:
-            assert running.store.calls[:2] == [
-                "all",
+            await wait_until(lambda: len(running.store.calls) > 2)
+            assert running.store.calls[:3] == [
+                "stale list",
+                "after 5 wait 0",
                 f"after 5 wait {server_list_sync.MAX_WATCH_WAIT_MS}",
             ]
             assert running.steering.routes is not None
@@ -162,9 +187,9 @@
         async with RunningReader() as running:
             running.store.answers_probes = False
             await wait_until(lambda: not running.reader.is_store_reachable)
-            await wait_until(lambda: running.watches()[-1] == "after 5 wait 0")
-            running.store.answers_probes = True
             running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=9))
+            running.store.answers_probes = True
+            await wait_until(lambda: "servers after 5" in running.store.calls)
             await wait_until(lambda: running.reader.is_store_reachable)
             known = running.steering.directory.get("i-1")
             assert known is not None
@@ -177,7 +202,7 @@
     async def scenario() -> None:
         async with RunningReader() as running:
             running.store.results.put_nowait(StoreHistoryLostError("gone"))
-            await wait_until(lambda: running.store.calls.count("all") == 2)
+            await wait_until(lambda: running.store.calls.count("all") == 1)
             assert running.reader.is_store_reachable
 
     run(scenario())
@@ -192,7 +217,9 @@
     run(scenario())
 
 
-def update(*servers: ServerChange, revision: int, position: int = 0) -> bytes:
+def update(
+    *servers: ServerChange, revision: int, position: int = 0, routes_revision: int = 0
+) -> bytes:
     """Return an encoded update from a reader."""
     changes = tuple(FeedChange(revision, each) for each in servers)
     sent = FeedUpdate(
@@ -204,6 +231,8 @@
         revision=revision,
         outages=0,
         list_age_ms=0,
+        request_sent_ms=BootClock().now_ms(),
+        routes_revision=routes_revision,
     )
     return encode_list_message(incarnation=PEER_READER.incarnation, message=sent)
 
@@ -226,56 +255,188 @@
     run(scenario())
 
 
-def test_a_follower_watches_only_the_routes_and_takes_changes_from_its_reader() -> None:
+def following(*, age_limit_ms: int = AGE_LIMIT_MS) -> RunningReader:
+    """Return a host whose reader is recorded; it follows once an update has arrived."""
+    return RunningReader(local=LOCAL_READER, reader=PEER_RECORD, age_limit_ms=age_limit_ms)
+
+
+def test_a_follower_makes_no_call_for_the_changes_that_its_reader_sends() -> None:
     async def scenario() -> None:
-        async with RunningReader(local=LOCAL_READER, reader=PEER_RECORD) as running:
+        async with following() as running:
             running.reader.peers.on_datagram(update(LISTED_CHANGE, revision=9), PEER_ADDRESS)
-            await wait_until(lambda: any(c.startswith("routes") for c in running.store.calls))
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            await settle()
+            calls = list(running.store.calls)
             running.reader.peers.on_datagram(
                 update(REMOVED_CHANGE, revision=10, position=1), PEER_ADDRESS
             )
+            await settle()
             known = running.steering.directory.get("i-1")
             assert known is not None
             assert known.absent_since_ms is not None
+            assert running.store.calls == calls
 
     run(scenario())
 
 
-def test_a_response_older_than_the_feed_reverts_nothing() -> None:
-    # A host that begins to follow a reader may still get an older response to its own watch. If
-    # applied, it makes a live server look stopped, and the flows are reset 20 s later.
+@pytest.mark.parametrize(
+    ("stale", "expected"),
+    [
+        pytest.param(None, ["stale routes"], id="the cheap read has them"),
+        pytest.param(
+            StoredRoutes(route_table(), 3), ["stale routes", "routes"], id="the cheap read is stale"
+        ),
+    ],
+)
+def test_a_follower_reads_the_routes_that_its_reader_announces(
+    stale: StoredRoutes | None, expected: list[str]
+) -> None:
     async def scenario() -> None:
-        async with RunningReader(local=LOCAL_READER, reader=PEER_RECORD) as running:
-            running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=7))
+        async with following() as running:
             running.reader.peers.on_datagram(update(LISTED_CHANGE, revision=9), PEER_ADDRESS)
-            await wait_until(lambda: any(c.startswith("routes") for c in running.store.calls))
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.routes = StoredRoutes(route_table()._replace(version=99), 12)
+            running.store.stale_routes = stale
+            running.reader.peers.on_datagram(
+                update(revision=12, position=1, routes_revision=12), PEER_ADDRESS
+            )
+            await wait_until(lambda: version_in_force(running) == 99)
+            await settle()
+            assert [call for call in running.store.calls if "routes" in call] == expected
+
+    run(scenario())
+
+
+def version_in_force(running: RunningReader) -> int | None:
+    routes = running.steering.routes
+    return None if routes is None else routes.version
+
+
+async def settle() -> None:
+    """Let all tasks run that are due; the intervals of these tests are 2 ms."""
+    for _ in range(20):
+        await asyncio.sleep(0.002)
+
+
+@pytest.mark.parametrize(
+    ("routes_revision", "is_confirmed"),
+    [
+        pytest.param(3, True, id="the reader knows no newer routes"),
+        pytest.param(12, False, id="the reader knows newer routes"),
+    ],
+)
+def test_a_stale_list_is_used_only_after_the_reader_has_confirmed_it(
+    routes_revision: int, is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # After a restart, a server that has left or a route that was withdrawn must not be used again.
+    async def scenario() -> None:
+        async with following() as running:
+            assert running.store.calls == ["stale list"]
+            assert running.steering.routes is None
+            running.store.routes = StoredRoutes(route_table()._replace(version=99), 12)
+            running.reader.peers.on_datagram(
+                update(REMOVED_CHANGE, revision=9, routes_revision=routes_revision), PEER_ADDRESS
+            )
+            assert (running.steering.routes is not None) is is_confirmed
+            await wait_until(lambda: running.steering.routes is not None)
+            assert version_in_force(running) == (route_table().version if is_confirmed else 99)
+
+    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_stale_list_is_completed_from_the_store_when_the_reader_is_silent() -> None:
+    async def scenario() -> None:
+        running = following()
+        running.store.changes_since = (REMOVED_CHANGE,)
+        async with running:
+            await wait_until(lambda: running.steering.routes is not None)
+            assert running.store.calls[:2] == ["stale list", "after 5 wait 0"]
             known = running.steering.directory.get("i-1")
             assert known is not None
-            assert known.absent_since_ms is None
+            assert known.absent_since_ms is not None
 
     run(scenario())
 
 
-def test_a_follower_of_a_silent_reader_reads_the_missed_changes_at_once() -> None:
+def test_a_host_that_lost_its_reader_reads_in_the_middle_of_a_storm_of_routes() -> None:
+    # A follower that had just taken routes did not look at its reader for a third of the age
+    # limit, and then read all versions of the routes. It offered flows to a server that had left
+    # 5.2 s before.
     async def scenario() -> None:
-        async with RunningReader(
-            local=LOCAL_READER, reader=PEER_RECORD, age_limit_ms=200
-        ) as running:
+        async with following(age_limit_ms=200) as running:
             running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
-            await wait_until(lambda: running.store.calls[-1] == "after 9 wait 0")
-            assert running.store.calls[-2] == "routes after 5 wait 0"
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.changes_since = (REMOVED_CHANGE,)
+            await wait_until(lambda: "servers after 9" in running.store.calls)
+            await wait_until(lambda: "routes" in running.store.calls)
+            known = running.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is not None
+
+    run(scenario())
+
+
+def test_a_follower_of_a_silent_reader_finds_its_successor_before_the_list_is_too_old(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    successor = PEER_READER._replace(address="127.0.0.4", incarnation=8)
+
+    async def scenario() -> None:
+        async with following() as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.reader = RegisteredReader(successor, 20)
+            sent = SentDatagrams()
+            running.reader.peers.set_sender(sent)
+            await wait_until(lambda: any(to == (successor.address, 7720) for _, to in sent.all))
+            assert not any("servers" in call for call in running.store.calls)
+
+    monkeypatch.setattr(sharing_module, "READER_SILENCE_LIMIT_MS", 20)
+    monkeypatch.setattr(server_list_sync, "READER_LOOKUP_INTERVAL_MS", 2)
+    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_new_reader_reads_what_its_list_lacks_before_it_is_taken_as_complete() -> None:
+    # The answer to its claim says nothing about its list.
+    async def scenario() -> None:
+        async with RunningReader(local=LOCAL_READER) as running:
+            for revision in range(6, 1_000):
+                running.store.results.put_nowait(changes(revision=revision))
+                if running.reader.role is ListSharingRole.SERVING:
+                    break
+                await asyncio.sleep(0.01)
+            claim = running.store.calls.index("register expected 0")
+            await wait_until(lambda: len(running.store.calls) > claim + 1)
+            assert running.store.calls[claim + 1].endswith("wait 0")
+
+    run(scenario())
+
+
+def test_a_response_older_than_the_feed_reverts_nothing() -> None:
+    # A host that begins to follow a reader may still get an older response to its own watch. If
+    # applied, it makes a live server look stopped, and the flows are reset 20 s later.
+    async def scenario() -> None:
+        async with RunningReader(local=LOCAL_READER, reader=PEER_RECORD) as running:
+            running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=7))
+            running.reader.peers.on_datagram(update(LISTED_CHANGE, revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            known = running.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is None
 
     run(scenario())
 
 
 class SentDatagrams:
-    """A datagram sender that records what is sent."""
+    """A datagram sender that records what is sent, and to which address."""
 
     def __init__(self) -> None:
-        self.sent: list[bytes] = []
+        self.all: list[tuple[bytes, tuple[str, int]]] = []
 
     def send(self, data: bytes, address: tuple[str, int]) -> bool:
-        self.sent.append(data)
+        self.all.append((data, address))
         return True
 
 
@@ -294,9 +455,9 @@
             # reads at revision 9 that it is listed again.
             running.store.results.put_nowait(changes(LISTED_CHANGE, revision=9))
             await wait_until(lambda: any("after 9" in call for call in running.watches()))
-            request = encode_list_message(incarnation=6, message=FeedRequest(0, 0, 7))
+            request = encode_list_message(incarnation=6, message=FeedRequest(0, 0, 7, 1))
             running.reader.peers.on_datagram(request, PEER_ADDRESS)
-            answer = decode_list_message(network.sent[-1]).message
+            answer = decode_list_message(network.all[-1][0]).message
             assert isinstance(answer, FeedUpdate)
             assert [each.change for each in answer.changes] == [LISTED_CHANGE]
 
--- a/tests/unit/list_sharing/test_feed.py
+++ b/tests/unit/list_sharing/test_feed.py
@@ -13,10 +13,11 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import (
     MIN_READER_LINK_MBPS,
     NARROW_LINK_CLAIM_DELAY_MS,
+    READER_SILENCE_LIMIT_MS,
     ListSharing,
 )
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
-from redwingswitch._internal.models.list_sharing import FeedRequest, ListSharingRole
+from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerChange
 
 AGE_LIMIT_MS = 2_000
@@ -45,13 +46,27 @@
     return made
 
 
+def answer(
+    source: ListFeed,
+    target: FeedFollower,
+    *,
+    now_ms: int = 0,
+    list_age_ms: int = 0,
+    routes_revision: int = 0,
+) -> FeedUpdate:
+    """Return the answer of a reader to a follower's request of now."""
+    return source.build_update(
+        target.build_request(now_ms), list_age_ms=list_age_ms, routes_revision=routes_revision
+    )
+
+
 def exchange_until_complete(
     source: ListFeed, target: FeedFollower, *, now_ms: int = 0
 ) -> list[str]:
     """Exchange requests and updates until there is no gap; return the ids of the changes."""
     found: list[str] = []
     for _ in range(100):
-        taken = target.on_update(source.build_update(target.build_request(), list_age_ms=0), now_ms)
+        taken = target.on_update(answer(source, target, now_ms=now_ms), now_ms)
         found += [each.server_id for each in taken.changes]
         if not taken.has_gap:
             return found
@@ -95,7 +110,7 @@
     source.begin(10)
     source.append([change(n) for n in range(2 * MAX_CHANGES_PER_UPDATE)], 11)
     target = make_follower()
-    taken = target.on_update(source.build_update(target.build_request(), list_age_ms=0), 0)
+    taken = target.on_update(answer(source, target), 0)
     assert taken.has_gap
     assert not target.is_following(0)
     assert target.revision == 10
@@ -117,10 +132,10 @@
     source, target = make_feed(11), make_follower()
     exchange_until_complete(source, target)
     source.append([change(12)], 12)
-    lost = source.build_update(target.build_request(), list_age_ms=0)
+    lost = answer(source, target)
     source.append([change(13)], 13)
-    following = FeedRequest(lost.feed, lost.first_position + len(lost.changes), lost.revision)
-    pushed = source.build_update(following, list_age_ms=0)
+    following = FeedRequest(lost.feed, lost.first_position + len(lost.changes), lost.revision, 0)
+    pushed = source.build_update(following, list_age_ms=0, routes_revision=0)
     assert target.on_update(pushed, 0).has_gap
     assert not target.is_following(0)
     assert exchange_until_complete(source, target) == ["i-12", "i-13"]
@@ -162,7 +177,7 @@
     source.begin(10)
     source.append([change(n) for n in range(2 * MAX_CHANGES_PER_UPDATE)], 30)
     target = make_follower()
-    assert target.on_update(source.build_update(target.build_request(), list_age_ms=0), 0).has_gap
+    assert target.on_update(answer(source, target), 0).has_gap
     # This store response may contain older states of the changes that were already applied.
     target.on_store_read(20)
     assert len(exchange_until_complete(source, target)) == 2 * MAX_CHANGES_PER_UPDATE
@@ -173,12 +188,10 @@
     exchange_until_complete(source, target)
     source.note_outage()
     source.append([change(12)], 12)
-    first = target.on_update(source.build_update(target.build_request(), list_age_ms=0), 0)
+    first = target.on_update(answer(source, target), 0)
     assert first.after_outage
     assert first.changes
-    assert not target.on_update(
-        source.build_update(target.build_request(), list_age_ms=0), 0
-    ).after_outage
+    assert not target.on_update(answer(source, target), 0).after_outage
 
 
 @pytest.mark.parametrize(
@@ -195,10 +208,44 @@
     list_age_ms: int, silent_ms: int, expected: bool
 ) -> None:
     source, target = make_feed(11), make_follower()
-    target.on_update(source.build_update(target.build_request(), list_age_ms=list_age_ms), 0)
+    target.on_update(answer(source, target, list_age_ms=list_age_ms), 0)
     assert target.is_following(silent_ms) is expected
 
 
+@pytest.mark.parametrize(
+    ("delay_ms", "expected"),
+    [
+        pytest.param(AGE_LIMIT_MS, True, id="delayed up to the limit"),
+        pytest.param(AGE_LIMIT_MS + 1, False, id="delayed for too long"),
+    ],
+)
+def test_an_update_that_was_delayed_on_the_way_is_as_old_as_its_request(
+    delay_ms: int, expected: bool
+) -> None:
+    # A host that was paused finds updates in its socket that the reader sent before the pause.
+    source, target = make_feed(11), make_follower()
+    update = answer(source, target)
+    target.on_update(update, delay_ms)
+    assert target.is_following(delay_ms) is expected
+
+
+def test_an_update_cannot_be_newer_than_now() -> None:
+    source, target = make_feed(11), make_follower()
+    target.on_update(answer(source, target)._replace(request_sent_ms=10**9), 0)
+    assert not target.is_following(AGE_LIMIT_MS + 1)
+
+
+def test_an_update_with_a_gap_does_not_make_the_list_younger() -> None:
+    source, target = make_feed(11), make_follower()
+    exchange_until_complete(source, target)
+    delayed = answer(source, target)
+    source.begin(13)
+    assert not target.on_update(answer(source, target, now_ms=1_500), 1_500).is_fresh
+    # The older update ends where this host stands, but the feed has continued.
+    target.on_update(delayed, 1_500)
+    assert not target.is_following(AGE_LIMIT_MS + 1)
+
+
 def make_sharing(local: ListReader | None = OTHER) -> ListSharing:
     return ListSharing(
         local_reader=local, age_limit_ms=AGE_LIMIT_MS, random_source=random.Random(1)
@@ -229,9 +276,9 @@
     host.on_changes_read([], 10, 0)
     host.on_reader_registered(RegisteredReader(READER, 5), 0)
     assert host.claim_deadline_ms(0) is not None
-    asked = host.build_request()
+    asked = host.build_request(0)
     assert asked is not None
-    host.on_update(make_feed(11).build_update(asked[1], list_age_ms=0), 0)
+    host.on_update(make_feed(11).build_update(asked[1], list_age_ms=0, routes_revision=0), 0)
     assert host.claim_deadline_ms(0) is None
     assert host.role(0) is ListSharingRole.FOLLOWING
 
@@ -258,6 +305,91 @@
     assert (deadline_ms > NARROW_LINK_CLAIM_DELAY_MS) is expected
 
 
+def followed_sharing(now_ms: int = 0) -> ListSharing:
+    """Return a host that follows a reader."""
+    host = make_sharing()
+    host.on_changes_read([], 10, now_ms)
+    host.on_reader_registered(RegisteredReader(READER, 5), now_ms)
+    update_from(make_feed(), host, now_ms)
+    assert host.role(now_ms) is ListSharingRole.FOLLOWING
+    return host
+
+
+def update_from(source: ListFeed, host: ListSharing, now_ms: int, routes_revision: int = 0) -> None:
+    asked = host.build_request(now_ms)
+    assert asked is not None
+    update = source.build_update(asked[1], list_age_ms=0, routes_revision=routes_revision)
+    host.on_update(update, now_ms)
+
+
+@pytest.mark.parametrize(
+    ("silent_ms", "expected"),
+    [
+        pytest.param(READER_SILENCE_LIMIT_MS, False, id="one lost answer"),
+        pytest.param(READER_SILENCE_LIMIT_MS + 1, True, id="several lost answers"),
+    ],
+)
+def test_the_role_of_a_silent_reader_is_claimed_before_its_list_is_too_old(
+    silent_ms: int, expected: bool
+) -> None:
+    # Otherwise all hosts of the failure domain read the store for themselves when the list is too
+    # old.
+    host = followed_sharing()
+    assert host.is_reader_silent(silent_ms) is expected
+    host.on_reader_silent(silent_ms)
+    assert host.role(silent_ms) is ListSharingRole.FOLLOWING
+    assert (host.claim_deadline_ms(silent_ms) is not None) is expected
+
+
+def test_announced_routes_are_needed_until_they_have_been_read() -> None:
+    host = followed_sharing()
+    host.on_routes_read(10, is_newest=False)
+    update_from(make_feed(), host, 0, routes_revision=12)
+    assert host.needs_routes
+    host.on_routes_read(11, is_newest=False)
+    assert host.needs_routes
+    host.on_routes_read(12, is_newest=False)
+    assert not host.needs_routes
+
+
+def test_a_reader_that_announces_routes_which_do_not_exist_is_not_believed_for_ever() -> None:
+    host = followed_sharing()
+    update_from(make_feed(), host, 0, routes_revision=10**9)
+    host.on_routes_read(11, is_newest=True)
+    assert not host.needs_routes
+
+
+def test_a_new_reader_serves_hosts_that_read_the_list_at_the_same_time() -> None:
+    # Otherwise, each of them reads the store once more when all hosts start together.
+    reader, other = make_sharing(READER), make_sharing()
+    for host, revision in ((reader, 10), (other, 11)):
+        host.on_list_read(revision, 0)
+    reader.on_changes_read([change(12)], 14, 0)
+    for host in (reader, other):
+        host.on_reader_registered(RegisteredReader(READER, 13), 0)
+    asked = other.build_request(0)
+    assert asked is not None
+    update = reader.build_update(asked[1], list_age_ms=0)
+    assert update is not None
+    assert [each.server_id for each in other.on_update(update, 0).changes] == ["i-12"]
+    assert other.role(0) is ListSharingRole.FOLLOWING
+
+
+def test_a_follower_that_becomes_the_reader_does_not_hide_changes_it_received() -> None:
+    reader, other = followed_sharing(), make_sharing(READER)
+    # The feed of the former reader had a change that is not in this host's own feed.
+    update_from(make_feed(11, 12), reader, 0)
+    reader.on_reader_registered(RegisteredReader(OTHER, 13), 0)
+    other.on_list_read(10, 0)
+    other.on_reader_registered(RegisteredReader(OTHER, 13), 0)
+    asked = other.build_request(0)
+    assert asked is not None
+    update = reader.build_update(asked[1], list_age_ms=0)
+    assert update is not None
+    other.on_update(update, 0)
+    assert other.role(0) is ListSharingRole.READING
+
+
 def test_repeated_claims_back_off() -> None:
     host = make_sharing()
     now_ms = 0
@@ -282,7 +414,7 @@
 def test_a_replaced_reader_no_longer_answers() -> None:
     host = make_sharing()
     host.on_reader_registered(RegisteredReader(OTHER, 9), 0)
-    request = FeedRequest(0, 0, 0)
+    request = FeedRequest(0, 0, 0, 0)
     assert host.build_update(request, list_age_ms=0) is not None
     host.on_reader_registered(RegisteredReader(READER, 10), 0)
     assert host.build_update(request, list_age_ms=0) is None
--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -201,7 +201,7 @@
         host.end_read()
         if host.sharing.role(host.now_ms) is not ListSharingRole.FOLLOWING:
             self._read_when_due(host)
-        asked = host.sharing.build_request()
+        asked = host.sharing.build_request(host.now_ms)
         if asked is None or host.now_ms < host.request_deadline_ms:
             return
         host.request_deadline_ms = host.now_ms + REQUEST_INTERVAL_MS
@@ -210,7 +210,8 @@
             if reader is None or not self._delivers(host, reader):
                 return
             update = reader.sharing.build_update(
-                host.sharing.build_request()[1], list_age_ms=reader.age.age_ms(reader.now_ms)
+                host.sharing.build_request(host.now_ms)[1],
+                list_age_ms=reader.age.age_ms(reader.now_ms),
             )
             if update is None:
                 return
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -32,10 +32,14 @@
     revision=42,
     outages=1,
     list_age_ms=12,
+    request_sent_ms=2**40,
+    routes_revision=2**40,
 )
 
 
-@pytest.mark.parametrize("message", [FeedRequest(7, 3, 2**60), UPDATE], ids=["request", "update"])
+@pytest.mark.parametrize(
+    "message", [FeedRequest(7, 3, 2**60, 2**40), UPDATE], ids=["request", "update"]
+)
 def test_messages_round_trip(message: FeedRequest | FeedUpdate) -> None:
     data = encode_list_message(incarnation=7, message=message)
     assert decode_list_message(data) == ListDatagram(7, message)
@@ -50,11 +54,11 @@
 @pytest.mark.parametrize(
     "fields",
     [
-        pytest.param([LIST_SCHEMA_VERSION + 1, 7, 0, 7, 3, 9], id="another version"),
-        pytest.param([LIST_SCHEMA_VERSION, 7, 2, 7, 3, 9], id="unknown kind"),
-        pytest.param([LIST_SCHEMA_VERSION, -1, 0, 7, 3, 9], id="negative incarnation"),
-        pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, 3], id="missing field"),
-        pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, "3", 9], id="wrong type"),
+        pytest.param([LIST_SCHEMA_VERSION + 1, 7, 0, 7, 3, 9, 5], id="another version"),
+        pytest.param([LIST_SCHEMA_VERSION, 7, 2, 7, 3, 9, 5], id="unknown kind"),
+        pytest.param([LIST_SCHEMA_VERSION, -1, 0, 7, 3, 9, 5], id="negative incarnation"),
+        pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, 3, 9], id="missing field"),
+        pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, "3", 9, 5], id="wrong type"),
         pytest.param([LIST_SCHEMA_VERSION, 8, 1, *UPDATE], id="the feed of another host"),
     ],
 )
@@ -64,8 +68,8 @@
 
 
 def test_fields_of_newer_versions_are_ignored() -> None:
-    data = msgspec.msgpack.encode([LIST_SCHEMA_VERSION, 7, 0, 7, 3, 9, "new"])
-    assert decode_list_message(data).message == FeedRequest(7, 3, 9)
+    data = msgspec.msgpack.encode([LIST_SCHEMA_VERSION, 7, 0, 7, 3, 9, 5, "new"])
+    assert decode_list_message(data).message == FeedRequest(7, 3, 9, 5)
 
 
 def test_a_full_update_fits_into_a_datagram() -> None:
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -177,18 +177,76 @@
     run(scenario())
 
 
-def test_a_routes_watch_sees_no_other_changes() -> None:
+@pytest.mark.parametrize("may_be_stale", [True, False])
+def test_the_newest_routes_are_read_alone(may_be_stale: bool) -> None:
     async def scenario() -> None:
         async with StoreFixture() as fixture:
-            start_revision = fixture.standin.put("servers/i-1", entry())
-            idle = await fixture.store.read_routes(after_revision=start_revision, wait_ms=5)
-            assert idle.routes is None
-            fixture.standin.put("servers/i-1", entry(state="draining"))
-            fixture.standin.put("op/config", routes(2))
-            found = await fixture.store.read_routes(after_revision=start_revision, wait_ms=5)
+            assert await fixture.store.read_routes(may_be_stale=may_be_stale) == (None, 0)
+            fixture.standin.put("op/config", routes(1))
+            revision = fixture.standin.put("op/config", routes(2))
+            fixture.standin.put("servers/i-1", entry())
+            found = await fixture.store.read_routes(may_be_stale=may_be_stale)
             assert found.routes is not None
             assert found.routes.version == 2
-            assert found.revision == start_revision + 2
+            assert found.revision == revision
+            assert fixture.standin.queries[-1].get("Serializable") == (
+                "1" if may_be_stale else None
+            )
+
+    run(scenario())
+
+
+def test_unreadable_routes_have_only_a_revision() -> None:
+    # Without the revision, a follower would read routes that its reader announced for ever.
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            revision = fixture.standin.put("op/config", b"{")
+            assert await fixture.store.read_routes() == (None, revision)
+
+    run(scenario())
+
+
+def test_server_changes_do_not_transfer_the_versions_of_the_routes() -> None:
+    # On a link of 5 Mbit/s, 37 versions of a large configuration took 1.8 s, and a host offered
+    # flows to a server that had announced 5.2 s before that it leaves.
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            start_revision = fixture.standin.put("servers/i-1", entry())
+            fixture.standin.put("servers/i-1", entry(state="draining"))
+            for version in range(1, 20):
+                end_revision = fixture.standin.put("op/config", routes(version))
+            found = await fixture.store.read_server_changes(after_revision=start_revision)
+            assert [change.server_id for change in found.servers] == ["i-1"]
+            assert found.revision == end_revision
+            assert fixture.standin.queries[-1]["Prefix"] == "servers/"
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("revisions", "expected"),
+    [
+        pytest.param([40, 30, 35], 30, id="a stale page after the first one"),
+        pytest.param([30, 40, 35], 30, id="newer pages after the first one"),
+    ],
+)
+def test_a_list_of_several_pages_is_known_up_to_the_oldest_page(
+    revisions: list[int], expected: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        async with StoreFixture(page_items=1) as fixture:
+            for number in range(len(revisions)):
+                fixture.standin.put(f"servers/i-{number}", entry(8000 + number))
+            remaining = iter(revisions)
+            read_page = fixture.store._read_page
+
+            async def read_page_of_another_revision(after: str, may_be_stale: bool) -> object:
+                page = await read_page(after, may_be_stale)
+                page.store_revision = next(remaining)
+                return page
+
+            monkeypatch.setattr(fixture.store, "_read_page", read_page_of_another_revision)
+            assert (await fixture.store.read_all(may_be_stale=True)).revision == expected
 
     run(scenario())
 
@@ -198,6 +256,7 @@
         async with StoreFixture() as fixture:
             first = await fixture.store.read_all()
             assert first.reader == NO_READER
+            assert await fixture.store.read_reader() == NO_READER
             recorded = await fixture.store.register_reader(READER, expected=0)
             assert recorded.reader == READER
             successor = READER._replace(incarnation=2)
@@ -206,6 +265,7 @@
             assert (await fixture.store.read_all()).reader == recorded
             changes = await fixture.store.read_changes(after_revision=first.revision, wait_ms=1)
             assert changes.reader == recorded
+            assert await fixture.store.read_reader() == recorded
             replaced = await fixture.store.register_reader(successor, expected=recorded.revision)
             assert replaced.reader == successor
             assert replaced.revision > recorded.revision
