Ask the store for the reader's record first when the reader is lost

If the record names a new reader that answers, nothing else is read.

Result: a test of an outage fails without the change.

--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -266,11 +266,17 @@
             # The followers need each change in its order, that of the reader's record included.
             self._apply_changes(await self._read_changes(wait_ms=0))
             return
+        # The cheapest call goes first: all hosts repeat it in an outage of the store, and a host
+        # whose reader has a successor needs no other one.
+        known = self._sharing.registered_reader
+        self._updates.apply_reader(await self._store.read_reader())
+        if self._sharing.registered_reader != known and await self._is_following_soon():
+            self._record_store_response()
+            return
         changes = await self._store.read_server_changes(after_revision=self._sharing.revision)
         self._record_list_read()
         self._updates.apply_server_changes(changes)
         self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
-        self._updates.apply_reader(await self._store.read_reader())
 
     async def _wait_until_following(self) -> None:
         while self.role is not ListSharingRole.FOLLOWING:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -58,6 +58,7 @@
         self.calls: list[str] = []
         self.results: asyncio.Queue[ServerListChanges | Exception] = asyncio.Queue()
         self.answers_probes = True
+        self.is_down = False
         self.reader = NO_READER
         self.changes_since: tuple[ServerChange, ...] = ()
         self.routes = StoredRoutes(route_table(), 3)
@@ -79,6 +80,8 @@
 
     async def read_reader(self) -> RegisteredReader:
         self.calls.append("reader")
+        if self.is_down:
+            raise StoreUnavailableError("down")
         return self.reader
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
@@ -429,6 +432,22 @@
     run(scenario())
 
 
+def test_hosts_that_lost_reader_and_store_repeat_only_the_cheapest_call() -> None:
+    # In an outage of the store, 227 hosts repeated a call of full price 6 to 7 times each.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            begin = len(running.store.calls)
+            await wait_until(lambda: len(running.store.calls) > begin + 5)
+            assert set(running.store.calls[begin:]) == {"reader"}
+            running.store.is_down = False
+            await wait_until(lambda: "servers after 9" in running.store.calls)
+
+    run(scenario())
+
+
 class SentDatagrams:
     """A datagram sender that records what is sent, and to which address."""
 
