Wait for the members before activating the tables of a joined host

The lowest revision of the members was worked out at the view, when no configured host was known, so the host held that all members had the next revision, activated its tables at once and advertised a deadline of 0. Its peers activated the tables on arrival, while hosts without the revision still used the old ones. Ruled out: owners and record hand-over; the opening never reached an owner.

Change: the configured hosts are kept beside the view and compared when a table is due. Any sequence with a join shortly before a change shares this cause.

--- a/src/redwingswitch/_internal/decisions/flows/activation_deadlines.py
+++ b/src/redwingswitch/_internal/decisions/flows/activation_deadlines.py
@@ -24,20 +24,23 @@
     def __init__(self) -> None:
         self._advertised_ms: dict[tuple[int, int], int] = {}
         self._members_revision = NO_MEMBER_REVISION
+        self._viewed_hosts: frozenset[str] = frozenset()
+        self._configured_hosts: frozenset[str] = frozenset()
 
-    def set_view(
-        self, view: MembershipView, host: str, configured_hosts: frozenset[str], now_ms: int
-    ) -> None:
-        """Update the deadlines and the lowest revision from a membership view.
+    def set_configured_hosts(self, hosts: frozenset[str]) -> None:
+        """Set the hosts that must have a revision before its tables are activated early.
 
-        While a host of ``configured_hosts`` is missing from the view, its revision is unknown, and
-        tables are activated at their deadlines only.
+        While one of them is missing from the view, its revision is unknown, and tables are
+        activated at their deadlines only.
         """
+        self._configured_hosts = hosts
+
+    def set_view(self, view: MembershipView, host: str, now_ms: int) -> None:
+        """Update the deadlines and the lowest revision from a membership view."""
         others = [m for m in view.members if m.host != host and m.state is not MemberState.DEAD]
         revisions = (member.digest.revision for member in others)
         self._members_revision = min(revisions, default=NO_MEMBER_REVISION)
-        if not configured_hosts <= {member.host for member in view.members}:
-            self._members_revision = 0
+        self._viewed_hosts = frozenset(member.host for member in view.members)
         for member in others:
             for need in member.digest.needed_revisions:
                 for table in need.pending:
@@ -66,4 +69,6 @@
 
     def is_due(self, table: LookupTable, now_ms: int) -> bool:
         """Return whether every member has the revision of the table or its deadline has passed."""
-        return self._members_revision >= table.revision or now_ms >= table.activate_at_ms
+        views_all = self._configured_hosts <= self._viewed_hosts
+        is_everywhere = views_all and self._members_revision >= table.revision
+        return is_everywhere or now_ms >= table.activate_at_ms
--- a/src/redwingswitch/_internal/decisions/flows/flow_steering.py
+++ b/src/redwingswitch/_internal/decisions/flows/flow_steering.py
@@ -163,6 +163,7 @@
         self._remove_services(services)
         active = (e for e in configuration.entry_hosts if e.state is ServerState.ACTIVE)
         self._history.set_configured_hosts(entry.name for entry in active)
+        self._activation.set_configured_hosts(self._history.configured_hosts)
         actions: list[Action] = []
         for service in services:
             actions += self._apply_service(service, now_ms, starting=starting, skipped=skipped)
@@ -218,7 +219,7 @@
         self._exchange.retain_peers(owners.reachable)
         self._retention.set_view(view)
         self._history.set_view(view)
-        self._activation.set_view(view, self._context.host, self._history.configured_hosts, now_ms)
+        self._activation.set_view(view, self._context.host, now_ms)
         for service in self._pending.values():
             self._activation.shorten_deadlines(service)
         actions: list[Action] = [*self._history.request_missing(self._revision, now_ms)]
