Close a store connection that has data which no call asked for

Cause: a server may send a second copy of a response, late. The steering daemon keeps one connection to the store; the copy stayed in the stream's buffer or the socket, and the next call took it for its own response. Shown by a test for a copy that comes with the first response and for one that comes later; both fail without the change.

Change: before a call, a connection with unread data, or one that the server has ended, is replaced. A copy that arrives after the next request was sent cannot be told from its response by HTTP/1.1; the revisions in the store's responses bound its effect.

Also tested: a response that breaks off in its headers, in its body or between two chunks is an error. This held before.

One more system call per call to the store.

--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -60,15 +60,33 @@
         self.is_complete = True
 
 
+class _Stream(IOStream):
+    """A stream that knows whether it has received data which nobody has read."""
+
+    def has_unread_data(self) -> bool:
+        """Return whether data was received after the last response, or the connection ended."""
+        if self._read_buffer_size:
+            return True
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
 class HttpConnection:
     """Sends one call at a time to a server; the call after a failure opens a new connection.
 
-    A connection is also closed after a timeout, because it may never deliver data again.
+    A connection is also closed after a timeout, because it may never deliver data again, and when
+    it has data that no call asked for: a second copy of a response would be taken for the response
+    to the next call.
     """
 
     def __init__(self, *, address: str, port: int) -> None:
         self._address = (address, port)
-        self._stream: IOStream | None = None
+        self._stream: _Stream | None = None
         self._parameters = HTTP1ConnectionParameters(max_body_size=MAX_RESPONSE_BYTES)
 
     async def call(self, method: str, target: str, *, body: bytes, timeout_ms: int) -> Response:
@@ -117,10 +135,13 @@
         return Response(collector.status, b"".join(collector.chunks))
 
     async def _open_stream(self) -> IOStream:
-        if self._stream is None or self._stream.closed():
-            self._stream = IOStream(_create_tcp_socket())
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
-                await self._stream.connect(self._address)
+        stream = self._stream
+        if stream is not None and not stream.closed() and not stream.has_unread_data():
+            return stream
+        self.close()
+        self._stream = _Stream(_create_tcp_socket())
+        async with asyncio.timeout(CONNECT_TIMEOUT_MS / MS_PER_S):
+            await self._stream.connect(self._address)
         return self._stream
 
 
