Close all sockets after a failed start, and reserve ports that must be known early

A start that then failed left its ZeroMQ sockets open; the collection of their context waited for them forever, in a later test. The daemon had the same fault: with the peer port in use it printed a traceback, since ZMQError is no OSError.

Change: ReservedPort holds a port below the range of automatic assignment, on an address that nothing else uses, until it is closed. The constructor of the entry daemon closes what it bound when a later port is in use.

--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from contextlib import ExitStack
 
 from logbook import Logger
 from tornado.ioloop import IOLoop, PeriodicCallback
@@ -113,7 +114,9 @@
         self._pipeline: Pipeline | None = None
         self._expiry_timer = PeriodicCallback(self._remove_expired, EXPIRY_INTERVAL_MS)
         self._stopped = asyncio.Event()
-        self._bind()
+        with ExitStack() as opened:
+            self._bind(opened)
+            opened.pop_all()
 
     @property
     def ports(self) -> BoundPorts:
@@ -199,7 +202,8 @@
         await self._listeners.close()
         self._peer_sockets.close()
 
-    def _bind(self) -> None:
+    def _bind(self, opened: ExitStack) -> None:
+        """Bind all sockets; ``opened`` closes them if a later one cannot be bound."""
         parameters = self.parameters
         self._packet_receiver = PacketReceiver(
             submit=self._submit, metrics=self.metrics, directory=self._directory
@@ -221,11 +225,13 @@
             port=parameters.data_port,
             on_datagram=self._packet_receiver.on_datagram,
         )
+        opened.callback(self._data_endpoint.close)
         self._request_endpoint = DatagramEndpoint(
             address=parameters.address,
             port=parameters.request_port,
             on_datagram=self._request_receiver.on_datagram,
         )
+        opened.callback(self._request_endpoint.close)
         self._peer_sockets = PeerSockets(
             host=parameters.host,
             incarnation=self._incarnation,
@@ -237,6 +243,7 @@
             on_refused=self._peer_message_receiver.on_refused,
             on_sent=self._on_sent,
         )
+        opened.callback(self._peer_sockets.close)
         self._admin_server = AdminServer(
             address=parameters.address,
             port=parameters.admin_port,
--- a/src/redwingswitch/_internal/network/peers.py
+++ b/src/redwingswitch/_internal/network/peers.py
@@ -102,7 +102,13 @@
         # its own.
         self._context = zmq.Context()
         self._authenticator = self._start_authenticator()
-        self._router = self._bind_router(address, port)
+        self._router = self._context.socket(zmq.ROUTER)
+        try:
+            self._bind_router(address, port)
+        except zmq.ZMQError as error:
+            # A context that is collected with open sockets waits for them forever.
+            self._close_sockets()
+            raise OSError(error.errno, error.strerror, f"{address}:{port}") from error
         self._loop = IOLoop.current()
         self._router_descriptor = int(self._router.getsockopt(zmq.FD))
         self._loop.add_handler(self._router_descriptor, lambda *_: self._read_batch(), IOLoop.READ)
@@ -160,6 +166,9 @@
         for host in list(self._dealers):
             self._disconnect(host)
         self._loop.remove_handler(self._router_descriptor)
+        self._close_sockets()
+
+    def _close_sockets(self) -> None:
         self._router.close(linger=0)
         if self._authenticator is not None:
             self._authenticator.stop()
@@ -228,14 +237,12 @@
         if dealer is not None:
             dealer.close(linger=0)
 
-    def _bind_router(self, address: str, port: int) -> zmq.Socket[bytes]:
-        router = self._context.socket(zmq.ROUTER)
-        _set_socket_options(router)
+    def _bind_router(self, address: str, port: int) -> None:
+        _set_socket_options(self._router)
         if self._keys.encrypted:
-            self._set_keys(router)
-            router.curve_server = True
-        router.bind(f"tcp://{address}:{port or '*'}")
-        return router
+            self._set_keys(self._router)
+            self._router.curve_server = True
+        self._router.bind(f"tcp://{address}:{port or '*'}")
 
     def _set_keys(self, socket: zmq.Socket[bytes]) -> None:
         socket.curve_publickey = self._keys.public_key.encode("ascii")
--- a/src/redwingswitch/_internal/platform/standins/site.py
+++ b/src/redwingswitch/_internal/platform/standins/site.py
@@ -23,6 +23,7 @@
 from redwingswitch._internal.platform.standins.store import PlatformStoreStandin
 from redwingswitch._internal.platform.store import PlatformStore
 from redwingswitch._internal.settings import LogLevel
+from redwingswitch._internal.standins.reserved_ports import ReservedPort
 from redwingswitch._internal.steering_settings import Endpoint, SteeringSettings
 from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 
@@ -35,13 +36,6 @@
 LIST_AGE_LIMIT_MS = 3_000
 
 
-def _find_free_port() -> int:
-    """Return a port that is free on the address of the last host."""
-    with bind_datagram_socket(HOST_ADDRESSES[-1], 0) as probe:
-        port: int = probe.getsockname()[1]
-    return port
-
-
 class RunningHost:
     """A steering daemon and the task that runs it."""
 
@@ -64,12 +58,13 @@
         self.callers = PlatformCallerStandin(address=CALLER_ADDRESS)
         self.servers: dict[str, PlatformServerStandin] = {}
         self.hosts: list[RunningHost] = []
-        self.peer_port = _find_free_port()
+        self._caller_port = ReservedPort()
+        self._peer_port = ReservedPort()
         self._entry_sequence = 0
 
     async def __aenter__(self) -> SteeringSite:
         self.store.start()
-        await self.callers.start()
+        await self.callers.start(port=self._caller_port.number)
         return self
 
     async def __aexit__(self, *_error: object) -> None:
@@ -79,6 +74,8 @@
             server.close()
         self.callers.close()
         await self.store.close()
+        self._caller_port.close()
+        self._peer_port.close()
 
     def configure(self, *routes: StandinRoute, version: int = 1) -> None:
         """Write a configuration; its default is one route to the job board."""
@@ -117,7 +114,7 @@
             readiness=Endpoint(HOST_ADDRESSES[number], 0),
             readiness_path="/ready",
             metrics=None,
-            peers=Endpoint(HOST_ADDRESSES[number], self.peer_port),
+            peers=Endpoint(HOST_ADDRESSES[number], self._peer_port.number),
             store=Endpoint(STORE_ADDRESS, self.store.port),
             store_timeout_ms=STORE_TIMEOUT_MS,
             grace_period_ms=GRACE_PERIOD_MS,
--- a/src/redwingswitch/_internal/standins/demo_fleet.py
+++ b/src/redwingswitch/_internal/standins/demo_fleet.py
@@ -31,6 +31,7 @@
 from redwingswitch._internal.standins.backend_server import BackendServerStandin
 from redwingswitch._internal.standins.fabric import Fabric, FabricHost
 from redwingswitch._internal.standins.host_list import LaggingHostList
+from redwingswitch._internal.standins.reserved_ports import ReservedPort
 from redwingswitch._internal.standins.stream_caller import StreamCallers
 
 FAILURE_DOMAINS = ("hobart", "bruny", "huon")
@@ -88,7 +89,8 @@
         self._document: Document | None = None
         self._entry_host_count = entry_host_count
         self._services = services
-        self.listen_ports = {service.name: _find_free_port() for service in services}
+        self._reserved_ports = {service.name: ReservedPort() for service in services}
+        self.listen_ports = {name: port.number for name, port in self._reserved_ports.items()}
 
     async def start(self) -> None:
         """Bind all sockets, accept the first configuration file and start the entry hosts."""
@@ -158,6 +160,8 @@
         for server in self.servers.values():
             server.close()
         self.streams.close()
+        for port in self._reserved_ports.values():
+            port.close()
 
     def file_text(self) -> str:
         """Return the configuration file of the current deployment."""
@@ -267,10 +271,3 @@
         formatted = str(value).lower() if isinstance(value, bool | int) else f"'{value}'"
         lines.append(f"{key} = {formatted}")
     return "\n".join(lines) + "\n"
-
-
-def _find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
--- a/tests/functional/test_entry_program.py
+++ b/tests/functional/test_entry_program.py
@@ -18,6 +18,7 @@
 )
 from redwingswitch._internal.network.store_http import HttpConfigStore
 from redwingswitch._internal.ports import KeyPrecondition
+from redwingswitch._internal.standins.reserved_ports import ReservedPort
 from redwingswitch._internal.standins.store import EtcdGatewayStandin
 from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.loops import run, wait_until
@@ -64,15 +65,16 @@
 admin_port = {admin_port}
 grace_period_s = 5
 """
-PORT_KEYS = ("peer_port", "data_port", "request_port", "admin_port")
+TCP_PORT_KEYS = ("peer_port", "admin_port")
+PORT_KEYS = (*TCP_PORT_KEYS, "data_port", "request_port")
 
 
-def free_ports():
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in PORT_KEYS]
-    ports = {key: s.getsockname()[1] for key, s in zip(PORT_KEYS, sockets, strict=True)}
-    for opened in sockets:
-        opened.close()
-    return ports
+@pytest.fixture
+def ports():
+    reserved = {key: ReservedPort() for key in PORT_KEYS}
+    yield {key: port.number for key, port in reserved.items()}
+    for port in reserved.values():
+        port.close()
 
 
 async def start_program(settings_file):
@@ -102,11 +104,10 @@
         assert line, "the program ended"
 
 
-def test_a_hangup_keeps_the_configuration_and_a_termination_exits_cleanly(tmp_path):
+def test_a_hangup_keeps_the_configuration_and_a_termination_exits_cleanly(tmp_path, ports):
     async def body():
         standin = EtcdGatewayStandin(clock=MonotonicClock())
         standin.start()
-        ports = free_ports()
         await put_document(standin.port, OPERATOR_FILE.format(key=PUBLIC_KEY, **ports))
         settings = tmp_path / "entry.toml"
         settings.write_text(
@@ -128,28 +129,34 @@
     run(body())
 
 
+async def run_to_end(settings_file):
+    process = await start_program(settings_file)
+    _, errors = await process.communicate()
+    return process.returncode, errors.decode()
+
+
 @pytest.mark.parametrize(
-    ("text", "status", "problem"),
-    [
-        ("host = 1\n", status_codes.INVALID_INPUT, "entry.toml:1: host"),
-        (None, status_codes.INVALID_INPUT, "cannot be read"),
-        ("taken", status_codes.ERROR, "cannot start"),
-    ],
-    ids=["faulty settings", "no settings", "port in use"],
+    ("text", "problem"),
+    [("host = 1\n", "entry.toml:1: host"), (None, "cannot be read")],
+    ids=["faulty settings", "no settings"],
 )
-def test_a_failed_start_reports_its_reason(tmp_path, text, status, problem):
-    async def body():
-        settings = tmp_path / "entry.toml"
-        ports = free_ports()
-        with socket.create_server(("127.0.0.1", 0)) as taken:
-            if text == "taken":
-                ports["admin_port"] = taken.getsockname()[1]
-                settings.write_text(SETTINGS_TEMPLATE.format(key=SECRET_KEY, store_port=1, **ports))
-            elif text is not None:
-                settings.write_text(text)
-            process = await start_program(settings)
-            _, errors = await process.communicate()
-        assert process.returncode == status
-        assert problem in errors.decode()
-
-    run(body())
+def test_a_start_with_unusable_settings_reports_its_reason(tmp_path, text, problem):
+    settings = tmp_path / "entry.toml"
+    if text is not None:
+        settings.write_text(text)
+    status, errors = run(run_to_end(settings))
+    assert status == status_codes.INVALID_INPUT
+    assert problem in errors
+
+
+@pytest.mark.parametrize("taken", PORT_KEYS)
+def test_a_start_with_a_port_in_use_reports_it_and_ends(tmp_path, ports, taken):
+    settings = tmp_path / "entry.toml"
+    settings.write_text(SETTINGS_TEMPLATE.format(key=SECRET_KEY, store_port=1, **ports))
+    kind = socket.SOCK_STREAM if taken in TCP_PORT_KEYS else socket.SOCK_DGRAM
+    with socket.socket(socket.AF_INET, kind) as holder:
+        holder.bind(("127.0.0.1", ports[taken]))
+        status, errors = run(run_to_end(settings))
+    assert status == status_codes.ERROR
+    assert "cannot start" in errors
+    assert "Traceback" not in errors
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -5,7 +5,6 @@
 import asyncio
 import random
 import signal
-import socket
 from ipaddress import IPv4Address
 from pathlib import Path
 
@@ -15,6 +14,7 @@
     build_server_entry,
 )
 from redwingswitch._internal.platform.standins.store import PlatformStoreStandin
+from redwingswitch._internal.standins.reserved_ports import ReservedPort
 from tests.soak.callers import Routers, SoakCaller
 from tests.soak.disturbances import DisturbanceLog, now_ms
 from tests.soak.invariants import CONVERGENCE_LIMIT_MS, InvariantChecker, OpenFlow
@@ -41,14 +41,6 @@
 RECOVERY_SAMPLE_INTERVAL_S = 2.0
 
 
-def free_port(address: str, kind: socket.SocketKind) -> int:
-    """Return an unused port of an address."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((address, 0))
-        port: int = probe.getsockname()[1]
-    return port
-
-
 class SoakSite:
     """All processes, servers and callers of one run."""
 
@@ -73,13 +65,13 @@
         self._version = 0
         self._numbers = iter(range(1, 1_000_000))
         self._sequence = 0
+        self._reserved_ports = (ReservedPort(), ReservedPort())
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> None:
         """Start the store, servers, hosts and callers; return when all hosts are in rotation."""
         self.store.start()
-        port = free_port(CALLER_ADDRESS, socket.SOCK_DGRAM)
-        peer_port = free_port(self._addresses[0], socket.SOCK_DGRAM)
+        port, peer_port = (reserved.number for reserved in self._reserved_ports)
         self.routers = Routers([(address, port) for address in self._addresses])
         self.callers = SoakCaller(
             address=CALLER_ADDRESS, routers=self.routers, on_reset=self.invariants.on_reset
@@ -113,6 +105,8 @@
             server.close()
         self.callers.close()
         await self.store.close()
+        for port in self._reserved_ports:
+            port.close()
 
     def start_task(self, work) -> None:
         """Run a coroutine until it ends or the site is closed."""
