Confirm the list before acting on it after a pause of the host

Cause: a steering host that was paused or suspended for seconds handled the packets in its socket before any timer ran, by the list and the routes from before the pause: it opened flows to servers that had left meanwhile, and reset flows whose route or server had been added. The reader's role was guarded by the age of its list, the packet path was not.

Change: where a packet is decided, a pause is detected on the boot clock. Until the reader has answered a request that was sent after it, or the store has, for 0.3 s at most, only packets of open flows at listed servers pass; all others are held. A host without a reader probes the store at once.

Ruled out: holding while the list is merely old. In an outage of the store a host must serve by what it knows.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -113,6 +113,10 @@
         self._put_in_force(routes)
         self._on_change()
 
+    def release_held_packets(self) -> None:
+        """Decide again on the packets that were held since this host resumed after a pause."""
+        self._on_change()
+
     def apply_reader(self, registered: RegisteredReader) -> None:
         """Apply the record of the failure domain's reader; send a new one a request at once."""
         before = self._sharing.registered_reader.reader
@@ -149,7 +153,7 @@
             directory.on_list_read(now_ms)
         self._log_servers(directory.update(received.changes, now_ms))
         is_confirmed = self._confirm_routes()
-        if received.changes or is_confirmed:
+        if received.changes or is_confirmed or self._steering.is_list_outdated:
             self._on_change()
         self._feed_received.set()
 
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -30,6 +30,11 @@
         """Return milliseconds since the store last showed that the list is up to date."""
         return self._list_age.age_ms(self._clock.now_ms())
 
+    @property
+    def resumed_ms(self) -> int | None:
+        """Return when this host last resumed after a pause, or None if it was never paused."""
+        return self._list_age.resumed_ms
+
     def on_tick(self) -> None:
         """Record that the host is running; must be called several times a second."""
         self._list_age.on_tick(self._clock.now_ms())
--- a/src/redwingswitch/_internal/daemon/packet_path.py
+++ b/src/redwingswitch/_internal/daemon/packet_path.py
@@ -37,6 +37,9 @@
 class ListAgeSource(Protocol):
     """Provides the age of this host's server list."""
 
+    def is_outdated_by_pause(self) -> bool:
+        """Return whether this host was paused and the list has not been confirmed since."""
+
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
 
@@ -81,16 +84,22 @@
             self._metrics.count("malformed_packets_total")
             self._event_log.warning("packet malformed", reason=error)
             return
+        self._check_list()
         self._perform(self._steering.on_packet(packet, now_ms))
         self._set_timer(now_ms)
 
     def on_list_changed(self) -> None:
         """Handle the packets that were held until routes or servers became known."""
         now_ms = self._clock.now_ms()
+        self._check_list()
         for action in self._steering.on_list_changed(now_ms):
             self._perform(action)
         self._set_timer(now_ms)
 
+    def _check_list(self) -> None:
+        # Packets that arrived during a pause are handled before any timer can detect the pause.
+        self._steering.is_list_outdated = self._list_age_source.is_outdated_by_pause()
+
     def _set_timer(self, now_ms: int) -> None:
         deadline_ms = self._steering.next_deadline_ms()
         if self._timer_deadline_ms is None and deadline_ms is not None:
@@ -103,6 +112,7 @@
         if self._timer_deadline_ms is not None:
             self.timer_lag_ms = now_ms - self._timer_deadline_ms
         self._timer_deadline_ms = None
+        self._check_list()
         for action in self._steering.on_timer(now_ms):
             self._perform(action)
         self._set_timer(now_ms)
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -14,6 +14,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Any, NoReturn
 
 from redwingswitch._internal.daemon.list_updates import ListUpdates
@@ -55,6 +56,9 @@
 # Hosts of a failure domain answer each other within a few ms. A longer wait would delay the packets
 # that callers sent to a host which has just started.
 READER_ANSWER_TIMEOUT_MS = 60
+# After a pause a host waits this long for its reader or the store to confirm the list. Without a
+# limit, a host that is cut off from both would serve nobody.
+PAUSE_CONFIRMATION_LIMIT_MS = 300
 # How often a host without a working reader looks for the record of a new one.
 READER_LOOKUP_INTERVAL_MS = 500
 
@@ -99,6 +103,8 @@
         # does not wait shows that the list is complete.
         self._is_new_reader = False
         self._next_lookup_ms = 0
+        # Set when the host resumes after a pause, so that a probe need not wait until it is due.
+        self._probe_requested = asyncio.Event()
         self._role = ListSharingRole.READING
         self._updates = ListUpdates(
             steering=steering,
@@ -131,6 +137,22 @@
             return self._sharing.list_age_ms(self._age_clock.now_ms())
         return self._store.list_age_ms()
 
+    def is_outdated_by_pause(self) -> bool:
+        """Return whether this host was paused and the list has not been confirmed since.
+
+        Ends after ``PAUSE_CONFIRMATION_LIMIT_MS``. Detects a pause by itself, so it may be called
+        before the timers of a resumed host have run.
+        """
+        now_ms = self._age_clock.now_ms()
+        self._store.on_tick()
+        resumed_ms = self._store.resumed_ms
+        if resumed_ms is None or now_ms - resumed_ms > PAUSE_CONFIRMATION_LIMIT_MS:
+            return False
+        if self.role is not ListSharingRole.FOLLOWING:
+            return self._store.list_age_ms() > now_ms - resumed_ms
+        has_answer = self._sharing.reader_silence_ms(now_ms) <= now_ms - resumed_ms
+        return not has_answer or self._sharing.needs_routes
+
     async def run(self) -> None:
         """Keep the list up to date; a failing store only delays this."""
         request_task = asyncio.create_task(self._send_due_requests())
@@ -184,9 +206,18 @@
             await self._look_for_reader()
 
     async def _send_due_requests(self) -> None:
+        was_outdated = False
         while True:
-            self._store.on_tick()
-            self.peers.request_if_due()
+            is_outdated = self.is_outdated_by_pause()
+            if is_outdated and not was_outdated:
+                self._event_log.info("resumed after a pause", list_age_ms=self.list_age_ms())
+                self.peers.request_changes()
+                self._probe_requested.set()
+            elif was_outdated and not is_outdated:
+                self._updates.release_held_packets()
+            else:
+                self.peers.request_if_due()
+            was_outdated = is_outdated
             await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
 
     async def _load_list(self) -> None:
@@ -325,7 +356,10 @@
             # Without probes, the list would seem too old to the followers, which then abandon this
             # reader.
             delay_ms = max(MIN_PROBE_DELAY_MS, PROBE_INTERVAL_MS - self._store.list_age_ms())
-            await asyncio.sleep(delay_ms / MS_PER_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(delay_ms / MS_PER_S):
+                    await self._probe_requested.wait()
+            self._probe_requested.clear()
             await self._store.probe()
 
     async def _read_changes(self, *, wait_ms: int) -> ServerListChanges:
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -56,7 +56,12 @@
 from redwingswitch._internal.ports import RandomSource
 
 HELD_VERDICTS = frozenset(
-    {Verdict.HELD_NOT_CONFIGURED, Verdict.HELD_NO_SERVER, Verdict.HELD_UNKNOWN_COOKIE}
+    {
+        Verdict.HELD_NOT_CONFIGURED,
+        Verdict.HELD_NO_SERVER,
+        Verdict.HELD_UNKNOWN_COOKIE,
+        Verdict.HELD_OUTDATED_LIST,
+    }
 )
 
 
@@ -79,6 +84,9 @@
             failure_domain=failure_domain, load=self.flows, random_source=random_source
         )
         self._routes: RouteTable | None = None
+        # Set while the routes and servers may have changed during a pause of this host. It then
+        # opens and resets no flow, and only passes on the packets of open flows.
+        self.is_list_outdated = False
 
     @property
     def routes(self) -> RouteTable | None:
@@ -142,6 +150,8 @@
         if self._routes is None:
             # Other hosts may know the route, so a reset could break a working flow.
             return DiscardPacket(packet, Verdict.HELD_NOT_CONFIGURED)
+        if self.is_list_outdated and not self._names_listed_server(packet):
+            return DiscardPacket(packet, Verdict.HELD_OUTDATED_LIST)
         self.flows.remove_idle(now_ms)
         route = self._routes.routes.get(packet.flow.destination)
         if route is None:
@@ -151,6 +161,17 @@
             return self._handle_opening_packet(packet, route, now_ms)
         return self._steer_by_cookie(packet, route, now_ms)
 
+    def _names_listed_server(self, packet: FlowPacket) -> bool:
+        known = self.directory.by_cookie(packet.cookie, packet.flow.destination)
+        return (
+            known is not None
+            and not packet.opens
+            and known.absent_since_ms is None
+            and not self.failure_detector.is_suspected(known.server)
+            and self._routes is not None
+            and packet.flow.destination in self._routes.routes
+        )
+
     def _handle_opening_packet(
         self, packet: FlowPacket, route: Route, now_ms: int
     ) -> SteeringAction:
@@ -173,7 +194,7 @@
             return None
         self._note_unanswered(state, pending.server_id, now_ms, is_confirmed=False)
         route = self._routes.routes.get(pending.flow.destination) if self._routes else None
-        if route is None or len(state.offered_server_ids) >= MAX_OFFERS:
+        if self.is_list_outdated or route is None or len(state.offered_server_ids) >= MAX_OFFERS:
             return None
         return self._forward_opening_packet(
             pending.packet, route, state, Verdict.OFFERED_ELSEWHERE, now_ms
--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -17,7 +17,12 @@
     def __init__(self, *, now_ms: int) -> None:
         self._answered_ms = now_ms
         self._tick_ms = now_ms
-        self._resumed_ms = now_ms
+        self._resumed_ms: int | None = None
+
+    @property
+    def resumed_ms(self) -> int | None:
+        """Return when this host last resumed after a pause, or None if it was never paused."""
+        return self._resumed_ms
 
     def on_tick(self, now_ms: int) -> None:
         """Record that the host is running; detect a pause since the last call."""
@@ -28,7 +33,7 @@
 
     def on_response(self, began_ms: int, now_ms: int) -> None:
         """Record the response to a call; ignore it when the call began before or during a pause."""
-        if began_ms >= self._resumed_ms:
+        if self._resumed_ms is None or began_ms >= self._resumed_ms:
             self._answered_ms = now_ms
 
     def age_ms(self, now_ms: int) -> int:
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -94,11 +94,15 @@
         """Return whether another host is recorded as the reader."""
         return self._follower.reader is not None
 
+    def reader_silence_ms(self, now_ms: int) -> int:
+        """Return milliseconds since this host sent the latest request that its reader answered."""
+        return self._follower.silence_ms(now_ms)
+
     def is_reader_silent(self, now_ms: int) -> bool:
         """Return whether the followed reader left several requests unanswered."""
         return (
             self._follower.reader is not None
-            and self._follower.silence_ms(now_ms) > READER_SILENCE_LIMIT_MS
+            and self.reader_silence_ms(now_ms) > READER_SILENCE_LIMIT_MS
         )
 
     def role(self, now_ms: int) -> ListSharingRole:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -10,7 +10,10 @@
 import pytest
 
 from redwingswitch._internal.daemon import server_list_sync
-from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
+from redwingswitch._internal.daemon.server_list_sync import (
+    MAX_WATCH_WAIT_MS,
+    ServerListSynchronizer,
+)
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
@@ -125,6 +128,16 @@
         monkeypatch.setattr(server_list_sync, name, 2)
 
 
+class PausableClock:
+    """A boot clock that also counts pauses of the host."""
+
+    def __init__(self) -> None:
+        self.paused_ms = 0
+
+    def now_ms(self) -> int:
+        return BootClock().now_ms() + self.paused_ms
+
+
 class RunningReader:
     """A ``ServerListSynchronizer`` that runs against a ``ScriptedStore``."""
 
@@ -139,6 +152,8 @@
         self.store.reader = reader
         self.local = local
         self.age_limit_ms = age_limit_ms
+        self.age_clock = PausableClock()
+        self.list_changes = 0
 
     async def __aenter__(self) -> "RunningReader":
         self.steering = CookieSteering(failure_domain="huon", random_source=random.Random(1))
@@ -151,11 +166,11 @@
                 random_source=random.Random(1),
             ),
             clock=MonotonicClock(),
-            age_clock=BootClock(),
+            age_clock=self.age_clock,
             random_source=random.Random(1),
             metrics=SteeringMetrics(),
             list_age_limit_ms=LIST_AGE_LIMIT_MS,
-            on_change=lambda: None,
+            on_change=self._count_change,
         )
         self.task = asyncio.create_task(self.reader.run())
         await wait_until(lambda: len(self.store.calls) > 0)
@@ -165,6 +180,9 @@
         self.task.cancel()
         await asyncio.gather(self.task, return_exceptions=True)
 
+    def _count_change(self) -> None:
+        self.list_changes += 1
+
     def watches(self) -> list[str]:
         return [call for call in self.store.calls if call.startswith("after")]
 
@@ -221,7 +239,11 @@
 
 
 def update(
-    *servers: ServerChange, revision: int, position: int = 0, routes_revision: int = 0
+    *servers: ServerChange,
+    revision: int,
+    position: int = 0,
+    routes_revision: int = 0,
+    request_sent_ms: int | None = None,
 ) -> bytes:
     """Return an encoded update from a reader."""
     changes = tuple(FeedChange(revision, each) for each in servers)
@@ -234,7 +256,7 @@
         revision=revision,
         outages=0,
         list_age_ms=0,
-        request_sent_ms=BootClock().now_ms(),
+        request_sent_ms=BootClock().now_ms() if request_sent_ms is None else request_sent_ms,
         routes_revision=routes_revision,
     )
     return encode_list_message(incarnation=PEER_READER.incarnation, message=sent)
@@ -448,6 +470,77 @@
     run(scenario())
 
 
+PAUSE_MS = 2_500
+
+
+@pytest.mark.parametrize(
+    ("sent_before_resume_ms", "routes_revision", "is_outdated"),
+    [
+        pytest.param(0, 0, False, id="answers a request sent after the pause"),
+        pytest.param(PAUSE_MS, 0, True, id="answers a request sent before the pause"),
+        pytest.param(0, 99, True, id="announces newer routes"),
+    ],
+)
+def test_a_paused_follower_acts_on_its_list_only_when_its_reader_has_answered_since(
+    sent_before_resume_ms: int,
+    routes_revision: int,
+    is_outdated: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It opened flows to servers that had left during the pause, and reset flows whose route or
+    # server had been added.
+    async def scenario() -> None:
+        async with following() as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            assert not running.reader.is_outdated_by_pause()
+            running.age_clock.paused_ms = PAUSE_MS
+            # Before any timer of the resumed host has run.
+            assert running.reader.is_outdated_by_pause()
+            sent_ms = running.age_clock.now_ms() - sent_before_resume_ms
+            answer = update(revision=9, routes_revision=routes_revision, request_sent_ms=sent_ms)
+            running.reader.peers.on_datagram(answer, PEER_ADDRESS)
+            assert running.reader.is_outdated_by_pause() is is_outdated
+
+    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_paused_reader_asks_the_store_before_it_acts_on_its_list(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(lambda: running.watches()[-1].endswith(str(MAX_WATCH_WAIT_MS)))
+            known_changes = running.list_changes
+            running.age_clock.paused_ms = PAUSE_MS
+            assert running.reader.is_outdated_by_pause()
+            await wait_until(lambda: "probe" in running.store.calls)
+            await wait_until(lambda: not running.reader.is_outdated_by_pause())
+            # The held packets are decided.
+            await wait_until(lambda: running.list_changes > known_changes)
+
+    monkeypatch.setattr(server_list_sync, "PROBE_INTERVAL_MS", 60_000)
+    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_paused_host_that_reaches_nobody_serves_by_its_old_list_after_a_while() -> None:
+    async def scenario() -> None:
+        async with RunningReader(local=LOCAL_READER) as running:
+            await wait_until(lambda: running.steering.routes is not None)
+            running.store.answers_probes = False
+            running.age_clock.paused_ms = PAUSE_MS
+            assert running.reader.is_outdated_by_pause()
+            limit_ms = server_list_sync.PAUSE_CONFIRMATION_LIMIT_MS + 1
+            running.age_clock.paused_ms += limit_ms
+            assert not running.reader.is_outdated_by_pause()
+
+    run(scenario())
+
+
 class SentDatagrams:
     """A datagram sender that records what is sent, and to which address."""
 
