Take the list of a neighbour when neither store nor reader gives one

Change: hosts of a failure domain learn of each other through the reader's updates, and each offers its list to a random neighbour every 500 ms. A host that follows no reader takes the offered list, in parts that fit a datagram, once the store has failed or is 300 ms late; never one older than it knows. The test of an unknown message kind uses a number that is still unknown.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -14,13 +14,17 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.models.list_readers import RegisteredReader
-from redwingswitch._internal.models.list_sharing import ListSharingRole, ReceivedChanges
+from redwingswitch._internal.models.list_sharing import (
+    ListOffer,
+    ListSharingRole,
+    ReceivedChanges,
+)
 from redwingswitch._internal.models.server_list import (
     ServerList,
     ServerListChanges,
     StoredRoutes,
 )
-from redwingswitch._internal.ports import Clock
+from redwingswitch._internal.ports import Clock, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
 NO_ROUTES = StoredRoutes(None, 0)
@@ -40,8 +44,11 @@
         sharing: ListSharing,
         clock: Clock,
         age_clock: Clock,
+        random_source: RandomSource,
         metrics: SteeringMetrics,
         list_age_ms: Callable[[], int],
+        wants_snapshot: Callable[[ListOffer], bool],
+        on_snapshot: Callable[[], None],
         on_change: Callable[[], None],
     ) -> None:
         self._steering = steering
@@ -49,15 +56,19 @@
         self._clock = clock
         self._age_clock = age_clock
         self._event_log = EventLog(part="fleet", clock=clock)
+        self.wants_snapshot = wants_snapshot
+        self._on_snapshot = on_snapshot
         self._on_change = on_change
         self._unconfirmed_routes = NO_ROUTES
         self._feed_received = asyncio.Event()
         self.peers = ServerListExchange(
             sharing=sharing,
             clock=age_clock,
+            random_source=random_source,
             metrics=metrics,
             list_age_ms=list_age_ms,
             on_changes=self._apply_feed_changes,
+            shared_list=self,
         )
 
     async def wait_for_feed(self) -> None:
@@ -113,6 +124,29 @@
         self._put_in_force(routes)
         self._on_change()
 
+    def build_offer(self) -> ListOffer | None:
+        """Return what to tell neighbours about this list; None without routes in force."""
+        if self._steering.routes is None:
+            return None
+        return ListOffer(revision=self._sharing.revision)
+
+    def build_snapshot(self) -> ServerList:
+        """Return the whole list for a neighbour."""
+        return ServerList(
+            routes=self._steering.routes,
+            servers=self._steering.directory.listed_entries(self._clock.now_ms()),
+            revision=self._sharing.revision,
+            reader=self._sharing.registered_reader,
+            routes_revision=self._sharing.routes_revision,
+        )
+
+    def apply_snapshot(self, fleet: ServerList) -> None:
+        """Apply the list of a neighbour unless this host knows a newer one."""
+        if self._sharing.is_outdated(fleet.revision):
+            return
+        self.apply_list(fleet)
+        self._on_snapshot()
+
     def release_held_packets(self) -> None:
         """Decide again on the packets that were held since this host resumed after a pause."""
         self._on_change()
--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -9,15 +9,20 @@
 
 from collections.abc import Callable
 
+from redwingswitch._internal.daemon.neighbour_exchange import NeighbourExchange, SharedList
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, ReceivedChanges
-from redwingswitch._internal.network.list_messages import decode_list_message, encode_list_message
-from redwingswitch._internal.ports import Clock, DatagramSender
+from redwingswitch._internal.network.list_messages import (
+    ListMessage,
+    decode_list_message,
+    encode_list_message,
+)
+from redwingswitch._internal.ports import Clock, DatagramSender, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
-Address = tuple[str, int]
 # With the default settings, a follower abandons a silent reader after 2,000 ms; see
 # ``server_list_sync.reader_age_limit_ms``. Three requests fit into that time.
 REQUEST_INTERVAL_MS = 500
@@ -46,8 +51,10 @@
         sharing: ListSharing,
         clock: Clock,
         metrics: SteeringMetrics,
+        random_source: RandomSource,
         list_age_ms: Callable[[], int],
         on_changes: Callable[[ReceivedChanges], None],
+        shared_list: SharedList,
     ) -> None:
         self._sharing = sharing
         self._clock = clock
@@ -56,15 +63,28 @@
         self._list_age_ms = list_age_ms
         self._on_changes = on_changes
         self._sender: DatagramSender | None = None
-        self._followers: dict[Address, _Follower] = {}
+        self._followers: dict[Neighbour, _Follower] = {}
         self._next_request_ms = 0
+        self._neighbours = NeighbourExchange(
+            clock=clock,
+            random_source=random_source,
+            metrics=metrics,
+            send=self.send,
+            shared_list=shared_list,
+        )
+
+    @property
+    def known_neighbours(self) -> int:
+        """Return the number of other hosts of the failure domain that this host has heard of."""
+        return self._neighbours.known_count
 
     def set_sender(self, sender: DatagramSender) -> None:
         """Set the sender for all messages."""
         self._sender = sender
 
-    def request_if_due(self) -> None:
-        """Request changes from the reader every ``REQUEST_INTERVAL_MS``."""
+    def send_due_messages(self) -> None:
+        """Request changes every ``REQUEST_INTERVAL_MS``; offer the list to a neighbour."""
+        self._neighbours.send_due_messages()
         if self._clock.now_ms() >= self._next_request_ms:
             self.request_changes()
 
@@ -76,16 +96,16 @@
             return
         self._next_request_ms = now_ms + REQUEST_INTERVAL_MS
         reader, request = next_request
-        self._send(request, (reader.address, reader.port))
+        self.send(request, Neighbour(reader.address, reader.port))
 
     def notify_followers(self) -> None:
         """Send new changes to the hosts that recently sent a request."""
         now_ms = self._clock.now_ms()
-        for address, follower in list(self._followers.items()):
+        for neighbour, follower in list(self._followers.items()):
             if now_ms >= follower.expires_at_ms:
-                del self._followers[address]
+                del self._followers[neighbour]
                 continue
-            update = self._build_update(follower.request)
+            update = self._build_update(follower.request, neighbour)
             if update is None:
                 continue
             # The next update continues this one; a follower that loses it requests it again.
@@ -95,45 +115,55 @@
                 revision=update.revision,
                 sent_ms=follower.request.sent_ms,
             )
-            self._send(update, address)
+            self.send(update, neighbour)
 
-    def on_datagram(self, datagram: bytes, address: Address) -> None:
+    def on_datagram(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Handle a message from another host."""
         try:
-            message = decode_list_message(datagram).message
+            incarnation, message = decode_list_message(datagram)
         except DecodeError as error:
             self._metrics.count("list_updates_total", "malformed")
             self._event_log.warning("message malformed", sender=address[0], reason=error)
             return
+        sender = Neighbour(*address)
+        self._neighbours.on_heard(sender)
         if isinstance(message, FeedUpdate):
             self._on_update(message)
+        elif isinstance(message, FeedRequest):
+            self._on_request(message, sender)
         else:
-            self._on_request(message, address)
+            self._neighbours.on_message(message, incarnation=incarnation, sender=sender)
 
-    def _on_request(self, request: FeedRequest, address: Address) -> None:
-        update = self._build_update(request)
+    def _on_request(self, request: FeedRequest, sender: Neighbour) -> None:
+        update = self._build_update(request, sender)
         if update is None:
             return
-        if address in self._followers or len(self._followers) < MAX_FOLLOWERS:
+        if sender in self._followers or len(self._followers) < MAX_FOLLOWERS:
             expires_at_ms = self._clock.now_ms() + FOLLOWER_RETENTION_MS
-            self._followers[address] = _Follower(request=request, expires_at_ms=expires_at_ms)
-        self._send(update, address)
+            self._followers[sender] = _Follower(request=request, expires_at_ms=expires_at_ms)
+        self.send(update, sender)
 
-    def _build_update(self, request: FeedRequest) -> FeedUpdate | None:
-        return self._sharing.build_update(request, list_age_ms=self._list_age_ms())
+    def _build_update(self, request: FeedRequest, follower: Neighbour) -> FeedUpdate | None:
+        update = self._sharing.build_update(request, list_age_ms=self._list_age_ms())
+        if update is None:
+            return None
+        return update._replace(neighbour=self._neighbours.choose(other_than=follower))
 
     def _on_update(self, update: FeedUpdate) -> None:
+        if update.neighbour is not None:
+            self._neighbours.on_heard(update.neighbour)
         received = self._sharing.on_update(update, self._clock.now_ms())
         self._metrics.count("list_updates_total", "gap" if received.has_gap else "taken")
         self._on_changes(received)
         if received.has_gap:
             self.request_changes()
 
-    def _send(self, message: FeedRequest | FeedUpdate, address: Address) -> None:
+    def send(self, message: ListMessage, receiver: Neighbour) -> None:
+        """Send a message; count and log one that the network stack rejects."""
         local = self._sharing.local_reader
         if self._sender is None or local is None:
             return
         data = encode_list_message(incarnation=local.incarnation, message=message)
-        if not self._sender.send(data, address):
+        if not self._sender.send(data, receiver):
             self._metrics.count("send_failures_total")
-            self._event_log.warning("send refused", address=f"{address[0]}:{address[1]}")
+            self._event_log.warning("send refused", address=f"{receiver.address}:{receiver.port}")
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -25,7 +25,7 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
-from redwingswitch._internal.models.list_sharing import ListSharingRole
+from redwingswitch._internal.models.list_sharing import ListOffer, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerListChanges
 from redwingswitch._internal.ports import Clock, RandomSource, ServerListStore
 from redwingswitch._internal.utils.event_log import EventLog
@@ -56,6 +56,9 @@
 # Hosts of a failure domain answer each other within a few ms. A longer wait would delay the packets
 # that callers sent to a host which has just started.
 READER_ANSWER_TIMEOUT_MS = 60
+# At a start, the store and the reader answer within 100 ms. A host that waits longer takes the list
+# of a neighbour.
+SNAPSHOT_DELAY_MS = 300
 # After a pause a host waits this long for its reader or the store to confirm the list. Without a
 # limit, a host that is cut off from both would serve nobody.
 PAUSE_CONFIRMATION_LIMIT_MS = 300
@@ -97,6 +100,7 @@
         self._event_log = EventLog(part="fleet", clock=clock)
         self._read_interval_ms = list_age_limit_ms // READS_PER_AGE_LIMIT
         self._consecutive_failures = 0
+        self._start_ms = age_clock.now_ms()
         self._has_list = False
         self._may_load_stale_list = True
         # A new reader may lack changes after the last update of its predecessor. Only a read that
@@ -111,8 +115,11 @@
             sharing=sharing,
             clock=clock,
             age_clock=age_clock,
+            random_source=random_source,
             metrics=metrics,
-            list_age_ms=self._store.list_age_ms,
+            list_age_ms=self.list_age_ms,
+            wants_snapshot=self._wants_snapshot,
+            on_snapshot=self._on_snapshot,
             on_change=on_change,
         )
 
@@ -216,7 +223,7 @@
             elif was_outdated and not is_outdated:
                 self._updates.release_held_packets()
             else:
-                self.peers.request_if_due()
+                self.peers.send_due_messages()
             was_outdated = is_outdated
             await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
 
@@ -234,11 +241,29 @@
         stale = await self._store.read_all(may_be_stale=True)
         self._may_load_stale_list = False
         self._record_store_response()
+        if self._has_list:
+            # A neighbour's list was applied meanwhile.
+            if not await self._is_following_soon():
+                await self._catch_up()
+            return
         self._updates.apply_unconfirmed_list(stale)
         self._has_list = True
         if not await self._is_following_soon():
             self._apply_changes(await self._read_changes(wait_ms=0))
 
+    def _wants_snapshot(self, offer: ListOffer) -> bool:
+        """Return whether to take a neighbour's list: this host gets none from reader and store."""
+        if self.role is not ListSharingRole.READING:
+            return False
+        if self._consecutive_failures:
+            return not self._has_list or offer.revision > self._sharing.revision
+        is_store_late = self._age_clock.now_ms() - self._start_ms > SNAPSHOT_DELAY_MS
+        return is_store_late and not self._has_list
+
+    def _on_snapshot(self) -> None:
+        self._has_list = True
+        self._may_load_stale_list = False
+
     async def _follow_reader(self) -> None:
         """Follow the reader until it is lost, and then read what it did not send."""
         while await self._is_following_soon():
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -131,6 +131,11 @@
         """Return the number of packets that wait for routes or servers."""
         return self._steering.held_packets
 
+    @property
+    def known_neighbours(self) -> int:
+        """Return the number of other hosts of the failure domain that this host has heard of."""
+        return self._server_list.peers.known_neighbours
+
     def servers_for_new_flows(self, service: str) -> list[str]:
         """Return the listed servers of a service that accept new flows."""
         entries = self._steering.directory.active_servers(service)
@@ -305,6 +310,7 @@
             "serves_list": ((), float(self.list_role is ListSharingRole.SERVING)),
             "follows_reader": ((), float(self.list_role is ListSharingRole.FOLLOWING)),
             "listed_servers": ((), float(directory.listed_count())),
+            "neighbours": ((), float(self.known_neighbours)),
             "followed_flows": ((), float(len(self._steering.flows))),
             "held_packets": ((), float(self._steering.held_packets)),
             "timer_lag_ms": ((), float(self._packet_path.timer_lag_ms)),
--- a/src/redwingswitch/_internal/daemon/steering_metrics.py
+++ b/src/redwingswitch/_internal/daemon/steering_metrics.py
@@ -39,6 +39,7 @@
     "serves_list": ("1 when this host reads the list for its failure domain.", ()),
     "follows_reader": ("1 when another host reads the list for this one.", ()),
     "listed_servers": ("Backend servers in the list.", ()),
+    "neighbours": ("Other hosts of the failure domain that this host has heard of.", ()),
     "followed_flows": ("Flows that this host has seen lately.", ()),
     "held_packets": ("Packets that wait for routes or servers.", ()),
     "timer_lag_ms": ("Lateness of the latest timer.", ()),
--- a/src/redwingswitch/_internal/decisions/cookies/server_directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_directory.py
@@ -184,6 +184,14 @@
             self._by_service[service] = found
         return found
 
+    def listed_entries(self, now_ms: int) -> tuple[ServerChange, ...]:
+        """Return the entries of the servers that are listed now."""
+        return tuple(
+            ServerChange(name, _with_slow_start(known, now_ms), is_listed=True)
+            for name, known in self._known.items()
+            if known.absent_since_ms is None
+        )
+
     def listed_count(self) -> int:
         """Return the number of servers that are listed now."""
         return sum(known.absent_since_ms is None for known in self._known.values())
@@ -215,3 +223,8 @@
             del self._known[name]
         if old:
             self._by_cookie.clear()
+
+
+def _with_slow_start(known: KnownServer, now_ms: int) -> ListedServer:
+    left_ms = max(0, known.slow_start_deadline_ms - now_ms)
+    return known.server._replace(slow_start_left_ms=left_ms)
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -79,6 +79,11 @@
         """Return the store revision up to which the list is known."""
         return self._follower.revision
 
+    @property
+    def routes_revision(self) -> int:
+        """Return the store revision of the newest routes that this host has read."""
+        return self._routes_revision
+
     @property
     def needs_routes(self) -> bool:
         """Return whether the reader announced newer routes than this host has read."""
--- a/src/redwingswitch/_internal/models/list_readers.py
+++ b/src/redwingswitch/_internal/models/list_readers.py
@@ -14,6 +14,13 @@
     incarnation: int
 
 
+class Neighbour(NamedTuple):
+    """Where another host of the failure domain accepts messages about the list."""
+
+    address: str
+    port: int
+
+
 class RegisteredReader(NamedTuple):
     """A reader and the revision of its record in the store; None and 0 without a record."""
 
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.server_list import ServerChange
 
 
@@ -52,7 +53,7 @@
     connection to the store. ``list_age_ms`` is the time since the store last answered the reader.
     ``request_sent_ms`` is copied from the receiver's last request: the update was sent after it, so
     an update that was delayed on the way is not taken for a recent one. ``routes_revision`` is the
-    store revision of the newest routes that the reader knows.
+    store revision of the newest routes that the reader knows. ``neighbour`` is another follower.
     """
 
     feed: int
@@ -65,6 +66,31 @@
     list_age_ms: int
     request_sent_ms: int
     routes_revision: int
+    neighbour: Neighbour | None = None
+
+
+class ListOffer(NamedTuple):
+    """Tells a neighbour that the sender has routes, and the list at a store revision."""
+
+    revision: int
+
+
+class SnapshotRequest(NamedTuple):
+    """Asks a neighbour for its whole list if that has at least ``revision``."""
+
+    revision: int
+
+
+class SnapshotPart(NamedTuple):
+    """Part number ``part``, from 0, of the ``part_count`` parts of an encoded list.
+
+    ``snapshot`` distinguishes the snapshots of one sender.
+    """
+
+    snapshot: int
+    part: int
+    part_count: int
+    data: bytes
 
 
 class ReceivedChanges(NamedTuple):
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -1,23 +1,58 @@
 """Codec of the datagrams by which hosts of a failure domain share the list of backend servers.
 
 One host, the reader, reads the list from the store and answers the requests of the others with the
-changes. The sequence of its changes is its feed, identified by the incarnation of the reader.
+changes. The sequence of its changes is its feed, identified by the incarnation of the reader. A
+host that gets neither list nor feed asks a neighbour for a snapshot, the whole list in parts.
 """
 
 from __future__ import annotations
 
+import zlib
+from ipaddress import AddressValueError, IPv4Address
 from typing import NamedTuple
 
 from redwingswitch._internal.exceptions import DecodeError
-from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate
+from redwingswitch._internal.models.cookie_flows import Route, RouteTable
+from redwingswitch._internal.models.list_readers import Neighbour, RegisteredReader
+from redwingswitch._internal.models.list_sharing import (
+    FeedRequest,
+    FeedUpdate,
+    ListOffer,
+    SnapshotPart,
+    SnapshotRequest,
+)
+from redwingswitch._internal.models.server_list import ServerChange, ServerList
 from redwingswitch._internal.network.packing import check_integer, convert_to_model, pack, unpack
 
 LIST_SCHEMA_VERSION = 2
 LEADING_FIELD_COUNT = 3
 MAX_UINT64 = 2**64 - 1
 
-ListMessage = FeedRequest | FeedUpdate
-_MESSAGE_TYPES: tuple[type[FeedRequest] | type[FeedUpdate], ...] = (FeedRequest, FeedUpdate)
+MAX_PORT = 65_535
+# Bounds the memory that a malformed snapshot can take.
+MAX_SNAPSHOT_BYTES = 8_000_000
+
+ListMessage = FeedRequest | FeedUpdate | ListOffer | SnapshotRequest | SnapshotPart
+# The position of a type is its number on the wire.
+_MESSAGE_TYPES: tuple[type[ListMessage], ...] = (
+    FeedRequest,
+    FeedUpdate,
+    ListOffer,
+    SnapshotRequest,
+    SnapshotPart,
+)
+
+
+class _Snapshot(NamedTuple):
+    """A ``ServerList`` whose routes are no mapping."""
+
+    routes_version: int
+    idle_limit_ms: int
+    routes: tuple[Route, ...]
+    servers: tuple[ServerChange, ...]
+    revision: int
+    reader: RegisteredReader
+    routes_revision: int
 
 
 class ListDatagram(NamedTuple):
@@ -39,7 +74,61 @@
         raise DecodeError(f"schema version {version!r} is not {LIST_SCHEMA_VERSION}")
     check_integer(incarnation, name="incarnation", maximum=MAX_UINT64)
     check_integer(kind, name="kind", maximum=len(_MESSAGE_TYPES) - 1)
-    message = convert_to_model(fields, _MESSAGE_TYPES[kind])
-    if isinstance(message, FeedUpdate) and message.feed != incarnation:
-        raise DecodeError("the feed of an update must be the incarnation of its sender")
+    message: ListMessage = convert_to_model(fields, _MESSAGE_TYPES[kind])
+    if isinstance(message, FeedUpdate):
+        if message.feed != incarnation:
+            raise DecodeError("the feed of an update must be the incarnation of its sender")
+        if message.neighbour is not None:
+            _check_neighbour(message.neighbour)
     return ListDatagram(incarnation, message)
+
+
+def encode_snapshot(fleet: ServerList) -> bytes:
+    """Return a whole list as compressed msgpack; raise ValueError for one without routes."""
+    if fleet.routes is None:
+        raise ValueError("a list without routes cannot be sent")
+    snapshot = _Snapshot(
+        routes_version=fleet.routes.version,
+        idle_limit_ms=fleet.routes.idle_limit_ms,
+        routes=tuple(fleet.routes.routes.values()),
+        servers=fleet.servers,
+        revision=fleet.revision,
+        reader=fleet.reader,
+        routes_revision=fleet.routes_revision,
+    )
+    return zlib.compress(pack((LIST_SCHEMA_VERSION, *snapshot)))
+
+
+def decode_snapshot(data: bytes) -> ServerList:
+    """Return the list in ``data``; raise DecodeError if malformed or of another version."""
+    decompressor = zlib.decompressobj()
+    try:
+        packed = decompressor.decompress(data, MAX_SNAPSHOT_BYTES)
+    except zlib.error as error:
+        raise DecodeError(f"not a compressed snapshot: {error}") from error
+    if not decompressor.eof:
+        raise DecodeError(f"a snapshot is incomplete or exceeds {MAX_SNAPSHOT_BYTES} bytes")
+    version, *fields = unpack(packed, minimum_fields=1)
+    if version != LIST_SCHEMA_VERSION:
+        raise DecodeError(f"schema version {version!r} is not {LIST_SCHEMA_VERSION}")
+    snapshot = convert_to_model(fields, _Snapshot)
+    routes = RouteTable(
+        version=snapshot.routes_version,
+        routes={route.destination: route for route in snapshot.routes},
+        idle_limit_ms=snapshot.idle_limit_ms,
+    )
+    return ServerList(
+        routes=routes,
+        servers=snapshot.servers,
+        revision=snapshot.revision,
+        reader=snapshot.reader,
+        routes_revision=snapshot.routes_revision,
+    )
+
+
+def _check_neighbour(neighbour: Neighbour) -> None:
+    check_integer(neighbour.port, name="port of a neighbour", maximum=MAX_PORT)
+    try:
+        IPv4Address(neighbour.address)
+    except AddressValueError as error:
+        raise DecodeError(f"invalid address of a neighbour: {error}") from error
--- a/src/redwingswitch/_internal/platform/standins/site.py
+++ b/src/redwingswitch/_internal/platform/standins/site.py
@@ -58,6 +58,7 @@
         self.callers = PlatformCallerStandin(address=CALLER_ADDRESS)
         self.servers: dict[str, PlatformServerStandin] = {}
         self.hosts: list[RunningHost] = []
+        self._started: list[RunningHost] = []
         self._caller_port = ReservedPort()
         self._peer_port = ReservedPort()
         self._entry_sequence = 0
@@ -134,11 +135,13 @@
             codec=PlatformPacketCodec(),
             clock=MonotonicClock(),
             age_clock=BootClock(),
-            random_source=random.Random(number),
+            # Each start draws another incarnation.
+            random_source=random.Random(len(self._started)),
             bound_socket=bind_datagram_socket(*address),
         )
         host = RunningHost(daemon=daemon, address=address)
         self.hosts.append(host)
+        self._started.append(host)
         return host
 
     async def open_flow(self, host: RunningHost) -> Flow:
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -13,7 +13,12 @@
 from redwingswitch._internal.decisions.cookies.readiness import Readiness
 from redwingswitch._internal.models.list_sharing import ListSharingRole
 from redwingswitch._internal.platform.standins.documents import StandinRoute
-from redwingswitch._internal.platform.standins.site import DESTINATION, RunningHost, SteeringSite
+from redwingswitch._internal.platform.standins.site import (
+    DESTINATION,
+    HOST_ADDRESSES,
+    RunningHost,
+    SteeringSite,
+)
 from redwingswitch._internal.platform.standins.store import Fault
 from tests.lib.loops import run, wait_until
 
@@ -227,6 +232,36 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("fault", list(Fault))
+def test_hosts_that_restart_in_an_outage_of_the_store_serve_through_a_neighbour(
+    fault: Fault,
+) -> None:
+    # Two of three hosts of a failure domain restarted as it was cut off from the store. The routers
+    # sent packets to all three, since less than half were ready, and two thirds got no answer.
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            reader, neighbour, follower = await start_failure_domain(site)
+            flow = await site.open_flow(neighbour)
+            served_by = await flow.send_request(neighbour.address, "before")
+            await wait_until(lambda: neighbour.daemon.known_neighbours == 2)
+            site.store.fault = fault
+            restarted = []
+            for host in (reader, follower):
+                number = HOST_ADDRESSES.index(host.address[0])
+                await host.kill()
+                site.hosts.remove(host)
+                restarted.append(site.add_host(number))
+            for host in restarted:
+                await until_ready(host)
+                assert await flow.send_request(host.address, "after") == served_by
+                await site.open_flow(host)
+            site.store.fault = None
+            site.list_server(site.servers["i-00000001"], state="draining")
+            await until_all_offer(site, "i-00000002")
+
+    run(scenario())
+
+
 VALID_SETTINGS = """
 host = "entry-0"
 failure_domain = "huon"
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -19,13 +19,16 @@
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
 from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.snapshots import split_snapshot
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
     FeedChange,
     FeedRequest,
     FeedUpdate,
+    ListOffer,
     ListSharingRole,
+    SnapshotRequest,
 )
 from redwingswitch._internal.models.server_list import (
     ServerChange,
@@ -36,6 +39,7 @@
 from redwingswitch._internal.network.list_messages import (
     decode_list_message,
     encode_list_message,
+    encode_snapshot,
 )
 from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
 from tests.lib.cookie_flows import route_table, server
@@ -66,9 +70,15 @@
         self.changes_since: tuple[ServerChange, ...] = ()
         self.routes = StoredRoutes(route_table(), 3)
         self.stale_routes: StoredRoutes | None = None
+        # Delays the answers to reads of the whole list, if set.
+        self.first_list: asyncio.Event | None = None
 
     async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
         self.calls.append("stale list" if may_be_stale else "all")
+        if self.first_list is not None:
+            await self.first_list.wait()
+        if self.is_down:
+            raise StoreUnavailableError("down")
         return ServerList(
             routes=self.routes.routes,
             servers=(LISTED_CHANGE,),
@@ -541,6 +551,93 @@
     run(scenario())
 
 
+SNAPSHOT = ServerList(
+    routes=route_table(version=7),
+    servers=(ServerChange("i-2", server("i-2"), is_listed=True),),
+    revision=8,
+    routes_revision=6,
+)
+OFFER = encode_list_message(incarnation=6, message=ListOffer(8))
+
+
+def send_snapshot(running: RunningReader) -> None:
+    for part in split_snapshot(encode_snapshot(SNAPSHOT), snapshot=1):
+        data = encode_list_message(incarnation=6, message=part)
+        running.reader.peers.on_datagram(data, PEER_ADDRESS)
+
+
+def requests_list(running: RunningReader) -> bool:
+    """Return whether the host asks a neighbour that offers its list."""
+    sent = SentDatagrams()
+    running.reader.peers.set_sender(sent)
+    running.reader.peers.on_datagram(OFFER, PEER_ADDRESS)
+    messages = [decode_list_message(data).message for data, _ in sent.all]
+    return any(isinstance(message, SnapshotRequest) for message in messages)
+
+
+@pytest.mark.parametrize(
+    ("stale_revision", "expected_servers"),
+    [
+        pytest.param(5, {"i-2"}, id="an older list"),
+        pytest.param(None, {"i-2"}, id="no list"),
+    ],
+)
+def test_a_start_without_the_store_takes_the_list_of_a_neighbour_and_keeps_it(
+    stale_revision: int | None, expected_servers: set[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The late answer of the store to the first read must not bring older servers back.
+    async def scenario() -> None:
+        running = RunningReader(local=LOCAL_READER)
+        running.store.first_list = asyncio.Event()
+        async with running:
+            await wait_until(lambda: requests_list(running))
+            send_snapshot(running)
+            assert version_in_force(running) == 7
+            if stale_revision is None:
+                running.store.is_down = True
+            running.store.first_list.set()
+            await wait_until(lambda: "reader" in running.store.calls)
+            running.store.is_down = False
+            await wait_until(lambda: "servers after 8" in running.store.calls)
+            known = running.steering.directory.known_servers()
+            assert set(known) == expected_servers
+            assert version_in_force(running) == 7
+
+    monkeypatch.setattr(server_list_sync, "SNAPSHOT_DELAY_MS", 0)
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("has_reader", "is_down", "known_revision", "is_requested"),
+    [
+        pytest.param(True, True, 5, False, id="follows a reader"),
+        pytest.param(False, False, 5, False, id="reads the store"),
+        pytest.param(False, True, 5, True, id="knows less than the neighbour"),
+        pytest.param(False, True, 9, False, id="knows more than the neighbour"),
+    ],
+)
+def test_a_host_takes_a_neighbours_list_only_if_it_has_no_other_source(
+    has_reader: bool, is_down: bool, known_revision: int, is_requested: bool
+) -> None:
+    async def scenario() -> None:
+        async with following() as running:
+            await wait_until(lambda: running.steering.routes is not None)
+            running.store.results.put_nowait(changes(revision=known_revision))
+            await wait_until(lambda: any(f"after {known_revision}" in c for c in running.watches()))
+            if has_reader:
+                running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+                await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            if is_down:
+                running.store.is_down = True
+                running.store.answers_probes = False
+                running.store.results.put_nowait(StoreUnavailableError("down"))
+            if is_down and not has_reader:
+                await wait_until(lambda: not running.reader.is_store_reachable)
+            assert requests_list(running) is is_requested
+
+    run(scenario())
+
+
 class SentDatagrams:
     """A datagram sender that records what is sent, and to which address."""
 
@@ -596,7 +693,7 @@
             def fail() -> None:
                 raise ValueError("a fault")
 
-            monkeypatch.setattr(running.reader.peers, "request_if_due", fail)
+            monkeypatch.setattr(running.reader.peers, "send_due_messages", fail)
             for revision in range(6, 1_000):
                 running.store.results.put_nowait(changes(revision=revision))
             with pytest.raises(ValueError, match="a fault"):
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -1,6 +1,7 @@
 """Guards against list datagrams that crash the receiver or are accepted although invalid."""
 
 import contextlib
+import zlib
 
 import msgspec
 import pytest
@@ -8,16 +9,32 @@
 from hypothesis import strategies as st
 
 from redwingswitch._internal.decisions.list_sharing.feed import MAX_CHANGES_PER_UPDATE
+from redwingswitch._internal.decisions.list_sharing.snapshots import (
+    MAX_PART_BYTES,
+    split_snapshot,
+)
 from redwingswitch._internal.exceptions import DecodeError
-from redwingswitch._internal.models.list_sharing import FeedChange, FeedRequest, FeedUpdate
-from redwingswitch._internal.models.server_list import ServerChange
+from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
+from redwingswitch._internal.models.list_sharing import (
+    FeedChange,
+    FeedRequest,
+    FeedUpdate,
+    ListOffer,
+    SnapshotPart,
+    SnapshotRequest,
+)
+from redwingswitch._internal.models.server_list import ServerChange, ServerList
+from redwingswitch._internal.network import list_messages
 from redwingswitch._internal.network.list_messages import (
     LIST_SCHEMA_VERSION,
     ListDatagram,
+    ListMessage,
     decode_list_message,
+    decode_snapshot,
     encode_list_message,
+    encode_snapshot,
 )
-from tests.lib.cookie_flows import server
+from tests.lib.cookie_flows import route_table, server
 
 MAX_LIST_DATAGRAM_BYTES = 1_200
 UPDATE = FeedUpdate(
@@ -34,13 +51,29 @@
     list_age_ms=12,
     request_sent_ms=2**40,
     routes_revision=2**40,
+    neighbour=Neighbour("10.200.100.100", 7720),
+)
+SNAPSHOT = ServerList(
+    routes=route_table(),
+    servers=(ServerChange("i-1", server("i-1"), is_listed=True),),
+    revision=42,
+    reader=RegisteredReader(ListReader("entry-1", "10.0.0.1", 7720, 9), 40),
+    routes_revision=17,
 )
 
 
 @pytest.mark.parametrize(
-    "message", [FeedRequest(7, 3, 2**60, 2**40), UPDATE], ids=["request", "update"]
+    "message",
+    [
+        pytest.param(FeedRequest(7, 3, 2**60, 2**40), id="request"),
+        pytest.param(UPDATE, id="update"),
+        pytest.param(UPDATE._replace(neighbour=None), id="update without neighbour"),
+        pytest.param(ListOffer(2**60), id="offer"),
+        pytest.param(SnapshotRequest(2**60), id="snapshot request"),
+        pytest.param(SnapshotPart(3, 1, 2, b"part"), id="snapshot part"),
+    ],
 )
-def test_messages_round_trip(message: FeedRequest | FeedUpdate) -> None:
+def test_messages_round_trip(message: ListMessage) -> None:
     data = encode_list_message(incarnation=7, message=message)
     assert decode_list_message(data) == ListDatagram(7, message)
 
@@ -55,11 +88,18 @@
     "fields",
     [
         pytest.param([LIST_SCHEMA_VERSION + 1, 7, 0, 7, 3, 9, 5], id="another version"),
-        pytest.param([LIST_SCHEMA_VERSION, 7, 2, 7, 3, 9, 5], id="unknown kind"),
+        pytest.param([LIST_SCHEMA_VERSION, 7, 5, 7, 3, 9, 5], id="unknown kind"),
         pytest.param([LIST_SCHEMA_VERSION, -1, 0, 7, 3, 9, 5], id="negative incarnation"),
         pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, 3, 9], id="missing field"),
         pytest.param([LIST_SCHEMA_VERSION, 7, 0, 7, "3", 9, 5], id="wrong type"),
         pytest.param([LIST_SCHEMA_VERSION, 8, 1, *UPDATE], id="the feed of another host"),
+        pytest.param(
+            [LIST_SCHEMA_VERSION, 7, 1, *UPDATE[:-1], ["entry-3", 7720]], id="a neighbour's name"
+        ),
+        pytest.param(
+            [LIST_SCHEMA_VERSION, 7, 1, *UPDATE[:-1], ["10.0.0.3", 77_200]],
+            id="a neighbour's invalid port",
+        ),
     ],
 )
 def test_invalid_messages_are_rejected(fields: list[object]) -> None:
@@ -79,3 +119,33 @@
     change = FeedChange(2**40, ServerChange(long_server.server_id, long_server, is_listed=True))
     full_update = UPDATE._replace(changes=(change,) * MAX_CHANGES_PER_UPDATE)
     assert len(encode_list_message(incarnation=7, message=full_update)) <= MAX_LIST_DATAGRAM_BYTES
+
+
+def test_a_full_part_of_a_snapshot_fits_into_a_datagram() -> None:
+    part, _ = split_snapshot(b"\xff" * (MAX_PART_BYTES + 1), snapshot=2**32)
+    data = encode_list_message(incarnation=2**53, message=part)
+    assert len(data) <= MAX_LIST_DATAGRAM_BYTES
+
+
+def test_a_snapshot_round_trips() -> None:
+    assert decode_snapshot(encode_snapshot(SNAPSHOT)) == SNAPSHOT
+
+
+@given(st.binary(max_size=200), st.booleans())
+def test_any_snapshot_bytes_decode_or_raise_decode_error(data: bytes, is_compressed: bool) -> None:
+    with contextlib.suppress(DecodeError):
+        decode_snapshot(zlib.compress(data) if is_compressed else data)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(encode_snapshot(SNAPSHOT)[:-1], id="its end is missing"),
+        pytest.param(zlib.compress(msgspec.msgpack.encode([99, 1])), id="another version"),
+        pytest.param(zlib.compress(bytes(10_000)), id="too long"),
+    ],
+)
+def test_invalid_snapshots_are_rejected(data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(list_messages, "MAX_SNAPSHOT_BYTES", 5_000)
+    with pytest.raises(DecodeError):
+        decode_snapshot(data)
