Do not wait for the reader at a start when callers' packets wait

Change: a host that holds callers' packets reads the store at once. One that is not in the rotation yet still waits, which saves the call.

--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -53,8 +53,7 @@
 MAX_RELOAD_JITTER_MS = 100
 # How often a host checks whether its reader is silent and whether a request is due.
 FOLLOW_CHECK_INTERVAL_MS = 250
-# Hosts of a failure domain answer each other within a few ms. A longer wait would delay the packets
-# that callers sent to a host which has just started.
+# Hosts of a failure domain answer each other within a few ms; more than that only delays a start.
 READER_ANSWER_TIMEOUT_MS = 60
 # At a start, the store and the reader answer within 100 ms. A host that waits longer takes the list
 # of a neighbour.
@@ -92,6 +91,7 @@
         on_change: Callable[[], None],
     ) -> None:
         self._store = MeteredStore(store=store, metrics=metrics, age_clock=age_clock)
+        self._steering = steering
         self._directory = steering.directory
         self._sharing = sharing
         self._clock = clock
@@ -248,7 +248,9 @@
             return
         self._updates.apply_unconfirmed_list(stale)
         self._has_list = True
-        if not await self._is_following_soon():
+        # After a power loss of all hosts, callers' packets wait, and the recorded reader is gone.
+        has_callers = self._steering.held_packets > 0
+        if has_callers or not await self._is_following_soon():
             self._apply_changes(await self._read_changes(wait_ms=0))
 
     def _wants_snapshot(self, offer: ListOffer) -> bool:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -42,7 +42,7 @@
     encode_snapshot,
 )
 from redwingswitch._internal.utils.clocks import BootClock, MonotonicClock
-from tests.lib.cookie_flows import route_table, server
+from tests.lib.cookie_flows import flow_id, opening_packet, route_table, server
 from tests.lib.loops import run, wait_until
 
 LISTED_CHANGE = ServerChange("i-1", server("i-1"), is_listed=True)
@@ -394,6 +394,24 @@
     run(scenario())
 
 
+def test_a_host_to_which_callers_already_send_does_not_wait_for_a_reader(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # After a power loss of all hosts the recorded reader is gone, too. The wait for its answer made
+    # requests late.
+    async def scenario() -> None:
+        running = following()
+        running.store.first_list = asyncio.Event()
+        async with running:
+            running.steering.on_packet(opening_packet(flow_id(50_000)), 0)
+            running.store.first_list.set()
+            await wait_until(lambda: running.steering.routes is not None)
+            assert running.store.calls[:2] == ["stale list", "after 5 wait 0"]
+
+    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    run(scenario())
+
+
 def test_a_host_that_lost_its_reader_reads_in_the_middle_of_a_storm_of_routes() -> None:
     # A follower that had just taken routes did not look at its reader for a third of the age
     # limit, and then read all versions of the routes. It offered flows to a server that had left
