Reset both sides of a spliced connection that is closed by force

Cause: at the end of the grace period, and at a crash-like close, the caller of the TCP listener saw a reset, but the backend server a normal end of input: half of an upload looked complete.

Change: both sides are reset unless both directions ended.

Also tested: a second copy of an answer, sent late on a connection in use, does not reach the next request; frames name their attempt, so this held.

Result: the test of the forced close fails without the change (the server read an empty rest instead of a reset).

--- a/src/redwingswitch/_internal/network/splice.py
+++ b/src/redwingswitch/_internal/network/splice.py
@@ -110,15 +110,20 @@
             reset_connection(writer)
             return
         backend_reader, backend_writer = backend
+        is_complete = False
         try:
             async with asyncio.TaskGroup() as group:
                 group.create_task(copy_stream(reader, backend_writer))
                 group.create_task(copy_stream(backend_reader, writer))
-        except* OSError:
-            # One side was reset; a normal close of the other would look like a complete answer.
-            reset_connection(writer)
-            reset_connection(backend_writer)
+            is_complete = True
+        except* OSError as errors:
+            log.debug(f"a connection of {self._service} was reset: {errors.exceptions[0]}")
         finally:
+            if not is_complete:
+                # One side was reset, or close() was called. A normal close would make half of the
+                # data look complete.
+                reset_connection(writer)
+                reset_connection(backend_writer)
             backend_writer.close()
 
     async def _connect(self, connection_hash: int) -> StreamPair | None:
--- a/tests/functional/test_backend_client.py
+++ b/tests/functional/test_backend_client.py
@@ -4,6 +4,8 @@
 told "not run".
 """
 
+import asyncio
+
 import pytest
 from tornado.netutil import bind_sockets
 
@@ -12,6 +14,13 @@
 from redwingswitch._internal.models.events import AnswerPartArrived, AttemptFailed
 from redwingswitch._internal.models.requests import BackendReport, FailureKind
 from redwingswitch._internal.network.backend_client import BackendClient
+from redwingswitch._internal.network.frames import (
+    LENGTH_BYTES,
+    AnswerFrame,
+    decode_content,
+    decode_length,
+    encode_frame,
+)
 from redwingswitch._internal.network.report_client import LoadReport, ReportClient
 from redwingswitch._internal.standins.backend_requests import Behaviour
 from redwingswitch._internal.standins.backend_server import (
@@ -120,6 +129,37 @@
     run(body())
 
 
+def test_a_second_copy_of_an_answer_does_not_reach_the_next_request():
+    # Both requests use one connection; the copy arrives while the second one waits.
+    async def body():
+        frames = asyncio.Queue()
+
+        async def serve(reader, writer):
+            for number in range(2):
+                length_bytes = decode_length(await reader.readexactly(LENGTH_BYTES))
+                frame = decode_content(await reader.readexactly(length_bytes))
+                frames.put_nowait(frame)
+                if number:
+                    writer.write(encode_frame(AnswerFrame(1, 0, 1, b"first")))
+                writer.write(encode_frame(AnswerFrame(frame.attempt_id, 0, 1, b"%d" % number)))
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        harness = await ClientHarness().open()
+        port = server.sockets[0].getsockname()[1]
+        harness.client.update_servers({"job-1": harness.server._replace(request_port=port)})
+        for attempt_id, expected in ((1, b"0"), (2, b"1")):
+            harness.dispatch(attempt_id)
+            assert await harness.events.next() == AnswerPartArrived(
+                "job-1", attempt_id, 0, 1, expected
+            )
+        assert frames.qsize() == 2
+        harness.close()
+        server.close()
+
+    run(body())
+
+
 def test_a_refused_connection_fails_every_waiting_attempt_as_refused():
     async def body():
         harness = await ClientHarness().open()
--- a/tests/functional/test_splice.py
+++ b/tests/functional/test_splice.py
@@ -119,6 +119,42 @@
     run(body())
 
 
+def test_a_forced_close_is_no_normal_end_for_either_side():
+    # At the end of the grace period the backend server saw a normal end of input, so that half an
+    # upload looked complete.
+    async def body():
+        ends = asyncio.Queue()
+
+        async def receive(reader, writer):
+            await reader.readexactly(4)
+            ends.put_nowait("started")
+            try:
+                ends.put_nowait(await reader.read())
+            except ConnectionResetError:
+                ends.put_nowait("reset")
+            writer.close()
+
+        server = await asyncio.start_server(receive, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        listener = SpliceListener(
+            service="job-board",
+            choose_server=lambda *_: SERVER._replace(stream_port=port),
+            on_connect_failed=Recorder(),
+            on_connections_changed=lambda: None,
+        )
+        await listener.listen(address="127.0.0.1", port=0)
+        reader, writer = await asyncio.open_connection("127.0.0.1", listener.port)
+        writer.write(b"half")
+        assert await ends.get() == "started"
+        await listener.close()
+        assert await ends.get() == "reset"
+        with pytest.raises(ConnectionResetError):
+            await reader.read()
+        server.close()
+
+    run(body())
+
+
 def test_input_is_read_no_faster_than_it_is_written():
     class Reader:
         reads = 0
