Forget the seeds once a configuration is known

Cause: the settings of a host name seeds with their keys, which were used for ever. After a restart a host that had left, or whose key had been withdrawn by a revision, was contacted and accepted again, although the restarted host had the revision.

Change: the first configuration replaces the seeds.

--- a/src/redwingswitch/_internal/daemon/directory.py
+++ b/src/redwingswitch/_internal/daemon/directory.py
@@ -33,6 +33,8 @@
 
     def update(self, configuration: Configuration, now_ms: int) -> None:
         """Apply a new revision; retain the entries that it removes for a limited time."""
+        # A seed that the revision does not name has left, and its key may have been withdrawn.
+        self._seeds = {}
         self._update_servers(configuration, now_ms)
         self._update_peers(configuration, now_ms)
         for service in configuration.services:
@@ -69,7 +71,7 @@
         return {**removed, **self._servers}
 
     def peers(self) -> list[PeerAddress]:
-        """Return the seeds, the configured entry hosts and the recently removed ones."""
+        """Return the seeds, or the configured entry hosts and the recently removed ones."""
         removed = {host: peer for host, (peer, _) in self._removed_peers.items()}
         known = {**self._seeds, **removed, **self._peers}
         return [self._with_pinned_key(peer) for peer in known.values()]
--- a/tests/unit/daemon/test_daemon_filters.py
+++ b/tests/unit/daemon/test_daemon_filters.py
@@ -17,7 +17,7 @@
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
 from redwingswitch._internal.models import actions, events
 from redwingswitch._internal.models.identifiers import FlowKey
-from redwingswitch._internal.settings import PeerKey
+from redwingswitch._internal.settings import PeerKey, SeedSettings
 from redwingswitch._internal.standins import demo_checks
 from redwingswitch._internal.standins.memory_store import MemoryStore
 from redwingswitch._internal.standins.stream_caller import FlowResult
@@ -77,6 +77,32 @@
     assert [peer.host for peer in known.peers()] == ["entry-1"]
 
 
+@pytest.mark.parametrize(
+    ("seed", "keys_before", "keys_after"),
+    [
+        pytest.param(
+            SeedSettings("entry-9", "hobart", "127.0.0.9", 7101, "w" * 40),
+            {"entry-9": "w" * 40},
+            {"entry-1": "", "entry-2": ""},
+            id="the host has left",
+        ),
+        pytest.param(
+            SeedSettings("entry-1", "hobart", "127.0.0.1", 7101, "w" * 40),
+            {"entry-1": "w" * 40},
+            {"entry-1": "", "entry-2": ""},
+            id="the host has another key",
+        ),
+    ],
+)
+def test_the_key_of_a_seed_is_not_used_once_a_configuration_is_known(seed, keys_before, keys_after):
+    # The settings of a host that restarts may still name a host that has left, with its key.
+    known = directory()
+    known.set_seeds((seed,))
+    assert {p.host: p.public_key for p in known.peers()} == keys_before
+    known.update(configuration(), 0)
+    assert {p.host: p.public_key for p in known.peers()} == keys_after
+
+
 class FaultyHost:
     """An entry host that raises an error for the first event."""
 
