Let hosts take neighbours' lists in the state machine of the sharing

Cause: the machine covered the reader's feed only.

Change: a rule gives a host without a source the list of another host, as old as that may be; an invariant says that the revision a host knows never falls.

--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -104,6 +104,15 @@
         else:
             self.sharing.on_changes_read(response.changes, response.revision, self.now_ms)
 
+    def take_snapshot(self, source: "Host") -> None:
+        """Apply the list of another host unless this one knows a newer one."""
+        if self.sharing.is_outdated(source.sharing.revision):
+            return
+        self.listed = set(source.listed)
+        self.has_list = True
+        self.sharing.on_list_read(source.sharing.revision, self.now_ms)
+        self.sharing.on_reader_registered(source.sharing.registered_reader, self.now_ms)
+
     def apply(self, changes: list[ServerChange]) -> None:
         for change in changes:
             number = int(change.server_id)
@@ -126,6 +135,7 @@
             Host(number=n, incarnation=next(self.incarnations)) for n in range(HOST_COUNT)
         ]
         self.random = random.Random(7)
+        self.revisions: dict[int, int] = {}
         self.loses_datagrams = False
         self.max_latency_ticks = MAX_LATENCY_TICKS
 
@@ -150,6 +160,16 @@
             now_ms=self.random.randrange(10_000),
         )
 
+    @rule(number=st.integers(0, HOST_COUNT - 1), neighbour=st.integers(0, HOST_COUNT - 1))
+    def take_the_list_of_a_neighbour(self, number: int, neighbour: int) -> None:
+        """Give a host without a source the list of another one, as old as that may be."""
+        host, source = self.hosts[number], self.hosts[neighbour]
+        is_reading = host.sharing.role(host.now_ms) is ListSharingRole.READING
+        if host.is_paused or host.reaches_store or not is_reading or host is source:
+            return
+        if source.has_list and self._delivers(host, source):
+            host.take_snapshot(source)
+
     @rule(number=st.integers(0, HOST_COUNT - 1))
     def pause_or_resume(self, number: int) -> None:
         self.hosts[number].is_paused = not self.hosts[number].is_paused
@@ -166,6 +186,13 @@
     def lose_half_of_the_datagrams(self, loses: bool) -> None:
         self.loses_datagrams = loses
 
+    @invariant()
+    def known_revisions_never_fall(self) -> None:
+        for host in self.hosts:
+            known = self.revisions.get(host.local.incarnation, 0)
+            assert host.sharing.revision >= known
+            self.revisions[host.local.incarnation] = host.sharing.revision
+
     @invariant()
     def followed_lists_are_fresh(self) -> None:
         for host in self.hosts:
