Name a neighbour only in the reader's answers, and repair the measurements

Cause: benchmarks.steering failed since requests carry their time, so nobody saw that telling followers of a change took a time that grew as the square of their number: a neighbour was chosen for each. 1.7 ms for 94 followers, 4.3 ms for 188.

Change: answers to requests name a neighbour, notifications do not.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -30,9 +30,13 @@
     ServiceShare,
 )
 from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
-from redwingswitch._internal.models.list_sharing import FeedRequest
-from redwingswitch._internal.models.server_list import ServerChange
-from redwingswitch._internal.network.list_messages import encode_list_message
+from redwingswitch._internal.models.list_sharing import FeedRequest, ListOffer
+from redwingswitch._internal.models.server_list import ServerChange, ServerList
+from redwingswitch._internal.network.list_messages import (
+    decode_snapshot,
+    encode_list_message,
+    encode_snapshot,
+)
 from redwingswitch._internal.platform.entries import decode_routes, decode_server
 from redwingswitch._internal.platform.standins.documents import (
     StandinRoute,
@@ -53,6 +57,7 @@
 NS_PER_US = 1_000
 NS_PER_MS = 1_000_000
 BYTES_PER_MB = 1_000_000
+BYTES_PER_KB = 1_000
 
 
 def _route(number: int) -> Route:
@@ -200,6 +205,22 @@
         return True
 
 
+class _NoList:
+    """A list that is neither offered nor wanted."""
+
+    def build_offer(self) -> ListOffer | None:
+        return None
+
+    def build_snapshot(self) -> ServerList:
+        raise NotImplementedError
+
+    def wants_snapshot(self, offer: ListOffer) -> bool:
+        return False
+
+    def apply_snapshot(self, fleet: ServerList) -> None:
+        raise NotImplementedError
+
+
 def _asked_reader(followers: int) -> tuple[ServerListExchange, ListSharing, _DiscardingNetwork]:
     """Return a reader that has received a request from each of its followers."""
     local = ListReader("entry-1", "10.0.0.1", 7_720, 1)
@@ -209,12 +230,14 @@
         sharing=sharing,
         clock=MonotonicClock(),
         metrics=SteeringMetrics(),
+        random_source=random.Random(1),
         list_age_ms=lambda: 0,
         on_changes=lambda _: None,
+        shared_list=_NoList(),
     )
     network = _DiscardingNetwork()
     peers.set_sender(network)
-    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1))
+    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1, 1))
     for number in range(followers):
         peers.on_datagram(request, ("10.0.0.2", 1 + number))
     return peers, sharing, network
@@ -230,7 +253,7 @@
 
 def _reply_us(followers: int) -> float:
     peers, _, _ = _asked_reader(0)
-    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1))
+    request = encode_list_message(incarnation=2, message=FeedRequest(1, 1, 1, 1))
     start_ns = time.perf_counter_ns()
     for number in range(followers):
         peers.on_datagram(request, ("10.0.0.2", 1 + number))
@@ -246,6 +269,32 @@
     return float(network.sent_bytes - before)
 
 
+def _snapshot(servers: int) -> ServerList:
+    """Return a list with one route for each five servers, as at the growth target."""
+    routes = {
+        route.destination: route for route in (_route(n) for n in range(max(1, servers // 5)))
+    }
+    return ServerList(
+        routes=RouteTable(version=1, routes=routes, idle_limit_ms=15_000),
+        servers=tuple(
+            ServerChange(f"i-{n:08x}", _server(n), is_listed=True) for n in range(servers)
+        ),
+        revision=1,
+    )
+
+
+def _snapshot_kb(servers: int) -> float:
+    return len(encode_snapshot(_snapshot(servers))) / BYTES_PER_KB
+
+
+def _snapshot_ms(servers: int) -> float:
+    """Return the time to encode and decode a list."""
+    fleet = _snapshot(servers)
+    start_ns = time.perf_counter_ns()
+    decode_snapshot(encode_snapshot(fleet))
+    return (time.perf_counter_ns() - start_ns) / NS_PER_MS
+
+
 MEASUREMENTS: tuple[tuple[str, str, str, tuple[int, ...], Callable[[int], float]], ...] = (
     ("opening packet", "servers", "us", SERVER_COUNTS, _opening_us),
     ("packet of an open flow", "servers", "us", SERVER_COUNTS, _steered_us),
@@ -256,6 +305,8 @@
     ("telling followers of a change", "followers", "ms", FOLLOWER_COUNTS, _notification_ms),
     ("answering a follower", "followers", "us", FOLLOWER_COUNTS, _reply_us),
     ("datagram to a follower", "changes", "B", CHANGE_COUNTS, _notification_bytes),
+    ("list of a neighbour", "servers", "KB", SERVER_COUNTS, _snapshot_kb),
+    ("list of a neighbour, both ends", "servers", "ms", SERVER_COUNTS, _snapshot_ms),
 )
 
 
--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -105,7 +105,7 @@
             if now_ms >= follower.expires_at_ms:
                 del self._followers[neighbour]
                 continue
-            update = self._build_update(follower.request, neighbour)
+            update = self._build_update(follower.request)
             if update is None:
                 continue
             # The next update continues this one; a follower that loses it requests it again.
@@ -135,19 +135,18 @@
             self._neighbours.on_message(message, incarnation=incarnation, sender=sender)
 
     def _on_request(self, request: FeedRequest, sender: Neighbour) -> None:
-        update = self._build_update(request, sender)
+        update = self._build_update(request)
         if update is None:
             return
         if sender in self._followers or len(self._followers) < MAX_FOLLOWERS:
             expires_at_ms = self._clock.now_ms() + FOLLOWER_RETENTION_MS
             self._followers[sender] = _Follower(request=request, expires_at_ms=expires_at_ms)
-        self.send(update, sender)
+        # Only in answers: choosing one takes as long as there are neighbours, and a change goes to
+        # all followers at once.
+        self.send(update._replace(neighbour=self._neighbours.choose(other_than=sender)), sender)
 
-    def _build_update(self, request: FeedRequest, follower: Neighbour) -> FeedUpdate | None:
-        update = self._sharing.build_update(request, list_age_ms=self._list_age_ms())
-        if update is None:
-            return None
-        return update._replace(neighbour=self._neighbours.choose(other_than=follower))
+    def _build_update(self, request: FeedRequest) -> FeedUpdate | None:
+        return self._sharing.build_update(request, list_age_ms=self._list_age_ms())
 
     def _on_update(self, update: FeedUpdate) -> None:
         if update.neighbour is not None:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -21,7 +21,12 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.snapshots import split_snapshot
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
-from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
+from redwingswitch._internal.models.list_readers import (
+    NO_READER,
+    ListReader,
+    Neighbour,
+    RegisteredReader,
+)
 from redwingswitch._internal.models.list_sharing import (
     FeedChange,
     FeedRequest,
@@ -691,6 +696,27 @@
     run(scenario())
 
 
+def test_a_reader_names_its_followers_to_each_other_in_answers_only() -> None:
+    # A change goes to all followers at once; choosing a neighbour for each of them took a time that
+    # grew as the square of their number.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(lambda: running.steering.routes is not None)
+            network = SentDatagrams()
+            running.reader.peers.set_sender(network)
+            request = encode_list_message(incarnation=6, message=FeedRequest(0, 0, 5, 1))
+            for address in ("10.0.0.1", "10.0.0.2"):
+                running.reader.peers.on_datagram(request, (address, 7720))
+            running.reader.peers.notify_followers()
+            updates = [decode_list_message(data).message for data, _ in network.all]
+            named = [each.neighbour for each in updates if isinstance(each, FeedUpdate)]
+            assert named == [None, Neighbour("10.0.0.1", 7720), None, None]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "datagram",
     [pytest.param(b"", id="empty"), pytest.param(b"\xff" * 40, id="no message")],
