Ignore parts of a list with impossible numbers or sizes

Cause: found when the change was read: a negative part number was counted as a part, and a sender could make a host keep 15 MB. Change: such parts are ignored. Result: two more rows of the table; both fail without the change.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -162,6 +162,7 @@
         return self._steer_by_cookie(packet, route, now_ms)
 
     def _names_listed_server(self, packet: FlowPacket) -> bool:
+        """Return whether an open flow's packet can be passed on even by an outdated list."""
         known = self.directory.by_cookie(packet.cookie, packet.flow.destination)
         return (
             known is not None
--- a/src/redwingswitch/_internal/decisions/list_sharing/snapshots.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/snapshots.py
@@ -8,7 +8,7 @@
 
 # With its other fields, a part fits into a datagram of 1,200 bytes, which is not fragmented.
 MAX_PART_BYTES = 1_100
-# 256 KB compressed. The list of 3,500 servers and 670 routes takes about 100 KB.
+# 264 KB compressed, eight times the list of 3,500 servers and 670 routes with regular names.
 MAX_PARTS = 240
 
 
@@ -34,7 +34,8 @@
 
     def add(self, part: SnapshotPart, *, incarnation: int) -> bytes | None:
         """Add a part that the host of ``incarnation`` sent; return the encoded list if complete."""
-        if not part.part < part.part_count <= MAX_PARTS:
+        is_possible = 0 <= part.part < part.part_count <= MAX_PARTS
+        if not is_possible or len(part.data) > MAX_PART_BYTES:
             return None
         key = (incarnation, part.snapshot, part.part_count)
         if key != self._key:
--- a/tests/unit/list_sharing/test_snapshots.py
+++ b/tests/unit/list_sharing/test_snapshots.py
@@ -56,7 +56,9 @@
     [
         pytest.param(SnapshotPart(1, 0, 0, b""), id="no parts"),
         pytest.param(SnapshotPart(1, 3, 3, b""), id="a part after the last"),
-        pytest.param(SnapshotPart(1, -1, MAX_PARTS + 1, b""), id="too many parts"),
+        pytest.param(SnapshotPart(1, 0, MAX_PARTS + 1, b""), id="too many parts"),
+        pytest.param(SnapshotPart(1, -1, 1, b""), id="a negative part"),
+        pytest.param(SnapshotPart(1, 0, 1, bytes(MAX_PART_BYTES + 1)), id="too many bytes"),
     ],
 )
 def test_impossible_parts_are_ignored(part: SnapshotPart) -> None:
