Add make soak

Cause: the soak could be started by its long command only. Change: a target runs the seeds that ever failed and some more.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,9 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test format lint types unit bench clean
+SOAK_SEEDS ?= 1-8
+
+.PHONY: demo test format lint types unit bench soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -32,5 +34,10 @@
 bench: $(STAMP)
 	$(BIN)/python -m benchmarks.run_all
 
+# Runs every seed that ever failed, then SOAK_SEEDS; about 4 minutes. Not part of `make test`.
+soak: $(STAMP)
+	$(BIN)/python -m tests.soak --regressions --seconds=15 --hosts=4
+	$(BIN)/python -m tests.soak --seeds=$(SOAK_SEEDS) --seconds=15 --hosts=4
+
 clean:
 	rm -rf $(VENV)
