Join a feed in its middle only with all changes before it

A follower that read an older list between two parts of a batch, from the store or from a neighbour, forgot the parts before; the next part, already under way, then seemed to complete the batch. Servers that had registered again stayed missing, and their flows were reset.

Change: an update names the revision of the last change before its first one. A host whose reader answers with a fresh list takes no neighbour's list.

Ruled out: lost changes at the reader (its list is complete), datagrams out of order (a position never falls within a feed).

Result: two new tests of the feed fail before. The state machine of the sharing now delays updates and splits batches; 600 random examples did not find the fault, so the tests have fixed steps.

--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -297,6 +297,9 @@
         """Return whether to take a neighbour's list: this host gets none from reader and store."""
         if self.role is not ListSharingRole.READING:
             return False
+        if self._sharing.has_fresh_reader(self._age_clock.now_ms()):
+            # The rest of a batch of changes is on its way.
+            return False
         if self._consecutive_failures:
             return not self._has_list or offer.revision > self._sharing.revision
         is_store_late = self._age_clock.now_ms() - self._start_ms > SNAPSHOT_DELAY_MS
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -64,12 +64,14 @@
         """Return the changes that the sender of a request lacks, or as many as fit one update."""
         first = self._end - len(self._changes)
         if request.feed == self._incarnation and first <= request.position <= self._end:
-            position, from_revision = request.position, request.revision
+            position = request.position
         else:
             known = sum(change.revision <= request.revision for change in self._changes)
             position = first + known
-            from_revision = max(request.revision, self._start_revision)
         begin = position - first
+        # A host that does not continue at the position, because it has read an older list since its
+        # request, must have all changes before the position.
+        from_revision = self._changes[begin - 1].revision if begin else self._start_revision
         changes = tuple(islice(self._changes, begin, begin + MAX_CHANGES_PER_UPDATE))
         return FeedUpdate(
             feed=self._incarnation,
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -111,6 +111,10 @@
         """Return whether another host is recorded as the reader."""
         return self._follower.reader is not None
 
+    def has_fresh_reader(self, now_ms: int) -> bool:
+        """Return whether the followed reader has answered with a list that is still fresh."""
+        return self._follower.has_fresh_reader(now_ms)
+
     def reader_silence_ms(self, now_ms: int) -> int:
         """Return milliseconds since this host sent the latest request that its reader answered."""
         return self._follower.silence_ms(now_ms)
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -49,12 +49,13 @@
 class FeedUpdate(NamedTuple):
     """Changes from ``first_position`` on, of a feed that ends at ``end_position``.
 
-    The changes continue ``from_revision`` without a gap. A receiver that has the feed up to its end
-    has the complete list of ``revision``. ``outages`` counts how often the reader lost its
-    connection to the store. ``list_age_ms`` is the time since the store last answered the reader.
-    ``request_sent_ms`` is copied from the receiver's last request: the update was sent after it, so
-    an update that was delayed on the way is not taken for a recent one. ``routes_revision`` is the
-    store revision of the newest routes that the reader knows. ``neighbour`` is another follower.
+    The changes continue the feed at ``first_position``, and without a gap any list of
+    ``from_revision`` or later. A receiver that has the feed up to its end has the complete list of
+    ``revision``. ``outages`` counts how often the reader lost its connection to the store.
+    ``list_age_ms`` is the time since the store last answered the reader. ``request_sent_ms`` is
+    copied from the receiver's last request: the update was sent after it, so an update that was
+    delayed on the way is not taken for a recent one. ``routes_revision`` is the store revision of
+    the newest routes that the reader knows. ``neighbour`` is another follower.
     """
 
     feed: int
--- a/tests/unit/list_sharing/test_feed.py
+++ b/tests/unit/list_sharing/test_feed.py
@@ -183,6 +183,42 @@
     assert len(exchange_until_complete(source, target)) == 2 * MAX_CHANGES_PER_UPDATE
 
 
+def test_a_part_under_way_is_not_joined_after_a_read_that_reverted_the_parts_before_it() -> None:
+    # A host took a neighbour's list between the parts of a batch. The remaining parts then seemed
+    # to complete it, servers that had registered again stayed missing for 30 s, and their flows
+    # were reset.
+    source, target = make_feed(), make_follower(10)
+    numbers = range(100, 100 + 2 * MAX_CHANGES_PER_UPDATE)
+    source.append([change(number) for number in numbers], 50)
+    target.on_update(answer(source, target), 0)
+    under_way = answer(source, target)
+    target.on_store_read(20)
+    taken = target.on_update(under_way, 0)
+    assert (taken.changes, target.revision) == ((), 20)
+    assert not target.is_following(0)
+    assert exchange_until_complete(source, target) == [f"i-{number}" for number in numbers]
+
+
+@pytest.mark.parametrize(
+    ("revision", "expected"),
+    [
+        pytest.param(49, False, id="may lack the changes before the update"),
+        pytest.param(50, True, id="has the changes before the update"),
+    ],
+)
+def test_an_update_in_the_middle_of_a_feed_is_joined_only_with_all_changes_before_it(
+    revision: int, expected: bool
+) -> None:
+    source = make_feed()
+    source.append([change(number) for number in range(2 * MAX_CHANGES_PER_UPDATE)], 50)
+    request = FeedRequest(READER.incarnation, source_position := 7, revision=10, sent_ms=0)
+    update = source.build_update(request, list_age_ms=0, routes_revision=0)
+    assert update.first_position == source_position
+    target = make_follower(revision)
+    target.on_update(update, 0)
+    assert target.is_following(0) is expected
+
+
 def test_an_outage_of_the_store_is_reported_once() -> None:
     source, target = make_feed(11), make_follower()
     exchange_until_complete(source, target)
--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -8,10 +8,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
+from redwingswitch._internal.decisions.list_sharing import feed
 from redwingswitch._internal.decisions.list_sharing.list_age import ListAge
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
-from redwingswitch._internal.models.list_sharing import ListSharingRole
+from redwingswitch._internal.models.list_sharing import FeedUpdate, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerChange
 
 AGE_LIMIT_MS = 2_000
@@ -22,6 +23,9 @@
 HOST_COUNT = 4
 SERVER_COUNT = 5
 MAX_HISTORY_CHANGES = 12
+# Fewer than the servers, so that a batch of changes takes several updates.
+MAX_CHANGES_PER_UPDATE = 2
+MAX_DELAY_TICKS = 3
 
 
 class Store:
@@ -73,6 +77,8 @@
         self.reaches_store = True
         self.reaches_peers = True
         self.response: Response | None = None
+        # Updates of readers on their way to this host, with the times of their arrival.
+        self.under_way: list[tuple[int, FeedUpdate]] = []
 
     def begin_read(self, store: Store, *, latency_ms: int) -> None:
         """Start a call to the store."""
@@ -113,6 +119,13 @@
         self.sharing.on_list_read(source.sharing.revision, self.now_ms)
         self.sharing.on_reader_registered(source.sharing.registered_reader, self.now_ms)
 
+    def receive_updates(self) -> None:
+        """Apply the updates that have arrived."""
+        arrived = [update for arrival_ms, update in self.under_way if self.now_ms >= arrival_ms]
+        self.under_way = [each for each in self.under_way if self.now_ms < each[0]]
+        for update in arrived:
+            self.apply(list(self.sharing.on_update(update, self.now_ms).changes))
+
     def apply(self, changes: list[ServerChange]) -> None:
         for change in changes:
             number = int(change.server_id)
@@ -137,7 +150,10 @@
         self.random = random.Random(7)
         self.revisions: dict[int, int] = {}
         self.loses_datagrams = False
+        self.delays_datagrams = False
         self.max_latency_ticks = MAX_LATENCY_TICKS
+        self.changes_per_update = feed.MAX_CHANGES_PER_UPDATE
+        feed.MAX_CHANGES_PER_UPDATE = MAX_CHANGES_PER_UPDATE
 
     @rule(ticks=st.integers(1, 20))
     def pass_time(self, ticks: int) -> None:
@@ -186,6 +202,10 @@
     def lose_half_of_the_datagrams(self, loses: bool) -> None:
         self.loses_datagrams = loses
 
+    @rule(delays=st.booleans())
+    def delay_some_datagrams(self, delays: bool) -> None:
+        self.delays_datagrams = delays
+
     @invariant()
     def known_revisions_never_fall(self) -> None:
         for host in self.hosts:
@@ -206,7 +226,13 @@
         """Check that, once all faults end, one host serves and all hosts have the store's list."""
         if not hasattr(self, "hosts"):
             return
-        self.loses_datagrams = False
+        try:
+            self._check_recovery()
+        finally:
+            feed.MAX_CHANGES_PER_UPDATE = self.changes_per_update
+
+    def _check_recovery(self) -> None:
+        self.loses_datagrams = self.delays_datagrams = False
         self.max_latency_ticks = 1
         for host in self.hosts:
             host.is_paused = False
@@ -226,6 +252,7 @@
     def _tick(self, host: Host) -> None:
         host.age.on_tick(host.now_ms)
         host.end_read()
+        host.receive_updates()
         if host.sharing.role(host.now_ms) is not ListSharingRole.FOLLOWING:
             self._read_when_due(host)
         asked = host.sharing.build_request(host.now_ms)
@@ -242,6 +269,10 @@
             )
             if update is None:
                 return
+            if self.delays_datagrams and self.random.random() < 0.5:
+                delay_ms = TICK_MS * self.random.randint(1, MAX_DELAY_TICKS)
+                host.under_way.append((host.now_ms + delay_ms, update))
+                return
             taken = host.sharing.on_update(update, host.now_ms)
             host.apply(list(taken.changes))
             if not taken.has_gap:
