Begin the grace of lapsed servers with the first part of a batch

Cause: followers now get what changed in an outage from their reader. Its first parts remove the lapsed servers before the part that shows the list complete, so these servers got no new flows until they had registered again; if all had lapsed, callers waited.

Change: an update of a reader that reaches the store begins the grace period, complete or not.

Result: a new test fails before, for a reader with and without an outage of its own.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -205,7 +205,9 @@
         now_ms = self._clock.now_ms()
         if received.after_outage:
             directory.on_list_lost()
-        if received.is_fresh:
+        # The first part of a batch shows already that the reader reaches the store again. Servers
+        # that lapsed in an outage keep getting flows only if they are removed after that.
+        if received.is_fresh or self._sharing.has_fresh_reader(self._age_clock.now_ms()):
             directory.on_list_read(now_ms)
         self._log_servers(directory.update(received.changes, now_ms))
         is_confirmed = self._confirm_routes()
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -15,6 +15,7 @@
     ServerListSynchronizer,
 )
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
+from redwingswitch._internal.decisions.cookies import server_directory
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
 from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
@@ -272,17 +273,19 @@
     position: int = 0,
     routes_revision: int = 0,
     request_sent_ms: int | None = None,
+    later_changes: int = 0,
+    outages: int = 0,
 ) -> bytes:
-    """Return an encoded update from a reader."""
+    """Return an encoded update from a reader; ``later_changes`` do not fit into it."""
     changes = tuple(FeedChange(revision, each) for each in servers)
     sent = FeedUpdate(
         feed=PEER_READER.incarnation,
         first_position=position,
         from_revision=0,
         changes=changes,
-        end_position=position + len(changes),
+        end_position=position + len(changes) + later_changes,
         revision=revision,
-        outages=0,
+        outages=outages,
         list_age_ms=0,
         request_sent_ms=BootClock().now_ms() if request_sent_ms is None else request_sent_ms,
         routes_revision=routes_revision,
@@ -645,6 +648,34 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("outages", [0, 1])
+def test_servers_that_lapsed_in_an_outage_get_flows_before_a_batch_is_complete(
+    outages: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # After an outage the entries of all servers may be missing for 2 s. Their removals come in
+    # dozens of updates, and callers waited until the last of them.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            peers = running.reader.peers
+            peers.on_datagram(update(LISTED_CHANGE, revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            monkeypatch.setattr(server_directory, "LAPSED_ENTRY_GRACE_MS", 60_000)
+            peers.on_datagram(
+                update(REMOVED_CHANGE, revision=30, position=1, later_changes=20, outages=outages),
+                PEER_ADDRESS,
+            )
+            known = running.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is not None
+            assert known.may_be_offered(MonotonicClock().now_ms())
+
+    # The period after the start is over when the outage begins.
+    monkeypatch.setattr(server_directory, "LAPSED_ENTRY_GRACE_MS", 0)
+    run(scenario())
+
+
 PAUSE_MS = 2_500
 
 
