--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -19,6 +19,11 @@
 
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
+from redwingswitch._internal.daemon.reader_following import (
+    FOLLOW_CHECK_INTERVAL_MS,
+    READER_ANSWER_TIMEOUT_MS,
+    ReaderFollowing,
+)
 from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
@@ -51,13 +56,6 @@
 # After the store lost its history, every host reads the full list; a random delay up to this limit
 # spreads these reads.
 MAX_RELOAD_JITTER_MS = 100
-# How often a host checks whether its reader is silent and whether a request is due.
-FOLLOW_CHECK_INTERVAL_MS = 250
-# Hosts of a failure domain answer each other within a few ms; more than that only delays a start.
-READER_ANSWER_TIMEOUT_MS = 60
-# The reader answers a request for routes within a few ms; a part of the answer may be lost once.
-ROUTES_ANSWER_TIMEOUT_MS = 100
-ROUTES_REQUESTS = 2
 # At a start, the store and the reader answer within 100 ms. A host that waits longer takes the list
 # of a neighbour.
 SNAPSHOT_DELAY_MS = 300
@@ -75,8 +73,6 @@
 # In an outage of the store, followers whose reader answers leave the frequent calls to it.
 MIN_FOLLOWER_RETRY_MS = 500
 MAX_FOLLOWER_RETRY_MS = 2_000
-# How often a host without a working reader looks for the record of a new one.
-READER_LOOKUP_INTERVAL_MS = 500
 
 
 def reader_age_limit_ms(list_age_limit_ms: int) -> int:
@@ -120,7 +116,6 @@
         # A new reader may lack changes after the last update of its predecessor. Only a read that
         # does not wait shows that the list is complete.
         self._is_new_reader = False
-        self._next_lookup_ms = 0
         # Set when the host resumes after a pause, so that a probe need not wait until it is due.
         self._probe_requested = asyncio.Event()
         self._role = ListSharingRole.READING
@@ -136,6 +131,13 @@
             on_snapshot=self._on_snapshot,
             on_change=on_change,
         )
+        self._following = ReaderFollowing(
+            store=self._store,
+            sharing=sharing,
+            updates=self._updates,
+            age_clock=age_clock,
+            on_response=self._record_store_response,
+        )
 
     @property
     def peers(self) -> ServerListExchange:
@@ -191,7 +193,7 @@
         while (left_ms := deadline_ms - self._age_clock.now_ms()) > 0:
             if self._has_list and self.role is ListSharingRole.FOLLOWING:
                 return
-            await self._wait_for_feed(left_ms)
+            await self._following.wait_for_feed(left_ms)
 
     async def _read_and_get_delay_ms(self) -> int:
         """Read once; return the delay until the next read."""
@@ -218,7 +220,7 @@
             # Without a wait, so that the end of an outage is noticed immediately.
             await self._catch_up()
             self._is_new_reader = False
-        elif not await self._claim_if_due():
+        elif not await self._following.claim_if_due():
             changes = await self._watch_changes()
             if changes is not None:
                 self._apply_changes(changes)
@@ -232,7 +234,7 @@
             if self.role is ListSharingRole.SERVING or self._sharing.local_reader is None:
                 await asyncio.sleep(left_ms / MS_PER_S)
                 return
-            await self._look_for_reader(wait_ms=FOLLOW_CHECK_INTERVAL_MS)
+            await self._following.look_for_reader(wait_ms=FOLLOW_CHECK_INTERVAL_MS)
 
     async def _send_due_requests(self) -> None:
         was_outdated = False
@@ -265,13 +267,13 @@
         self._record_store_response()
         if self._has_list:
             # A neighbour's list was applied meanwhile.
-            if not await self._is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
+            if not await self._following.is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
                 await self._catch_up()
             return
         self._updates.apply_unconfirmed_list(stale)
         self._has_list = True
         # The list contained the record.
-        self._next_lookup_ms = self._age_clock.now_ms() + READER_LOOKUP_INTERVAL_MS
+        self._following.postpone_lookup()
         if not await self._is_confirmed_by_reader():
             self._apply_changes(await self._read_changes(wait_ms=0))
 
@@ -284,13 +286,13 @@
         """
         if self._has_callers() or self._sharing.local_reader is None:
             return False
-        if await self._is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
+        if await self._following.is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
             return True
         deadline_ms = self._age_clock.now_ms() + COLD_START_WAIT_MS
         while self.role is ListSharingRole.READING and self._age_clock.now_ms() < deadline_ms:
             if self._has_callers():
                 break
-            await self._look_for_reader(wait_ms=CALLER_CHECK_INTERVAL_MS)
+            await self._following.look_for_reader(wait_ms=CALLER_CHECK_INTERVAL_MS)
         return self.role is ListSharingRole.FOLLOWING
 
     def _has_callers(self) -> bool:
@@ -314,70 +316,13 @@
 
     async def _follow_reader(self) -> None:
         """Follow the reader until it is lost, and then read what it did not send."""
-        while await self._is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
-            if self._sharing.needs_routes and not await self._get_routes_from_reader():
-                await self._read_announced_routes()
-            if self._sharing.is_reader_silent(self._age_clock.now_ms()):
-                self._sharing.on_reader_silent(self._age_clock.now_ms())
-                await self._look_for_reader(wait_ms=FOLLOW_CHECK_INTERVAL_MS)
-            else:
-                await self._wait_for_feed(FOLLOW_CHECK_INTERVAL_MS)
+        await self._following.follow()
         if self.role is ListSharingRole.SERVING:
             return
         self._sharing.on_reader_lost(self._age_clock.now_ms())
         self._update_role()
         await self._catch_up()
 
-    async def _is_following_soon(self, *, limit_ms: int) -> bool:
-        """Return whether the list is up to date through a reader; wait for its answer if needed."""
-        deadline_ms = self._age_clock.now_ms() + limit_ms
-        while self.role is ListSharingRole.READING and self._sharing.has_other_reader:
-            left_ms = deadline_ms - self._age_clock.now_ms()
-            if left_ms <= 0:
-                break
-            await self._wait_for_feed(left_ms)
-        return self.role is ListSharingRole.FOLLOWING
-
-    async def _wait_for_feed(self, limit_ms: int) -> None:
-        try:
-            async with asyncio.timeout(limit_ms / MS_PER_S):
-                await self._updates.wait_for_feed()
-        except TimeoutError:
-            return
-
-    async def _get_routes_from_reader(self) -> bool:
-        """Return whether the reader has sent the routes that it announced."""
-        for _ in range(ROUTES_REQUESTS):
-            self.peers.request_routes()
-            deadline_ms = self._age_clock.now_ms() + ROUTES_ANSWER_TIMEOUT_MS
-            while self._sharing.needs_routes:
-                left_ms = deadline_ms - self._age_clock.now_ms()
-                if left_ms <= 0:
-                    break
-                await self._wait_for_feed(left_ms)
-            if not self._sharing.needs_routes:
-                return True
-        return False
-
-    async def _read_announced_routes(self) -> None:
-        """Read routes at least as new as the reader announced."""
-        routes = await self._store.read_routes(may_be_stale=True)
-        is_stale = routes.revision < self._sharing.announced_routes_revision
-        if is_stale:
-            routes = await self._store.read_routes()
-        self._record_store_response()
-        self._updates.apply_routes(routes, is_newest=is_stale)
-
-    async def _look_for_reader(self, *, wait_ms: int) -> None:
-        """Look for another reader's record, claim the role if that is due, and wait for a feed."""
-        now_ms = self._age_clock.now_ms()
-        if now_ms >= self._next_lookup_ms:
-            self._next_lookup_ms = now_ms + READER_LOOKUP_INTERVAL_MS
-            self._updates.apply_reader(await self._store.read_reader())
-            self._record_store_response()
-        await self._claim_if_due()
-        await self._wait_for_feed(wait_ms)
-
     async def _catch_up(self) -> None:
         """Read everything that has changed, without waiting for more."""
         if self.role is ListSharingRole.SERVING:
@@ -389,7 +334,7 @@
         known = self._sharing.registered_reader
         self._updates.apply_reader(await self._store.read_reader())
         is_new_reader = self._sharing.registered_reader != known
-        if await self._is_following_soon(
+        if await self._following.is_following_soon(
             limit_ms=self._reader_wait_ms(is_new_reader=is_new_reader)
         ):
             self._record_store_response()
@@ -399,35 +344,12 @@
         self._updates.apply_server_changes(changes)
         self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
 
-    def _has_answering_reader(self) -> bool:
-        has_reader = self._sharing.has_other_reader
-        return has_reader and not self._sharing.is_reader_silent(self._age_clock.now_ms())
-
     def _reader_wait_ms(self, *, is_new_reader: bool) -> int:
         """Return how long to wait for the reader before the list is read without it."""
-        if self._consecutive_failures and self._has_answering_reader():
+        if self._consecutive_failures and self._following.has_answering_reader:
             return READER_RECOVERY_WAIT_MS
         return READER_ANSWER_TIMEOUT_MS if is_new_reader else 0
 
-    async def _wait_until_following(self) -> None:
-        while self.role is not ListSharingRole.FOLLOWING:
-            await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
-
-    async def _claim_if_due(self) -> bool:
-        """Try to become the reader of the failure domain if a claim is due; return whether it was.
-
-        The store keeps another host's record if it is newer than the one that this host knows.
-        """
-        now_ms = self._age_clock.now_ms()
-        deadline_ms = self._sharing.claim_deadline_ms(now_ms)
-        local = self._sharing.local_reader
-        if local is None or deadline_ms is None or now_ms < deadline_ms:
-            return False
-        self._sharing.on_claim_attempt()
-        expected = self._sharing.registered_reader.revision
-        self._updates.apply_reader(await self._store.register_reader(local, expected=expected))
-        return True
-
     async def _watch_changes(self) -> ServerListChanges | None:
         """Wait for changes; return None when this host starts to follow a reader.
 
@@ -435,7 +357,7 @@
         """
         watch = asyncio.create_task(self._read_changes(wait_ms=self._watch_wait_ms()))
         probe_task = asyncio.create_task(self._probe_until_failure())
-        role_change = asyncio.create_task(self._wait_until_following())
+        role_change = asyncio.create_task(self._following.wait_until_following())
         done = await _wait_for_first(watch, probe_task, role_change)
         if watch in done:
             return await watch
@@ -497,7 +419,7 @@
         if self.role is not ListSharingRole.FOLLOWING:
             self._sharing.on_store_lost()
             self._directory.on_list_lost()
-        has_reader = self._has_answering_reader()
+        has_reader = self._following.has_answering_reader
         retry_delay_ms = backoff_ms(
             self._consecutive_failures,
             self._random,
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from redwingswitch._internal.daemon import server_list_sync
+from redwingswitch._internal.daemon import reader_following, server_list_sync
 from redwingswitch._internal.daemon.server_list_sync import (
     MAX_WATCH_WAIT_MS,
     ServerListSynchronizer,
@@ -152,9 +152,16 @@
         "MAX_FOLLOWER_RETRY_MS",
         "COLD_START_WAIT_MS",
         "READER_RECOVERY_WAIT_MS",
-        "ROUTES_ANSWER_TIMEOUT_MS",
     ):
         monkeypatch.setattr(server_list_sync, name, 2)
+    for name in ("FOLLOW_CHECK_INTERVAL_MS", "ROUTES_ANSWER_TIMEOUT_MS"):
+        monkeypatch.setattr(reader_following, name, 2)
+
+
+def wait_for_the_reader(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let a host wait for an answer of its reader for longer than any test."""
+    for module in (reader_following, server_list_sync):
+        monkeypatch.setattr(module, "READER_ANSWER_TIMEOUT_MS", 60_000)
 
 
 class PausableClock:
@@ -397,7 +404,7 @@
             await wait_until(lambda: running.steering.routes is not None)
             assert version_in_force(running) == (route_table().version if is_confirmed else 99)
 
-    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    wait_for_the_reader(monkeypatch)
     run(scenario())
 
 
@@ -429,7 +436,7 @@
             await wait_until(lambda: running.steering.routes is not None)
             assert running.store.calls[:2] == ["stale list", "after 5 wait 0"]
 
-    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    wait_for_the_reader(monkeypatch)
     run(scenario())
 
 
@@ -467,8 +474,8 @@
             assert not any("servers" in call for call in running.store.calls)
 
     monkeypatch.setattr(sharing_module, "READER_SILENCE_LIMIT_MS", 20)
-    monkeypatch.setattr(server_list_sync, "READER_LOOKUP_INTERVAL_MS", 2)
-    monkeypatch.setattr(server_list_sync, "READER_ANSWER_TIMEOUT_MS", 60_000)
+    monkeypatch.setattr(reader_following, "READER_LOOKUP_INTERVAL_MS", 2)
+    wait_for_the_reader(monkeypatch)
     run(scenario())
 
 
@@ -561,7 +568,7 @@
             await settle()
             assert [call for call in running.store.calls if "routes" in call] == expected_calls
 
-    monkeypatch.setattr(server_list_sync, "ROUTES_ANSWER_TIMEOUT_MS", 20)
+    monkeypatch.setattr(reader_following, "ROUTES_ANSWER_TIMEOUT_MS", 20)
     run(scenario())
 
 
@@ -590,7 +597,7 @@
             assert running.watches()[:1] == calls
 
     monkeypatch.setattr(server_list_sync, "COLD_START_WAIT_MS", 60_000)
-    monkeypatch.setattr(server_list_sync, "READER_LOOKUP_INTERVAL_MS", 2)
+    monkeypatch.setattr(reader_following, "READER_LOOKUP_INTERVAL_MS", 2)
     run(scenario())
 
 
