Pace a follower that gets routes from nobody, and keep only decoded routes as a base

Cause: found when the change was read. A wait after a failed call ended at once while the reader's list is fresh, so a follower whose reader sends no routes and whom the store refuses would have called it every 0.2 s. And routes were noted under the newest known revision, also when that one could not be decoded; two hosts could then have had different routes under one revision, and a difference would have been applied to the wrong ones.

Change: such a follower keeps the growing pauses; only routes that were decoded from a revision become a base.

--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -16,6 +16,7 @@
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie import flow_cookie
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import (
@@ -33,8 +34,10 @@
 from redwingswitch._internal.models.list_sharing import FeedRequest, ListOffer, RoutesDifference
 from redwingswitch._internal.models.server_list import ServerChange, ServerList
 from redwingswitch._internal.network.list_messages import (
+    decode_routes_difference,
     decode_snapshot,
     encode_list_message,
+    encode_routes_difference,
     encode_snapshot,
 )
 from redwingswitch._internal.platform.entries import decode_routes, decode_server
@@ -58,6 +61,7 @@
 NS_PER_MS = 1_000_000
 BYTES_PER_MB = 1_000_000
 BYTES_PER_KB = 1_000
+CHANGED_ROUTE_COUNTS = (1, 10, 100, 400)
 
 
 def _route(number: int) -> Route:
@@ -306,6 +310,39 @@
     return (time.perf_counter_ns() - start_ns) / NS_PER_MS
 
 
+def _routes_history(routes: int, *, changed: int) -> RoutesHistory:
+    """Return the history of a reader after a change of some of its routes."""
+    before = {route.destination: route for route in map(_route, range(routes))}
+    after = before | {
+        address: route._replace(timeout_ms=3_000)
+        for address, route in list(before.items())[:changed]
+    }
+    history = RoutesHistory()
+    history.add(RouteTable(version=1, routes=before, idle_limit_ms=15_000), 1)
+    history.add(RouteTable(version=2, routes=after, idle_limit_ms=15_000), 2)
+    return history
+
+
+def _difference(history: RoutesHistory) -> RoutesDifference:
+    difference = history.build_difference(1)
+    if difference is None:
+        raise ValueError("the history has no routes")
+    return difference
+
+
+def _difference_bytes(changed: int) -> float:
+    history = _routes_history(max(ROUTE_COUNTS), changed=changed)
+    return float(len(encode_routes_difference(_difference(history))))
+
+
+def _difference_ms(routes: int) -> float:
+    """Return the time to build, encode and decode a difference of one route."""
+    history = _routes_history(routes, changed=1)
+    start_ns = time.perf_counter_ns()
+    decode_routes_difference(encode_routes_difference(_difference(history)))
+    return (time.perf_counter_ns() - start_ns) / NS_PER_MS
+
+
 MEASUREMENTS: tuple[tuple[str, str, str, tuple[int, ...], Callable[[int], float]], ...] = (
     ("opening packet", "servers", "us", SERVER_COUNTS, _opening_us),
     ("packet of an open flow", "servers", "us", SERVER_COUNTS, _steered_us),
@@ -318,6 +355,8 @@
     ("datagram to a follower", "changes", "B", CHANGE_COUNTS, _notification_bytes),
     ("list of a neighbour", "servers", "KB", SERVER_COUNTS, _snapshot_kb),
     ("list of a neighbour, both ends", "servers", "ms", SERVER_COUNTS, _snapshot_ms),
+    ("difference of routes", "changed routes", "B", CHANGED_ROUTE_COUNTS, _difference_bytes),
+    ("difference of routes, both ends", "routes", "ms", ROUTE_COUNTS, _difference_ms),
 )
 
 
--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -229,9 +229,7 @@
         self._unconfirmed_routes = NO_ROUTES
         if usable.routes is not None and self._steering.apply_routes(usable.routes):
             self._log_routes(usable.routes, usable.revision)
-        if self._steering.routes is not None:
-            # Routes that cannot be decoded leave the former ones in force at their revision.
-            self._routes_history.add(self._steering.routes, self._sharing.routes_revision)
+            self._routes_history.add(usable.routes, usable.revision)
 
     def _log_routes(self, routes: RouteTable, store_revision: int) -> None:
         self._event_log.info(
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -189,6 +189,10 @@
 
     async def _pause_until_followed(self, delay_ms: int) -> None:
         """Wait; end the wait early when the reader sends a list that is up to date."""
+        if self._has_list and self.role is ListSharingRole.FOLLOWING:
+            # The host follows its reader already; only the announced routes could not be read.
+            await asyncio.sleep(delay_ms / MS_PER_S)
+            return
         deadline_ms = self._age_clock.now_ms() + delay_ms
         while (left_ms := deadline_ms - self._age_clock.now_ms()) > 0:
             if self._has_list and self.role is ListSharingRole.FOLLOWING:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -79,6 +79,7 @@
         self.changes_since: tuple[ServerChange, ...] = ()
         self.routes = StoredRoutes(route_table(), 3)
         self.stale_routes: StoredRoutes | None = None
+        self.refuses_routes = False
         # Delays the answers to reads of the whole list, if set.
         self.first_list: asyncio.Event | None = None
 
@@ -98,6 +99,8 @@
 
     async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
         self.calls.append("stale routes" if may_be_stale else "routes")
+        if self.refuses_routes:
+            raise StoreUnavailableError("refused")
         return self.stale_routes or self.routes if may_be_stale else self.routes
 
     async def read_reader(self) -> RegisteredReader:
@@ -655,6 +658,49 @@
     run(scenario())
 
 
+def test_a_follower_that_gets_routes_from_nobody_repeats_its_calls_slowly(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # A call that the store refuses costs as much as one that it answers.
+    async def scenario() -> None:
+        async with following() as running:
+            running.reader.peers.on_datagram(update(LISTED_CHANGE, revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.refuses_routes = True
+            running.reader.peers.on_datagram(
+                update(revision=12, position=1, routes_revision=12), PEER_ADDRESS
+            )
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            await settle()
+            assert running.store.calls.count("stale routes") == 1
+            assert running.reader.role is ListSharingRole.FOLLOWING
+
+    for name in ("MIN_FOLLOWER_RETRY_MS", "MIN_RETRY_MS"):
+        monkeypatch.setattr(server_list_sync, name, 60_000)
+    for name in ("MAX_FOLLOWER_RETRY_MS", "MAX_RETRY_MS"):
+        monkeypatch.setattr(server_list_sync, name, 60_000)
+    run(scenario())
+
+
+def test_a_host_between_two_parts_of_a_batch_takes_no_neighbours_list() -> None:
+    # The neighbour's list reverted the first part, and the second one seemed to complete the batch.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            peers = running.reader.peers
+            peers.on_datagram(update(LISTED_CHANGE, revision=5), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            assert requests_list(running)
+            peers.on_datagram(
+                update(REMOVED_CHANGE, revision=30, position=1, later_changes=20), PEER_ADDRESS
+            )
+            assert running.reader.role is ListSharingRole.READING
+            assert not requests_list(running)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("outages", [0, 1])
 def test_servers_that_lapsed_in_an_outage_get_flows_before_a_batch_is_complete(
     outages: int, monkeypatch: pytest.MonkeyPatch
