Show what steering hosts did in each second

Change: redwingswitch-report seconds reads the logs of any deployment and prints one row a second and failure domain. A plot is not built.

--- a/src/redwingswitch/_internal/cli/report.py
+++ b/src/redwingswitch/_internal/cli/report.py
@@ -6,7 +6,7 @@
 
 
 class ReportProgram:
-    """Report how fast services consume their error budgets."""
+    """Report how fast services consume their error budgets, and what hosts did in each second."""
 
     def show(
         self,
@@ -39,6 +39,22 @@
             as_json=json,
         )
 
+    def seconds(self, *files: str, domain: str = "", json: bool = False) -> Invocation:
+        """Show what steering hosts did in each second, by failure domain, from their logs.
+
+        Args:
+            files: the logs of the hosts, one file a host, or any files whose lines name the host.
+            domain: show only the hosts of this failure domain.
+            json: print JSON instead of a table.
+
+        """
+        return Invocation(
+            "report_seconds",
+            files=[str(file) for file in files],
+            failure_domain=str(domain),
+            as_json=json,
+        )
+
     def collect(
         self,
         directory: str,
