Remove code without a caller, and rename the receiver of request datagrams

Change: four of them go. WitnessRegister keeps its host, as the public library passes it. The daemon's class is RequestDatagramReceiver.

--- a/src/redwingswitch/_internal/daemon/entry.py
+++ b/src/redwingswitch/_internal/daemon/entry.py
@@ -29,7 +29,7 @@
 from redwingswitch._internal.daemon.receivers import (
     PacketReceiver,
     PeerMessageReceiver,
-    RequestReceiver,
+    RequestDatagramReceiver,
 )
 from redwingswitch._internal.daemon.request_metrics import RequestMetrics
 from redwingswitch._internal.daemon.store_tasks import StoreTasks
@@ -208,7 +208,7 @@
         self._packet_receiver = PacketReceiver(
             submit=self._submit, metrics=self.metrics, directory=self._directory
         )
-        self._request_receiver = RequestReceiver(
+        self._request_receiver = RequestDatagramReceiver(
             submit=self._submit,
             metrics=self.metrics,
             request_metrics=self._request_metrics,
--- a/src/redwingswitch/_internal/daemon/performer.py
+++ b/src/redwingswitch/_internal/daemon/performer.py
@@ -67,7 +67,6 @@
         self._peers = peers
         self._backends = backends
         self._reports = reports
-        self._store = store
         self._send_packet = send_packet
         self._send_answer = send_answer
         self._submit = submit
--- a/src/redwingswitch/_internal/daemon/receivers.py
+++ b/src/redwingswitch/_internal/daemon/receivers.py
@@ -55,7 +55,7 @@
         self._submit(event)
 
 
-class RequestReceiver:
+class RequestDatagramReceiver:
     """Parses callers' request datagrams."""
 
     def __init__(
--- a/src/redwingswitch/_internal/decisions/flows/flow_steering.py
+++ b/src/redwingswitch/_internal/decisions/flows/flow_steering.py
@@ -27,7 +27,6 @@
     SendToBackendServer,
 )
 from redwingswitch._internal.models.configuration import (
-    BackendServer,
     Configuration,
     ServerState,
     Service,
@@ -141,14 +140,6 @@
         number = tables.choice_for_connection(flow_hash, now_ms)
         return None if number is None else tables.index.names[number]
 
-    def find_server(self, service: str, name: str) -> BackendServer | None:
-        """Return a server that packets may be sent to; removed servers are included."""
-        steered = self._context.services_by_name.get(service)
-        number = None if steered is None else steered.tables.index.number(name)
-        if steered is None or number is None:
-            return None
-        return steered.tables.index.details[number]
-
     # Configuration.
 
     def apply_configuration(self, configuration: Configuration, now_ms: int) -> list[Action]:
--- a/src/redwingswitch/_internal/decisions/flows/table_history_exchange.py
+++ b/src/redwingswitch/_internal/decisions/flows/table_history_exchange.py
@@ -46,10 +46,6 @@
         """Store the names of the configuration's active entry hosts, except the local host."""
         self.configured_hosts = frozenset(hosts) - {self._host}
 
-    def is_waiting(self) -> bool:
-        """Return whether the history of any service is missing."""
-        return bool(self._waiting)
-
     def _end_wait(self, service: SteeredService) -> None:
         service.end_history_wait()
         self.forget(service.name)
--- a/src/redwingswitch/_internal/network/caller_codec.py
+++ b/src/redwingswitch/_internal/network/caller_codec.py
@@ -23,7 +23,6 @@
 DATAGRAM_FIELD_COUNT = 4
 # The largest UDP payload over IPv4.
 MAX_DATAGRAM_BYTES = 65_507
-MAX_BODY_BYTES = 60_000
 
 
 class DatagramKind(IntEnum):
