Report the age of the feed on a host that has lost its reader

Cause: seen in the new view by seconds: list_age_ms in logs and metrics was 21 to 28 s on hosts whose list was 4 s old. A host that lost its reader counted from its own last read. Change: the newer of both counts. Only logs and metrics use this age; a serving host still tells its followers that of its own reads. Result: a new test fails before.

--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -156,9 +156,14 @@
 
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
-        if self.role is ListSharingRole.FOLLOWING:
-            return self._sharing.list_age_ms(self._age_clock.now_ms())
-        return self._store.list_age_ms()
+        role = self.role
+        if role is ListSharingRole.SERVING:
+            return self._store.list_age_ms()
+        feed_age_ms = self._sharing.list_age_ms(self._age_clock.now_ms())
+        if role is ListSharingRole.FOLLOWING:
+            return feed_age_ms
+        # A host that has just lost its reader last knew the list from the feed.
+        return min(feed_age_ms, self._store.list_age_ms())
 
     def is_outdated_by_pause(self) -> bool:
         """Return whether this host was paused and the list has not been confirmed since.
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -10,6 +10,7 @@
 import pytest
 
 from redwingswitch._internal.daemon import reader_following, server_list_sync
+from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.daemon.server_list_sync import (
     MAX_WATCH_WAIT_MS,
     ServerListSynchronizer,
@@ -701,6 +702,24 @@
     run(scenario())
 
 
+def test_a_host_that_lost_its_reader_reports_the_age_of_the_feed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Logs and metrics showed 24 s, the age of the host's own last read, for a list of 4 s.
+    own_read_age_ms = 60_000
+
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            monkeypatch.setattr(MeteredStore, "list_age_ms", lambda _: own_read_age_ms)
+            assert 200 < running.reader.list_age_ms() < own_read_age_ms
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("outages", [0, 1])
 def test_servers_that_lapsed_in_an_outage_get_flows_before_a_batch_is_complete(
     outages: int, monkeypatch: pytest.MonkeyPatch
