Share the host of the routes tests

Cause: the table and the state machine of the exchange built the same host. Change: tests/lib/routes_host.py; assertions stay.

--- a/tests/unit/daemon/test_routes_exchange.py
+++ b/tests/unit/daemon/test_routes_exchange.py
@@ -8,10 +8,6 @@
 import pytest
 
 from redwingswitch._internal.daemon import routes_exchange
-from redwingswitch._internal.daemon.routes_exchange import RoutesExchange
-from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
-from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
-from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.snapshots import split_routes
 from redwingswitch._internal.models.cookie_flows import RouteAddress, RouteTable
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
@@ -21,8 +17,8 @@
     RoutesRequest,
 )
 from redwingswitch._internal.network.list_messages import ListMessage, encode_routes_difference
-from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.cookie_flows import route_table
+from tests.lib.routes_host import RoutesHost
 
 READER = ListReader("entry-1", "10.0.0.1", 7720, 6)
 FOLLOWER = ListReader("entry-2", "10.0.0.2", 7720, 8)
@@ -43,39 +39,16 @@
     return RouteTable(version, {each.destination: each for each in routes}, idle_limit_ms=1_000)
 
 
-class Host:
-    """A host's routes, its role, and the messages that it sent."""
+class Host(RoutesHost):
+    """A host that keeps the messages that it sent."""
 
     def __init__(self, *, local: ListReader, registered: ListReader | None = READER) -> None:
-        self.history = RoutesHistory()
         self.sent: list[tuple[ListMessage, Neighbour]] = []
-        self.incarnation = local.incarnation
-        self.metrics = SteeringMetrics()
-        sharing = ListSharing(
-            local_reader=local, age_limit_ms=2_000, random_source=random.Random(1)
+        super().__init__(
+            local=local, send=lambda message, receiver: self.sent.append((message, receiver))
         )
         if registered is not None:
-            sharing.on_reader_registered(RegisteredReader(registered, 4), 0)
-        self.exchange = RoutesExchange(
-            sharing=sharing,
-            clock=MonotonicClock(),
-            metrics=self.metrics,
-            send=lambda message, receiver: self.sent.append((message, receiver)),
-            shared_routes=self,
-        )
-
-    @property
-    def revision_in_force(self) -> int:
-        return self.history.revision
-
-    def build_routes_difference(self, known_revision: int) -> RoutesDifference | None:
-        return self.history.build_difference(known_revision)
-
-    def apply_routes_difference(self, difference: RoutesDifference) -> bool:
-        routes = self.history.apply_difference(difference)
-        if routes is not None:
-            self.history.add(routes, difference.revision)
-        return routes is not None
+            self.sharing.on_reader_registered(RegisteredReader(registered, 4), 0)
 
     def results(self) -> set[str]:
         return {labels[0] for labels in self.metrics.counts["list_updates_total"]}
@@ -85,8 +58,7 @@
     """Deliver all that ``source`` sent."""
     for message, _ in source.sent:
         assert isinstance(message, RoutesRequest | RoutesPart)
-        sender = READER_AT if source.incarnation == READER.incarnation else FOLLOWER_AT
-        target.exchange.on_message(message, incarnation=source.incarnation, sender=sender)
+        target.exchange.on_message(message, incarnation=source.local.incarnation, sender=source.at)
     source.sent.clear()
 
 
--- a/tests/unit/daemon/test_routes_machine.py
+++ b/tests/unit/daemon/test_routes_machine.py
@@ -1,26 +1,16 @@
 """Guards against mixed or withdrawn routes while readers change and datagrams are lost."""
 
-import random
-
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from redwingswitch._internal.daemon.routes_exchange import RoutesExchange
-from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.list_sharing import snapshots
-from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
-from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.cookie_flows import RouteAddress, RouteTable
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
-from redwingswitch._internal.models.list_sharing import (
-    RoutesDifference,
-    RoutesPart,
-    RoutesRequest,
-)
+from redwingswitch._internal.models.list_sharing import RoutesPart, RoutesRequest
 from redwingswitch._internal.network.list_messages import ListMessage
-from redwingswitch._internal.utils.clocks import MonotonicClock
 from tests.lib.cookie_flows import route_table
+from tests.lib.routes_host import RoutesHost
 
 HOST_COUNT = 3
 NUMBERS = st.integers(0, HOST_COUNT - 1)
@@ -30,50 +20,6 @@
 ROUTE = next(iter(route_table().routes.values()))
 
 
-class Host:
-    """The routes in force on a host, and its exchange with the others."""
-
-    def __init__(self, *, number: int, incarnation: int, network: list) -> None:
-        self.local = ListReader(f"entry-{number}", f"10.0.0.{number + 1}", 7720, incarnation)
-        self.at = Neighbour(self.local.address, self.local.port)
-        self.history = RoutesHistory()
-        self.in_force: RouteTable | None = None
-        self.sharing = ListSharing(
-            local_reader=self.local, age_limit_ms=2_000, random_source=random.Random(1)
-        )
-
-        def send(message: ListMessage, receiver: Neighbour) -> None:
-            network.append((message, self.local.incarnation, self.at, receiver))
-
-        self.exchange = RoutesExchange(
-            sharing=self.sharing,
-            clock=MonotonicClock(),
-            metrics=SteeringMetrics(),
-            send=send,
-            shared_routes=self,
-        )
-
-    @property
-    def revision_in_force(self) -> int:
-        return self.history.revision
-
-    def build_routes_difference(self, known_revision: int) -> RoutesDifference | None:
-        return self.history.build_difference(known_revision)
-
-    def apply_routes_difference(self, difference: RoutesDifference) -> bool:
-        routes = self.history.apply_difference(difference)
-        if routes is None:
-            return False
-        self.put_in_force(routes, difference.revision)
-        return True
-
-    def put_in_force(self, routes: RouteTable, revision: int) -> None:
-        """Put newer routes in force, as the daemon does."""
-        if self.in_force is None or routes.version > self.in_force.version:
-            self.in_force = routes
-            self.history.add(routes, revision)
-
-
 class RoutesMachine(RuleBasedStateMachine):
     """Drives the hosts of one failure domain; each message waits until a rule delivers it."""
 
@@ -89,8 +35,15 @@
         self.hosts = [self.new_host(number) for number in range(HOST_COUNT)]
         self.change_routes({1: 1}, is_watched=False)
 
-    def new_host(self, number: int) -> Host:
-        return Host(number=number, incarnation=next(self.incarnations), network=self.network)
+    def new_host(self, number: int) -> RoutesHost:
+        incarnation = next(self.incarnations)
+        local = ListReader(f"entry-{number}", f"10.0.0.{number + 1}", 7720, incarnation)
+        at = Neighbour(local.address, local.port)
+
+        def send(message: ListMessage, receiver: Neighbour) -> None:
+            self.network.append((message, incarnation, at, receiver))
+
+        return RoutesHost(local=local, send=send)
 
     @rule(content=CONTENTS, is_watched=st.booleans())
     def change_routes(self, content: dict[int, int], is_watched: bool) -> None:
