--- a/src/redwingswitch/_internal/configuration/apply_verification.py
+++ b/src/redwingswitch/_internal/configuration/apply_verification.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import NoReturn
 
 from redwingswitch._internal.configuration.document import (
     CONFIGURATION_KEY,
@@ -40,14 +41,14 @@
     raise ConfigurationConflictError. Raise StoreOutcomeUnknownError when that is not possible.
     """
     if rival := _find_rival(document, fleet_status.statuses):
-        return await _withdraw(document, rival, store, predecessor)
+        await _withdraw(document, rival, store, predecessor)
     if highest_revision(fleet_status.statuses) <= document["revision"]:
         return None
     stored = await _read_for_outcome(document, store)
     current = None if stored is None else decode_document(stored.value)
     if current is None or current["apply_id"] == document["apply_id"]:
         later = f"revision {highest_revision(fleet_status.statuses)}"
-        return await _withdraw(document, f"entry hosts hold {later}", store, predecessor)
+        await _withdraw(document, f"entry hosts hold {later}", store, predecessor)
     if contains_apply_id(current, document["apply_id"]):
         return current
     raise ConfigurationConflictError(
@@ -72,7 +73,8 @@
 
 async def _withdraw(
     document: Document, rival: str, store: ConfigStore, predecessor: StoredValue | None
-) -> Document | None:
+) -> NoReturn:
+    """Put the predecessor back if the store still has the document; raise what happened."""
     text = f"the store was restored during this apply, and {rival}"
     stored = await _read_for_outcome(document, store)
     if stored is not None and decode_document(stored.value)["apply_id"] == document["apply_id"]:
--- a/src/redwingswitch/_internal/daemon/neighbour_exchange.py
+++ b/src/redwingswitch/_internal/daemon/neighbour_exchange.py
@@ -11,11 +11,11 @@
 from typing import NamedTuple, Protocol
 
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
-from redwingswitch._internal.decisions.list_sharing.neighbours import Neighbours
-from redwingswitch._internal.decisions.list_sharing.snapshots import (
+from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
     PartCollector,
     split_snapshot,
 )
+from redwingswitch._internal.decisions.list_sharing.neighbours import Neighbours
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.list_sharing import ListOffer, SnapshotPart, SnapshotRequest
--- a/src/redwingswitch/_internal/decisions/list_sharing/snapshots.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/datagram_parts.py
@@ -1,4 +1,4 @@
-"""Transfer of an encoded list, or of encoded routes, in several datagrams."""
+"""Transfer of an encoded list, or of encoded routes, in parts that fit a datagram."""
 
 from __future__ import annotations
 
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -35,7 +35,7 @@
 
 MAX_PORT = 65_535
 # Bounds the memory that malformed compressed data can take.
-MAX_SNAPSHOT_BYTES = 8_000_000
+MAX_DECOMPRESSED_BYTES = 8_000_000
 
 ListMessage = (
     FeedRequest
@@ -150,11 +150,11 @@
     """Return the fields after the schema version."""
     decompressor = zlib.decompressobj()
     try:
-        packed = decompressor.decompress(data, MAX_SNAPSHOT_BYTES)
+        packed = decompressor.decompress(data, MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
         raise DecodeError(f"not compressed data: {error}") from error
     if not decompressor.eof:
-        raise DecodeError(f"the data is incomplete or exceeds {MAX_SNAPSHOT_BYTES} bytes")
+        raise DecodeError(f"the data is incomplete or exceeds {MAX_DECOMPRESSED_BYTES} bytes")
     version, *fields = unpack(packed, minimum_fields=1)
     if version != LIST_SCHEMA_VERSION:
         raise DecodeError(f"schema version {version!r} is not {LIST_SCHEMA_VERSION}")
--- a/tests/unit/daemon/test_routes_exchange.py
+++ b/tests/unit/daemon/test_routes_exchange.py
@@ -8,7 +8,7 @@
 import pytest
 
 from redwingswitch._internal.daemon import routes_exchange
-from redwingswitch._internal.decisions.list_sharing.snapshots import split_routes
+from redwingswitch._internal.decisions.list_sharing.datagram_parts import split_routes
 from redwingswitch._internal.models.cookie_flows import RouteAddress, RouteTable
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
--- a/tests/unit/daemon/test_routes_machine.py
+++ b/tests/unit/daemon/test_routes_machine.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from redwingswitch._internal.decisions.list_sharing import snapshots
+from redwingswitch._internal.decisions.list_sharing import datagram_parts
 from redwingswitch._internal.models.cookie_flows import RouteAddress, RouteTable
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
 from redwingswitch._internal.models.list_sharing import RoutesPart, RoutesRequest
@@ -25,8 +25,8 @@
 
     @initialize()
     def start(self) -> None:
-        self.part_bytes = snapshots.MAX_PART_BYTES
-        snapshots.MAX_PART_BYTES = MAX_PART_BYTES
+        self.part_bytes = datagram_parts.MAX_PART_BYTES
+        datagram_parts.MAX_PART_BYTES = MAX_PART_BYTES
         self.network: list = []
         self.incarnations = iter(range(1, 10_000))
         self.tables: list[RouteTable] = []
@@ -144,7 +144,7 @@
             self.deliver_all()
             assert all(host.in_force == self.tables[-1] for host in self.hosts)
         finally:
-            snapshots.MAX_PART_BYTES = self.part_bytes
+            datagram_parts.MAX_PART_BYTES = self.part_bytes
 
 
 TestRoutes = RoutesMachine.TestCase
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -20,8 +20,11 @@
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
 from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
+from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
+    split_routes,
+    split_snapshot,
+)
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
-from redwingswitch._internal.decisions.list_sharing.snapshots import split_routes, split_snapshot
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import (
     NO_READER,
--- a/tests/unit/list_sharing/test_snapshots.py
+++ b/tests/unit/list_sharing/test_snapshots.py
@@ -6,17 +6,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from redwingswitch._internal.decisions.list_sharing.neighbours import (
-    MAX_NEIGHBOURS,
-    NEIGHBOUR_RETENTION_MS,
-    Neighbours,
-)
-from redwingswitch._internal.decisions.list_sharing.snapshots import (
+from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
     MAX_PART_BYTES,
     MAX_PARTS,
     PartCollector,
     split_snapshot,
 )
+from redwingswitch._internal.decisions.list_sharing.neighbours import (
+    MAX_NEIGHBOURS,
+    NEIGHBOUR_RETENTION_MS,
+    Neighbours,
+)
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.list_sharing import SnapshotPart
 
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -8,11 +8,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from redwingswitch._internal.decisions.list_sharing.feed import MAX_CHANGES_PER_UPDATE
-from redwingswitch._internal.decisions.list_sharing.snapshots import (
+from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
     MAX_PART_BYTES,
     split_snapshot,
 )
+from redwingswitch._internal.decisions.list_sharing.feed import MAX_CHANGES_PER_UPDATE
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.cookie_flows import RouteAddress
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
@@ -154,7 +154,7 @@
     ],
 )
 def test_invalid_snapshots_are_rejected(data: bytes, monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(list_messages, "MAX_SNAPSHOT_BYTES", 5_000)
+    monkeypatch.setattr(list_messages, "MAX_DECOMPRESSED_BYTES", 5_000)
     with pytest.raises(DecodeError):
         decode_snapshot(data)
 
