--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -106,11 +106,6 @@
         """Return another host that is recorded as the reader, or None."""
         return self._follower.reader
 
-    @property
-    def has_other_reader(self) -> bool:
-        """Return whether another host is recorded as the reader."""
-        return self._follower.reader is not None
-
     def has_fresh_reader(self, now_ms: int) -> bool:
         """Return whether the followed reader has answered with a list that is still fresh."""
         return self._follower.has_fresh_reader(now_ms)
