Show that hosts miss changes after the store was restored from a copy

Cause as far as known: hosts compare revisions of the store before and after the restore. A change under a revision that was given out before never arrives.

--- a/src/redwingswitch/_internal/platform/standins/store.py
+++ b/src/redwingswitch/_internal/platform/standins/store.py
@@ -16,6 +16,7 @@
 MS_PER_S = 1_000
 PAGE_ITEMS = 500
 LOOPBACK = "127.0.0.1"
+ERA_HEADER = "Store-Era"
 
 
 class Fault(StrEnum):
@@ -34,11 +35,19 @@
     value: bytes | None
 
 
+class StoreCopy(NamedTuple):
+    """A backup of the store: its revision and the items at that revision."""
+
+    revision: int
+    items: dict[str, _Event]
+
+
 class PlatformStoreStandin:
     """An in-memory store that is served over HTTP on a loopback port.
 
     ``fault`` applies to all calls until it is set to None. ``calls`` lists the paths of all calls,
-    and ``queries`` their query arguments.
+    and ``queries`` their query arguments. ``era`` counts the restores from a copy; each response
+    names it.
     """
 
     def __init__(self, *, page_items: int = PAGE_ITEMS) -> None:
@@ -50,6 +59,7 @@
         self._history: list[_Event] = []
         self._discarded_revision = 0
         self._revision = 1
+        self.era = 0
         self._changed = asyncio.Event()
         self._server: HTTPServer | None = None
         self.port = 0
@@ -76,12 +86,29 @@
         """Remove a key; return the revision."""
         return self._record(key, None)
 
+    def list_keys(self, prefix: str) -> list[str]:
+        """Return the keys that begin with a prefix."""
+        return [key for key in self._items if key.startswith(prefix)]
+
     def discard_history(self) -> None:
         """Discard all changes so far; waiting watches are answered with status 410."""
         self._history.clear()
         self._discarded_revision = self._revision
         self._notify_watches()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a backup of the present state."""
+        return StoreCopy(self._revision, dict(self._items))
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Return to the state of a copy: later changes are lost, and their revisions reused."""
+        self.era += 1
+        self._items = dict(copy.items)
+        self._revision = copy.revision
+        self._discarded_revision = min(self._discarded_revision, copy.revision)
+        self._history = [event for event in self._history if event.revision <= copy.revision]
+        self._notify_watches()
+
     def _record(self, key: str, value: bytes | None) -> int:
         self._revision += 1
         event = _Event(self._revision, key, value)
@@ -111,17 +138,17 @@
         if fault is Fault.RESET:
             request.connection.detach().close()  # type: ignore[union-attr]
         elif fault is Fault.GARBAGE:
-            _respond(request, HTTPStatus.OK, b"{")
+            self._respond(request, HTTPStatus.OK, b"{")
         elif fault is not None:
             busy = fault is Fault.BUSY
             status = HTTPStatus.SERVICE_UNAVAILABLE if busy else HTTPStatus.TOO_MANY_REQUESTS
-            _respond(request, status, b"{}")
+            self._respond(request, status, b"{}")
         else:
             await self._serve(request)
 
     async def _serve(self, request: HTTPServerRequest) -> None:
         if request.path == "/v1/kv-range":
-            _respond(request, HTTPStatus.OK, self._range(request))
+            self._respond(request, HTTPStatus.OK, self._range(request))
         elif request.path == "/v1/kv-key":
             self._read_key(request)
         elif request.path == "/v1/kv-watch":
@@ -129,15 +156,15 @@
         elif request.path == "/v1/kv-txn":
             self._transact(request)
         else:
-            _respond(request, HTTPStatus.NOT_FOUND, b"{}")
+            self._respond(request, HTTPStatus.NOT_FOUND, b"{}")
 
     def _read_key(self, request: HTTPServerRequest) -> None:
         found = self._items.get(_query_argument(request, "Key"))
         if found is None:
-            _respond(request, HTTPStatus.NOT_FOUND, b"{}")
+            self._respond(request, HTTPStatus.NOT_FOUND, b"{}")
             return
         body = {**_encode_item(found), "StoreRevision": self._revision}
-        _respond(request, HTTPStatus.OK, _encode_json(body))
+        self._respond(request, HTTPStatus.OK, _encode_json(body))
 
     def _range(self, request: HTTPServerRequest) -> bytes:
         prefix, after = _query_argument(request, "Prefix"), _query_argument(request, "after")
@@ -157,13 +184,13 @@
             for key, revision in expected.items()
         ):
             items = [_encode_item(event) for event in stored.values()]
-            _respond(request, HTTPStatus.PRECONDITION_FAILED, _encode_json({"items": items}))
+            self._respond(request, HTTPStatus.PRECONDITION_FAILED, _encode_json({"items": items}))
             return
         for entry in body["SetKeys"]:
             self.put(entry["Key"], base64.b64decode(entry["Value"]))
         for key in body["Remove"]:
             self.remove(key)
-        _respond(request, HTTPStatus.OK, _encode_json({"Revision": self._revision}))
+        self._respond(request, HTTPStatus.OK, _encode_json({"Revision": self._revision}))
 
     async def _watch(self, request: HTTPServerRequest) -> None:
         after = int(_query_argument(request, "after"))
@@ -171,8 +198,8 @@
         wait_s = int(_query_argument(request, "WaitMs")) / MS_PER_S
         deadline_s = asyncio.get_running_loop().time() + wait_s
         while True:
-            if after < self._discarded_revision:
-                _respond(request, HTTPStatus.GONE, b"{}")
+            if not self._discarded_revision <= after <= self._revision:
+                self._respond(request, HTTPStatus.GONE, b"{}")
                 return
             matching = [
                 event
@@ -182,7 +209,7 @@
             remaining_s = deadline_s - asyncio.get_running_loop().time()
             if matching or remaining_s <= 0:
                 events = [_encode_item(event) for event in matching]
-                _respond(
+                self._respond(
                     request,
                     HTTPStatus.OK,
                     _encode_json({"events": events, "StoreRevision": self._revision}),
@@ -195,6 +222,21 @@
             except TimeoutError:
                 continue
 
+    def _respond(self, request: HTTPServerRequest, status: HTTPStatus, body: bytes) -> None:
+        connection = request.connection
+        if connection is None:
+            return
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "application/json",
+                "Content-Length": str(len(body)),
+                ERA_HEADER: str(self.era),
+            }
+        )
+        start_line = ResponseStartLine("HTTP/1.1", status, status.phrase)
+        connection.write_headers(start_line, headers, body)
+        connection.finish()
+
 
 def _encode_item(event: _Event) -> dict[str, object]:
     if event.value is None:
@@ -215,12 +257,3 @@
 
 def _encode_json(value: object) -> bytes:
     return json.dumps(value).encode()
-
-
-def _respond(request: HTTPServerRequest, status: HTTPStatus, body: bytes) -> None:
-    connection = request.connection
-    if connection is None:
-        return
-    headers = HTTPHeaders({"Content-Type": "application/json", "Content-Length": str(len(body))})
-    connection.write_headers(ResponseStartLine("HTTP/1.1", status, status.phrase), headers, body)
-    connection.finish()
