Tell routes apart by the operators' version, not by the store's revision

Cause: the reader announced the store revision of its newest routes, followers compared it with theirs, and differences named the revisions of their base. In a store that was restored a newer version can have a lower revision than an older one, and one revision two contents: a follower then asked for nothing, or could have applied a difference to other routes.

Change: the feed announces the operators' version, which never falls; requests and differences name versions. The schema of the messages is 3, so that hosts of the former build are refused, and both read the store for themselves.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -84,7 +84,7 @@
         """Apply a whole list that may be stale."""
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
         self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
-        self._sharing.on_routes_read(fleet.routes_revision, is_newest=False)
+        self._sharing.on_routes_read(fleet.routes, is_newest=False)
         self._log_servers(changed)
         self._unconfirmed_routes = StoredRoutes(fleet.routes, fleet.routes_revision)
         self.apply_reader(fleet.reader)
@@ -124,7 +124,7 @@
 
     def apply_routes(self, routes: StoredRoutes, *, is_newest: bool) -> None:
         """Apply routes that were read alone."""
-        self._sharing.on_routes_read(routes.revision, is_newest=is_newest)
+        self._sharing.on_routes_read(routes.routes, is_newest=is_newest)
         self._put_in_force(routes)
         self._on_change()
 
@@ -141,7 +141,7 @@
             servers=self._steering.directory.listed_entries(self._clock.now_ms()),
             revision=self._sharing.revision,
             reader=self._sharing.registered_reader,
-            routes_revision=self._sharing.routes_revision,
+            routes_revision=self._routes_history.revision,
         )
 
     def apply_snapshot(self, fleet: ServerList) -> None:
@@ -152,13 +152,13 @@
         self._on_snapshot()
 
     @property
-    def revision_in_force(self) -> int:
-        """Return the store revision of the routes in force, 0 without any."""
-        return self._routes_history.revision
+    def version_in_force(self) -> int:
+        """Return the version of the routes in force, 0 without any."""
+        return self._routes_history.version
 
-    def build_routes_difference(self, known_revision: int) -> RoutesDifference | None:
-        """Return what a host with the routes of ``known_revision`` lacks; None without routes."""
-        return self._routes_history.build_difference(known_revision)
+    def build_routes_difference(self, known_version: int) -> RoutesDifference | None:
+        """Return what a host with the routes of ``known_version`` lacks; None without routes."""
+        return self._routes_history.build_difference(known_version)
 
     def apply_routes_difference(self, difference: RoutesDifference) -> bool:
         """Apply routes from the reader; return False if they do not fit the routes in force."""
@@ -186,7 +186,7 @@
         self.peers.request_changes()
 
     def _finish_read(self, routes: StoredRoutes, changed: Iterable[str]) -> None:
-        self._sharing.on_routes_read(routes.revision, is_newest=False)
+        self._sharing.on_routes_read(routes.routes, is_newest=False)
         self._put_in_force(routes)
         self._log_servers(changed)
         self.peers.notify_followers()
@@ -194,7 +194,7 @@
 
     def _apply_outdated(self, routes: StoredRoutes, reader: RegisteredReader | None) -> None:
         """Apply only the routes and the reader record of a response that is older than the feed."""
-        self._sharing.on_routes_read(routes.revision, is_newest=False)
+        self._sharing.on_routes_read(routes.routes, is_newest=False)
         self._put_in_force(routes)
         if reader is not None:
             self.apply_reader(reader)
--- a/src/redwingswitch/_internal/daemon/reader_following.py
+++ b/src/redwingswitch/_internal/daemon/reader_following.py
@@ -137,7 +137,9 @@
     async def _read_announced_routes(self) -> None:
         """Read routes at least as new as the reader announced."""
         routes = await self._store.read_routes(may_be_stale=True)
-        is_stale = routes.revision < self._sharing.announced_routes_revision
+        is_stale = (
+            routes.routes is None or routes.routes.version < self._sharing.announced_routes_version
+        )
         if is_stale:
             routes = await self._store.read_routes()
         self._on_response()
--- a/src/redwingswitch/_internal/daemon/routes_exchange.py
+++ b/src/redwingswitch/_internal/daemon/routes_exchange.py
@@ -1,8 +1,8 @@
 """Passes changed routes from the reader of a failure domain to its followers.
 
-The reader's feed tells followers the store revision of the newest routes. They ask the reader for
-the difference from the routes that they have, so that a change of the routes costs the store one
-call a failure domain.
+The reader's feed tells followers the operators' version of the newest routes. They ask the reader
+for the difference from the routes that they have, so that a change of the routes costs the store
+one call a failure domain.
 """
 
 from __future__ import annotations
@@ -36,19 +36,19 @@
     """The routes in force on this host."""
 
     @property
-    def revision_in_force(self) -> int:
-        """Return the store revision of the routes in force, 0 without any."""
+    def version_in_force(self) -> int:
+        """Return the version of the routes in force, 0 without any."""
 
-    def build_routes_difference(self, known_revision: int) -> RoutesDifference | None:
-        """Return what a host with the routes of ``known_revision`` lacks; None without routes."""
+    def build_routes_difference(self, known_version: int) -> RoutesDifference | None:
+        """Return what a host with the routes of ``known_version`` lacks; None without routes."""
 
     def apply_routes_difference(self, difference: RoutesDifference) -> bool:
         """Apply a difference; return False if it does not fit the routes in force."""
 
 
 class _EncodedDifference(NamedTuple):
-    base_revision: int
-    revision: int
+    base_version: int
+    version: int
     data: bytes
 
 
@@ -78,7 +78,7 @@
         """Request the routes that this host lacks from the reader; do nothing without a reader."""
         reader = self._sharing.other_reader
         if reader is not None:
-            request = RoutesRequest(known_revision=self._routes.revision_in_force)
+            request = RoutesRequest(known_version=self._routes.version_in_force)
             self._send(request, Neighbour(reader.address, reader.port))
 
     def on_message(
@@ -93,7 +93,7 @@
     def _on_request(self, request: RoutesRequest, sender: Neighbour) -> None:
         if not self._sharing.is_reader:
             return
-        difference = self._routes.build_routes_difference(request.known_revision)
+        difference = self._routes.build_routes_difference(request.known_version)
         if difference is None:
             return
         self._sent_transfers += 1
@@ -102,8 +102,8 @@
         self._metrics.count("list_updates_total", "routes_sent")
 
     def _encode(self, difference: RoutesDifference) -> bytes:
-        key = (difference.base_revision, difference.revision)
-        if self._latest is None or key != (self._latest.base_revision, self._latest.revision):
+        key = (difference.base_version, difference.version)
+        if self._latest is None or key != (self._latest.base_version, self._latest.version):
             self._latest = _EncodedDifference(*key, encode_routes_difference(difference))
         return self._latest.data
 
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -59,7 +59,7 @@
         self._outages += 1
 
     def build_update(
-        self, request: FeedRequest, *, list_age_ms: int, routes_revision: int
+        self, request: FeedRequest, *, list_age_ms: int, routes_version: int
     ) -> FeedUpdate:
         """Return the changes that the sender of a request lacks, or as many as fit one update."""
         first = self._end - len(self._changes)
@@ -83,5 +83,5 @@
             outages=self._outages,
             list_age_ms=list_age_ms,
             request_sent_ms=request.sent_ms,
-            routes_revision=routes_revision,
+            routes_version=routes_version,
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -37,8 +37,8 @@
         self._list_fresh_ms: int | None = None
         # The time of the latest request that the reader answered.
         self._answered_request_ms: int | None = None
-        # The highest store revision of the routes that a reader announced.
-        self._announced_routes_revision = 0
+        # The highest version of the routes that a reader announced.
+        self._announced_routes_version = 0
 
     @property
     def reader(self) -> ListReader | None:
@@ -51,9 +51,9 @@
         return self._revision
 
     @property
-    def announced_routes_revision(self) -> int:
-        """Return the store revision of the newest routes that a reader announced."""
-        return self._announced_routes_revision
+    def announced_routes_version(self) -> int:
+        """Return the operators' version of the newest routes that a reader announced."""
+        return self._announced_routes_version
 
     def set_reader(self, reader: ListReader | None) -> None:
         """Send requests to another reader, or to none, from now on."""
@@ -99,9 +99,9 @@
         """Return the milliseconds since the latest request that the reader answered."""
         return now_ms if self._answered_request_ms is None else now_ms - self._answered_request_ms
 
-    def on_routes_checked(self, revision: int) -> None:
+    def on_routes_checked(self, version: int) -> None:
         """Forget the announcement of newer routes than the store has."""
-        self._announced_routes_revision = min(self._announced_routes_revision, revision)
+        self._announced_routes_version = min(self._announced_routes_version, version)
 
     def _is_recent(self, fresh_ms: int | None, now_ms: int) -> bool:
         return fresh_ms is not None and now_ms - fresh_ms <= self._age_limit_ms
@@ -115,9 +115,7 @@
         self._answered_request_ms = _latest(self._answered_request_ms, request_ms)
         fresh_ms = request_ms - update.list_age_ms
         self._reader_fresh_ms = _latest(self._reader_fresh_ms, fresh_ms)
-        self._announced_routes_revision = max(
-            self._announced_routes_revision, update.routes_revision
-        )
+        self._announced_routes_version = max(self._announced_routes_version, update.routes_version)
         continues = (
             update.feed == self._feed_incarnation and update.first_position <= self._position
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/routes_history.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/routes_history.py
@@ -1,4 +1,4 @@
-"""The latest routes by store revision, and the differences between them."""
+"""The latest routes by the operators' version, and the differences between them."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 # Followers are rarely more than one change behind; in a storm of configurations they are a few.
 MAX_RETAINED_TABLES = 4
-NO_REVISION = 0
+NO_VERSION = 0
 
 
 class _StoredTable(NamedTuple):
@@ -24,31 +24,36 @@
     def __init__(self) -> None:
         self._tables: deque[_StoredTable] = deque(maxlen=MAX_RETAINED_TABLES)
 
+    @property
+    def version(self) -> int:
+        """Return the version of the latest routes, 0 without any."""
+        return self._tables[-1].routes.version if self._tables else NO_VERSION
+
     @property
     def revision(self) -> int:
-        """Return the store revision of the latest routes, 0 without any."""
-        return self._tables[-1].revision if self._tables else NO_REVISION
+        """Return the store revision at which the latest routes were read, 0 without any."""
+        return self._tables[-1].revision if self._tables else 0
 
     def add(self, routes: RouteTable, revision: int) -> None:
-        """Add the routes in force at a store revision; ignore one that is not later."""
-        if revision > self.revision:
+        """Add the routes read at a store revision; ignore a version that is not later."""
+        if routes.version > self.version:
             self._tables.append(_StoredTable(revision, routes))
 
-    def build_difference(self, known_revision: int) -> RoutesDifference | None:
-        """Return what a host that has the routes of ``known_revision`` lacks; None without routes.
+    def build_difference(self, known_version: int) -> RoutesDifference | None:
+        """Return what a host that has the routes of ``known_version`` lacks; None without routes.
 
         If those routes are not retained, the difference has all routes.
         """
         if not self._tables:
             return None
         latest = self._tables[-1]
-        base = self._find(known_revision)
+        base = self._find(known_version)
         known = {} if base is None else base.routes.routes
         routes = latest.routes.routes
         return RoutesDifference(
-            base_revision=NO_REVISION if base is None else base.revision,
-            revision=latest.revision,
+            base_version=NO_VERSION if base is None else base.routes.version,
             version=latest.routes.version,
+            revision=latest.revision,
             idle_limit_ms=latest.routes.idle_limit_ms,
             changed=tuple(r for address, r in routes.items() if known.get(address) != r),
             removed=tuple(address for address in known if address not in routes),
@@ -57,8 +62,8 @@
     def apply_difference(self, difference: RoutesDifference) -> RouteTable | None:
         """Return the routes after a difference; None if its base is not the latest routes."""
         routes = {}
-        if difference.base_revision != NO_REVISION:
-            if difference.base_revision != self.revision:
+        if difference.base_version != NO_VERSION:
+            if difference.base_version != self.version:
                 return None
             routes = dict(self._tables[-1].routes.routes)
         for address in difference.removed:
@@ -68,5 +73,5 @@
             version=difference.version, routes=routes, idle_limit_ms=difference.idle_limit_ms
         )
 
-    def _find(self, revision: int) -> _StoredTable | None:
-        return next((each for each in self._tables if each.revision == revision), None)
+    def _find(self, version: int) -> _StoredTable | None:
+        return next((each for each in self._tables if each.routes.version == version), None)
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -7,6 +7,7 @@
 from redwingswitch._internal.decisions.list_sharing.feed import ListFeed
 from redwingswitch._internal.decisions.list_sharing.follower import FeedFollower
 from redwingswitch._internal.decisions.retry import backoff_ms
+from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
     FeedRequest,
@@ -61,8 +62,9 @@
         self._registered_reader = NO_READER
         self._claim_attempts = 0
         self._claim_deadline_ms: int | None = None
-        # The store revision of the newest routes that this host has read.
-        self._routes_revision = 0
+        # The operators' version of the newest routes that this host has read. Unlike the revision
+        # of the store, it does not go back when the store is restored.
+        self._routes_version = 0
 
     @property
     def registered_reader(self) -> RegisteredReader:
@@ -79,20 +81,15 @@
         """Return the store revision up to which the list is known."""
         return self._follower.revision
 
-    @property
-    def routes_revision(self) -> int:
-        """Return the store revision of the newest routes that this host has read."""
-        return self._routes_revision
-
     @property
     def needs_routes(self) -> bool:
         """Return whether the reader announced newer routes than this host has read."""
-        return self._follower.announced_routes_revision > self._routes_revision
+        return self._follower.announced_routes_version > self._routes_version
 
     @property
-    def announced_routes_revision(self) -> int:
-        """Return the store revision of the newest routes that a reader announced."""
-        return self._follower.announced_routes_revision
+    def announced_routes_version(self) -> int:
+        """Return the operators' version of the newest routes that a reader announced."""
+        return self._follower.announced_routes_version
 
     @property
     def is_reader(self) -> bool:
@@ -176,14 +173,15 @@
             self._feed.append(changes, revision)
         self._schedule_claim(now_ms)
 
-    def on_routes_read(self, revision: int, *, is_newest: bool) -> None:
-        """Record the store revision of routes that this host read from the store.
+    def on_routes_read(self, routes: RouteTable | None, *, is_newest: bool) -> None:
+        """Record routes that this host read; None if the store has none that can be decoded.
 
         ``is_newest`` is false for routes that the store may have replaced since.
         """
-        self._routes_revision = max(self._routes_revision, revision)
+        if routes is not None:
+            self._routes_version = max(self._routes_version, routes.version)
         if is_newest:
-            self._follower.on_routes_checked(self._routes_revision)
+            self._follower.on_routes_checked(self._routes_version)
 
     def on_reader_silent(self, now_ms: int) -> None:
         """Prepare to claim the role of a reader that does not answer."""
@@ -221,7 +219,7 @@
         if not self.is_reader:
             return None
         return self._feed.build_update(
-            request, list_age_ms=list_age_ms, routes_revision=self._routes_revision
+            request, list_age_ms=list_age_ms, routes_version=self._routes_version
         )
 
     def on_update(self, update: FeedUpdate, now_ms: int) -> ReceivedChanges:
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -54,8 +54,8 @@
     ``revision``. ``outages`` counts how often the reader lost its connection to the store.
     ``list_age_ms`` is the time since the store last answered the reader. ``request_sent_ms`` is
     copied from the receiver's last request: the update was sent after it, so an update that was
-    delayed on the way is not taken for a recent one. ``routes_revision`` is the store revision of
-    the newest routes that the reader knows. ``neighbour`` is another follower.
+    delayed on the way is not taken for a recent one. ``routes_version`` is the operators' version
+    of the newest routes that the reader knows. ``neighbour`` is another follower.
     """
 
     feed: int
@@ -67,7 +67,7 @@
     outages: int
     list_age_ms: int
     request_sent_ms: int
-    routes_revision: int
+    routes_version: int
     neighbour: Neighbour | None = None
 
 
@@ -96,9 +96,9 @@
 
 
 class RoutesRequest(NamedTuple):
-    """Asks the reader for its routes; ``known_revision`` is that of the sender's, 0 without any."""
+    """Asks the reader for its routes; ``known_version`` is that of the sender's, 0 without any."""
 
-    known_revision: int
+    known_version: int
 
 
 class RoutesPart(NamedTuple):
@@ -114,15 +114,15 @@
 
 
 class RoutesDifference(NamedTuple):
-    """What turns the routes of ``base_revision`` into those of ``revision``.
+    """What turns the routes of ``base_version`` into those of ``version``.
 
-    Both are store revisions; ``base_revision`` is 0 when ``changed`` has all routes. ``version`` is
-    the operators' version of the routes.
+    Both are the operators' versions; ``base_version`` is 0 when ``changed`` has all routes.
+    ``revision`` is the store revision at which the sender read the routes.
     """
 
-    base_revision: int
-    revision: int
+    base_version: int
     version: int
+    revision: int
     idle_limit_ms: int
     changed: tuple[Route, ...]
     removed: tuple[RouteAddress, ...]
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -29,7 +29,7 @@
 from redwingswitch._internal.models.server_list import ServerChange, ServerList
 from redwingswitch._internal.network.packing import check_integer, convert_to_model, pack, unpack
 
-LIST_SCHEMA_VERSION = 2
+LIST_SCHEMA_VERSION = 3
 LEADING_FIELD_COUNT = 3
 MAX_UINT64 = 2**64 - 1
 
--- a/tests/lib/routes_host.py
+++ b/tests/lib/routes_host.py
@@ -39,11 +39,11 @@
         )
 
     @property
-    def revision_in_force(self) -> int:
-        return self.history.revision
+    def version_in_force(self) -> int:
+        return self.history.version
 
-    def build_routes_difference(self, known_revision: int) -> RoutesDifference | None:
-        return self.history.build_difference(known_revision)
+    def build_routes_difference(self, known_version: int) -> RoutesDifference | None:
+        return self.history.build_difference(known_version)
 
     def apply_routes_difference(self, difference: RoutesDifference) -> bool:
         routes = self.history.apply_difference(difference)
--- a/tests/unit/daemon/test_routes_exchange.py
+++ b/tests/unit/daemon/test_routes_exchange.py
@@ -75,7 +75,7 @@
     transfer(follower, reader)
     assert {receiver for _, receiver in reader.sent} == {FOLLOWER_AT}
     transfer(reader, follower)
-    assert follower.revision_in_force == 30
+    assert follower.version_in_force == 3
     difference = follower.build_routes_difference(0)
     assert difference is not None
     assert {r.destination: r for r in difference.changed} == table(
@@ -117,12 +117,12 @@
     incarnation: int, data: bytes | None, base: int, results: set[str]
 ) -> None:
     follower = Host(local=FOLLOWER)
-    difference = RoutesDifference(base, 20, 2, 1_000, tuple(table(2).routes.values()), ())
+    difference = RoutesDifference(base, 2, 20, 1_000, tuple(table(2).routes.values()), ())
     encoded = encode_routes_difference(difference) if data is None else data
     for part in split_routes(encoded, transfer=1):
         follower.exchange.on_message(part, incarnation=incarnation, sender=READER_AT)
     assert follower.results() == results
-    assert follower.revision_in_force == (20 if "routes_taken" in results else 0)
+    assert follower.version_in_force == (2 if "routes_taken" in results else 0)
 
 
 def test_a_difference_is_encoded_once_for_all_followers(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -137,9 +137,9 @@
     reader = Host(local=READER)
     for version in (1, 2):
         reader.history.add(table(version), 10 * version)
-    for known in (10, 10, 10, 0):
+    for known in (1, 1, 1, 0):
         reader.exchange.on_message(RoutesRequest(known), incarnation=9, sender=FOLLOWER_AT)
-    assert [each.base_revision for each in encoded] == [10, 0]
+    assert [each.base_version for each in encoded] == [1, 0]
 
 
 def test_a_lost_part_gives_nothing_and_the_next_transfer_everything() -> None:
@@ -152,4 +152,4 @@
         if is_lossy:
             del reader.sent[1]
         transfer(reader, follower)
-        assert follower.revision_in_force == (0 if is_lossy else 10)
+        assert follower.version_in_force == (0 if is_lossy else 1)
--- a/tests/unit/daemon/test_routes_machine.py
+++ b/tests/unit/daemon/test_routes_machine.py
@@ -30,6 +30,8 @@
         self.network: list = []
         self.incarnations = iter(range(1, 10_000))
         self.tables: list[RouteTable] = []
+        # The store's revision, which falls when the store is restored from a copy.
+        self.revision = 0
         self.record = RegisteredReader()
         self.versions: dict[int, int] = {}
         self.hosts = [self.new_host(number) for number in range(HOST_COUNT)]
@@ -55,13 +57,19 @@
         version = len(self.tables) + 1
         table = {route.destination: route for route in routes}
         self.tables.append(RouteTable(version, table, idle_limit_ms=version))
+        self.revision += 1
         for number, host in enumerate(self.hosts):
             if is_watched and host.local == self.record.reader:
                 self.read_the_store(number)
 
     @rule(number=NUMBERS)
     def read_the_store(self, number: int) -> None:
-        self.hosts[number].put_in_force(self.tables[-1], 10 * len(self.tables))
+        self.hosts[number].put_in_force(self.tables[-1], self.revision)
+
+    @rule()
+    def restore_the_store(self) -> None:
+        """Restore the store from a copy from before all routes; the operators write them again."""
+        self.revision = 1
 
     @rule(number=NUMBERS, is_known=st.booleans())
     def claim(self, number: int, is_known: bool) -> None:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -285,7 +285,7 @@
     *servers: ServerChange,
     revision: int,
     position: int = 0,
-    routes_revision: int = 0,
+    routes_version: int = 0,
     request_sent_ms: int | None = None,
     later_changes: int = 0,
     outages: int = 0,
@@ -302,7 +302,7 @@
         outages=outages,
         list_age_ms=0,
         request_sent_ms=BootClock().now_ms() if request_sent_ms is None else request_sent_ms,
-        routes_revision=routes_revision,
+        routes_version=routes_version,
     )
     return encode_list_message(incarnation=PEER_READER.incarnation, message=sent)
 
@@ -368,7 +368,7 @@
             running.store.routes = StoredRoutes(route_table()._replace(version=99), 12)
             running.store.stale_routes = stale
             running.reader.peers.on_datagram(
-                update(revision=12, position=1, routes_revision=12), PEER_ADDRESS
+                update(revision=12, position=1, routes_version=99), PEER_ADDRESS
             )
             await wait_until(lambda: version_in_force(running) == 99)
             await settle()
@@ -389,14 +389,14 @@
 
 
 @pytest.mark.parametrize(
-    ("routes_revision", "is_confirmed"),
+    ("routes_version", "is_confirmed"),
     [
-        pytest.param(3, True, id="the reader knows no newer routes"),
-        pytest.param(12, False, id="the reader knows newer routes"),
+        pytest.param(1, True, id="the reader knows no newer routes"),
+        pytest.param(99, False, id="the reader knows newer routes"),
     ],
 )
 def test_a_stale_list_is_used_only_after_the_reader_has_confirmed_it(
-    routes_revision: int, is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
+    routes_version: int, is_confirmed: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     # After a restart, a server that has left or a route that was withdrawn must not be used again.
     async def scenario() -> None:
@@ -405,7 +405,7 @@
             assert running.steering.routes is None
             running.store.routes = StoredRoutes(route_table()._replace(version=99), 12)
             running.reader.peers.on_datagram(
-                update(REMOVED_CHANGE, revision=9, routes_revision=routes_revision), PEER_ADDRESS
+                update(REMOVED_CHANGE, revision=9, routes_version=routes_version), PEER_ADDRESS
             )
             assert (running.steering.routes is not None) is is_confirmed
             await wait_until(lambda: running.steering.routes is not None)
@@ -524,9 +524,9 @@
         self._running = running
         self._lost_requests = lost_requests
         self._difference = RoutesDifference(
-            base_revision=3,
-            revision=12,
+            base_version=route_table().version,
             version=version,
+            revision=12,
             idle_limit_ms=0,
             changed=(),
             removed=tuple(route_table().routes)[1:],
@@ -565,7 +565,7 @@
             )
             running.store.routes = StoredRoutes(route_table()._replace(version=99), 12)
             running.reader.peers.on_datagram(
-                update(revision=12, position=1, routes_revision=12), PEER_ADDRESS
+                update(revision=12, position=1, routes_version=99), PEER_ADDRESS
             )
             await wait_until(lambda: version_in_force(running) == 99)
             routes = running.steering.routes
@@ -672,7 +672,7 @@
             await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
             running.store.refuses_routes = True
             running.reader.peers.on_datagram(
-                update(revision=12, position=1, routes_revision=12), PEER_ADDRESS
+                update(revision=12, position=1, routes_version=99), PEER_ADDRESS
             )
             await wait_until(lambda: not running.reader.is_store_reachable)
             await settle()
@@ -755,7 +755,7 @@
 
 
 @pytest.mark.parametrize(
-    ("sent_before_resume_ms", "routes_revision", "is_outdated"),
+    ("sent_before_resume_ms", "routes_version", "is_outdated"),
     [
         pytest.param(0, 0, False, id="answers a request sent after the pause"),
         pytest.param(PAUSE_MS, 0, True, id="answers a request sent before the pause"),
@@ -764,7 +764,7 @@
 )
 def test_a_paused_follower_acts_on_its_list_only_when_its_reader_has_answered_since(
     sent_before_resume_ms: int,
-    routes_revision: int,
+    routes_version: int,
     is_outdated: bool,
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -779,7 +779,7 @@
             # Before any timer of the resumed host has run.
             assert running.reader.is_outdated_by_pause()
             sent_ms = running.age_clock.now_ms() - sent_before_resume_ms
-            answer = update(revision=9, routes_revision=routes_revision, request_sent_ms=sent_ms)
+            answer = update(revision=9, routes_version=routes_version, request_sent_ms=sent_ms)
             running.reader.peers.on_datagram(answer, PEER_ADDRESS)
             assert running.reader.is_outdated_by_pause() is is_outdated
 
--- a/tests/unit/list_sharing/test_feed.py
+++ b/tests/unit/list_sharing/test_feed.py
@@ -19,6 +19,7 @@
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerChange
+from tests.lib.cookie_flows import route_table
 
 AGE_LIMIT_MS = 2_000
 READER = ListReader("entry-1", "10.0.0.1", 7720, 11)
@@ -52,11 +53,11 @@
     *,
     now_ms: int = 0,
     list_age_ms: int = 0,
-    routes_revision: int = 0,
+    routes_version: int = 0,
 ) -> FeedUpdate:
     """Return the answer of a reader to a follower's request of now."""
     return source.build_update(
-        target.build_request(now_ms), list_age_ms=list_age_ms, routes_revision=routes_revision
+        target.build_request(now_ms), list_age_ms=list_age_ms, routes_version=routes_version
     )
 
 
@@ -135,7 +136,7 @@
     lost = answer(source, target)
     source.append([change(13)], 13)
     following = FeedRequest(lost.feed, lost.first_position + len(lost.changes), lost.revision, 0)
-    pushed = source.build_update(following, list_age_ms=0, routes_revision=0)
+    pushed = source.build_update(following, list_age_ms=0, routes_version=0)
     assert target.on_update(pushed, 0).has_gap
     assert not target.is_following(0)
     assert exchange_until_complete(source, target) == ["i-12", "i-13"]
@@ -212,7 +213,7 @@
     source = make_feed()
     source.append([change(number) for number in range(2 * MAX_CHANGES_PER_UPDATE)], 50)
     request = FeedRequest(READER.incarnation, source_position := 7, revision=10, sent_ms=0)
-    update = source.build_update(request, list_age_ms=0, routes_revision=0)
+    update = source.build_update(request, list_age_ms=0, routes_version=0)
     assert update.first_position == source_position
     target = make_follower(revision)
     target.on_update(update, 0)
@@ -314,7 +315,7 @@
     assert host.claim_deadline_ms(0) is not None
     asked = host.build_request(0)
     assert asked is not None
-    host.on_update(make_feed(11).build_update(asked[1], list_age_ms=0, routes_revision=0), 0)
+    host.on_update(make_feed(11).build_update(asked[1], list_age_ms=0, routes_version=0), 0)
     assert host.claim_deadline_ms(0) is None
     assert host.role(0) is ListSharingRole.FOLLOWING
 
@@ -351,10 +352,10 @@
     return host
 
 
-def update_from(source: ListFeed, host: ListSharing, now_ms: int, routes_revision: int = 0) -> None:
+def update_from(source: ListFeed, host: ListSharing, now_ms: int, routes_version: int = 0) -> None:
     asked = host.build_request(now_ms)
     assert asked is not None
-    update = source.build_update(asked[1], list_age_ms=0, routes_revision=routes_revision)
+    update = source.build_update(asked[1], list_age_ms=0, routes_version=routes_version)
     host.on_update(update, now_ms)
 
 
@@ -379,19 +380,21 @@
 
 def test_announced_routes_are_needed_until_they_have_been_read() -> None:
     host = followed_sharing()
-    host.on_routes_read(10, is_newest=False)
-    update_from(make_feed(), host, 0, routes_revision=12)
+    host.on_routes_read(route_table(version=10), is_newest=False)
+    update_from(make_feed(), host, 0, routes_version=12)
     assert host.needs_routes
-    host.on_routes_read(11, is_newest=False)
+    host.on_routes_read(route_table(version=11), is_newest=False)
     assert host.needs_routes
-    host.on_routes_read(12, is_newest=False)
+    host.on_routes_read(None, is_newest=False)
+    assert host.needs_routes
+    host.on_routes_read(route_table(version=12), is_newest=False)
     assert not host.needs_routes
 
 
 def test_a_reader_that_announces_routes_which_do_not_exist_is_not_believed_for_ever() -> None:
     host = followed_sharing()
-    update_from(make_feed(), host, 0, routes_revision=10**9)
-    host.on_routes_read(11, is_newest=True)
+    update_from(make_feed(), host, 0, routes_version=10**9)
+    host.on_routes_read(route_table(version=11), is_newest=True)
     assert not host.needs_routes
 
 
--- a/tests/unit/list_sharing/test_routes_history.py
+++ b/tests/unit/list_sharing/test_routes_history.py
@@ -36,12 +36,12 @@
     for revision, content in enumerate(contents, start=1):
         reader.add(table(revision, content), revision)
         if data.draw(st.booleans()):
-            difference = reader.build_difference(follower.revision)
+            difference = reader.build_difference(follower.version)
             assert difference is not None
             routes = follower.apply_difference(difference)
             assert routes == table(revision, content)
             follower.add(routes, difference.revision)
-            assert follower.revision == revision
+            assert follower.version == revision
 
 
 @pytest.mark.parametrize(
@@ -56,7 +56,7 @@
         reader.add(table(revision, {1: revision, 2: 7}), revision)
     difference = reader.build_difference(109 - changes_behind)
     assert difference is not None
-    assert (difference.base_revision == 0) is is_whole
+    assert (difference.base_version == 0) is is_whole
     assert len(difference.changed) == (2 if is_whole else min(changes_behind, 1))
 
 
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -56,7 +56,7 @@
     outages=1,
     list_age_ms=12,
     request_sent_ms=2**40,
-    routes_revision=2**40,
+    routes_version=2**40,
     neighbour=Neighbour("10.200.100.100", 7720),
 )
 SNAPSHOT = ServerList(
@@ -160,9 +160,9 @@
 
 
 DIFFERENCE = RoutesDifference(
-    base_revision=3,
-    revision=17,
+    base_version=3,
     version=2**40,
+    revision=17,
     idle_limit_ms=30_000,
     changed=tuple(route_table().routes.values()),
     removed=(RouteAddress(2**32 - 1, 443),),
