Order the store's revisions by era, so that a restored store is noticed

Cause: revisions of two histories were compared as if they were of one, in the list, the feed and its positions, the reader's record and claims, neighbours' offers and the watch itself; a probe confirmed a list that the store had lost.

Change: a revision has the era of the store's answer in its upper bits, so every comparison puts each state after a restore behind each before it. The adapter refuses to continue a list of another era, in watches, reads and probes; a claim by a revision of an earlier era becomes a read. Entries that the copy lacks get the grace of entries that lapsed in an outage. A reader whose record was lost claims the role again at once. The answer to a claim counts although its revision is lower than that of a stale read. Logs have the era with each revision and a line 'store era' with source and former era; metrics have store_era, store_revision and store_era_age_ms.

Ruled out: to compare routes only; the feed, claims and offers had the same gap.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -26,6 +26,7 @@
     ServerListChanges,
     StoredRoutes,
 )
+from redwingswitch._internal.models.store_revisions import era_of, format_revision
 from redwingswitch._internal.ports import Clock, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -62,6 +63,8 @@
         self._on_snapshot = on_snapshot
         self._on_change = on_change
         self._unconfirmed_routes = NO_ROUTES
+        self._store_era: int | None = None
+        self._store_era_began_ms = 0
         self._routes_history = RoutesHistory()
         self._feed_received = asyncio.Event()
         self.peers = ServerListExchange(
@@ -80,8 +83,34 @@
         self._feed_received.clear()
         await self._feed_received.wait()
 
+    @property
+    def store_era_age_ms(self) -> int:
+        """Return milliseconds since this host's list follows the present era of the store."""
+        return self._age_clock.now_ms() - self._store_era_began_ms
+
+    def note_store_era(self, revision: int, *, source: str) -> None:
+        """Record the era of a whole list from ``source``, before the list is applied.
+
+        A store that was restored lacks entries until their servers have written them again.
+        """
+        era = era_of(revision)
+        if self._store_era is not None and era <= self._store_era:
+            return
+        self._steering.directory.on_list_lost()
+        self._event_log.info(
+            "store era",
+            era=era,
+            former="none" if self._store_era is None else self._store_era,
+            source=source,
+            store_revision=format_revision(revision),
+            known_revision=format_revision(self._sharing.revision),
+        )
+        self._store_era = era
+        self._store_era_began_ms = self._age_clock.now_ms()
+
     def apply_unconfirmed_list(self, fleet: ServerList) -> None:
         """Apply a whole list that may be stale."""
+        self.note_store_era(fleet.revision, source="stale_list")
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
         self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
         self._sharing.on_routes_read(fleet.routes, is_newest=False)
@@ -148,6 +177,7 @@
         """Apply the list of a neighbour unless this host knows a newer one."""
         if self._sharing.is_outdated(fleet.revision):
             return
+        self.note_store_era(fleet.revision, source="neighbour")
         self.apply_list(fleet)
         self._on_snapshot()
 
@@ -173,15 +203,21 @@
         """Decide again on the packets that were held since this host resumed after a pause."""
         self._on_change()
 
-    def apply_reader(self, registered: RegisteredReader) -> None:
-        """Apply the record of the failure domain's reader; send a new one a request at once."""
+    def apply_reader(self, registered: RegisteredReader, *, is_newest: bool = False) -> None:
+        """Apply the record of the failure domain's reader; send a new one a request at once.
+
+        ``is_newest`` is true for the store's answer to a claim.
+        """
         before = self._sharing.registered_reader.reader
-        self._sharing.on_reader_registered(registered, self._age_clock.now_ms())
+        now_ms = self._age_clock.now_ms()
+        self._sharing.on_reader_registered(registered, now_ms, is_newest=is_newest)
         reader = self._sharing.registered_reader.reader
         if reader == before or reader is None:
             return
         self._event_log.info(
-            "reader recorded", host=reader.host, store_revision=registered.revision
+            "reader recorded",
+            host=reader.host,
+            store_revision=format_revision(registered.revision),
         )
         self.peers.request_changes()
 
@@ -236,7 +272,7 @@
             "routes in force",
             version=routes.version,
             routes=len(routes.routes),
-            store_revision=store_revision,
+            store_revision=format_revision(store_revision),
         )
 
     def _log_servers(self, server_ids: Iterable[str]) -> None:
@@ -252,5 +288,5 @@
                 failure_domain=server.failure_domain,
                 state=server.state,
                 presence=known.presence(self._clock.now_ms()),
-                store_revision=self._sharing.revision,
+                store_revision=format_revision(self._sharing.revision),
             )
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -72,9 +72,10 @@
         call = self._store.register_reader(reader, expected=expected)
         return await self._call("register_reader", call)
 
-    async def probe(self) -> None:
-        """Wait until the store answers while a watch waits that knows all earlier changes."""
-        await self._call("probe", self._store.probe(), confirms_list=True)
+    async def probe(self, *, known_revision: int) -> None:
+        """Wait until the store answers while a watch waits for changes after ``known_revision``."""
+        call = self._store.probe(known_revision=known_revision)
+        await self._call("probe", call, confirms_list=True)
 
     def close(self) -> None:
         """Close all connections."""
--- a/src/redwingswitch/_internal/daemon/neighbour_exchange.py
+++ b/src/redwingswitch/_internal/daemon/neighbour_exchange.py
@@ -20,6 +20,7 @@
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.list_sharing import ListOffer, SnapshotPart, SnapshotRequest
 from redwingswitch._internal.models.server_list import ServerList
+from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.network.list_messages import (
     ListMessage,
     decode_snapshot,
@@ -166,6 +167,8 @@
         if self._list.wants_snapshot(ListOffer(revision=fleet.revision)):
             self._metrics.count("list_updates_total", "snapshot_taken")
             self._event_log.info(
-                "list taken", neighbour=sender.address, store_revision=fleet.revision
+                "list taken",
+                neighbour=sender.address,
+                store_revision=format_revision(fleet.revision),
             )
             self._list.apply_snapshot(fleet)
--- a/src/redwingswitch/_internal/daemon/reader_following.py
+++ b/src/redwingswitch/_internal/daemon/reader_following.py
@@ -117,7 +117,8 @@
             return False
         self._sharing.on_claim_attempt()
         expected = self._sharing.registered_reader.revision
-        self._updates.apply_reader(await self._store.register_reader(local, expected=expected))
+        registered = await self._store.register_reader(local, expected=expected)
+        self._updates.apply_reader(registered, is_newest=True)
         return True
 
     async def _get_routes_from_reader(self) -> bool:
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -32,6 +32,7 @@
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_sharing import ListOffer, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerListChanges
+from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.ports import Clock, RandomSource, ServerListStore
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -154,6 +155,16 @@
         """Return how this host gets the list."""
         return self._sharing.role(self._age_clock.now_ms())
 
+    @property
+    def revision(self) -> int:
+        """Return the store revision up to which the list is known."""
+        return self._sharing.revision
+
+    @property
+    def store_era_age_ms(self) -> int:
+        """Return milliseconds since the list follows the present era of the store."""
+        return self._updates.store_era_age_ms
+
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
         role = self.role
@@ -212,7 +223,11 @@
                 return 0
             await self._pause_after_read()
         except StoreHistoryLostError as error:
-            self._event_log.info("history lost", revision=self._sharing.revision, reason=error)
+            self._event_log.info(
+                "history lost",
+                store_revision=format_revision(self._sharing.revision),
+                reason=error,
+            )
             self._has_list = False
             return int(self._random.random() * MAX_RELOAD_JITTER_MS)
         except StoreUnavailableError as error:
@@ -267,9 +282,15 @@
         """
         if not self._may_load_stale_list:
             fleet = await self._store.read_all()
+            was_reader = self._sharing.is_reader
+            self._updates.note_store_era(fleet.revision, source="list")
             self._record_list_read()
             self._updates.apply_list(fleet)
             self._has_list = True
+            if was_reader and not self._sharing.is_reader:
+                # A restored store has an earlier record; the followers still know this host.
+                self._sharing.claim_at(self._age_clock.now_ms())
+                await self._following.claim_if_due()
             return
         stale = await self._store.read_all(may_be_stale=True)
         self._may_load_stale_list = False
@@ -391,7 +412,7 @@
                 async with asyncio.timeout(delay_ms / MS_PER_S):
                     await self._probe_requested.wait()
             self._probe_requested.clear()
-            await self._store.probe()
+            await self._store.probe(known_revision=self._sharing.revision)
 
     async def _read_changes(self, *, wait_ms: int) -> ServerListChanges:
         return await self._store.read_changes(
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -26,6 +26,7 @@
 from redwingswitch._internal.exceptions import InvalidInputGroup
 from redwingswitch._internal.models.list_readers import ListReader
 from redwingswitch._internal.models.list_sharing import ListSharingRole
+from redwingswitch._internal.models.store_revisions import era_of, number_of
 from redwingswitch._internal.network.datagrams import DatagramEndpoint
 from redwingswitch._internal.ports import Clock, PacketCodec, RandomSource, ServerListStore
 from redwingswitch._internal.steering_settings import SteeringSettings, read_steering_settings
@@ -307,6 +308,9 @@
             "ready": ((), float(self.readiness is Readiness.READY)),
             "routes_version": ((), float(self.routes_version or 0)),
             "list_age_ms": ((), float(self._server_list.list_age_ms())),
+            "store_era": ((), float(era_of(self._server_list.revision))),
+            "store_revision": ((), float(number_of(self._server_list.revision))),
+            "store_era_age_ms": ((), float(self._server_list.store_era_age_ms)),
             "serves_list": ((), float(self.list_role is ListSharingRole.SERVING)),
             "follows_reader": ((), float(self.list_role is ListSharingRole.FOLLOWING)),
             "listed_servers": ((), float(directory.listed_count())),
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -130,9 +130,16 @@
         """Return the age of the followed list."""
         return self._follower.list_age_ms(now_ms)
 
-    def on_reader_registered(self, registered: RegisteredReader, now_ms: int) -> None:
-        """Apply the reader's record; ignore one older than the latest known."""
-        if registered.reader is not None and registered.revision < self._registered_reader.revision:
+    def on_reader_registered(
+        self, registered: RegisteredReader, now_ms: int, *, is_newest: bool = False
+    ) -> None:
+        """Apply the reader's record; ignore one older than the latest known.
+
+        ``is_newest`` is true for a record that the store has certainly not replaced by the latest
+        known one, as in its answer to a claim.
+        """
+        is_older = registered.revision < self._registered_reader.revision
+        if registered.reader is not None and is_older and not is_newest:
             return
         is_new_reader = registered.reader != self._registered_reader.reader
         self._registered_reader = registered
@@ -204,6 +211,11 @@
             self._claim_deadline_ms = None
         return self._claim_deadline_ms
 
+    def claim_at(self, deadline_ms: int) -> None:
+        """Claim the reader role at ``deadline_ms`` unless this host has it or follows a reader."""
+        if self._local_reader is not None and not self.is_reader:
+            self._claim_deadline_ms = deadline_ms
+
     def on_claim_attempt(self) -> None:
         """Record an attempt to claim the reader role."""
         self._claim_attempts += 1
--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -36,12 +36,14 @@
     """A complete response."""
 
     status: int
+    headers: HTTPHeaders
     body: bytes
 
 
 class _ResponseCollector(HTTPMessageDelegate):
     def __init__(self) -> None:
         self.status = 0
+        self.headers = HTTPHeaders()
         self.chunks: list[bytes] = []
         self.is_complete = False
         self.closes_connection = False
@@ -51,6 +53,7 @@
     ) -> None:
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
+        self.headers = headers
         self.closes_connection = headers.get("Connection", "").lower() == "close"
 
     def data_received(self, chunk: bytes) -> None:
@@ -132,7 +135,7 @@
             raise StreamClosedError()
         if collector.closes_connection:
             self.close()
-        return Response(collector.status, b"".join(collector.chunks))
+        return Response(collector.status, collector.headers, b"".join(collector.chunks))
 
     async def _open_stream(self) -> IOStream:
         stream = self._stream
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import re
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 from typing import TypeVar
@@ -24,6 +25,13 @@
     ServerListChanges,
     StoredRoutes,
 )
+from redwingswitch._internal.models.store_revisions import (
+    MAX_ERA,
+    era_of,
+    format_revision,
+    make_revision,
+    number_of,
+)
 from redwingswitch._internal.platform.entries import (
     CONFIGURATION_KEY,
     READER_PREFIX,
@@ -39,6 +47,9 @@
 
 T = TypeVar("T")
 
+# The number of times that the store was restored from a copy; all responses have it.
+ERA_HEADER = "Store-Era"
+_ERA_PATTERN = re.compile(r"[0-9]{1,9}")
 # Operators and backend servers write under different prefixes; one watch covers both.
 ALL_KEYS_PREFIX = ""
 # No key has this prefix, so the response is empty.
@@ -84,7 +95,10 @@
 
 
 class PlatformStore:
-    """A ``ServerListStore`` over the platform's HTTP protocol."""
+    """A ``ServerListStore`` over the platform's HTTP protocol.
+
+    All revisions that it returns include the store's era; see ``models.store_revisions``.
+    """
 
     def __init__(self, *, address: str, port: int, timeout_ms: int, failure_domain: str) -> None:
         self._connection = HttpConnection(address=address, port=port)
@@ -92,6 +106,8 @@
         self._probe_connection = HttpConnection(address=address, port=port)
         self._timeout_ms = timeout_ms
         self._reader_key = READER_PREFIX + failure_domain
+        # The era of the latest response.
+        self._era = 0
 
     async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
         """Return the full list: the routes, all backend servers and the reader.
@@ -160,9 +176,13 @@
 
         Return the new record, or the one in the store if it has another revision.
         """
+        if expected and era_of(expected) < self._era:
+            # The store may have given out the same number again, to another host's record.
+            item = await self._read_item(self._reader_key, may_be_stale=False)
+            return NO_READER if item is None else _reader_from_item(item)
         value = base64.b64encode(encode_reader(reader)).decode()
         body = {
-            "ExpectedRev": [{"Key": self._reader_key, "Revision": expected}],
+            "ExpectedRev": [{"Key": self._reader_key, "Revision": number_of(expected)}],
             "SetKeys": [{"Key": self._reader_key, "Value": value, "Lease": NO_LEASE}],
             "Remove": [],
         }
@@ -170,19 +190,24 @@
             "POST", "/v1/kv-txn", body=msgspec.json.encode(body), timeout_ms=self._timeout_ms
         )
         if response.status == HTTPStatus.PRECONDITION_FAILED:
-            return (
-                self._find_reader(_decode_response(_conflict_decoder, response.body).items)
-                or NO_READER
-            )
+            items = _decode_response(_conflict_decoder, response.body).items
+            return self._find_reader(_in_era(items, self._note_era(response))) or NO_READER
         _check_status(response)
-        return RegisteredReader(
-            reader, _decode_response(_write_result_decoder, response.body).revision
-        )
+        number = _decode_response(_write_result_decoder, response.body).revision
+        return RegisteredReader(reader, _make_revision(self._note_era(response), number))
+
+    async def probe(self, *, known_revision: int) -> None:
+        """Return when the store answers; a serializable read costs it a tenth of a normal one.
 
-    async def probe(self) -> None:
-        """Return when the store answers; a serializable read costs it a tenth of a normal one."""
+        Raises StoreHistoryLostError if the store was restored since ``known_revision``.
+        """
         query = {"Prefix": ABSENT_PREFIX, **_stale_query(True)}
-        await self._get(self._probe_connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
+        response = await self._get(
+            self._probe_connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms
+        )
+        era = self._note_era(response)
+        if era > era_of(known_revision):
+            raise _restored(era_of(known_revision), era)
 
     def close(self) -> None:
         """Close the connections."""
@@ -190,10 +215,30 @@
         self._probe_connection.close()
 
     async def _watch(self, prefix: str, after_revision: int, wait_ms: int) -> _Events:
-        query = {"Prefix": prefix, "after": after_revision, "WaitMs": wait_ms}
+        known_era = era_of(after_revision)
+        if known_era < self._era:
+            raise _restored(known_era, self._era)
+        query = {"Prefix": prefix, "after": number_of(after_revision), "WaitMs": wait_ms}
         timeout_ms = self._timeout_ms + wait_ms
-        body = await self._get(self._connection, "/v1/kv-watch", query, timeout_ms=timeout_ms)
-        return _decode_response(_events_decoder, body)
+        response = await self._get(self._connection, "/v1/kv-watch", query, timeout_ms=timeout_ms)
+        era = self._note_era(response)
+        if known_era < era:
+            raise _restored(known_era, era)
+        if known_era > era:
+            raise StoreUnavailableError(f"the store answered from era {era}, not {known_era}")
+        events = _decode_response(_events_decoder, response.body)
+        _in_era(events.events, era)
+        events.store_revision = _make_revision(era, events.store_revision)
+        return events
+
+    def _note_era(self, response: Response) -> int:
+        """Return the era that a response names; a store that names none was never restored."""
+        text = response.headers.get(ERA_HEADER, "0")
+        if not _ERA_PATTERN.fullmatch(text) or int(text) > MAX_ERA:
+            raise StoreUnavailableError(f"the store's era {text!r} is not one from 0 to {MAX_ERA}")
+        era = int(text)
+        self._era = max(self._era, era)
+        return era
 
     def _find_reader(self, items: Iterable[_Item]) -> RegisteredReader | None:
         """Return the last record of this failure domain's reader among the items, or None."""
@@ -210,25 +255,53 @@
         if response.status == HTTPStatus.NOT_FOUND:
             return None
         _check_status(response)
-        return _decode_response(_item_decoder, response.body)
+        item = _decode_response(_item_decoder, response.body)
+        _in_era([item], self._note_era(response))
+        return item
 
     async def _read_page(self, after: str, may_be_stale: bool) -> _Page:
         query: dict[str, object] = {"Prefix": ALL_KEYS_PREFIX, **_stale_query(may_be_stale)}
         if after:
             query["after"] = after
-        body = await self._get(self._connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms)
-        return _decode_response(_page_decoder, body)
+        response = await self._get(
+            self._connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms
+        )
+        page = _decode_response(_page_decoder, response.body)
+        era = self._note_era(response)
+        _in_era(page.items, era)
+        page.store_revision = _make_revision(era, page.store_revision)
+        return page
 
     async def _get(
         self, connection: HttpConnection, path: str, query: Mapping[str, object], *, timeout_ms: int
-    ) -> bytes:
+    ) -> Response:
         response = await connection.call(
             "GET", f"{path}?{urlencode(query)}", body=b"", timeout_ms=timeout_ms
         )
         if response.status == HTTPStatus.GONE:
             raise StoreHistoryLostError("the store has discarded the history; read the full list")
         _check_status(response)
-        return response.body
+        return response
+
+
+def _restored(known_era: int, era: int) -> StoreHistoryLostError:
+    return StoreHistoryLostError(
+        f"the store was restored from a copy, era {era} after {known_era}; read the full list"
+    )
+
+
+def _make_revision(era: int, number: int) -> int:
+    try:
+        return make_revision(era=era, number=number)
+    except ValueError as error:
+        raise StoreUnavailableError(f"the store's response cannot be used: {error}") from error
+
+
+def _in_era(items: list[_Item], era: int) -> list[_Item]:
+    """Add the era to the revisions of items from one response."""
+    for item in items:
+        item.revision = _make_revision(era, item.revision)
+    return items
 
 
 def _stale_query(may_be_stale: bool) -> dict[str, object]:
@@ -264,17 +337,19 @@
     try:
         return StoredRoutes(decode_routes(_decode_value(item)), item.revision)
     except DecodeError as error:
-        log.error(f"configuration ignored revision={item.revision} reason={error}")
+        revision = format_revision(item.revision)
+        log.error(f"configuration ignored revision={revision} reason={error}")
         return StoredRoutes(None, item.revision)
 
 
 def _reader_from_item(item: _Item) -> RegisteredReader:
-    if item.deleted or not item.revision:
+    if item.deleted or not number_of(item.revision):
         return NO_READER
     try:
         return RegisteredReader(decode_reader(_decode_value(item)), item.revision)
     except DecodeError as error:
-        log.warning(f"reader record ignored key={item.key} revision={item.revision} reason={error}")
+        revision = format_revision(item.revision)
+        log.warning(f"reader record ignored key={item.key} revision={revision} reason={error}")
         # With its revision, the invalid record can be replaced.
         return RegisteredReader(None, item.revision)
 
@@ -286,7 +361,8 @@
     try:
         server = decode_server(server_id, _decode_value(item))
     except DecodeError as error:
-        log.warning(f"entry unusable server={server_id} revision={item.revision} reason={error}")
+        revision = format_revision(item.revision)
+        log.warning(f"entry unusable server={server_id} revision={revision} reason={error}")
     return ServerChange(server_id=server_id, server=server, is_listed=True)
 
 
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -114,7 +114,8 @@
 class ServerListStore(Protocol):
     """The platform's list of routes and of backend servers that register themselves.
 
-    Every method raises ``StoreUnavailableError`` when the store cannot be read.
+    Its revisions keep their order when the store is restored, see ``models.store_revisions``. Every
+    method raises ``StoreUnavailableError`` when the store cannot be read.
     """
 
     async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
@@ -146,8 +147,11 @@
         is in the store afterwards.
         """
 
-    async def probe(self) -> None:
-        """Wait until the store answers; cheaper than a read."""
+    async def probe(self, *, known_revision: int) -> None:
+        """Wait until the store answers; cheaper than a read.
+
+        Raises ``StoreHistoryLostError`` when the store was restored since ``known_revision``.
+        """
 
     def close(self) -> None:
         """Close all connections."""
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+import re
 
+import logbook
 import pytest
 
 from redwingswitch._internal.decisions.cookies.readiness import Readiness
@@ -149,6 +151,31 @@
     run(scenario())
 
 
+def test_logs_and_metrics_tell_which_state_of_the_store_a_host_follows() -> None:
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            await start_hosts(site)
+            copy = site.store.take_copy()
+            site.configure(version=2)
+            await wait_until(lambda: all_use_version(site, 2))
+            site.store.restore(copy)
+            site.configure(version=3)
+            await wait_until(lambda: all_use_version(site, 3))
+            await wait_until(lambda: has_one_reader(site))
+            for host in site.hosts:
+                assert "redwingswitch_steering_store_era 1" in host.daemon.metrics_text()
+
+    with logbook.TestHandler() as handler:
+        run(scenario())
+    for pattern in (
+        r"store era era=0 former=none source=\w+ store_revision=\d+ known_revision=0",
+        r"store era era=1 former=0 source=list store_revision=1:\d+ known_revision=\d+",
+        r"history lost store_revision=\d+ reason=.*restored from a copy, era 1 after 0.*",
+        r"routes in force version=3 routes=1 store_revision=1:\d+",
+    ):
+        assert any(re.fullmatch(pattern, record.message) for record in handler.records), pattern
+
+
 def test_open_flows_survive_a_restore_that_loses_their_server() -> None:
     async def scenario() -> None:
         async with SteeringSite() as site:
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -5,7 +5,14 @@
 
 import pytest
 
-from tests.soak.faults import Action, change_routes, replace_server, send_cookies_to_other_service
+from tests.soak.faults import (
+    ACTIONS_BEFORE_RESTORE,
+    Action,
+    change_routes,
+    replace_server,
+    restore_store,
+    send_cookies_to_other_service,
+)
 from tests.soak.run import run_seed
 
 SEED = 5
@@ -13,8 +20,30 @@
 HOSTS = 3
 
 
+# Seeds that failed while hosts took the revisions of a restored store for those they knew.
+RESTORE_SEEDS = (2, 7)
+RESTORE_ACTIONS = (restore_store, replace_server)
+
+
 def test_a_short_soak_violates_no_invariant(tmp_path: Path) -> None:
-    result = asyncio.run(run_seed(SEED, seconds=DURATION_S, hosts=HOSTS, folder=tmp_path))
+    result = asyncio.run(
+        run_seed(
+            SEED,
+            seconds=DURATION_S,
+            hosts=HOSTS,
+            folder=tmp_path,
+            actions=ACTIONS_BEFORE_RESTORE,
+        )
+    )
+    assert result.violations == ()
+    assert result.check_count > 0
+
+
+@pytest.mark.parametrize("seed", RESTORE_SEEDS)
+def test_a_restored_store_violates_no_invariant(tmp_path: Path, seed: int) -> None:
+    result = asyncio.run(
+        run_seed(seed, seconds=DURATION_S, hosts=HOSTS, folder=tmp_path, actions=RESTORE_ACTIONS)
+    )
     assert result.violations == ()
     assert result.check_count > 0
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import fire
 
+from tests.soak.faults import ACTIONS
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.run import SoakResult, run_seed
 
@@ -31,14 +32,16 @@
 
     """
     first, _, last = str(seeds).partition("-")
-    chosen = [(seed, seconds) for seed in range(int(first), int(last or first) + 1)]
+    chosen = [(seed, seconds, ACTIONS) for seed in range(int(first), int(last or first) + 1)]
     if regressions:
-        chosen = [(case.seed, case.seconds) for case in REGRESSIONS]
+        chosen = [(case.seed, case.seconds, case.actions) for case in REGRESSIONS]
     failed: list[SoakResult] = []
-    for seed, length_s in chosen:
+    for seed, length_s, actions in chosen:
         folder = Path(logs or tempfile.mkdtemp(prefix="soak-")) / f"seed-{seed}"
         folder.mkdir(parents=True)
-        result = asyncio.run(run_seed(seed, seconds=length_s, hosts=hosts, folder=folder))
+        result = asyncio.run(
+            run_seed(seed, seconds=length_s, hosts=hosts, folder=folder, actions=actions)
+        )
         print(result.summary(), flush=True)
         for line in result.violations:
             print(f"    {line}", flush=True)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,10 +7,11 @@
 from collections.abc import Awaitable, Callable, Sequence
 
 from redwingswitch._internal.platform.standins.store import Fault
-from tests.soak.disturbances import now_ms
+from tests.soak.disturbances import STABLE_WINDOW_MS, now_ms
 from tests.soak.proxy import LinkFault
 from tests.soak.site import DESTINATIONS, SERVERS_PER_SERVICE, SoakSite
 
+MS_PER_S = 1_000
 FAULT_INTERVAL_S = (0.1, 1.2)
 FAULT_DURATION_S = (0.3, 5.0)
 # Longer than the time within which hosts must learn that a server is leaving.
@@ -18,6 +19,9 @@
 # An entry expires after three missed reports, and is listed again within 2 s of the store's return.
 ENTRY_EXPIRY_S = 2.4
 MAX_RELISTING_DELAY_S = 1.5
+# The age of the copy from which the store is restored, and how long the store is away meanwhile.
+COPY_AGE_S = (0.5, 8.0)
+RESTORE_S = (0.1, 2.0)
 RESTART_DELAY_S = (0.0, 1.5)
 
 
@@ -101,11 +105,35 @@
     await asyncio.sleep(site.random.uniform(0.0, MAX_RELISTING_DELAY_S))
     for server in expired:
         if not server.is_ended:
-            state = "ready" if server.draining_since_ms is None else "draining"
-            site.list_server(server, state=state)
+            site.list_server(server, state=server.state)
     site.disturbances.end("store")
 
 
+async def restore_store(site: SoakSite) -> None:
+    """Restore the store from a copy, and check that a change of the routes made then is in force.
+
+    The operators and the servers write again what the copy lacks.
+    """
+    copy = site.store.take_copy()
+    await asyncio.sleep(site.random.uniform(*COPY_AGE_S))
+    if site.store.fault is not None:
+        return
+    site.disturbances.begin("store")
+    site.store.fault = site.random.choice(list(Fault))
+    await asyncio.sleep(site.random.uniform(*RESTORE_S))
+    site.store.restore(copy)
+    site.store.fault = None
+    destination = site.add_route()
+    # Without a delay, the revisions that were given out before are used up at once.
+    if site.random.random() < 0.5:
+        await asyncio.sleep(site.random.uniform(0.0, MAX_RELISTING_DELAY_S))
+    site.list_servers_again()
+    site.disturbances.end("store")
+    await asyncio.sleep(STABLE_WINDOW_MS / MS_PER_S)
+    await site.check_route(destination)
+    site.remove_route(destination)
+
+
 async def discard_store_history(site: SoakSite) -> None:
     """Make the store discard its history."""
     site.disturbances.record_moment("store")
@@ -161,7 +189,8 @@
 
 
 Action = Callable[[SoakSite], Awaitable[None]]
-ACTIONS: tuple[Action, ...] = (
+# A seed draws the same faults as long as its actions stay the same.
+ACTIONS_BEFORE_RESTORE: tuple[Action, ...] = (
     restart_killed_host,
     restart_hosts_in_turn,
     pause_host,
@@ -176,6 +205,7 @@
     change_routes,
     send_cookies_to_other_service,
 )
+ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_RESTORE, restore_store)
 
 
 async def inject_faults(
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -4,13 +4,19 @@
 
 from typing import NamedTuple
 
+from tests.soak.faults import ACTIONS_BEFORE_RESTORE, Action
+
 
 class Regression(NamedTuple):
-    """A seed that failed, with the duration of its run in seconds and the cause."""
+    """A seed that failed, with the duration of its run in seconds and the cause.
+
+    ``actions`` are those that the seed drew from.
+    """
 
     seed: int
     seconds: float
     cause: str
+    actions: tuple[Action, ...] = ACTIONS_BEFORE_RESTORE
 
 
 REGRESSIONS = (
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -42,6 +42,11 @@
         self._on_later_packet = on_later_packet
         self._random = random.Random(number)
 
+    @property
+    def state(self) -> str:
+        """Return the state that the server reports of itself."""
+        return "ready" if self.draining_since_ms is None else "draining"
+
     def on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Report the packet, then answer it."""
         host = sender[0]
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -27,6 +27,7 @@
 FIRST_HOST_ADDRESS = int(IPv4Address("127.0.1.1"))
 DESTINATIONS = {"job-board": ("198.18.0.1", 443), "photos": ("198.18.0.2", 443)}
 EXTRA_ADDRESS = "198.18.0.3"
+SERVER_PREFIX = "servers/"
 SERVERS_PER_SERVICE = 3
 CALLER_COUNT = 24
 REQUEST_INTERVAL_S = (0.05, 0.4)
@@ -127,6 +128,14 @@
             self.invariants.allowed.setdefault(destination, set()).add(route.service)
         self.store.put("op/config", build_configuration(version=self._version, routes=self._routes))
 
+    def list_servers_again(self) -> None:
+        """Write each server's present state to a restored store."""
+        for server in self.servers.values():
+            self.list_server(server, state=server.state)
+        for key in self.store.list_keys(SERVER_PREFIX):
+            if key.removeprefix(SERVER_PREFIX) not in self.servers:
+                self.store.remove(key)
+
     def add_route(self) -> tuple[str, int]:
         """Add a route of the job board; return its destination."""
         destination = (EXTRA_ADDRESS, 1_000 + self._version)
@@ -166,7 +175,7 @@
             state=state,
             sequence=self._sequence,
         )
-        self.store.put(f"servers/{server.name}", entry)
+        self.store.put(f"{SERVER_PREFIX}{server.name}", entry)
 
     def end_server(self, server: SoakServer) -> None:
         """Stop a server; its flows end with it."""
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -135,7 +135,8 @@
             raise result
         return result
 
-    async def probe(self) -> None:
+    async def probe(self, *, known_revision: int) -> None:
+        assert known_revision > 0
         self.calls.append("probe")
         if not self.answers_probes:
             raise StoreUnavailableError("no answer")
--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import FeedUpdate, ListSharingRole
 from redwingswitch._internal.models.server_list import ServerChange
+from redwingswitch._internal.models.store_revisions import era_of, make_revision, number_of
 
 AGE_LIMIT_MS = 2_000
 TICK_MS = 250
@@ -37,7 +38,27 @@
         # Pairs of a time and the servers listed from then on.
         self.past: list[tuple[int, frozenset[int]]] = [(-10_000, self.listed)]
         self.history: deque[tuple[int, int]] = deque(maxlen=MAX_HISTORY_CHANGES)
+        # The changes from this revision on are in the history, except those that it dropped.
+        self.begin = 0
         self.record = NO_READER
+        self.take_copy()
+
+    def take_copy(self) -> None:
+        """Keep a copy of the present state."""
+        self.copy = (self.revision, self.listed, self.record)
+
+    def restore(self, now_ms: int) -> None:
+        """Return to the copy; the revisions after it are given out again, in the next era."""
+        revision, self.listed, record = self.copy
+        self.revision = make_revision(era=era_of(self.revision) + 1, number=number_of(revision))
+        # A record has the era of the response that contains it.
+        era, number = era_of(self.revision), number_of(record.revision)
+        self.record = NO_READER
+        if record != NO_READER:
+            self.record = record._replace(revision=make_revision(era=era, number=number))
+        self.past.append((now_ms, self.listed))
+        self.history.clear()
+        self.begin = self.revision
 
     def toggle(self, number: int, now_ms: int) -> None:
         self.revision += 1
@@ -82,7 +103,8 @@
 
     def begin_read(self, store: Store, *, latency_ms: int) -> None:
         """Start a call to the store."""
-        begin = store.history[0][0] if len(store.history) == MAX_HISTORY_CHANGES else 0
+        is_full = len(store.history) == MAX_HISTORY_CHANGES
+        begin = store.history[0][0] if is_full else store.begin
         is_whole = not self.has_list or self.sharing.revision + 1 < begin
         if is_whole:
             numbers = set(range(SERVER_COUNT))
@@ -168,6 +190,14 @@
     def toggle_a_server(self, number: int) -> None:
         self.store.toggle(number, self.now_ms)
 
+    @rule()
+    def take_a_copy_of_the_store(self) -> None:
+        self.store.take_copy()
+
+    @rule()
+    def restore_the_store(self) -> None:
+        self.store.restore(self.now_ms)
+
     @rule(number=st.integers(0, HOST_COUNT - 1))
     def crash(self, number: int) -> None:
         self.hosts[number] = Host(
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -1,11 +1,13 @@
 """Guards against store faults that result in neither correct content nor one of two errors."""
 
 import socket
+from collections.abc import Awaitable, Callable
 
 import pytest
 
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
+from redwingswitch._internal.models.store_revisions import era_of, number_of
 from redwingswitch._internal.platform.http_connection import HttpConnection
 from redwingswitch._internal.platform.standins.documents import (
     StandinRoute,
@@ -273,6 +275,86 @@
     run(scenario())
 
 
+async def read_changes(store: PlatformStore, revision: int) -> object:
+    return await store.read_changes(after_revision=revision, wait_ms=1)
+
+
+async def read_server_changes(store: PlatformStore, revision: int) -> object:
+    return await store.read_server_changes(after_revision=revision)
+
+
+async def probe(store: PlatformStore, revision: int) -> object:
+    return await store.probe(known_revision=revision)
+
+
+@pytest.mark.parametrize("call", [read_changes, read_server_changes, probe])
+@pytest.mark.parametrize("lost_writes", [1, 3])
+@pytest.mark.parametrize("writes_after", [0, 1, 3, 5])
+@pytest.mark.parametrize("is_noticed", [False, True])
+def test_a_restore_is_noticed_by_each_call_that_continues_a_list(
+    call: Callable[[PlatformStore, int], Awaitable[object]],
+    lost_writes: int,
+    writes_after: int,
+    is_noticed: bool,
+) -> None:
+    # A restored store gives out revisions again; what came before them was then never read.
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            fixture.standin.put("servers/i-1", entry())
+            copy = fixture.standin.take_copy()
+            for number in range(lost_writes):
+                fixture.standin.put(f"servers/i-2{number}", entry())
+            known = (await fixture.store.read_all()).revision
+            await call(fixture.store, known)
+            fixture.standin.restore(copy)
+            for number in range(writes_after):
+                fixture.standin.put(f"servers/i-3{number}", entry())
+            if is_noticed:
+                await fixture.store.read_reader()
+            with pytest.raises(StoreHistoryLostError):
+                await call(fixture.store, known)
+            found = await fixture.store.read_all()
+            assert found.revision > known
+            assert era_of(found.revision) == era_of(known) + 1
+            assert len(found.servers) == 1 + writes_after
+            await call(fixture.store, found.revision)
+
+    run(scenario())
+
+
+def test_a_claim_by_a_revision_from_before_a_restore_replaces_no_other_record() -> None:
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            copy = fixture.standin.take_copy()
+            known = await fixture.store.register_reader(READER, expected=0)
+            fixture.standin.restore(copy)
+            other = READER._replace(host="entry-2")
+            value = {"host": "entry-2", **other._asdict()}
+            assert fixture.standin.put(READER_KEY, value) == number_of(known.revision)
+            await fixture.store.read_all()
+            found = await fixture.store.register_reader(READER, expected=known.revision)
+            assert found.reader == other
+            assert (await fixture.store.read_reader()).reader == other
+            replaced = await fixture.store.register_reader(READER, expected=found.revision)
+            assert replaced.reader == READER
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "32768", "9" * 5_000])
+def test_a_response_with_an_unusable_era_is_an_error(era: str) -> None:
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            fixture.standin.put("servers/i-1", entry())
+            fixture.standin.era = era  # type: ignore[assignment]
+            with pytest.raises(StoreUnavailableError):
+                await fixture.store.read_all()
+            fixture.standin.era = 32_767
+            assert era_of((await fixture.store.read_all()).revision) == 32_767
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "value",
     [
