Ignore a server's earlier reports, which a restored store shows again

What callers saw: nothing yet; a test shows new flows to a server that had announced that it leaves (DRAIN), after the store was restored from a copy with the server's earlier entry.

Cause: an entry was taken as newer because it came later. A server reports only once that it leaves.

Change: an entry has the number of the server's report, which rises from one start of the server on; a host ignores an earlier report of the same start than the one that it knows, in whole lists, changes and feeds alike. An entry without a number names no server, as any entry with a missing field.

--- a/src/redwingswitch/_internal/decisions/cookies/server_directory.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_directory.py
@@ -122,17 +122,31 @@
         return self.remove(change.server_id, now_ms)
 
     def put(self, server: ListedServer, now_ms: int) -> bool:
-        """Store an entry; return whether more than the remaining slow start has changed."""
+        """Store an entry; return whether more than the remaining slow start has changed.
+
+        An earlier report than the latest known one of the same start, as a restored store has it,
+        is ignored: a server that has announced that it leaves does not come back.
+        """
         known = self._known.get(server.server_id)
+        if known is not None and _is_earlier_report(server, known.server):
+            return False
         entry = server._replace(slow_start_left_ms=0)
-        is_new_state = known is None or known.absent_since_ms is not None or known.server != entry
-        if not is_new_state and not server.slow_start_left_ms:
+        if (
+            known is not None
+            and known.absent_since_ms is None
+            and known.server._replace(report_number=entry.report_number) == entry
+        ):
+            deadline_ms = known.slow_start_deadline_ms
+            if server.slow_start_left_ms:
+                deadline_ms = now_ms + server.slow_start_left_ms
+            self._known[server.server_id] = KnownServer(entry, deadline_ms)
+            self._by_service.clear()
             return False
         if known is None:
             self._by_cookie.clear()
         self._known[server.server_id] = KnownServer(entry, now_ms + server.slow_start_left_ms)
         self._by_service.clear()
-        return is_new_state
+        return True
 
     def remove(self, server_id: str, now_ms: int) -> bool:
         """Record that an entry was removed; return whether it was listed until now."""
@@ -225,6 +239,10 @@
             self._by_cookie.clear()
 
 
+def _is_earlier_report(server: ListedServer, known: ListedServer) -> bool:
+    return server.instance == known.instance and server.report_number < known.report_number
+
+
 def _with_slow_start(known: KnownServer, now_ms: int) -> ListedServer:
     left_ms = max(0, known.slow_start_deadline_ms - now_ms)
     return known.server._replace(slow_start_left_ms=left_ms)
--- a/src/redwingswitch/_internal/models/cookie_flows.py
+++ b/src/redwingswitch/_internal/models/cookie_flows.py
@@ -60,7 +60,8 @@
 class ListedServer(NamedTuple):
     """A backend server as it registered itself in the store.
 
-    ``instance`` changes with each start of the server. ``tunnel_prefix`` is prepended to each
+    ``instance`` changes with each start of the server, and ``report_number`` rises with each of the
+    reports that it writes from one start on. ``tunnel_prefix`` is prepended to each
     packet that is sent to ``(address, port)`` and identifies the server that the packet is for.
     ``slow_start_left_ms`` is the remaining slow-start time that the server reports.
     """
@@ -75,6 +76,7 @@
     state: ServerState
     slow_start_left_ms: int
     tunnel_prefix: bytes
+    report_number: int = 0
 
 
 class FlowEndpoints(NamedTuple):
--- a/src/redwingswitch/_internal/platform/entries.py
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -67,6 +67,8 @@
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     # Remaining duration of the slow start.
     slow_start_left_ms: float = msgspec.field(name="RampLeftMs")
+    # Counts the server's reports since its start.
+    report_number: int = msgspec.field(name="Seq")
     # Start time in Unix milliseconds; distinguishes two starts under the same id.
     born: int = 0
 
@@ -139,6 +141,7 @@
         state=_SERVER_STATES[entry.state],
         slow_start_left_ms=max(0, int(entry.slow_start_left_ms)),
         tunnel_prefix=tunnel_prefix,
+        report_number=entry.report_number,
     )
 
 
--- a/tests/lib/cookie_flows.py
+++ b/tests/lib/cookie_flows.py
@@ -40,6 +40,7 @@
     slots: int = 2,
     instance: int = 1,
     slow_start_left_ms: int = 0,
+    report_number: int = 0,
 ) -> ListedServer:
     """Return a backend server."""
     return ListedServer(
@@ -53,6 +54,7 @@
         state=state,
         slow_start_left_ms=slow_start_left_ms,
         tunnel_prefix=b"\0" * 8,
+        report_number=report_number,
     )
 
 
--- a/tests/unit/cookies/test_server_directory.py
+++ b/tests/unit/cookies/test_server_directory.py
@@ -148,3 +148,59 @@
     directory.put(server("i-1000000"), 0)
     directory.remove("i-1000000", MAX_GONE_SERVERS + 11 + GONE_SERVER_RETENTION_MS)
     assert list(directory.known_servers()) == ["i-1000000"]
+
+
+@pytest.mark.parametrize("is_whole_list", [True, False])
+@pytest.mark.parametrize(
+    ("known_state", "is_absent", "change", "is_offered"),
+    [
+        # A restored store has the entry from before a server announced that it leaves; the server
+        # got new flows again.
+        pytest.param(
+            ServerState.DRAINING, False, {"report_number": 3}, False, id="from before it leaves"
+        ),
+        pytest.param(
+            ServerState.DRAINING, True, {"report_number": 3}, False, id="from before it left"
+        ),
+        pytest.param(ServerState.ACTIVE, False, {"report_number": 5}, True, id="a later report"),
+        pytest.param(
+            ServerState.ACTIVE, True, {"report_number": 4}, True, id="the same report, listed again"
+        ),
+        pytest.param(
+            ServerState.DRAINING,
+            True,
+            {"report_number": 1, "instance": 2},
+            True,
+            id="the first report of its next start",
+        ),
+    ],
+)
+def test_an_earlier_report_of_a_server_reverts_nothing(
+    known_state: ServerState,
+    is_absent: bool,
+    change: dict[str, int],
+    is_offered: bool,
+    is_whole_list: bool,
+) -> None:
+    directory = directory_with()
+    directory.update([listed("i-1", state=known_state, report_number=4)], 0)
+    if is_absent:
+        directory.update([ServerChange("i-1", None, is_listed=False)], 0)
+    change_list = [listed("i-1", **change)]
+    if is_whole_list:
+        directory.replace(change_list, 1)
+    else:
+        directory.update(change_list, 1)
+    offered = [k for k in directory.active_servers("job-board") if k.may_be_offered(1)]
+    assert bool(offered) is is_offered
+
+
+def test_the_number_of_a_report_alone_is_no_change_and_is_remembered() -> None:
+    directory = directory_with()
+    assert directory.update([listed("i-1", report_number=4)], 0) == ["i-1"]
+    assert directory.update([listed("i-1", report_number=9)], 0) == []
+    leaving = listed("i-1", state=ServerState.DRAINING, report_number=8)
+    assert directory.update([leaving], 0) == []
+    assert [entry.server for entry in directory.listed_entries(0)] == [
+        server("i-1", report_number=9)
+    ]
--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -53,7 +53,9 @@
         decode_server(server_id, encoded({**ENTRY, **change}))
 
 
-@pytest.mark.parametrize("missing", ["Service", "Address", "Zone", "Slots", "State", "RampLeftMs"])
+@pytest.mark.parametrize(
+    "missing", ["Service", "Address", "Zone", "Slots", "State", "RampLeftMs", "Seq"]
+)
 def test_entries_with_a_missing_field(missing: str) -> None:
     with pytest.raises(DecodeError):
         decode_server("i-1", encoded({k: v for k, v in ENTRY.items() if k != missing}))
