Deliver another value under the known version to entry hosts

What callers saw: nothing yet; a test shows that the watch of the entry daemon never delivers a configuration which a restored store wrote under the version that the host knew, and that any change then waits up to 15 s for the next read.

Cause: the second program asks the same question at its watch: a version was taken for the identity of a value. The stand-in of etcd delivered changes below a watch's first revision, which etcd does not, so no test could show it.

Change: a read before a watch compares the value too; a watch is reopened every 5 s, within the 9 s for a change of the configuration. Nothing to change in 'apply', which compares values and asks the hosts after its write, or in the convergence, which orders documents by their own revision.

--- a/src/redwingswitch/_internal/network/etcd_watch.py
+++ b/src/redwingswitch/_internal/network/etcd_watch.py
@@ -24,8 +24,10 @@
 )
 from redwingswitch._internal.ports import StoredValue
 
-# A connection can fail silently, so a watch is reopened after this time.
-WATCH_DURATION_MS = 15_000
+# A connection can fail silently, and a store that was restored sends nothing on an open watch until
+# it has passed the watch's first revision. A watch is therefore reopened after this time, so that a
+# change still reaches all hosts within 9 s.
+WATCH_DURATION_MS = 5_000
 
 
 class WatchEvent(TypedDict):
--- a/src/redwingswitch/_internal/network/store_http.py
+++ b/src/redwingswitch/_internal/network/store_http.py
@@ -102,20 +102,30 @@
         """Call ``on_value`` for each value with another version until cancelled or a failure.
 
         The key is read before each watch. This finds a value that was written between two watches,
-        and the older value of a store that was restored, whose version is not a later one.
+        and that of a store that was restored, whose version is not a later one. It may even be the
+        known version, given out again to another value.
         """
+        known: StoredValue | None = None
+
+        def deliver(value: StoredValue) -> None:
+            nonlocal known
+            known = value
+            on_value(value)
+
         while True:
             stored, store_revision = await self._read_key(key)
-            if stored is not None and stored.version != after_version:
-                after_version = stored.version
-                on_value(stored)
-            last_version = await self._watch.run(
+            if stored is not None:
+                is_first = known is None and stored.version == after_version
+                if is_first:
+                    known = stored
+                elif stored != known:
+                    deliver(stored)
+            await self._watch.run(
                 endpoint=self._gateway.preferred_endpoint,
                 key=key,
                 start_revision=store_revision + 1,
-                on_value=on_value,
+                on_value=deliver,
             )
-            after_version = last_version or after_version
 
     async def _read_key(self, key: str) -> tuple[StoredValue | None, int]:
         """Return the value of ``key`` and the store's revision at that time."""
--- a/src/redwingswitch/_internal/standins/store_state.py
+++ b/src/redwingswitch/_internal/standins/store_state.py
@@ -73,10 +73,11 @@
 
 
 class Watch:
-    """An open watch; ``changes`` holds the undelivered changes."""
+    """An open watch from ``start_revision`` on; ``changes`` holds the undelivered changes."""
 
-    def __init__(self, *, key: str) -> None:
+    def __init__(self, *, key: str, start_revision: int) -> None:
         self.key = key
+        self.start_revision = start_revision
         self.changes: asyncio.Queue[Change] = asyncio.Queue(maxsize=MAX_QUEUED_CHANGES)
 
 
@@ -149,7 +150,7 @@
         """Return a watch that first delivers the events from ``start_revision`` on."""
         if len(self._watches) >= MAX_WATCHES:
             raise StoreRefusalError(status=429, problem="too many watches")
-        watch = Watch(key=key)
+        watch = Watch(key=key, start_revision=start_revision)
         for change in self._events:
             if change.key == key and change.revision >= start_revision:
                 watch.changes.put_nowait(change)
@@ -204,5 +205,6 @@
     def _publish(self, change: Change) -> None:
         self._events.append(change)
         for watch in self._watches:
-            if watch.key == change.key and not watch.changes.full():
+            is_due = watch.key == change.key and change.revision >= watch.start_revision
+            if is_due and not watch.changes.full():
                 watch.changes.put_nowait(change)
--- a/tests/unit/network/test_store_http.py
+++ b/tests/unit/network/test_store_http.py
@@ -300,6 +300,26 @@
     run(scenario)
 
 
+def test_a_watch_delivers_another_value_under_the_known_version_of_a_restored_store():
+    async def scenario():
+        # The restored store gave the version to another value, which no host ever read.
+        async with running_store(watch_duration_ms=SHORT_TIMEOUT_MS) as (standin, store):
+            first = await swap(store, b"a", 0)
+            snapshot = standin.state.snapshot()
+            second = await swap(store, b"b", first)
+            values = WatchedValues()
+            watch = store.watch(KEY, after_version=second, on_value=values)
+            watching = asyncio.create_task(watch)
+            while not standin.state.waiting_watches():
+                await asyncio.sleep(0)
+            standin.state.restore(snapshot)
+            assert await swap(store, b"c", first) == second
+            assert await values.next() == b"c"
+            watching.cancel()
+
+    run(scenario)
+
+
 def test_a_watch_misses_no_value_while_it_is_opened_and_skips_deletions(monkeypatch):
     original = WatchHandler._answer
 
