Refuse entries that no later step can use, and nothing beside them

What callers saw: nothing here yet. Operators of other systems report that one odd entry among those of the backend servers ended the hosts that read the list, or stopped them following it. It could happen here, in several ways.

Cause: a deeply nested value raises RecursionError in the JSON decoder, which was not caught and ended the process at each read; numbers beyond 64 bits passed the decoder and ended the reader when it encoded its feed or a list for a neighbour; a port out of range in a list from another host raised OverflowError in the packet path; names of any length or of several lines went into datagrams and log lines.

Change: one check of a server's entry, used for the store's answers and for everything passed on between hosts, refuses what later steps cannot use; the entry names no server then, and one line names it. Numbers of configurations, of the reader's record and of load reports have bounds, and all decoders of others' data catch the same errors. Reasons in the log are one short line. An entry without Version or with fewer than 0 slots is refused as well.

The list of hosts is still refused as a whole, as its test asks.

A hypothesis test encodes and logs what the decoder accepts.

--- a/src/redwingswitch/_internal/configuration/document.py
+++ b/src/redwingswitch/_internal/configuration/document.py
@@ -19,6 +19,7 @@
     MAX_RECENT_APPLY_IDS,
     Document,
 )
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 CONFIGURATION_KEY = "redwingswitch/configuration"
 # JSON escapes of quotes and line breaks can double the size of the text; the remainder is for the
@@ -84,7 +85,7 @@
     """Return the document; raise DecodeError if it is damaged or has an unknown schema version."""
     try:
         document = _decoder.decode(_decompress(encoded))
-    except (msgspec.MsgspecError, zlib.error) as error:
+    except (*DECODING_ERRORS, zlib.error) as error:
         raise DecodeError(
             f"the stored document is malformed ({error}); apply a file again"
         ) from None
--- a/src/redwingswitch/_internal/network/datagrams.py
+++ b/src/redwingswitch/_internal/network/datagrams.py
@@ -46,7 +46,8 @@
         """Send a datagram; return False when the local network stack rejects it."""
         try:
             self._socket.sendto(data, address)
-        except OSError:
+        except (OSError, OverflowError):
+            # A port that is out of range raises the second one.
             return False
         return True
 
--- a/src/redwingswitch/_internal/network/etcd_gateway.py
+++ b/src/redwingswitch/_internal/network/etcd_gateway.py
@@ -13,6 +13,7 @@
 
 from redwingswitch._internal.exceptions import StoreOutcomeUnknownError, StoreUnavailableError
 from redwingswitch._internal.ports import StoredValue
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 T = TypeVar("T")
 
@@ -220,5 +221,5 @@
         raise _CallError(f"HTTP {response.code} {text}", may_have_run=not rejected)
     try:
         return msgspec.json.decode(response.body, type=response_type, strict=False)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise _CallError(f"invalid response ({error})", may_have_run=True) from None
--- a/src/redwingswitch/_internal/network/etcd_watch.py
+++ b/src/redwingswitch/_internal/network/etcd_watch.py
@@ -23,6 +23,7 @@
     to_stored_value,
 )
 from redwingswitch._internal.ports import StoredValue
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 # A connection can fail silently, and a store that was restored sends nothing on an open watch until
 # it has passed the watch's first revision. A watch is therefore reopened after this time, so that a
@@ -129,7 +130,7 @@
     def _on_message(self, line: bytes) -> None:
         try:
             message = msgspec.json.decode(line, type=WatchMessage, strict=False)
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             self._raise_problem(f"invalid message ({error})")
         result = message.get("result")
         if result is None or result.get("canceled"):
--- a/src/redwingswitch/_internal/network/fleet_client.py
+++ b/src/redwingswitch/_internal/network/fleet_client.py
@@ -9,6 +9,7 @@
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 
 from redwingswitch._internal.models.status import FleetStatus, HostStatus
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 MAX_CONCURRENT_HOSTS = 64
 MAX_STATUS_BYTES = 8_000_000
@@ -56,5 +57,5 @@
                     follow_redirects=False,
                 )
                 return _decoder.decode(response.body)
-            except (HTTPClientError, OSError, msgspec.MsgspecError, ValueError):
+            except (HTTPClientError, OSError, *DECODING_ERRORS):
                 return None
--- a/src/redwingswitch/_internal/network/host_list_http.py
+++ b/src/redwingswitch/_internal/network/host_list_http.py
@@ -16,6 +16,7 @@
     HostListUnavailableError,
 )
 from redwingswitch._internal.models.events import ListedHost
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 READ_TIMEOUT_S = 2.0
 MAX_LIST_BYTES = 1_000_000
@@ -53,6 +54,6 @@
             ) from error
         try:
             entries = msgspec.json.decode(response.body, type=list[_HostEntry])
-        except msgspec.MsgspecError as error:
+        except DECODING_ERRORS as error:
             raise DecodeError(f"{self._url} returned an invalid host list: {error}") from error
         return [ListedHost(entry.host, entry.leaving) for entry in entries]
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -13,9 +13,11 @@
 from ipaddress import AddressValueError, IPv4Address
 from typing import Any, NamedTuple
 
+from logbook import Logger
+
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.cookie_flows import Route, RouteTable
-from redwingswitch._internal.models.list_readers import Neighbour, RegisteredReader
+from redwingswitch._internal.models.list_readers import RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
     FeedRequest,
     FeedUpdate,
@@ -26,9 +28,12 @@
     SnapshotPart,
     SnapshotRequest,
 )
+from redwingswitch._internal.models.server_checks import find_server_problem
 from redwingswitch._internal.models.server_list import ServerChange, ServerList
 from redwingswitch._internal.network.packing import check_integer, convert_to_model, pack, unpack
 
+log = Logger("peers")
+
 LIST_SCHEMA_VERSION = 3
 LEADING_FIELD_COUNT = 3
 MAX_UINT64 = 2**64 - 1
@@ -91,10 +96,7 @@
     check_integer(kind, name="kind", maximum=len(_MESSAGE_TYPES) - 1)
     message: ListMessage = convert_to_model(fields, _MESSAGE_TYPES[kind])
     if isinstance(message, FeedUpdate):
-        if message.feed != incarnation:
-            raise DecodeError("the feed of an update must be the incarnation of its sender")
-        if message.neighbour is not None:
-            _check_neighbour(message.neighbour)
+        message = _check_update(message, incarnation)
     return ListDatagram(incarnation, message)
 
 
@@ -118,6 +120,8 @@
     """Return the list in ``data``; raise DecodeError if malformed or of another version."""
     fields = _decompress(data)
     snapshot = convert_to_model(fields, _Snapshot)
+    if snapshot.reader.reader is not None:
+        _check_address(snapshot.reader.reader.address, snapshot.reader.reader.port)
     routes = RouteTable(
         version=snapshot.routes_version,
         routes={route.destination: route for route in snapshot.routes},
@@ -125,7 +129,7 @@
     )
     return ServerList(
         routes=routes,
-        servers=snapshot.servers,
+        servers=tuple(map(_without_unusable_server, snapshot.servers)),
         revision=snapshot.revision,
         reader=snapshot.reader,
         routes_revision=snapshot.routes_revision,
@@ -161,9 +165,36 @@
     return fields
 
 
-def _check_neighbour(neighbour: Neighbour) -> None:
-    check_integer(neighbour.port, name="port of a neighbour", maximum=MAX_PORT)
+def _check_update(update: FeedUpdate, incarnation: int) -> FeedUpdate:
+    """Return an update without unusable entries; raise DecodeError if others cannot be told."""
+    if update.feed != incarnation:
+        raise DecodeError("the feed of an update must be the incarnation of its sender")
+    check_integer(update.list_age_ms, name="list age", maximum=MAX_UINT64)
+    check_integer(update.first_position, name="first position", maximum=MAX_UINT64)
+    if update.neighbour is not None:
+        _check_address(*update.neighbour)
+    changes = tuple(
+        each._replace(change=_without_unusable_server(each.change)) for each in update.changes
+    )
+    return update._replace(changes=changes)
+
+
+def _without_unusable_server(change: ServerChange) -> ServerChange:
+    """Return a change that names no server if the one in it cannot be used."""
+    if change.server is None:
+        return change
+    problem = find_server_problem(change.server)
+    if problem is None and change.server.server_id != change.server_id:
+        problem = "the change is of another server"
+    if problem is None:
+        return change
+    log.warning(f"entry unusable server={change.server_id!r} reason={problem}")
+    return change._replace(server=None)
+
+
+def _check_address(address: str, port: int) -> None:
+    check_integer(port, name="port of a host", maximum=MAX_PORT)
     try:
-        IPv4Address(neighbour.address)
+        IPv4Address(address)
     except AddressValueError as error:
-        raise DecodeError(f"invalid address of a neighbour: {error}") from error
+        raise DecodeError(f"invalid address of a host: {error}") from error
--- a/src/redwingswitch/_internal/network/packing.py
+++ b/src/redwingswitch/_internal/network/packing.py
@@ -12,13 +12,12 @@
 import msgspec
 
 from redwingswitch._internal.exceptions import DecodeError
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 Model = TypeVar("Model")
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder()
-# msgspec raises these for invalid msgpack, excessive nesting and unhashable map keys.
-_DECODING_ERRORS = (msgspec.MsgspecError, RecursionError, TypeError, ValueError, OverflowError)
 
 
 def pack(values: Sequence[object]) -> bytes:
@@ -30,7 +29,7 @@
     """Return the elements of a msgpack array; raise DecodeError for anything else."""
     try:
         values = _DECODER.decode(data)
-    except _DECODING_ERRORS as error:
+    except DECODING_ERRORS as error:
         raise DecodeError(f"not a msgpack message: {error}") from error
     if not isinstance(values, list) or len(values) < minimum_fields:
         raise DecodeError("a message must be an array with at least its leading fields")
@@ -44,7 +43,7 @@
     """
     try:
         return msgspec.convert(values, model)
-    except _DECODING_ERRORS:
+    except DECODING_ERRORS:
         # Only invalid messages and those of a newer version get here, so this path is rare.
         return _convert_known_fields(values, model)
 
@@ -59,7 +58,7 @@
 def _convert_known_fields(values: Any, model: type[Model]) -> Model:
     try:
         return msgspec.convert(_drop_unknown_fields(values, model), model)
-    except _DECODING_ERRORS as error:
+    except DECODING_ERRORS as error:
         raise DecodeError(f"invalid {model.__name__}: {error}") from error
 
 
--- a/src/redwingswitch/_internal/network/report_client.py
+++ b/src/redwingswitch/_internal/network/report_client.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from tornado.httpclient import AsyncHTTPClient
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
@@ -12,13 +14,17 @@
 REPORT_TIMEOUT_S = 1.0
 MAX_REPORT_BYTES = 65_536
 MAX_CONCURRENT_READS = 32
+# Reports are passed on between hosts in messages of 64-bit integers.
+MAX_COUNT = 2**31 - 1
+
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 
 
 class LoadReport(msgspec.Struct):
     """The JSON document that ``GET /load`` returns; unknown members are ignored."""
 
-    busy_slots: int
-    open_connections: int
+    busy_slots: _Count
+    open_connections: _Count
     draining: bool = False
     healthy: bool = True
 
--- a/src/redwingswitch/_internal/platform/entries.py
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -4,7 +4,7 @@
 
 import re
 from ipaddress import AddressValueError, IPv4Address
-from typing import Literal
+from typing import Annotated, Literal
 
 import msgspec
 
@@ -19,20 +19,35 @@
     ServiceShare,
 )
 from redwingswitch._internal.models.list_readers import ListReader
+from redwingswitch._internal.models.server_checks import (
+    MAX_PORT,
+    TUNNEL_PREFIX_BYTES,
+    find_server_problem,
+)
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS, describe_error
 
 CONFIGURATION_KEY = "op/config"
 SERVER_PREFIX = "servers/"
 # Records of the hosts that read the list, one per failure domain.
 READER_PREFIX = "redwingswitch/readers/"
-TUNNEL_PREFIX_BYTES = 8
-MAX_PORT = 65_535
-_PREFIX_PATTERN = re.compile(r"/(\d{1,5})/")
+# Integers of messages between hosts have 64 bits.
+MAX_INTEGER = 2**63 - 1
+# Up to here, a number with a fraction represents each integer.
+MAX_EXACT_NUMBER = 2**53
+MAX_HOST_NAME_CHARS = 255
+_PREFIX_PATTERN = re.compile(r"/([0-9]{1,5})/")
+_PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _NON_HEX_DIGIT = re.compile(r"[^0-9a-fA-F]")
 
 
+_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# Numbers that are used as integers.
+_Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+
+
 class _ShareEntry(msgspec.Struct):
     service: str = msgspec.field(name="Service")
-    weight: float = msgspec.field(name="Weight", default=1.0)
+    weight: _Number = msgspec.field(name="Weight", default=1.0)
 
 
 class _RouteEntry(msgspec.Struct):
@@ -42,19 +57,19 @@
     # A port between slashes, such as "/443/".
     prefix: str = msgspec.field(name="Prefix")
     kind: Literal["idempotent", "non_idempotent", "download"] = msgspec.field(name="Type")
-    timeout_ms: float = msgspec.field(name="TimeoutMs", default=0)
-    latency_goal_ms: float = msgspec.field(name="TargetLatencyMs", default=0)
-    priority: int = msgspec.field(name="Priority", default=0)
+    timeout_ms: _Number = msgspec.field(name="TimeoutMs", default=0)
+    latency_goal_ms: _Number = msgspec.field(name="TargetLatencyMs", default=0)
+    priority: _Integer = msgspec.field(name="Priority", default=0)
     service: str = msgspec.field(name="Service", default="")
     split: list[_ShareEntry] = msgspec.field(name="Split", default_factory=list)
 
 
 class _Limits(msgspec.Struct):
-    idle_ms: int = msgspec.field(name="IdleTimeoutMs", default=0)
+    idle_ms: _Integer = msgspec.field(name="IdleTimeoutMs", default=0)
 
 
 class _Configuration(msgspec.Struct):
-    version: int = msgspec.field(name="Version")
+    version: _Integer = msgspec.field(name="Version")
     routes: list[_RouteEntry] = msgspec.field(name="Routes")
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
 
@@ -63,7 +78,9 @@
     service: str = msgspec.field(name="Service")
     address: str = msgspec.field(name="Address")
     zone: str = msgspec.field(name="Zone")
-    slots: int = msgspec.field(name="Slots")
+    # Not used; an entry without it comes from another writer.
+    software_version: str = msgspec.field(name="Version")
+    slots: _Integer = msgspec.field(name="Slots")
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     # Remaining duration of the slow start.
     slow_start_left_ms: float = msgspec.field(name="RampLeftMs")
@@ -77,7 +94,7 @@
     host: str
     address: str
     port: int
-    incarnation: int
+    incarnation: _Integer
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -91,8 +108,10 @@
     try:
         decoded = _configuration_decoder.decode(value)
         routes = [_build_route(route) for route in decoded.routes]
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DecodeError(f"the configuration cannot be decoded: {error}") from error
+    except DECODING_ERRORS as error:
+        raise DecodeError(
+            f"the configuration cannot be decoded: {describe_error(error)}"
+        ) from error
     return RouteTable(
         version=decoded.version,
         routes={route.destination: route for route in routes},
@@ -128,9 +147,11 @@
         entry = _server_decoder.decode(value)
         address, port = _parse_endpoint(entry.address)
         tunnel_prefix = _build_tunnel_prefix(server_id)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DecodeError(f"the entry of {server_id!r} cannot be decoded: {error}") from error
-    return ListedServer(
+    except DECODING_ERRORS as error:
+        raise DecodeError(
+            f"the entry of {server_id!r} cannot be decoded: {describe_error(error)}"
+        ) from error
+    server = ListedServer(
         server_id=server_id,
         instance=entry.born,
         service=entry.service,
@@ -143,6 +164,9 @@
         tunnel_prefix=tunnel_prefix,
         report_number=entry.report_number,
     )
+    if problem := find_server_problem(server):
+        raise DecodeError(f"the entry of {server_id!r} cannot be used: {problem}")
+    return server
 
 
 def encode_reader(reader: ListReader) -> bytes:
@@ -155,10 +179,14 @@
     try:
         record = _reader_decoder.decode(value)
         IPv4Address(record.address)
-    except (msgspec.MsgspecError, ValueError) as error:
-        raise DecodeError(f"the reader record cannot be decoded: {error}") from error
+    except DECODING_ERRORS as error:
+        raise DecodeError(
+            f"the reader record cannot be decoded: {describe_error(error)}"
+        ) from error
     if not 0 < record.port <= MAX_PORT:
         raise DecodeError(f"the reader record has the invalid port {record.port}")
+    if not record.host.isprintable() or not 0 < len(record.host) <= MAX_HOST_NAME_CHARS:
+        raise DecodeError("the reader record has an invalid host name")
     return ListReader(record.host, record.address, record.port, record.incarnation)
 
 
@@ -168,7 +196,7 @@
         IPv4Address(address)
     except AddressValueError as error:
         raise ValueError(f"{text!r} is not an IPv4 address and port") from error
-    if not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if not _PORT_PATTERN.fullmatch(port):
         raise ValueError(f"{text!r} is not an IPv4 address and port")
     return address, int(port)
 
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -19,6 +19,7 @@
 )
 from redwingswitch._internal.models.cookie_flows import ListedServer
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
+from redwingswitch._internal.models.server_checks import find_id_problem
 from redwingswitch._internal.models.server_list import (
     ServerChange,
     ServerList,
@@ -42,6 +43,7 @@
     encode_reader,
 )
 from redwingswitch._internal.platform.http_connection import HttpConnection, Response
+from redwingswitch._internal.utils.decoding import DECODING_ERRORS
 
 log = Logger("store")
 
@@ -316,7 +318,7 @@
 def _decode_response(decoder: msgspec.json.Decoder[T], body: bytes) -> T:
     try:
         return decoder.decode(body)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         raise StoreUnavailableError(f"the store's response cannot be decoded: {error}") from error
 
 
@@ -329,7 +331,11 @@
             found = _routes_from_item(item)
             routes = routes if found.routes is None else found
         elif item.key.startswith(SERVER_PREFIX):
-            servers[item.key.removeprefix(SERVER_PREFIX)] = item
+            server_id = item.key.removeprefix(SERVER_PREFIX)
+            if problem := find_id_problem(server_id):
+                log.warning(f"entry unusable key={item.key!r} reason={problem}")
+                continue
+            servers[server_id] = item
     return routes, [_change_from_item(server_id, item) for server_id, item in servers.items()]
 
 
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -3,6 +3,7 @@
 import contextlib
 import zlib
 
+import logbook
 import msgspec
 import pytest
 from hypothesis import given
@@ -179,3 +180,54 @@
 ) -> None:
     with contextlib.suppress(DecodeError):
         decode_routes_difference(zlib.compress(data) if is_compressed else data)
+
+
+UNUSABLE_SERVERS = [
+    pytest.param({"port": 65_536}, id="port out of range"),
+    pytest.param({"address": "huon"}, id="a host name"),
+    pytest.param({"address": "0.0.0.0"}, id="no host's address"),
+    pytest.param({"slots": 2**60}, id="too many slots"),
+    pytest.param({"slots": 0}, id="no slots"),
+    pytest.param({"tunnel_prefix": b"1"}, id="short tunnel prefix"),
+    pytest.param({"service": "a\nb"}, id="service of two lines"),
+    pytest.param({"failure_domain": "x" * 1_000}, id="long failure domain"),
+    pytest.param({"server_id": "i-9"}, id="another server"),
+]
+
+
+@pytest.mark.parametrize("fields", UNUSABLE_SERVERS)
+def test_an_unusable_entry_from_another_host_costs_only_that_entry(
+    fields: dict[str, object],
+) -> None:
+    # A port out of range raised an error in the packet path of each host that received the entry.
+    odd = ServerChange("i-1", server("i-1")._replace(**fields), is_listed=True)  # type: ignore[arg-type]
+    good = ServerChange("i-2", server("i-2"), is_listed=True)
+    update = UPDATE._replace(changes=(FeedChange(41, odd), FeedChange(42, good)))
+    with logbook.TestHandler() as handler:
+        decoded = decode_list_message(encode_list_message(incarnation=7, message=update)).message
+        fleet = decode_snapshot(encode_snapshot(SNAPSHOT._replace(servers=(odd, good))))
+    unusable = ServerChange("i-1", None, is_listed=True)
+    assert isinstance(decoded, FeedUpdate)
+    assert [each.change for each in decoded.changes] == [unusable, good]
+    assert fleet.servers == (unusable, good)
+    assert len(handler.records) == 2
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param({"list_age_ms": -1}, id="a list from the future"),
+        pytest.param({"first_position": -1}, id="a position before the first"),
+        pytest.param({"neighbour": Neighbour("10.0.0.1", 65_536)}, id="port out of range"),
+    ],
+)
+def test_an_update_with_impossible_numbers_is_rejected(fields: dict[str, object]) -> None:
+    update = UPDATE._replace(**fields)  # type: ignore[arg-type]
+    with pytest.raises(DecodeError):
+        decode_list_message(encode_list_message(incarnation=7, message=update))
+
+
+def test_a_snapshot_with_an_impossible_reader_is_rejected() -> None:
+    reader = RegisteredReader(ListReader("entry-1", "10.0.0.1", 65_536, 9), 40)
+    with pytest.raises(DecodeError):
+        decode_snapshot(encode_snapshot(SNAPSHOT._replace(reader=reader)))
--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -7,15 +7,23 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from redwingswitch._internal.decisions.cookies.cookie import flow_cookie
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import RouteAddress, RouteKind, ServiceShare
-from redwingswitch._internal.platform.entries import decode_routes, decode_server
+from redwingswitch._internal.models.server_list import ServerChange, ServerList
+from redwingswitch._internal.network.list_messages import decode_snapshot, encode_snapshot
+from redwingswitch._internal.platform.entries import (
+    decode_reader,
+    decode_routes,
+    decode_server,
+)
 from redwingswitch._internal.platform.standins.documents import (
     StandinRoute,
     build_configuration,
     build_server_entry,
 )
+from tests.lib.cookie_flows import route_table
 
 ENTRY = build_server_entry(service="job-board", address="10.0.0.1:8080", slow_start_left_ms=300)
 
@@ -54,7 +62,7 @@
 
 
 @pytest.mark.parametrize(
-    "missing", ["Service", "Address", "Zone", "Slots", "State", "RampLeftMs", "Seq"]
+    "missing", ["Service", "Address", "Zone", "Slots", "State", "RampLeftMs", "Seq", "Version"]
 )
 def test_entries_with_a_missing_field(missing: str) -> None:
     with pytest.raises(DecodeError):
@@ -108,3 +116,113 @@
     document["Routes"][0].update(change)  # type: ignore[index]
     with pytest.raises(DecodeError):
         decode_routes(encoded(document))
+
+
+DEEP = 100_000
+
+
+@pytest.mark.parametrize(
+    ("text", "replacement"),
+    [
+        # Each of these ended the process, here or when the entry was passed on, or flooded the log.
+        pytest.param('"v1"', "[" * DEEP + "]" * DEEP, id="nested deeply"),
+        pytest.param('"Slots": 2', '"Slots": 1' + "0" * 30, id="slots beyond 64 bits"),
+        pytest.param('"Slots": 2', '"Slots": 1' + "0" * 5_000, id="slots of 5,000 digits"),
+        pytest.param('"Slots": 2', '"Slots": -2', id="negative slots"),
+        pytest.param('"Seq": 1', '"Seq": 1' + "0" * 30, id="report number beyond 64 bits"),
+        pytest.param('"Seq": 1', '"Seq": -1', id="negative report number"),
+        pytest.param('"born": 1', '"born": 1' + "0" * 30, id="start time beyond 64 bits"),
+        pytest.param('"born": 1', '"born": -1', id="negative start time"),
+        pytest.param('"RampLeftMs": 300', '"RampLeftMs": 1e300', id="slow start without end"),
+        pytest.param('"RampLeftMs": 300', '"RampLeftMs": 1e400', id="a number too large"),
+        pytest.param("10.0.0.1:8080", "10.0.0.1:" + "9" * 5_000, id="port of 5,000 digits"),
+        pytest.param("10.0.0.1:8080", "10.0.0.1:65536", id="port out of range"),
+        pytest.param("10.0.0.1:8080", "10.0.0.1:\u0668\u0660", id="port in other digits"),
+        pytest.param("10.0.0.1:8080", "0.0.0.0:8080", id="no host's address"),
+        pytest.param("10.0.0.1:8080", "224.0.0.1:8080", id="address of a group"),
+        pytest.param("10.0.0.1:8080", "255.255.255.255:8080", id="address of all hosts"),
+        pytest.param('"job-board"', '"job\\nboard"', id="service of two lines"),
+        pytest.param('"job-board"', '""', id="no service"),
+        pytest.param('"job-board"', '"' + "x" * 100_000 + '"', id="service with a long name"),
+        pytest.param('"huon"', '"' + "x" * 100_000 + '"', id="failure domain with a long name"),
+        pytest.param('"ready"', '"' + "\\n" * 100_000 + '"', id="state of many lines"),
+    ],
+)
+def test_an_entry_that_no_later_step_can_use_is_refused(text: str, replacement: str) -> None:
+    value = json.dumps(ENTRY)
+    assert text in value
+    with pytest.raises(DecodeError) as caught:
+        decode_server("i-1", value.replace(text, replacement).encode())
+    message = str(caught.value)
+    assert "'i-1'" in message
+    assert len(message) < 400
+    assert message.isprintable()
+
+
+@pytest.mark.parametrize("server_id", ["i\n-1", "i -1", "x" * 200 + "-1"])
+def test_an_id_that_no_log_line_can_carry_is_refused(server_id: str) -> None:
+    with pytest.raises(DecodeError):
+        decode_server(server_id, encoded(ENTRY))
+
+
+@pytest.mark.parametrize(
+    ("text", "replacement"),
+    [
+        pytest.param('"Version": 1', '"Version": 1' + "0" * 30, id="version beyond 64 bits"),
+        pytest.param('"Version": 1', '"Version": -1', id="negative version"),
+        pytest.param('"TimeoutMs": 2000', '"TimeoutMs": 1e300', id="timeout without end"),
+        pytest.param('"Priority": 2', '"Priority": 1' + "0" * 30, id="priority beyond 64 bits"),
+        pytest.param('"Limits"', '"X": ' + "[" * DEEP + "]" * DEEP + ', "Limits"', id="nested"),
+    ],
+)
+def test_a_configuration_that_no_later_step_can_use_is_refused(text: str, replacement: str) -> None:
+    document = build_configuration(version=1, routes=[StandinRoute("198.18.0.1", 1, "job-board")])
+    value = json.dumps(document)
+    assert text in value
+    with pytest.raises(DecodeError):
+        decode_routes(value.replace(text, replacement).encode())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        pytest.param('"incarnation":1' + "0" * 30 + ',"port":1', id="incarnation beyond 64 bits"),
+        pytest.param('"incarnation":1,"port":65536', id="port out of range"),
+        pytest.param('"incarnation":1,"port":1,"host":"a\\nb"', id="host of two lines"),
+        pytest.param('"incarnation":1,"port":1,"host":""', id="no host"),
+        pytest.param('"incarnation":1,"port":1,"x":' + "[" * DEEP + "]" * DEEP, id="nested"),
+    ],
+)
+def test_a_readers_record_that_no_later_step_can_use_is_refused(fields: str) -> None:
+    value = '{"host":"h","address":"10.0.0.1",%s}'
+    assert decode_reader((value % '"incarnation":1,"port":1').encode()).host == "h"
+    with pytest.raises(DecodeError):
+        decode_reader((value % fields).encode())
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
+    max_leaves=8,
+)
+
+
+@given(
+    field=st.sampled_from([*ENTRY, "other"]),
+    value=JSON_VALUES,
+    server_id=st.sampled_from(["i-1"]) | st.text(),
+)
+def test_an_accepted_entry_can_be_passed_on_and_logged(
+    field: str, value: object, server_id: str
+) -> None:
+    # What a decoder accepts must also pass the messages between hosts and the log.
+    try:
+        server = decode_server(server_id, encoded({**ENTRY, field: value}))
+    except DecodeError as error:
+        assert len(str(error)) < 2_000
+        return
+    change = ServerChange(server.server_id, server, is_listed=True)
+    fleet = ServerList(routes=route_table(), servers=(change,), revision=1)
+    assert decode_snapshot(encode_snapshot(fleet)).servers == (change,)
+    assert f"{server.service}{server.failure_domain}{server.server_id}".isprintable()
+    assert flow_cookie(server_id=server.server_id, destination=RouteAddress(1, 1))
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 
+import logbook
 import pytest
 
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
@@ -28,7 +29,9 @@
 
 def entry(port: int = 8080, **fields: object) -> dict[str, object]:
     address = f"10.0.0.1:{port}"
-    return build_server_entry(service="job-board", address=address, **fields)  # type: ignore[arg-type]
+    slots = fields.pop("slots", 2)
+    document = build_server_entry(service="job-board", address=address, **fields)  # type: ignore[arg-type]
+    return {**document, "Slots": slots}
 
 
 def routes(version: int) -> dict[str, object]:
@@ -385,3 +388,41 @@
                 await fixture.store.register_reader(READER, expected=0)
 
     run(scenario())
+
+
+ODD_VALUES = [
+    pytest.param("i-2", b"[" * 100_000 + b"]" * 100_000, id="nested deeply"),
+    pytest.param("i-2", b'{"x":' * 100_000 + b"1" + b"}" * 100_000, id="nested new fields"),
+    pytest.param("i-2", entry(slots=10**30), id="a number too large"),
+    pytest.param("i-2", entry(99_999), id="port out of range"),
+    pytest.param("i-2", b"\xff\x00", id="no text"),
+    pytest.param("i\n2", entry(), id="id of two lines"),
+]
+
+
+@pytest.mark.parametrize(("server_id", "value"), ODD_VALUES)
+def test_an_odd_entry_costs_that_entry_and_a_log_line(server_id: str, value: object) -> None:
+    # Hosts that read the list ended again and again, or stopped following it.
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            fixture.standin.put("servers/i-1", entry())
+            revision = (await fixture.store.read_all()).revision
+            fixture.standin.put(f"servers/{server_id}", value)
+            fixture.standin.put("servers/i-3", entry(8082))
+            fixture.standin.put("op/config", routes(4))
+            whole = await fixture.store.read_all()
+            changed = await fixture.store.read_changes(after_revision=revision, wait_ms=1)
+            for found, expected in ((whole, {"i-1", "i-3"}), (changed, {"i-3"})):
+                usable = {each.server_id for each in found.servers if each.server is not None}
+                assert usable == expected
+                assert found.routes is not None
+                assert found.routes.version == 4
+
+    with logbook.TestHandler() as handler:
+        run(scenario())
+    messages = [record.message for record in handler.records if "unusable" in record.message]
+    assert len(messages) == 2
+    for message in messages:
+        assert server_id.replace("\n", "\\n") in message
+        assert message.isprintable()
+        assert len(message) < 500
