Read the newest routes alone on a reader with a narrow link

Cause, suspected: a watch returns each version of the routes, and a narrow link needs seconds for those of a storm; the changes of servers wait behind them. This was mended for hosts that lost their reader, not for the reader itself.

Change: after a read that brought other routes, a host with a narrow link reads the changes of servers, the newest routes and the reader's record apart, until the routes stay the same. Hosts with wide links read as before.

Ruled out: to read in parts on all hosts, about two calls more for each change of the configuration and failure domain.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -150,11 +150,13 @@
         changed = self._steering.directory.update(fleet.servers, self._clock.now_ms())
         self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
         self._log_servers(changed)
+        self.peers.notify_followers()
 
     def apply_routes(self, routes: StoredRoutes, *, is_newest: bool) -> None:
         """Apply routes that were read alone."""
         self._sharing.on_routes_read(routes.routes, is_newest=is_newest)
         self._put_in_force(routes)
+        self.peers.notify_followers()
         self._on_change()
 
     def build_offer(self) -> ListOffer | None:
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -117,6 +117,8 @@
         # A new reader may lack changes after the last update of its predecessor. Only a read that
         # does not wait shows that the list is complete.
         self._is_new_reader = False
+        # Whether the latest read brought other routes, so that more changes of them may follow.
+        self._have_routes_changed = False
         # Set when the host resumes after a pause, so that a probe need not wait until it is due.
         self._probe_requested = asyncio.Event()
         self._role = ListSharingRole.READING
@@ -244,6 +246,8 @@
             # Without a wait, so that the end of an outage is noticed immediately.
             await self._catch_up()
             self._is_new_reader = False
+        elif self._sharing.has_narrow_link and self._have_routes_changed:
+            await self._read_parts_and_record()
         elif not await self._following.claim_if_due():
             changes = await self._watch_changes()
             if changes is not None:
@@ -356,6 +360,9 @@
     async def _catch_up(self) -> None:
         """Read everything that has changed, without waiting for more."""
         if self.role is ListSharingRole.SERVING:
+            if self._sharing.has_narrow_link:
+                await self._read_parts_and_record()
+                return
             # The followers need each change in its order, that of the reader's record included.
             self._apply_changes(await self._read_changes(wait_ms=0))
             return
@@ -369,10 +376,28 @@
         ):
             self._record_store_response()
             return
+        await self._read_parts()
+
+    async def _read_parts(self) -> None:
+        """Read the changes of servers, and the newest routes alone.
+
+        A watch returns each version of the routes. In a storm of configurations a narrow link needs
+        seconds for them, and the changes of servers would wait behind.
+        """
+        known_version = self._updates.version_in_force
         changes = await self._store.read_server_changes(after_revision=self._sharing.revision)
         self._record_list_read()
         self._updates.apply_server_changes(changes)
         self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
+        self._have_routes_changed = self._updates.version_in_force != known_version
+
+    async def _read_parts_and_record(self) -> None:
+        """Read the changes in parts, and the record of a host that claimed the reader role."""
+        await self._read_parts()
+        registered = await self._store.read_reader()
+        # The answer may be from before this host's own claim.
+        if registered.reader is not None:
+            self._updates.apply_reader(registered)
 
     def _reader_wait_ms(self, *, is_new_reader: bool) -> int:
         """Return how long to wait for the reader before the list is read without it."""
@@ -421,6 +446,7 @@
 
     def _apply_changes(self, changes: ServerListChanges) -> None:
         self._record_list_read()
+        self._have_routes_changed = changes.routes is not None
         self._updates.apply_changes(changes)
 
     def _update_role(self) -> bool:
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -51,8 +51,7 @@
         link_mbps: float | None = None,
     ) -> None:
         self._local_reader = local_reader
-        is_narrow = link_mbps is not None and link_mbps < MIN_READER_LINK_MBPS
-        self._narrow_link_delay_ms = NARROW_LINK_CLAIM_DELAY_MS if is_narrow else 0
+        self._has_narrow_link = link_mbps is not None and link_mbps < MIN_READER_LINK_MBPS
         self._random = random_source
         self._feed = ListFeed(incarnation=local_reader.incarnation if local_reader else 0)
         # Whether the feed has all changes that this host knows since it last read the whole list.
@@ -71,6 +70,11 @@
         """Return the store's record of which host is the reader, as last known."""
         return self._registered_reader
 
+    @property
+    def has_narrow_link(self) -> bool:
+        """Return whether this host takes the reader role only when no other host does."""
+        return self._has_narrow_link
+
     @property
     def local_reader(self) -> ListReader | None:
         """Return this host as a reader, or None when it does not share the list."""
@@ -257,4 +261,5 @@
             base_ms=FIRST_CLAIM_DELAY_MS,
             limit_ms=MAX_CLAIM_DELAY_MS,
         )
-        self._claim_deadline_ms = now_ms + self._narrow_link_delay_ms + pause_ms
+        link_delay_ms = NARROW_LINK_CLAIM_DELAY_MS if self._has_narrow_link else 0
+        self._claim_deadline_ms = now_ms + link_delay_ms + pause_ms
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -191,7 +191,9 @@
         local: ListReader | None = None,
         reader: RegisteredReader = NO_READER,
         age_limit_ms: int = AGE_LIMIT_MS,
+        link_mbps: float | None = None,
     ) -> None:
+        self.link_mbps = link_mbps
         self.store = ScriptedStore()
         self.store.reader = reader
         self.local = local
@@ -208,6 +210,7 @@
                 local_reader=self.local,
                 age_limit_ms=self.age_limit_ms,
                 random_source=random.Random(1),
+                link_mbps=self.link_mbps,
             ),
             clock=MonotonicClock(),
             age_clock=self.age_clock,
@@ -518,6 +521,50 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("link_mbps", "reads_parts"),
+    [
+        pytest.param(10.0, True, id="narrow link"),
+        pytest.param(200.0, False, id="wide link"),
+        pytest.param(None, False, id="unknown link"),
+    ],
+)
+def test_a_reader_with_a_narrow_link_reads_no_version_of_the_routes_but_the_newest(
+    link_mbps: float | None, reads_parts: bool
+) -> None:
+    # In a storm of configurations, each read took seconds for all versions, and the reader opened
+    # flows to servers that had announced more than 5 s before that they leave.
+    async def scenario() -> None:
+        record = RegisteredReader(LOCAL_READER, 4)
+        async with RunningReader(local=LOCAL_READER, reader=record, link_mbps=link_mbps) as running:
+            await wait_until(lambda: running.reader.role is ListSharingRole.SERVING)
+            await wait_until(lambda: len(running.watches()) > 1)
+            before = len(running.store.calls)
+            routes = route_table(version=2)
+            running.store.routes = StoredRoutes(route_table(version=5), 13)
+            running.store.changes_since = (REMOVED_CHANGE,)
+            running.store.results.put_nowait(
+                ServerListChanges(routes=routes, servers=(), revision=9, routes_revision=9)
+            )
+            await wait_until(lambda: version_in_force(running) == 2)
+            if not reads_parts:
+                await wait_until(lambda: len(running.store.calls) > before)
+                assert "routes" not in running.store.calls
+                return
+            await wait_until(lambda: version_in_force(running) == 5)
+            known = running.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is not None
+            # After a read without other routes, it waits for changes again.
+            await wait_until(lambda: running.store.calls[-1].startswith("after"))
+            assert running.reader.role is ListSharingRole.SERVING
+            calls = [call for call in running.store.calls[before:] if call != "probe"]
+            parts = ["servers after 9", "routes", "reader"]
+            assert calls[: 2 * len(parts)] == 2 * parts
+
+    run(scenario())
+
+
 class ReaderWithRoutes:
     """A datagram sender that stands for a reader; it answers requests for routes."""
 
