--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from redwingswitch._internal.platform.standins.store import Fault
 from tests.soak.disturbances import STABLE_WINDOW_MS, now_ms
 from tests.soak.proxy import LinkFault
-from tests.soak.site import DESTINATIONS, SERVERS_PER_SERVICE, SoakSite
+from tests.soak.site import DESTINATIONS, SERVER_PREFIX, SERVERS_PER_SERVICE, SoakSite
 
 MS_PER_S = 1_000
 FAULT_INTERVAL_S = (0.1, 1.2)
@@ -23,6 +23,15 @@
 COPY_AGE_S = (0.5, 8.0)
 RESTORE_S = (0.1, 2.0)
 RESTART_DELAY_S = (0.0, 1.5)
+ODD_ENTRIES = (
+    b"[" * 100_000 + b"]" * 100_000,
+    b"\xff\x00",
+    b'{"Service":"job-board","Address":"10.0.0.1:99999","Zone":"huon","Version":"v1","Slots":2,'
+    b'"State":"ready","RampLeftMs":0,"Seq":1,"born":1}',
+    b'{"Service":"job-board","Address":"10.0.0.1:80","Zone":"huon","Version":"v1","Slots":1'
+    + b"0" * 30
+    + b',"State":"ready","RampLeftMs":0,"Seq":1,"born":1}',
+)
 
 
 async def restart_killed_host(site: SoakSite) -> None:
@@ -100,7 +109,7 @@
     await asyncio.sleep(ENTRY_EXPIRY_S)
     expired = [s for s in site.servers.values() if site.random.random() < 0.3]
     for server in expired:
-        site.store.remove(f"servers/{server.name}")
+        site.store.remove(f"{SERVER_PREFIX}{server.name}")
     site.store.fault = None
     await asyncio.sleep(site.random.uniform(0.0, MAX_RELISTING_DELAY_S))
     for server in expired:
@@ -134,6 +143,14 @@
     site.remove_route(destination)
 
 
+async def leave_odd_entry(site: SoakSite) -> None:
+    """Leave an entry of another writer among those of the servers, and remove it again."""
+    key = f"{SERVER_PREFIX}i-odd{site.random.randrange(1_000)}"
+    site.store.put(key, site.random.choice(ODD_ENTRIES))
+    await asyncio.sleep(site.random.uniform(*FAULT_DURATION_S))
+    site.store.remove(key)
+
+
 async def discard_store_history(site: SoakSite) -> None:
     """Make the store discard its history."""
     site.disturbances.record_moment("store")
@@ -151,7 +168,7 @@
     server.draining_since_ms = now_ms()
     site.list_server(server, state="draining")
     await asyncio.sleep(DRAINING_S)
-    site.store.remove(f"servers/{server.name}")
+    site.store.remove(f"{SERVER_PREFIX}{server.name}")
     site.end_server(server)
 
 
@@ -165,7 +182,7 @@
     site.end_server(server)
     await site.add_server(service)
     await asyncio.sleep(ENTRY_EXPIRY_S)
-    site.store.remove(f"servers/{server.name}")
+    site.store.remove(f"{SERVER_PREFIX}{server.name}")
 
 
 async def change_routes(site: SoakSite) -> None:
@@ -205,7 +222,7 @@
     change_routes,
     send_cookies_to_other_service,
 )
-ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_RESTORE, restore_store)
+ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_RESTORE, restore_store, leave_odd_entry)
 
 
 async def inject_faults(
