Forget the era of a single wrong response

Cause: found when the change was read. The client kept the highest era ever seen, so one response of a later era than the store's made it read the whole list again and again, without an end.

Change: it keeps the era of the latest response, which only saves a call.

Result: the new test fails before.

--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -238,9 +238,8 @@
         text = response.headers.get(ERA_HEADER, "0")
         if not _ERA_PATTERN.fullmatch(text) or int(text) > MAX_ERA:
             raise StoreUnavailableError(f"the store's era {text!r} is not one from 0 to {MAX_ERA}")
-        era = int(text)
-        self._era = max(self._era, era)
-        return era
+        self._era = int(text)
+        return self._era
 
     def _find_reader(self, items: Iterable[_Item]) -> RegisteredReader | None:
         """Return the last record of this failure domain's reader among the items, or None."""
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -358,6 +358,20 @@
     run(scenario())
 
 
+def test_one_response_of_a_later_era_does_not_stop_the_host_for_ever() -> None:
+    # Each read of the list would be followed by another one.
+    async def scenario() -> None:
+        async with StoreFixture() as fixture:
+            fixture.standin.put("op/config", routes(1))
+            fixture.standin.era = 9
+            await fixture.store.read_routes()
+            fixture.standin.era = 1
+            found = await fixture.store.read_all()
+            await fixture.store.read_changes(after_revision=found.revision, wait_ms=1)
+
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     "value",
     [
