--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -69,6 +69,11 @@
         decode_server("i-1", encoded({k: v for k, v in ENTRY.items() if k != missing}))
 
 
+@pytest.mark.parametrize("service", ["order desk", "\u6ce8\u6587", "x" * 128])
+def test_usual_names_are_accepted(service: str) -> None:
+    assert decode_server("i-1", encoded({**ENTRY, "Service": service})).service == service
+
+
 def test_new_fields_are_ignored() -> None:
     assert decode_server("i-1", encoded({**ENTRY, "Colour": "red"})).service == "job-board"
 
