Name the holder beside the version of the lease in a write under it

What callers saw: nothing; a test shows that an entry host whose lease a restored store has lost can write a document back under the lease of another host.

Cause: the write asked for the version of the lease's key alone, and a restored store gives the version out again.

Change: the precondition names the holder too, which the key has as its value.

Result: the new row of the test fails before.

--- a/src/redwingswitch/_internal/daemon/store_tasks.py
+++ b/src/redwingswitch/_internal/daemon/store_tasks.py
@@ -77,6 +77,7 @@
         self._tasks: dict[str, asyncio.Task[None]] = {}
         self._lease: GrantedLease | None = None
         self._lease_key = ""
+        self._lease_holder = ""
 
     async def has_started_before(self, host: str) -> bool:
         """Return False only when the store confirms that this host has never started before."""
@@ -153,6 +154,7 @@
             return
         self._lease = lease
         self._lease_key = action.key
+        self._lease_holder = action.holder
         if lease is None:
             self._submit(LeaseRefused())
         else:
@@ -213,7 +215,8 @@
     async def _restore(self, action: RestoreDocument) -> None:
         expected: Sequence[KeyPrecondition] = [
             KeyPrecondition(CONFIGURATION_KEY, action.expected_version),
-            KeyPrecondition(self._lease_key, action.fencing_version),
+            # A restored store may have given the version to the lease of another host.
+            KeyPrecondition(self._lease_key, action.fencing_version, self._lease_holder.encode()),
         ]
         value = encode_document(action.document)
         write = self._store.compare_and_swap(key=CONFIGURATION_KEY, value=value, expected=expected)
--- a/src/redwingswitch/_internal/standins/memory_store.py
+++ b/src/redwingswitch/_internal/standins/memory_store.py
@@ -83,6 +83,10 @@
         """Write without preconditions, as a restored backup would; return the version."""
         return self._write(key, value)
 
+    def rewind(self, version: int) -> None:
+        """Give out ``version`` next, as a store does that was restored from a copy."""
+        self._version = version - 1
+
     def expire_lease(self, lease_id: int) -> None:
         """Expire a lease and delete its key."""
         key = self._leases.pop(lease_id, None)
--- a/tests/unit/daemon/test_daemon_filters.py
+++ b/tests/unit/daemon/test_daemon_filters.py
@@ -161,8 +161,15 @@
     return await submitted.next()
 
 
-@pytest.mark.parametrize("expired", [False, True], ids=["lease held", "lease expired while paused"])
-def test_an_older_document_is_replaced_only_while_the_lease_is_held(expired):
+@pytest.mark.parametrize(
+    ("expired", "restored"),
+    [
+        pytest.param(False, False, id="lease held"),
+        pytest.param(True, False, id="lease expired while paused"),
+        pytest.param(True, True, id="lease lost by a restored store, its version given out again"),
+    ],
+)
+def test_an_older_document_is_replaced_only_while_the_lease_is_held(expired, restored):
     async def body():
         store = MemoryStore()
         version = store.put(CONFIGURATION_KEY, encode_document(document(1)))
@@ -171,6 +178,8 @@
         assert granted.asked_ms == 77
         if expired:
             store.expire_lease(granted.lease_id)
+            if restored:
+                store.rewind(granted.fencing_version)
             assert await store.acquire_lease(key=LEASE_KEY, holder="entry-2", ttl_ms=5_000)
         tasks.restore(actions.RestoreDocument(document(3), version, granted.fencing_version))
         while "restore" in tasks._tasks:
