--- a/src/redwingswitch/_internal/network/etcd_watch.py
+++ b/src/redwingswitch/_internal/network/etcd_watch.py
@@ -73,11 +73,8 @@
         key: str,
         start_revision: int,
         on_value: Callable[[StoredValue], None],
-    ) -> int | None:
-        """Watch for the set duration; return the version of the last value, or None without one.
-
-        Raise StoreUnavailableError when the watch ends earlier.
-        """
+    ) -> None:
+        """Watch for the set duration; raise StoreUnavailableError when the watch ends earlier."""
         stream = _WatchStream(on_value=on_value)
         create_request = {"key": to_base64(key.encode()), "start_revision": str(start_revision)}
         request = HTTPRequest(
@@ -94,7 +91,7 @@
             response = await fetch_shielded(self._client, request)
         except HTTPTimeoutError:
             if stream.created and stream.problem is None:
-                return stream.last_version
+                return
             raise StoreUnavailableError("the store did not open a watch in time") from None
         except (HTTPClientError, OSError) as error:
             problem = stream.problem or str(error) or type(error).__name__
@@ -112,7 +109,6 @@
         self.created = False
         self.closed = False
         self.problem: str | None = None
-        self.last_version: int | None = None
         self._on_value = on_value
         self._buffer = b""
 
@@ -139,11 +135,7 @@
         for event in result.get("events", []):
             key_value = event.get("kv")
             if event.get("type", "PUT") == "PUT" and key_value is not None:
-                self._deliver(to_stored_value(key_value))
-
-    def _deliver(self, stored: StoredValue) -> None:
-        self.last_version = stored.version
-        self._on_value(stored)
+                self._on_value(to_stored_value(key_value))
 
     def _raise_problem(self, problem: str) -> NoReturn:
         # On this exception the client only closes the connection; others it also reports as errors.
--- a/src/redwingswitch/_internal/network/store_http.py
+++ b/src/redwingswitch/_internal/network/store_http.py
@@ -115,8 +115,7 @@
         while True:
             stored, store_revision = await self._read_key(key)
             if stored is not None:
-                is_first = known is None and stored.version == after_version
-                if is_first:
+                if known is None and stored.version == after_version:
                     known = stored
                 elif stored != known:
                     deliver(stored)
--- a/tests/functional/test_restored_store.py
+++ b/tests/functional/test_restored_store.py
@@ -48,6 +48,12 @@
     return all(host.daemon.routes_version == version for host in site.hosts)
 
 
+async def put_in_force(site: SteeringSite, *routes: StandinRoute, version: int) -> None:
+    """Write a configuration and wait until all hosts use it."""
+    site.configure(*routes, version=version)
+    await wait_until(lambda: all_use_version(site, version))
+
+
 def all_offer(site: SteeringSite, *servers: str) -> bool:
     return all(
         host.daemon.servers_for_new_flows("job-board") == sorted(servers) for host in site.hosts
@@ -81,8 +87,7 @@
         async with SteeringSite() as site:
             await start_hosts(site)
             copy = site.store.take_copy()
-            site.configure(version=2)
-            await wait_until(lambda: all_use_version(site, 2))
+            await put_in_force(site, version=2)
             site.store.fault = fault
             if fault is not None:
                 await wait_until(lambda: not any(h.daemon.is_store_reachable for h in site.hosts))
@@ -115,8 +120,7 @@
         async with SteeringSite() as site:
             reader, follower, _ = await start_hosts(site)
             copy = site.store.take_copy()
-            site.configure(ROUTE, NEW_ROUTE, version=2)
-            await wait_until(lambda: all_use_version(site, 2))
+            await put_in_force(site, ROUTE, NEW_ROUTE, version=2)
             site.store.restore(copy)
             await wait_until(lambda: has_one_reader(site))
             await follower.kill()
@@ -137,13 +141,11 @@
             without_record = site.store.take_copy()
             await start_hosts(site)
             copy = site.store.take_copy() if is_recorded_in_copy else without_record
-            site.configure(version=2)
-            await wait_until(lambda: all_use_version(site, 2))
+            await put_in_force(site, version=2)
             site.store.restore(copy)
             for server in site.servers.values():
                 site.list_server(server)
-            site.configure(version=3)
-            await wait_until(lambda: all_use_version(site, 3))
+            await put_in_force(site, version=3)
             await wait_until(lambda: has_one_reader(site))
             await wait_until(lambda: all_offer(site, *site.servers))
 
@@ -155,11 +157,9 @@
         async with SteeringSite() as site:
             await start_hosts(site)
             copy = site.store.take_copy()
-            site.configure(version=2)
-            await wait_until(lambda: all_use_version(site, 2))
+            await put_in_force(site, version=2)
             site.store.restore(copy)
-            site.configure(version=3)
-            await wait_until(lambda: all_use_version(site, 3))
+            await put_in_force(site, version=3)
             await wait_until(lambda: has_one_reader(site))
             for host in site.hosts:
                 assert "redwingswitch_steering_store_era 1" in host.daemon.metrics_text()
