--- a/src/redwingswitch/_internal/models/store_revisions.py
+++ b/src/redwingswitch/_internal/models/store_revisions.py
@@ -36,6 +36,6 @@
 
 
 def format_revision(revision: int) -> str:
-    """Return a revision for logs: ``number``, or ``era:number`` in a store that was restored."""
+    """Return a revision for logs: ``number`` in era 0, ``era:number`` in a later one."""
     number = str(number_of(revision))
     return f"{era_of(revision)}:{number}" if era_of(revision) else number
