Read TROUBLE in each run.sh of the review

run.sh checks TROUBLE and passes it on; before, only the Python part read it. A script that fails by itself now exits with 2: Python's own status for an exception is 1, which looked like a broken rule.

--- a/review/standins/review_site.py
+++ b/review/standins/review_site.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import struct
+import sys
 import time
 import tomllib
 from pathlib import Path
@@ -54,7 +55,8 @@
 # One instruction of the classic packet filter: accept 0 bytes of each packet.
 DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
 
-CASE_BROKEN, CASE_HELD, CASE_COULD_NOT_RUN = 1, 0, 2
+# The exit status of a case; run.sh turns it into 1, 0 and 2.
+CASE_BROKEN, CASE_HELD, CASE_COULD_NOT_RUN = 10, 0, 2
 
 
 class Record:
@@ -426,5 +428,5 @@
 
 
 def has_trouble() -> bool:
-    """Return whether to play the disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
+    """Return whether to play the disruption; ``run.sh`` passes TROUBLE as an argument."""
+    return "--trouble=0" not in sys.argv[1:]
