Take a list for up to date only if it has the store's newest revision

What callers saw: after a kill, a host with a narrow link read the list for its failure domain. Cause: an answered probe counted as proof that the list was up to date. It shows only that the store answers: it was a read that may be stale, on another connection, and the watch beside it was for 7 s transferring 23 versions of the routes. So neither the reader nor its followers, who read for themselves when its list gets too old, noticed. Change: a probe is a read that is never stale and returns the store's revision. It confirms the list, as of its call, only if the list has that revision or when it reaches it. A watch that has not delivered 0.5 s after a probe found changes is abandoned; the changes of servers are then read first, and the newest routes alone. The same belief in two other places: a whole list is as old as the call, and a watch's response as its first byte, not its last one. Ruled out: probes on the connection of the watch (they wait behind it); the revision of a serializable read (it may be seconds old). Why it works: no host can call its list fresh while the store has a revision that the list lacks. Tests: of the tests of the synchronizer four wait in vain on the code before (the cases with a reader, and the return to the watch), those of ListAge, of the store's client and of transfers are new. The bound of the state machine of the sharing is narrower by the latency of a call. Price: a probe costs a whole call instead of a tenth.

--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -27,7 +27,7 @@
         self._list_age = ListAge(now_ms=age_clock.now_ms())
 
     def list_age_ms(self) -> int:
-        """Return milliseconds since the store last showed that the list is up to date."""
+        """Return milliseconds since the list last had all changes in the store."""
         return self._list_age.age_ms(self._clock.now_ms())
 
     @property
@@ -43,17 +43,29 @@
         """Return the full list; one that may be stale does not make the list younger."""
         call = self._store.read_all(may_be_stale=may_be_stale)
         operation = "stale_list" if may_be_stale else "list"
-        return await self._call(operation, call, confirms_list=not may_be_stale)
+        began_ms = self._clock.now_ms()
+        fleet = await self._call(operation, call)
+        if not may_be_stale:
+            self._list_age.on_list_read(began_ms, began_ms, revision=fleet.revision)
+        return fleet
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         """Return the changes after a revision."""
         call = self._store.read_changes(after_revision=after_revision, wait_ms=wait_ms)
-        return await self._call("changes", call, confirms_list=True)
+        began_ms = self._clock.now_ms()
+        changes = await self._call("changes", call)
+        # The store waits for a change before it answers, but not while it sends the answer.
+        answered_ms = max(began_ms, self._clock.now_ms() - changes.transfer_ms)
+        self._list_age.on_list_read(began_ms, answered_ms, revision=changes.revision)
+        return changes
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
         """Return the changes of backend servers after a revision."""
         call = self._store.read_server_changes(after_revision=after_revision)
-        return await self._call("changes", call, confirms_list=True)
+        began_ms = self._clock.now_ms()
+        changes = await self._call("changes", call)
+        self._list_age.on_list_read(began_ms, began_ms, revision=changes.revision)
+        return changes
 
     async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
         """Return the newest routes."""
@@ -72,19 +84,18 @@
         call = self._store.register_reader(reader, expected=expected)
         return await self._call("register_reader", call)
 
-    async def probe(self, *, known_revision: int) -> None:
-        """Wait until the store answers while a watch waits for changes after ``known_revision``."""
-        call = self._store.probe(known_revision=known_revision)
-        await self._call("probe", call, confirms_list=True)
+    async def probe(self, *, known_revision: int) -> int:
+        """Return the store's revision while a watch waits for changes after ``known_revision``."""
+        began_ms = self._clock.now_ms()
+        revision = await self._call("probe", self._store.probe(known_revision=known_revision))
+        self._list_age.on_probe(began_ms, store_revision=revision, known_revision=known_revision)
+        return revision
 
     def close(self) -> None:
         """Close all connections."""
         self._store.close()
 
-    async def _call(
-        self, operation: str, call: Awaitable[Result], *, confirms_list: bool = False
-    ) -> Result:
-        began_ms = self._clock.now_ms()
+    async def _call(self, operation: str, call: Awaitable[Result]) -> Result:
         try:
             result = await call
         except StoreHistoryLostError:
@@ -94,6 +105,4 @@
             self._metrics.count("store_calls_total", operation, "failed")
             raise
         self._metrics.count("store_calls_total", operation, "ok")
-        if confirms_list:
-            self._list_age.on_response(began_ms, self._clock.now_ms())
         return result
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -15,7 +15,7 @@
 import asyncio
 from collections.abc import Callable
 from contextlib import suppress
-from typing import Any, NoReturn
+from typing import Any
 
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
@@ -43,6 +43,10 @@
 PROBE_INTERVAL_MS = 1_000
 # Keeps a watch that answers immediately from causing an extra probe.
 MIN_PROBE_DELAY_MS = 50
+# A watch that has not delivered a change this long after a probe found it is abandoned: its
+# connection is silent, or it transfers each version of changed routes over a narrow link. A store
+# that is 50 times slower than usual answers within 200 ms.
+WATCH_LAG_LIMIT_MS = 500
 # A change is read immediately after a period without changes. While changes continue, the list is
 # read this many times within the time limit for noticing a leaving server.
 READS_PER_AGE_LIMIT = 3
@@ -117,6 +121,8 @@
         # A new reader may lack changes after the last update of its predecessor. Only a read that
         # does not wait shows that the list is complete.
         self._is_new_reader = False
+        # Set after a watch that did not deliver the changes that a probe had found.
+        self._has_abandoned_watch = False
         # Whether the latest read brought other routes, so that more changes of them may follow.
         self._have_routes_changed = False
         # Set when the host resumes after a pause, so that a probe need not wait until it is due.
@@ -221,7 +227,7 @@
         """Read once; return the delay until the next read."""
         try:
             await self._read_once()
-            if self._update_role():
+            if self._update_role() or self._has_abandoned_watch:
                 return 0
             await self._pause_after_read()
         except StoreHistoryLostError as error:
@@ -242,10 +248,11 @@
             await self._load_list()
         elif self.role is ListSharingRole.FOLLOWING:
             await self._follow_reader()
-        elif self._consecutive_failures or self._is_new_reader:
+        elif self._consecutive_failures or self._is_new_reader or self._has_abandoned_watch:
             # Without a wait, so that the end of an outage is noticed immediately.
             await self._catch_up()
             self._is_new_reader = False
+            self._has_abandoned_watch = False
         elif self._sharing.has_narrow_link and self._have_routes_changed:
             await self._read_parts_and_record()
         elif not await self._following.claim_if_due():
@@ -360,7 +367,7 @@
     async def _catch_up(self) -> None:
         """Read everything that has changed, without waiting for more."""
         if self.role is ListSharingRole.SERVING:
-            if self._sharing.has_narrow_link:
+            if self._sharing.has_narrow_link or self._has_abandoned_watch:
                 await self._read_parts_and_record()
                 return
             # The followers need each change in its order, that of the reader's record included.
@@ -406,18 +413,20 @@
         return READER_ANSWER_TIMEOUT_MS if is_new_reader else 0
 
     async def _watch_changes(self) -> ServerListChanges | None:
-        """Wait for changes; return None when this host starts to follow a reader.
+        """Wait for changes; return None when the watch lags or this host starts to follow a reader.
 
         Raises the error of a failed probe.
         """
         watch = asyncio.create_task(self._read_changes(wait_ms=self._watch_wait_ms()))
-        probe_task = asyncio.create_task(self._probe_until_failure())
+        probe_task = asyncio.create_task(self._probe_until_watch_lags())
         role_change = asyncio.create_task(self._following.wait_until_following())
         done = await _wait_for_first(watch, probe_task, role_change)
         if watch in done:
             return await watch
         if probe_task in done:
+            # Raises the error of a failed probe.
             await probe_task
+            self._has_abandoned_watch = True
         return None
 
     def _watch_wait_ms(self) -> int:
@@ -428,7 +437,8 @@
             return MAX_WATCH_WAIT_MS
         return min(MAX_WATCH_WAIT_MS, max(1, deadline_ms - now_ms))
 
-    async def _probe_until_failure(self) -> NoReturn:
+    async def _probe_until_watch_lags(self) -> None:
+        """Return when the watch, which runs meanwhile, has not delivered what a probe found."""
         while True:
             # Without probes, the list would seem too old to the followers, which then abandon this
             # reader.
@@ -437,7 +447,18 @@
                 async with asyncio.timeout(delay_ms / MS_PER_S):
                     await self._probe_requested.wait()
             self._probe_requested.clear()
-            await self._store.probe(known_revision=self._sharing.revision)
+            store_revision = await self._store.probe(known_revision=self._sharing.revision)
+            if store_revision <= self._sharing.revision:
+                continue
+            await asyncio.sleep(WATCH_LAG_LIMIT_MS / MS_PER_S)
+            # A follower's list may have reached that revision through the feed.
+            if store_revision > self._sharing.revision:
+                self._event_log.warning(
+                    "watch abandoned",
+                    known_revision=format_revision(self._sharing.revision),
+                    store_revision=format_revision(store_revision),
+                )
+                return
 
     async def _read_changes(self, *, wait_ms: int) -> ServerListChanges:
         return await self._store.read_changes(
--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -2,22 +2,33 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 # A longer gap between two timer calls means that the host was paused.
 PAUSE_THRESHOLD_MS = 1_000
 
 
+class _Probe(NamedTuple):
+    """A probe that found changes which this host has not read yet."""
+
+    began_ms: int
+    store_revision: int
+
+
 class ListAge:
-    """The time since the store last answered, on a clock that advances while the host is paused.
+    """The time since the list had all changes, on a clock that advances while the host is paused.
 
-    A host that resumes may handle the response to a call from before the pause, which does not show
-    that the list is up to date now. ``on_tick`` must be called several times a second to detect
-    pauses.
+    An answer shows that the list is up to date only if the list has the revision that the store had
+    when it answered. A host that resumes may handle the response to a call from before the pause,
+    which does not show that the list is up to date now. ``on_tick`` must be called several times a
+    second to detect pauses.
     """
 
     def __init__(self, *, now_ms: int) -> None:
-        self._answered_ms = now_ms
+        self._confirmed_ms = now_ms
         self._tick_ms = now_ms
         self._resumed_ms: int | None = None
+        self._unmet_probe: _Probe | None = None
 
     @property
     def resumed_ms(self) -> int | None:
@@ -28,14 +39,42 @@
         """Record that the host is running; detect a pause since the last call."""
         if now_ms - self._tick_ms > PAUSE_THRESHOLD_MS:
             self._resumed_ms = now_ms
-            self._answered_ms = min(self._answered_ms, self._tick_ms)
+            self._confirmed_ms = min(self._confirmed_ms, self._tick_ms)
         self._tick_ms = now_ms
 
-    def on_response(self, began_ms: int, now_ms: int) -> None:
-        """Record the response to a call; ignore it when the call began before or during a pause."""
-        if self._resumed_ms is None or began_ms >= self._resumed_ms:
-            self._answered_ms = now_ms
+    def on_list_read(self, began_ms: int, answered_ms: int, *, revision: int) -> None:
+        """Record a read, begun at ``began_ms``, that brought the list to a revision.
+
+        The list is as the store had it at ``answered_ms``, the earliest time at which the store may
+        have made its response. A read that began before or during a pause confirms nothing later
+        than a probe that found no newer revision.
+        """
+        if self._began_since_pause(began_ms):
+            self._confirm(answered_ms)
+        if self._unmet_probe is not None and revision >= self._unmet_probe.store_revision:
+            self._confirm(self._unmet_probe.began_ms)
+            self._unmet_probe = None
+
+    def on_probe(self, began_ms: int, *, store_revision: int, known_revision: int) -> None:
+        """Record the store's revision, asked for at ``began_ms``.
+
+        The list is ``known_revision``; if the store has a later one, the list is confirmed only
+        when it has reached that.
+        """
+        if not self._began_since_pause(began_ms):
+            return
+        if store_revision <= known_revision:
+            self._unmet_probe = None
+            self._confirm(began_ms)
+        else:
+            self._unmet_probe = _Probe(began_ms, store_revision)
 
     def age_ms(self, now_ms: int) -> int:
         """Return the age in milliseconds."""
-        return now_ms - self._answered_ms
+        return now_ms - self._confirmed_ms
+
+    def _began_since_pause(self, began_ms: int) -> bool:
+        return self._resumed_ms is None or began_ms >= self._resumed_ms
+
+    def _confirm(self, at_ms: int) -> None:
+        self._confirmed_ms = max(self._confirmed_ms, at_ms)
--- a/src/redwingswitch/_internal/models/server_list.py
+++ b/src/redwingswitch/_internal/models/server_list.py
@@ -37,6 +37,7 @@
     """The changes up to ``revision``; ``routes`` and ``reader`` are None when unchanged.
 
     ``routes_revision`` is the store revision at which the routes were written, 0 when unchanged.
+    ``transfer_ms`` is the time from the start of the store's response to its end.
     """
 
     routes: RouteTable | None
@@ -44,6 +45,7 @@
     revision: int
     reader: RegisteredReader | None = None
     routes_revision: int = 0
+    transfer_ms: int = 0
 
 
 class StoredRoutes(NamedTuple):
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -6,7 +6,7 @@
 import re
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 import msgspec
@@ -81,6 +81,14 @@
     store_revision: int = msgspec.field(name="StoreRevision")
 
 
+class _Watched(NamedTuple):
+    """The events of a watch, whose revisions include the era."""
+
+    events: list[_Item]
+    store_revision: int
+    transfer_ms: int
+
+
 class _WriteResult(msgspec.Struct):
     revision: int = msgspec.field(name="Revision")
 
@@ -147,6 +155,7 @@
             revision=max(after_revision, events.store_revision),
             reader=self._find_reader(events.events),
             routes_revision=routes.revision,
+            transfer_ms=events.transfer_ms,
         )
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
@@ -161,6 +170,7 @@
             routes=None,
             servers=tuple(changes),
             revision=max(after_revision, events.store_revision),
+            transfer_ms=events.transfer_ms,
         )
 
     async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
@@ -198,25 +208,27 @@
         number = _decode_response(_write_result_decoder, response.body).revision
         return RegisteredReader(reader, _make_revision(self._note_era(response), number))
 
-    async def probe(self, *, known_revision: int) -> None:
-        """Return when the store answers; a serializable read costs it a tenth of a normal one.
+    async def probe(self, *, known_revision: int) -> int:
+        """Return the store's newest revision, which a serializable read need not know.
 
         Raises StoreHistoryLostError if the store was restored since ``known_revision``.
         """
-        query = {"Prefix": ABSENT_PREFIX, **_stale_query(True)}
         response = await self._get(
-            self._probe_connection, "/v1/kv-range", query, timeout_ms=self._timeout_ms
+            self._probe_connection,
+            "/v1/kv-range",
+            {"Prefix": ABSENT_PREFIX},
+            timeout_ms=self._timeout_ms,
         )
         era = self._note_era(response)
-        if era > era_of(known_revision):
-            raise _restored(era_of(known_revision), era)
+        _check_era(era, era_of(known_revision))
+        return _make_revision(era, _decode_response(_page_decoder, response.body).store_revision)
 
     def close(self) -> None:
         """Close the connections."""
         self._connection.close()
         self._probe_connection.close()
 
-    async def _watch(self, prefix: str, after_revision: int, wait_ms: int) -> _Events:
+    async def _watch(self, prefix: str, after_revision: int, wait_ms: int) -> _Watched:
         known_era = era_of(after_revision)
         if known_era < self._era:
             raise _restored(known_era, self._era)
@@ -224,14 +236,13 @@
         timeout_ms = self._timeout_ms + wait_ms
         response = await self._get(self._connection, "/v1/kv-watch", query, timeout_ms=timeout_ms)
         era = self._note_era(response)
-        if known_era < era:
-            raise _restored(known_era, era)
-        if known_era > era:
-            raise StoreUnavailableError(f"the store answered from era {era}, not {known_era}")
-        events = _decode_response(_events_decoder, response.body)
-        _in_era(events.events, era)
-        events.store_revision = _make_revision(era, events.store_revision)
-        return events
+        _check_era(era, known_era)
+        decoded = _decode_response(_events_decoder, response.body)
+        return _Watched(
+            events=_in_era(decoded.events, era),
+            store_revision=_make_revision(era, decoded.store_revision),
+            transfer_ms=response.transfer_ms,
+        )
 
     def _note_era(self, response: Response) -> int:
         """Return the era that a response names; a store that names none was never restored."""
@@ -291,6 +302,14 @@
     )
 
 
+def _check_era(era: int, known_era: int) -> None:
+    """Raise the error of a response that cannot continue a list of ``known_era``."""
+    if known_era < era:
+        raise _restored(known_era, era)
+    if known_era > era:
+        raise StoreUnavailableError(f"the store answered from era {era}, not {known_era}")
+
+
 def _make_revision(era: int, number: int) -> int:
     try:
         return make_revision(era=era, number=number)
--- a/src/redwingswitch/_internal/ports.py
+++ b/src/redwingswitch/_internal/ports.py
@@ -147,10 +147,11 @@
         is in the store afterwards.
         """
 
-    async def probe(self, *, known_revision: int) -> None:
-        """Wait until the store answers; cheaper than a read.
+    async def probe(self, *, known_revision: int) -> int:
+        """Return the store's newest revision; never an earlier one than at the time of the call.
 
-        Raises ``StoreHistoryLostError`` when the store was restored since ``known_revision``.
+        Does not wait for a read that is in progress. Raises ``StoreHistoryLostError`` when the
+        store was restored since ``known_revision``.
         """
 
     def close(self) -> None:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -70,14 +70,16 @@
 class ScriptedStore:
     """A store that returns queued results; a watch waits until one is queued.
 
-    A read without a wait returns ``changes_since`` if no result is queued. ``routes`` are read
-    alone; ``stale_routes`` is what a read that may be stale returns instead.
+    A read without a wait returns ``changes_since`` if no result is queued, and reaches ``revision``
+    if that is set, which is also what probes find. ``routes`` are read alone; ``stale_routes`` is
+    what a read that may be stale returns instead.
     """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.results: asyncio.Queue[ServerListChanges | Exception] = asyncio.Queue()
         self.answers_probes = True
+        self.revision = 0
         self.is_down = False
         self.reader = NO_READER
         self.changes_since: tuple[ServerChange, ...] = ()
@@ -118,7 +120,7 @@
         result = self.results.get_nowait() if self.results.qsize() else None
         if isinstance(result, Exception):
             raise result
-        return result or changes(*self.changes_since, revision=after_revision)
+        return result or self._changes_since(after_revision)
 
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         self.calls.append(f"register expected {expected}")
@@ -129,17 +131,21 @@
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         self.calls.append(f"after {after_revision} wait {wait_ms}")
         if not wait_ms and not self.results.qsize():
-            return changes(*self.changes_since, revision=after_revision)
+            return self._changes_since(after_revision)
         result = await self.results.get()
         if isinstance(result, Exception):
             raise result
         return result
 
-    async def probe(self, *, known_revision: int) -> None:
+    async def probe(self, *, known_revision: int) -> int:
         assert known_revision > 0
         self.calls.append("probe")
         if not self.answers_probes:
             raise StoreUnavailableError("no answer")
+        return self.revision or known_revision
+
+    def _changes_since(self, revision: int) -> ServerListChanges:
+        return changes(*self.changes_since, revision=self.revision or revision)
 
     def close(self) -> None:
         """There is nothing to close."""
@@ -233,6 +239,10 @@
     def watches(self) -> list[str]:
         return [call for call in self.store.calls if call.startswith("after")]
 
+    def waits_for_changes(self) -> bool:
+        watches = self.watches()
+        return bool(watches) and not watches[-1].endswith(" 0")
+
 
 def test_a_long_watch_follows_the_first_read() -> None:
     async def scenario() -> None:
@@ -565,6 +575,74 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("link_mbps", [None, 10.0, 200.0])
+@pytest.mark.parametrize("record", [NO_READER, RegisteredReader(LOCAL_READER, 4)])
+def test_a_watch_that_does_not_deliver_what_a_probe_found_is_abandoned(
+    record: RegisteredReader, link_mbps: float | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # Probes were answered while the watch's response was in transfer, or its connection silent. The
+    # list counted as fresh, and a failure domain opened flows to servers that had left 9 s before.
+    async def scenario() -> None:
+        async with RunningReader(local=LOCAL_READER, reader=record, link_mbps=link_mbps) as running:
+            await wait_until(running.waits_for_changes)
+            before = len(running.store.calls)
+            # A pause before the next read would make the changes late.
+            running.reader._read_interval_ms = 60_000
+            running.store.changes_since = (REMOVED_CHANGE,)
+            running.store.routes = StoredRoutes(route_table(version=5), 13)
+            running.store.revision = 14
+            await wait_until(lambda: running.reader.revision == 14)
+            known = running.steering.directory.get("i-1")
+            assert known is not None
+            assert known.absent_since_ms is not None
+            await wait_until(lambda: version_in_force(running) == 5)
+            # The changes of servers come before the routes, which take long on a narrow link.
+            reads = [call for call in running.store.calls[before:] if call.startswith("servers")]
+            assert reads[0] == "servers after 5"
+            assert (running.reader.role is ListSharingRole.SERVING) is (record != NO_READER)
+            assert running.reader.is_store_reachable
+
+    # Without a reader's record, the host would claim the role meanwhile.
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
+    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    run(scenario())
+
+
+def test_the_store_is_watched_again_after_an_abandoned_watch(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            running.store.revision = 14
+            await wait_until(lambda: "after 14" in running.watches()[-1])
+            running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=15))
+            running.store.revision = 15
+            await wait_until(lambda: "after 15" in running.watches()[-1])
+            assert len([call for call in running.store.calls if call.startswith("servers")]) == 1
+
+    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    run(scenario())
+
+
+def test_a_watch_that_delivers_soon_after_a_probe_is_kept() -> None:
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            before = len(running.store.calls)
+            running.store.revision = 9
+            await wait_until(lambda: "probe" in running.store.calls[before:])
+            running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=9))
+            await wait_until(lambda: "after 9" in running.watches()[-1])
+            assert not [call for call in running.store.calls if call.startswith("servers")]
+
+    run(scenario())
+
+
 class ReaderWithRoutes:
     """A datagram sender that stands for a reader; it answers requests for routes."""
 
--- a/tests/unit/list_sharing/test_list_age.py
+++ b/tests/unit/list_sharing/test_list_age.py
@@ -1,4 +1,6 @@
-"""Guards against a host that resumes after a pause and treats its old list as up to date."""
+"""Guards against a host that takes an old list for an up-to-date one."""
+
+from typing import NamedTuple
 
 import pytest
 
@@ -21,16 +23,90 @@
 ) -> None:
     age = ListAge(now_ms=0)
     age.on_tick(TICK_MS)
-    age.on_response(0, TICK_MS)
+    age.on_list_read(0, TICK_MS, revision=5)
     now_ms = TICK_MS + paused_ms
     age.on_tick(now_ms)
-    age.on_response(began_ms, now_ms)
+    age.on_list_read(began_ms, now_ms, revision=6)
     assert age.age_ms(now_ms) == expected_ms
 
 
 def test_a_response_handled_before_the_pause_is_detected_does_not_count() -> None:
     age = ListAge(now_ms=0)
     age.on_tick(TICK_MS)
-    age.on_response(0, 5_000)
+    age.on_list_read(0, 5_000, revision=5)
     age.on_tick(5_001)
     assert age.age_ms(5_001) == 5_001 - TICK_MS
+
+
+class Probe(NamedTuple):
+    """A probe that found ``store_revision`` while the list had ``known_revision``."""
+
+    began_ms: int
+    store_revision: int
+    known_revision: int = 5
+
+
+class Read(NamedTuple):
+    """A read whose response was made at ``answered_ms`` and brought the list to ``revision``."""
+
+    began_ms: int
+    answered_ms: int
+    revision: int
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected_ms"),
+    [
+        pytest.param([Probe(400, 5)], 600, id="no changes"),
+        pytest.param([Probe(400, 9)], 1_000, id="changes that the list lacks"),
+        pytest.param([Probe(400, 9), Probe(700, 9)], 1_000, id="the same changes twice"),
+        pytest.param(
+            [Probe(400, 9), Read(0, 300, 9)], 600, id="a read begun earlier has these changes"
+        ),
+        pytest.param(
+            [Probe(400, 9), Read(0, 300, 8)], 700, id="a read begun earlier has some of them"
+        ),
+        pytest.param(
+            [Probe(400, 9), Read(0, 300, 8), Read(800, 800, 9)], 200, id="a later read has them"
+        ),
+        pytest.param([Read(0, 200, 9)], 800, id="a response that was long under way"),
+        pytest.param(
+            [Probe(400, 5), Read(0, 200, 9)], 600, id="a response made before the latest probe"
+        ),
+    ],
+)
+def test_an_answer_confirms_only_a_list_with_the_revision_of_the_store(
+    steps: list[Probe | Read], expected_ms: int
+) -> None:
+    # A reader answered its followers that its list was fresh while it lacked changes 7 s old.
+    age = ListAge(now_ms=0)
+    for step in steps:
+        if isinstance(step, Probe):
+            age.on_probe(
+                step.began_ms,
+                store_revision=step.store_revision,
+                known_revision=step.known_revision,
+            )
+        else:
+            age.on_list_read(step.began_ms, step.answered_ms, revision=step.revision)
+    assert age.age_ms(1_000) == expected_ms
+
+
+@pytest.mark.parametrize(
+    ("began_ms", "expected_ms"),
+    [
+        pytest.param(TICK_MS, 3_000, id="a probe from before the pause"),
+        pytest.param(TICK_MS + 3_000, 0, id="a probe after the pause"),
+    ],
+)
+def test_a_probe_after_a_pause_confirms_a_list_that_has_since_reached_its_revision(
+    began_ms: int, expected_ms: int
+) -> None:
+    age = ListAge(now_ms=0)
+    age.on_tick(TICK_MS)
+    age.on_list_read(0, TICK_MS, revision=5)
+    age.on_tick(TICK_MS + 3_000)
+    age.on_probe(began_ms, store_revision=9, known_revision=5)
+    # The response to a watch that began before the pause.
+    age.on_list_read(TICK_MS, TICK_MS + 3_000, revision=9)
+    assert age.age_ms(TICK_MS + 3_000) == expected_ms
--- a/tests/unit/list_sharing/test_sharing_machine.py
+++ b/tests/unit/list_sharing/test_sharing_machine.py
@@ -121,7 +121,8 @@
         if self.response is None or self.now_ms < self.response.arrival_ms:
             return
         response, self.response = self.response, None
-        self.age.on_response(response.began_ms, self.now_ms)
+        # The store made its response when the call arrived.
+        self.age.on_list_read(response.began_ms, response.began_ms, revision=response.revision)
         self.sharing.on_reader_registered(response.record, self.now_ms)
         if self.sharing.is_outdated(response.revision):
             return
@@ -273,8 +274,7 @@
         assert all(host.listed == self.store.listed for host in self.hosts)
 
     def _was_listed_recently(self, listed: frozenset[int]) -> bool:
-        # The age counts from a response, which contains the list at the time of the call.
-        oldest_ms = self.now_ms - AGE_LIMIT_MS - (1 + MAX_LATENCY_TICKS) * TICK_MS
+        oldest_ms = self.now_ms - AGE_LIMIT_MS - TICK_MS
         recent = [state for since_ms, state in self.store.past if since_ms >= oldest_ms]
         before = [state for since_ms, state in self.store.past if since_ms < oldest_ms]
         return listed in [*before[-1:], *recent]
