Read in parts after a failed read of a reader with a wide link

Cause: the reader took a failed read for an outage of the store, and asked for the same again. What it asked for had failed by itself: 25 versions of the routes exceed the limit of a response, 16 MB, so each further attempt failed too, and its list never became newer. Change: after a failed read, or a watch that was abandoned, a reader reads the changes of servers, then the newest routes alone and its record, as readers with a narrow link did already. Evidence: `store lost reason="the connection failed: Stream is closed"` on the reader at the first read after the storm, and no `store regained` until the end. Test: a reader with each kind of link whose read failed; with a wide link it asked for everything again. Price: two more calls of a reader at the end of an outage.

--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -367,7 +367,9 @@
     async def _catch_up(self) -> None:
         """Read everything that has changed, without waiting for more."""
         if self.role is ListSharingRole.SERVING:
-            if self._sharing.has_narrow_link or self._has_abandoned_watch:
+            # A response with each version of the routes may be what failed: too large, or too late.
+            has_failed = self._has_abandoned_watch or self._consecutive_failures > 0
+            if self._sharing.has_narrow_link or has_failed:
                 await self._read_parts_and_record()
                 return
             # The followers need each change in its order, that of the reader's record included.
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -608,6 +608,30 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("link_mbps", [None, 10.0, 200.0])
+def test_a_reader_whose_read_failed_reads_no_version_of_the_routes_but_the_newest(
+    link_mbps: float | None,
+) -> None:
+    # Versions of large routes exceeded the limit of a response. The reader asked for all of them
+    # again and again, and opened flows to servers that had left 11 s before.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4), link_mbps=link_mbps
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            before = len(running.store.calls)
+            running.store.routes = StoredRoutes(route_table(version=5), 13)
+            running.store.changes_since = (REMOVED_CHANGE,)
+            running.store.results.put_nowait(StoreUnavailableError("too large"))
+            await wait_until(lambda: version_in_force(running) == 5)
+            reads = [call for call in running.store.calls[before:] if call != "probe"]
+            assert reads[:2] == ["servers after 5", "routes"]
+            assert running.reader.role is ListSharingRole.SERVING
+            assert running.reader.is_store_reachable
+
+    run(scenario())
+
+
 def test_the_store_is_watched_again_after_an_abandoned_watch(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
