Reset flows for silence only at servers that left a flow unanswered

Cause: three stalls at two servers condemned the whole domain, and for a condemned server one retransmission was enough. Stalls at other servers show that these do not answer; a request that takes longer than 200 ms is sent twice to a healthy server too. While the store was out of reach, the first packet of a request was enough. Change: a domain's suspicion counts for resets only with a confirmed stall of the server itself since shortly before the domain was suspected. So that a domain that is silent as a whole is still found quickly, a server that callers wait for and that only its domain speaks against is probed with the next opening packet; one that lives clears its domain with its answer. Ruled out: more stalled servers as proof (another share of the servers falls silent); two flows of the server with one retransmission each (two slow requests occupy a server, and all others wait). Tests: of those at a server that works while others are silent three fail on the code before.

--- /dev/null
+++ b/benchmarks/silence.py
@@ -0,0 +1,283 @@
+"""How long callers wait for servers that fall silent, and which flows of live servers are reset.
+
+Callers with long flows send requests through one entry host. At a moment, servers of another
+failure domain stop answering. Run with ``python -m benchmarks.run_all silence``.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable
+from itertools import count
+from typing import NamedTuple
+
+from benchmarks.tables import Table
+from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
+from redwingswitch._internal.models.configuration import ServerState
+from redwingswitch._internal.models.cookie_flows import (
+    FlowEndpoints,
+    FlowPacket,
+    ForwardPacket,
+    ListedServer,
+    ResetFlow,
+    Route,
+    RouteAddress,
+    RouteKind,
+    RouteTable,
+    ServiceShare,
+    SteeringAction,
+)
+
+SEED = 31
+RUNS = 40
+SERVICE = "order-desk"
+DESTINATION = RouteAddress(0xC6120001, 443)
+NEAR_DOMAIN, FAR_DOMAIN = "near", "far"
+NEAR_SERVERS = 4
+CALLERS = 45
+# One way between failure domains, and between callers and hosts.
+DOMAIN_DELAY_MS, CALLER_DELAY_MS = 5, 1
+MEAN_WORK_MS, TAIL_WORK_MS, TAIL_RATIO = 26, 250, 0.03
+PAUSE_MS = (300, 1_500)
+REQUESTS_PER_FLOW = (5, 15)
+OPENING_COPIES_MS = (0, 200, 600)
+DATA_COPIES_MS = (0, 200, 600, 1_400)
+CALLER_BUDGET_MS = 1_500
+SILENT_FROM_MS = 5_000
+END_MS = 12_000
+DATA_BYTES = 100
+
+
+class _Result(NamedTuple):
+    """Waiting times of requests to silent servers, and resets of flows at live ones."""
+
+    waits_ms: list[int]
+    unanswered: int
+    live_resets: int
+
+
+class _Caller:
+    """One open flow of a caller."""
+
+    __slots__ = ("acknowledged", "attempt", "cookie", "left", "port", "sequence", "server_id")
+
+    def __init__(self) -> None:
+        self.port = 0
+        self.server_id = ""
+        self.cookie = 0
+        self.sequence = 1
+        self.acknowledged = 1
+        self.left = 0
+        # Rises with each step, so that copies of an earlier step are not sent.
+        self.attempt = 0
+
+
+class _Model:
+    """One host, its callers and the servers, on a virtual clock."""
+
+    def __init__(self, *, far_servers: int, silent: int, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._now_ms = 0
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._numbers = count()
+        self._ports = count(1_024)
+        self._host = CookieSteering(failure_domain=NEAR_DOMAIN, random_source=self._random)
+        route = Route(
+            name="r",
+            destination=DESTINATION,
+            shares=(ServiceShare(SERVICE, 1.0),),
+            kind=RouteKind.IDEMPOTENT,
+            timeout_ms=CALLER_BUDGET_MS,
+            latency_goal_ms=200,
+            priority=1,
+        )
+        self._host.apply_routes(RouteTable(1, {DESTINATION: route}, 15_000))
+        self._host.directory.on_list_read(-10_000)
+        domains = [NEAR_DOMAIN] * NEAR_SERVERS + [FAR_DOMAIN] * far_servers
+        for number, domain in enumerate(domains):
+            self._host.directory.put(_server(number, domain), 0)
+        self._silent = {f"i-{NEAR_SERVERS + number}" for number in range(silent)}
+        self.result = _Result([], 0, 0)
+
+    def run(self) -> _Result:
+        for _ in range(CALLERS):
+            self._after(self._random.uniform(0, PAUSE_MS[1]), self._opener(_Caller()))
+        while self._events and self._events[0][0] <= END_MS:
+            deadline_ms = self._host.next_deadline_ms()
+            if deadline_ms is not None and deadline_ms <= self._events[0][0]:
+                self._now_ms = max(self._now_ms, deadline_ms)
+                for action in self._host.on_timer(self._now_ms):
+                    self._perform(action, None)
+                continue
+            self._now_ms, _, event = heapq.heappop(self._events)
+            event()
+        return self.result
+
+    def _after(self, delay_ms: float, event: Callable[[], None]) -> None:
+        at_ms = self._now_ms + round(delay_ms)
+        heapq.heappush(self._events, (at_ms, next(self._numbers), event))
+
+    def _opener(self, caller: _Caller) -> Callable[[], None]:
+        return lambda: self._open(caller)
+
+    def _open(self, caller: _Caller) -> None:
+        caller.port = next(self._ports)
+        caller.server_id = ""
+        caller.cookie = 0
+        caller.sequence = caller.acknowledged = 1
+        caller.left = self._random.randint(*REQUESTS_PER_FLOW)
+        caller.attempt += 1
+        for number, delay_ms in enumerate(OPENING_COPIES_MS):
+            self._after(delay_ms, self._sender(caller, caller.attempt, copy_number=number))
+        self._give_up_later(caller)
+
+    def _request(self, caller: _Caller) -> None:
+        caller.attempt += 1
+        for delay_ms in DATA_COPIES_MS:
+            self._after(delay_ms, self._sender(caller, caller.attempt, sent_ms=self._now_ms))
+        self._give_up_later(caller)
+
+    def _give_up_later(self, caller: _Caller) -> None:
+        attempt = caller.attempt
+
+        def give_up() -> None:
+            if caller.attempt == attempt:
+                self.result = self.result._replace(unanswered=self.result.unanswered + 1)
+                self._open(caller)
+
+        self._after(CALLER_BUDGET_MS, give_up)
+
+    def _sender(
+        self, caller: _Caller, attempt: int, *, copy_number: int = 0, sent_ms: int | None = None
+    ) -> Callable[[], None]:
+        def send() -> None:
+            if caller.attempt == attempt:
+                packet = _packet(caller, copy_number=copy_number, has_data=sent_ms is not None)
+                self._after(CALLER_DELAY_MS, lambda: self._arrive(packet, caller, sent_ms))
+
+        return send
+
+    def _arrive(self, packet: FlowPacket, caller: _Caller, sent_ms: int | None) -> None:
+        action = self._host.on_packet(packet, self._now_ms)
+        if isinstance(action, ResetFlow) and sent_ms is not None:
+            if caller.server_id in self._silent:
+                self.result.waits_ms.append(self._now_ms - sent_ms)
+            else:
+                self.result = self.result._replace(live_resets=self.result.live_resets + 1)
+            self._open(caller)
+        else:
+            self._perform(action, caller)
+
+    def _perform(self, action: SteeringAction, caller: _Caller | None) -> None:
+        if not isinstance(action, ForwardPacket):
+            return
+        caller = caller or self._waiting[action.packet.flow.caller_port]
+        if action.packet.opens:
+            self._waiting[action.packet.flow.caller_port] = caller
+        server = action.server
+        if server.server_id in self._silent and self._now_ms >= SILENT_FROM_MS:
+            return
+        delay_ms = 2 * (DOMAIN_DELAY_MS if server.failure_domain == FAR_DOMAIN else 1)
+        attempt = caller.attempt
+        if action.packet.opens:
+            self._after(delay_ms, lambda: self._opened(caller, attempt, action))
+        elif action.packet.data_bytes and action.packet.sequence == caller.sequence:
+            is_tail = self._random.random() < TAIL_RATIO
+            work_ms = TAIL_WORK_MS if is_tail else max(1, self._random.gauss(MEAN_WORK_MS, 10))
+            self._after(delay_ms + work_ms, lambda: self._answered(caller, attempt))
+
+    @property
+    def _waiting(self) -> dict[int, _Caller]:
+        return self.__dict__.setdefault("_waiting_callers", {})
+
+    def _opened(self, caller: _Caller, attempt: int, action: ForwardPacket) -> None:
+        if caller.attempt != attempt:
+            return
+        caller.server_id, caller.cookie = action.server.server_id, action.cookie
+        self._request(caller)
+
+    def _answered(self, caller: _Caller, attempt: int) -> None:
+        if caller.attempt != attempt:
+            return
+        caller.attempt += 1
+        caller.sequence += DATA_BYTES
+        caller.acknowledged += DATA_BYTES
+        caller.left -= 1
+        acknowledgement = _packet(caller, copy_number=0, has_data=False)
+        self._after(CALLER_DELAY_MS, lambda: self._arrive(acknowledgement, caller, None))
+        pause_ms = self._random.uniform(*PAUSE_MS)
+        if caller.left:
+            self._after(pause_ms, lambda: self._request(caller))
+        else:
+            self._after(pause_ms, lambda: self._open(caller))
+
+
+def _server(number: int, domain: str) -> ListedServer:
+    return ListedServer(
+        server_id=f"i-{number}",
+        instance=1,
+        service=SERVICE,
+        address="10.0.0.1",
+        port=8_000 + number,
+        failure_domain=domain,
+        slots=2,
+        state=ServerState.ACTIVE,
+        slow_start_left_ms=0,
+        tunnel_prefix=b"",
+    )
+
+
+def _packet(caller: _Caller, *, copy_number: int, has_data: bool) -> FlowPacket:
+    return FlowPacket(
+        flow=FlowEndpoints(0x64400000, caller.port, DESTINATION),
+        opens=not caller.cookie,
+        closes=False,
+        resets=False,
+        copy_number=copy_number,
+        cookie=caller.cookie,
+        sequence=caller.sequence,
+        acknowledged=caller.acknowledged,
+        data_bytes=DATA_BYTES if has_data else 0,
+        datagram=b"",
+    )
+
+
+def _row(far_servers: int, silent: int) -> tuple[str, ...]:
+    results = [
+        _Model(far_servers=far_servers, silent=silent, seed=SEED + run).run() for run in range(RUNS)
+    ]
+    waits_ms = sorted(wait_ms for result in results for wait_ms in result.waits_ms)
+    mean_ms = sum(waits_ms) / len(waits_ms)
+    return (
+        f"{silent} of {far_servers}",
+        str(len(waits_ms)),
+        f"{mean_ms:.0f}",
+        str(waits_ms[len(waits_ms) // 2]),
+        str(waits_ms[len(waits_ms) * 95 // 100]),
+        str(sum(result.unanswered for result in results)),
+        str(sum(result.live_resets for result in results)),
+    )
+
+
+def run() -> list[Table]:
+    """Return the table of waiting times."""
+    return [
+        Table(
+            key="silence",
+            title="Servers of a failure domain that fall silent",
+            command="python -m benchmarks.run_all silence",
+            seed=SEED,
+            columns=(
+                "silent servers of the domain",
+                "flows reset",
+                "mean wait, ms",
+                "median",
+                "95 %",
+                "attempts without an answer",
+                "flows of live servers reset",
+            ),
+            rows=tuple(_row(far, silent) for far, silent in ((4, 4), (8, 8), (20, 20), (4, 3))),
+            conclusion=f"{RUNS} runs each; the wait is from the request until its flow is reset.",
+        )
+    ]
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -243,6 +243,8 @@
             for k in self.directory.active_servers(self._selector.select_service(route))
             if k.may_be_offered(now_ms)
         ]
+        if is_first and (untested := [k for k in known if self._needs_probe(k.server)]):
+            return self._selector.select_server(_candidates(untested, now_ms))
         eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         not_excluded = [k for k in known if k.server.server_id not in excluded]
         preferred = [k for k in eligible if k.server.server_id not in excluded]
@@ -250,6 +252,15 @@
         fallback = eligible or not_excluded if is_first else not_excluded
         return self._selector.select_server(_candidates(preferred or fallback or known, now_ms))
 
+    def _needs_probe(self, server: ListedServer) -> bool:
+        """Return whether callers wait for a server that may share the fate of its failure domain.
+
+        The probe takes its caller 40 ms. Without it, the others wait until their data was sent
+        three times.
+        """
+        is_awaited = self.flows.busy_flow_count(server.server_id) > 0
+        return is_awaited and self.failure_detector.needs_probe(server)
+
     def _may_offer(self, server: ListedServer, now_ms: int, *, is_first: bool) -> bool:
         if not self.failure_detector.is_suspected(server):
             return True
@@ -293,7 +304,7 @@
         """
         if route.kind is RouteKind.NON_IDEMPOTENT or not packet.data_bytes:
             return False
-        suspicion = self.failure_detector.suspicion(server)
+        suspicion = self.failure_detector.silence(server)
         if suspicion is Suspicion.NONE:
             return False
         if suspicion is Suspicion.SUSPECTED:
--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -56,7 +56,9 @@
         "failed_probes",
         "last_answer_ms",
         "next_probe_ms",
+        "probed_ms",
         "stalls",
+        "suspected_ms",
         "suspicion",
     )
 
@@ -65,7 +67,10 @@
         self.last_answer_ms: int | None = None
         self.stalls: dict[_Stall, int] = {}
         self.suspicion = Suspicion.NONE
+        # When the present suspicion began.
+        self.suspected_ms = 0
         self.next_probe_ms = 0
+        self.probed_ms: int | None = None
         self.failed_probes = 0
 
     def on_answer(self, now_ms: int) -> None:
@@ -87,9 +92,17 @@
         suspicion = self._compute_suspicion()
         if suspicion <= self.suspicion:
             return False
+        if self.suspicion is Suspicion.NONE:
+            self.suspected_ms = now_ms
         self.suspicion = suspicion
         return True
 
+    def has_confirmed_stall_since(self, since_ms: int) -> bool:
+        """Return whether a stall since ``since_ms``, and since the last answer, is confirmed."""
+        return any(
+            stall.is_confirmed and noted_ms >= since_ms for stall, noted_ms in self.stalls.items()
+        )
+
     def _discard_old_stalls(self, now_ms: int) -> None:
         old = [s for s, noted_ms in self.stalls.items() if now_ms - noted_ms > STALL_WINDOW_MS]
         for stall in old:
@@ -147,13 +160,40 @@
         return retransmissions >= RETRANSMISSIONS_TO_STALL and self._on_stall(server, stall, now_ms)
 
     def suspicion(self, server: ListedServer) -> Suspicion:
-        """Return the higher suspicion of a server and of its failure domain."""
+        """Return the higher suspicion of a server and of its failure domain.
+
+        It keeps new flows away. Open flows are reset by ``silence`` only.
+        """
         return max(tracker.suspicion for tracker in self._trackers(server))
 
+    def silence(self, server: ListedServer) -> Suspicion:
+        """Return the suspicion by which the server's open flows may be reset.
+
+        Stalls at other servers of the failure domain do not show that this one is silent: it may be
+        working on a request. The domain's suspicion counts here only with a confirmed stall of the
+        server itself since shortly before the domain was suspected.
+        """
+        own, domain = self._trackers(server)
+        if own.has_confirmed_stall_since(domain.suspected_ms - STALL_WINDOW_MS):
+            return max(own.suspicion, domain.suspicion)
+        return own.suspicion
+
     def is_suspected(self, server: ListedServer) -> bool:
         """Return whether a server or its failure domain is suspected."""
         return self.suspicion(server) is not Suspicion.NONE
 
+    def needs_probe(self, server: ListedServer) -> bool:
+        """Return whether only stalls at other servers of its failure domain speak against a server.
+
+        One opening packet then shows whether it is silent too. It is needed once in a suspicion.
+        """
+        own, domain = self._trackers(server)
+        if domain.suspicion is Suspicion.NONE or own.suspicion is not Suspicion.NONE:
+            return False
+        since_ms = domain.suspected_ms
+        is_probed = own.probed_ms is not None and own.probed_ms >= since_ms
+        return not is_probed and not own.has_confirmed_stall_since(since_ms - STALL_WINDOW_MS)
+
     def answered_since(self, server: ListedServer, since_ms: int) -> bool:
         """Return whether a server answered at ``since_ms`` or later."""
         tracker = self._servers.get(server.server_id)
@@ -172,6 +212,7 @@
 
     def on_probe(self, server: ListedServer, now_ms: int) -> None:
         """Record a probe of a suspected server, which counts as failed until the server answers."""
+        self._trackers(server)[0].probed_ms = now_ms
         for tracker in self._trackers(server):
             if tracker.suspicion is not Suspicion.NONE:
                 tracker.failed_probes += 1
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -117,6 +117,107 @@
     assert detector.suspicion(server("i-1", failure_domain=FAR_DOMAIN)) is expected
 
 
+DOMAIN_CONDEMNED = [Stall("i-2", 11, 0), Stall("i-3", 12, 100), Stall("i-3", 13, 200)]
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        pytest.param(DOMAIN_CONDEMNED, Suspicion.NONE, id="only other servers do not answer"),
+        pytest.param(
+            DOMAIN_CONDEMNED[:2], Suspicion.NONE, id="two others of a suspected failure domain"
+        ),
+        pytest.param(
+            [*DOMAIN_CONDEMNED, Stall("i-1", 1, 300)],
+            Suspicion.CONDEMNED,
+            id="the server leaves a flow unanswered too",
+        ),
+        pytest.param(
+            [Stall("i-1", 1, 0), *DOMAIN_CONDEMNED],
+            Suspicion.CONDEMNED,
+            id="the server was the first one",
+        ),
+        pytest.param(
+            [*DOMAIN_CONDEMNED, Stall("i-1", 1, 300, retransmissions=2)],
+            Suspicion.CONDEMNED,
+            id="data of the server sent three times",
+        ),
+        pytest.param(
+            [*DOMAIN_CONDEMNED, Stall("i-1", 1, 300, retransmissions=1)],
+            Suspicion.NONE,
+            id="data of the server sent twice",
+        ),
+        pytest.param(
+            [*DOMAIN_CONDEMNED, Stall("i-1", 1, 300, is_confirmed=False)],
+            Suspicion.NONE,
+            id="an opening packet that no server answered",
+        ),
+        pytest.param(
+            [
+                Stall("i-1", 1, 0),
+                *(stall._replace(at_ms=stall.at_ms + 9_000) for stall in DOMAIN_CONDEMNED),
+            ],
+            Suspicion.NONE,
+            id="a lost packet long before",
+        ),
+        pytest.param(
+            [
+                Stall("i-1", 1, 0),
+                Answer("i-1", 10),
+                *(stall._replace(at_ms=stall.at_ms + 100) for stall in DOMAIN_CONDEMNED),
+            ],
+            Suspicion.NONE,
+            id="the server has answered since",
+        ),
+        pytest.param(ONE_AFTER_ANOTHER, Suspicion.CONDEMNED, id="the server alone"),
+    ],
+)
+def test_the_silence_of_other_servers_is_not_that_of_this_one(
+    steps: list[Stall | Answer], expected: Suspicion
+) -> None:
+    # Three of the four servers of a failure domain fell silent, and open flows of the fourth one,
+    # which was working on requests of 250 ms, were reset.
+    detector = detector_after(*steps)
+    assert detector.silence(server("i-1", failure_domain=FAR_DOMAIN)) is expected
+
+
+@pytest.mark.parametrize(
+    ("steps", "is_needed"),
+    [
+        pytest.param([], False, id="no stalls"),
+        pytest.param(DOMAIN_CONDEMNED, True, id="only other servers do not answer"),
+        pytest.param(DOMAIN_CONDEMNED[:2], True, id="two others of a suspected failure domain"),
+        pytest.param([*DOMAIN_CONDEMNED, Stall("i-1", 1, 300)], False, id="it does not either"),
+        pytest.param([*DOMAIN_CONDEMNED, Answer("i-1", 300)], False, id="it has answered"),
+        pytest.param(
+            [*DOMAIN_CONDEMNED, Stall("i-1", 1, 300, is_confirmed=False)], True, id="it is not sure"
+        ),
+    ],
+)
+def test_which_servers_of_a_suspected_failure_domain_need_a_probe(
+    steps: list[Stall | Answer], is_needed: bool
+) -> None:
+    # While no server's own silence is known, callers of a silent domain would wait for 600 ms.
+    detector = detector_after(*steps)
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    assert detector.needs_probe(of) is is_needed
+    detector.on_probe(of, 400)
+    assert not detector.needs_probe(of)
+
+
+def test_a_server_needs_a_probe_in_each_suspicion_of_its_failure_domain() -> None:
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    detector = detector_after(*DOMAIN_CONDEMNED)
+    detector.on_probe(of, 300)
+    detector.on_answer(of, 310)
+    for stall in DOMAIN_CONDEMNED:
+        stalled = server(stall.server_id, failure_domain=FAR_DOMAIN)
+        detector.on_opening_unanswered(
+            stalled, flow_id(stall.port), 1_000 + stall.at_ms, is_confirmed=True
+        )
+    assert detector.needs_probe(of)
+
+
 def test_a_suspected_server_gets_rare_probes_until_it_answers() -> None:
     suspected = server("i-1", failure_domain=FAR_DOMAIN)
     detector = detector_after(*ONE_AFTER_ANOTHER)
--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -30,6 +30,7 @@
     UNROUTED,
     acknowledgement_packet,
     as_forwarded,
+    fire_timers_until,
     flow_id,
     open_flow,
     open_flow_past_silent,
@@ -318,6 +319,66 @@
             decided = verdict(host, request_packet(flow, "i-2"), now_ms)
         assert decided is expected
 
+    @pytest.mark.parametrize(
+        ("sent_ms", "is_listed", "expected"),
+        [
+            pytest.param([0], True, Verdict.STEERED, id="the request is sent"),
+            pytest.param([0, 200], True, Verdict.STEERED, id="it takes longer than 200 ms"),
+            pytest.param([0], False, Verdict.STEERED, id="the store is out of reach"),
+            pytest.param([0, 200, 600], True, Verdict.RESET_SERVER_SILENT, id="no packet arrives"),
+        ],
+    )
+    def test_a_server_that_works_while_the_others_of_its_domain_are_silent_keeps_its_flows(
+        self, sent_ms: list[int], is_listed: bool, expected: Verdict
+    ) -> None:
+        # Flows of the one live server of a failure domain were reset after one retransmission.
+        far = [server(f"i-{n}", failure_domain=FAR_DOMAIN) for n in range(11, 15)]
+        host = steering([server("i-1"), server("i-2"), *far])
+        working, *silent = (each.server_id for each in far)
+        began_ms = 0
+        for port, silent_id in enumerate([*silent, *silent], start=100):
+            for copy_ms in (0, 200, 600):
+                host.on_packet(request_packet(flow_id(port), silent_id), began_ms + copy_ms)
+        now_ms = began_ms + 600
+        assert host.failure_detector.suspicion(far[0]) is Suspicion.CONDEMNED
+        if not is_listed:
+            host.directory.on_list_lost()
+        for copy_ms in sent_ms:
+            decided = verdict(host, request_packet(flow_id(1), working), now_ms + copy_ms)
+        assert decided is expected
+
+    def test_flows_of_a_silent_failure_domain_are_reset_after_one_retransmission(self) -> None:
+        # Once each server has left one flow unanswered, its other flows wait 200 ms only.
+        far = [server(f"i-{n}", failure_domain=FAR_DOMAIN) for n in range(11, 15)]
+        host = steering([server("i-1"), server("i-2"), *far])
+        for port, each in enumerate(far, start=100):
+            for copy_ms in (0, 200, 600):
+                host.on_packet(request_packet(flow_id(port), each.server_id), copy_ms)
+        for port, each in enumerate(far, start=200):
+            request = request_packet(flow_id(port), each.server_id)
+            assert verdict(host, request, 700) is Verdict.STEERED
+            assert verdict(host, request, 900) is Verdict.RESET_SERVER_SILENT
+
+    def test_each_awaited_server_of_a_silent_failure_domain_is_probed_at_once(self) -> None:
+        # Flows of a silent domain waited 600 ms once the silence of others was no longer enough.
+        far = [server(f"i-{n}", failure_domain=FAR_DOMAIN) for n in range(11, 16)]
+        host = steering([server("i-1"), server("i-2"), *far])
+        silent = {each.server_id for each in far}
+        for port, silent_id in enumerate(("i-11", "i-12", "i-11"), start=100):
+            for copy_ms in (0, 200, 600):
+                host.on_packet(request_packet(flow_id(port), silent_id), copy_ms)
+        now_ms = 600
+        for port, awaited in enumerate(("i-13", "i-14"), start=200):
+            host.on_packet(request_packet(flow_id(port), awaited), now_ms)
+        for port in (300, 301):
+            now_ms = open_flow_past_silent(host, flow_id(port), silent, now_ms)
+        fire_timers_until(host, now_ms)
+        for port, awaited in enumerate(("i-13", "i-14"), start=200):
+            request = request_packet(flow_id(port), awaited)
+            assert verdict(host, request, 800) is Verdict.RESET_SERVER_SILENT
+        # No caller waits for this server, so no caller's opening packet is spent on it.
+        assert host.failure_detector.needs_probe(server("i-15", failure_domain=FAR_DOMAIN))
+
     def test_openings_of_callers_that_went_to_another_host_end_no_flow(self) -> None:
         # After the routers change the set of hosts, the later packets of an opening go to another
         # host, so that this host sees no answer. Long test runs showed resets of flows of live
