Take servers for silent only when a packet sent later was answered

Cause: 1,360 routes were added, and a storm of configurations followed, which hosts with narrow links read. Packets waited on their links for longer than the 600 ms after which callers send data a third time. Change: no flow is reset for silence of a server before some server has answered a packet that was sent after the first one that this server left unanswered. On a congested link, where packets wait in order, the server's own answer comes first and clears it. Tests: two at a congested link in the steering, two in the detector fail without the change.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -243,10 +243,10 @@
             for k in self.directory.active_servers(self._selector.select_service(route))
             if k.may_be_offered(now_ms)
         ]
-        if is_first and (untested := [k for k in known if self._needs_probe(k.server)]):
-            return self._selector.select_server(_candidates(untested, now_ms))
-        eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         not_excluded = [k for k in known if k.server.server_id not in excluded]
+        if is_first and (awaited := [k for k in not_excluded if self._needs_probe(k.server)]):
+            return self._selector.select_server(_candidates(awaited, now_ms))
+        eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         preferred = [k for k in eligible if k.server.server_id not in excluded]
         # Prefer a server that may have refused this caller to one that answers no caller.
         fallback = eligible or not_excluded if is_first else not_excluded
@@ -343,6 +343,7 @@
             state.acknowledged = packet.acknowledged
             opened = FlowOpened(packet.flow, server, now_ms - state.created_ms)
             self._observations.append(opened)
+            self.failure_detector.on_packet_answered(state.created_ms)
             self._note_answer(state, server, now_ms)
             for server_id in state.offered_server_ids[:-1]:
                 if server_id != server.server_id:
@@ -350,6 +351,7 @@
         elif is_sequence_after(packet.acknowledged, state.acknowledged):
             state.acknowledged = packet.acknowledged
             if state.is_busy:
+                self.failure_detector.on_packet_answered(state.request_start_ms)
                 latency_ms = now_ms - state.request_start_ms
                 is_late = latency_ms > route.latency_goal_ms > 0
                 self._observations.append(RequestAnswered(server, latency_ms, is_late))
@@ -363,7 +365,11 @@
     ) -> None:
         known = self.directory.get(server_id)
         if known is not None and self.failure_detector.on_opening_unanswered(
-            known.server, state.flow, now_ms, is_confirmed=is_confirmed
+            known.server,
+            state.flow,
+            now_ms,
+            sent_ms=state.created_ms,
+            is_confirmed=is_confirmed,
         ):
             self._note_suspicion(state.flow, known.server)
 
@@ -379,7 +385,11 @@
                 state.last_data_ms = now_ms
                 state.retransmissions += 1
                 if self.failure_detector.on_retransmission(
-                    server, packet.flow, state.retransmissions, now_ms
+                    server,
+                    packet.flow,
+                    state.retransmissions,
+                    now_ms,
+                    sent_ms=state.request_start_ms,
                 ):
                     self._note_suspicion(packet.flow, server)
         elif packet.data_bytes or packet.closes:
--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -60,12 +60,15 @@
         "stalls",
         "suspected_ms",
         "suspicion",
+        "unanswered_since_ms",
     )
 
     def __init__(self, *, min_servers: int) -> None:
         self._min_servers = min_servers
         self.last_answer_ms: int | None = None
         self.stalls: dict[_Stall, int] = {}
+        # When the first packet was sent that is still unanswered, or later.
+        self.unanswered_since_ms = 0
         self.suspicion = Suspicion.NONE
         # When the present suspicion began.
         self.suspected_ms = 0
@@ -82,12 +85,14 @@
             self.suspicion = Suspicion.NONE
             self.failed_probes = 0
 
-    def on_stall(self, stall: _Stall, now_ms: int) -> bool:
-        """Record a stall; return whether the suspicion rises."""
+    def on_stall(self, stall: _Stall, sent_ms: int, now_ms: int) -> bool:
+        """Record a stall of a packet sent at ``sent_ms``; return whether the suspicion rises."""
         if self.last_answer_ms is not None and now_ms - self.last_answer_ms < RECENT_ANSWER_MS:
             return False
         if self.suspicion is Suspicion.NONE:
             self._discard_old_stalls(now_ms)
+        if not self.stalls:
+            self.unanswered_since_ms = sent_ms
         self.stalls[stall] = now_ms
         suspicion = self._compute_suspicion()
         if suspicion <= self.suspicion:
@@ -107,6 +112,8 @@
         old = [s for s, noted_ms in self.stalls.items() if now_ms - noted_ms > STALL_WINDOW_MS]
         for stall in old:
             del self.stalls[stall]
+        if old and self.stalls:
+            self.unanswered_since_ms = min(self.stalls.values())
 
     def _compute_suspicion(self) -> Suspicion:
         if len({stall.server_id for stall in self.stalls}) < self._min_servers:
@@ -129,6 +136,8 @@
 
     def __init__(self, *, random_source: RandomSource) -> None:
         self._random = random_source
+        # When the latest packet was sent that a server has answered.
+        self._answered_packet_ms: int | None = None
         self._servers: dict[str, _StallTracker] = {}
         self._domains: dict[str, _StallTracker] = {}
 
@@ -139,25 +148,48 @@
             tracker.on_answer(now_ms)
         return was_suspected
 
+    def on_packet_answered(self, sent_ms: int) -> None:
+        """Record that a server has answered a packet that was sent to it at ``sent_ms``."""
+        if self._answered_packet_ms is None or sent_ms > self._answered_packet_ms:
+            self._answered_packet_ms = sent_ms
+
     def on_opening_unanswered(
-        self, server: ListedServer, flow: FlowEndpoints, now_ms: int, *, is_confirmed: bool
+        self,
+        server: ListedServer,
+        flow: FlowEndpoints,
+        now_ms: int,
+        *,
+        sent_ms: int,
+        is_confirmed: bool,
     ) -> bool:
-        """Record an unanswered opening packet; return whether the suspicion rises.
+        """Record an opening packet, sent at ``sent_ms``, that a server did not answer.
+
+        Return whether the suspicion rises.
 
         The stall is confirmed when the caller accepted another server's answer. Otherwise the
         server may have refused the flow, or the caller's packets may now go to another host.
         """
-        return self._on_stall(server, _Stall(server.server_id, flow, is_confirmed), now_ms)
+        stall = _Stall(server.server_id, flow, is_confirmed)
+        return self._on_stall(server, stall, sent_ms=sent_ms, now_ms=now_ms)
 
     def on_retransmission(
-        self, server: ListedServer, flow: FlowEndpoints, retransmissions: int, now_ms: int
+        self,
+        server: ListedServer,
+        flow: FlowEndpoints,
+        retransmissions: int,
+        now_ms: int,
+        *,
+        sent_ms: int,
     ) -> bool:
         """Record a retransmission; return whether the suspicion rises.
 
-        ``retransmissions`` counts those of the flow since its last progress.
+        ``retransmissions`` counts those of the flow since its last progress, and ``sent_ms`` is the
+        time of the first transmission.
         """
+        if retransmissions < RETRANSMISSIONS_TO_STALL:
+            return False
         stall = _Stall(server.server_id, flow, is_confirmed=True)
-        return retransmissions >= RETRANSMISSIONS_TO_STALL and self._on_stall(server, stall, now_ms)
+        return self._on_stall(server, stall, sent_ms=sent_ms, now_ms=now_ms)
 
     def suspicion(self, server: ListedServer) -> Suspicion:
         """Return the higher suspicion of a server and of its failure domain.
@@ -171,12 +203,21 @@
 
         Stalls at other servers of the failure domain do not show that this one is silent: it may be
         working on a request. The domain's suspicion counts here only with a confirmed stall of the
-        server itself since shortly before the domain was suspected.
+        server itself since shortly before the domain was suspected. Nor do stalls show it
+        while no server has answered a packet that was sent later: this host's own link may be
+        congested, which delays packets and the callers' acknowledgements.
         """
         own, domain = self._trackers(server)
-        if own.has_confirmed_stall_since(domain.suspected_ms - STALL_WINDOW_MS):
-            return max(own.suspicion, domain.suspicion)
-        return own.suspicion
+        suspicion = own.suspicion
+        if domain.suspicion > suspicion and own.has_confirmed_stall_since(
+            domain.suspected_ms - STALL_WINDOW_MS
+        ):
+            suspicion = domain.suspicion
+        return (
+            suspicion
+            if self._was_packet_answered_since(own.unanswered_since_ms)
+            else Suspicion.NONE
+        )
 
     def is_suspected(self, server: ListedServer) -> bool:
         """Return whether a server or its failure domain is suspected."""
@@ -223,11 +264,15 @@
         for server_id in [name for name in self._servers if name not in server_ids]:
             del self._servers[server_id]
 
-    def _on_stall(self, server: ListedServer, stall: _Stall, now_ms: int) -> bool:
+    def _was_packet_answered_since(self, since_ms: int) -> bool:
+        answered_ms = self._answered_packet_ms
+        return answered_ms is not None and answered_ms >= since_ms
+
+    def _on_stall(self, server: ListedServer, stall: _Stall, *, sent_ms: int, now_ms: int) -> bool:
         rises = False
         for tracker in self._trackers(server):
             was_clear = tracker.suspicion is Suspicion.NONE
-            if tracker.on_stall(stall, now_ms):
+            if tracker.on_stall(stall, sent_ms, now_ms):
                 rises = True
                 if was_clear:
                     tracker.next_probe_ms = now_ms + self._probe_delay_ms(1)
--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -46,8 +46,8 @@
         """Record a read, begun at ``began_ms``, that brought the list to a revision.
 
         The list is as the store had it at ``answered_ms``, the earliest time at which the store may
-        have made its response. A read that began before or during a pause confirms nothing later
-        than a probe that found no newer revision.
+        have made its response. A read that began before or during a pause confirms the list only as
+        of a probe whose revision it reaches.
         """
         if self._began_since_pause(began_ms):
             self._confirm(answered_ms)
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -40,10 +40,16 @@
         if isinstance(step, Answer):
             detector.on_answer(of, step.at_ms)
         elif step.retransmissions:
-            detector.on_retransmission(of, flow_id(step.port), step.retransmissions, step.at_ms)
+            detector.on_retransmission(
+                of, flow_id(step.port), step.retransmissions, step.at_ms, sent_ms=step.at_ms - 600
+            )
         else:
             detector.on_opening_unanswered(
-                of, flow_id(step.port), step.at_ms, is_confirmed=step.is_confirmed
+                of,
+                flow_id(step.port),
+                step.at_ms,
+                sent_ms=step.at_ms,
+                is_confirmed=step.is_confirmed,
             )
     return detector
 
@@ -178,9 +184,33 @@
     # Three of the four servers of a failure domain fell silent, and open flows of the fourth one,
     # which was working on requests of 250 ms, were reset.
     detector = detector_after(*steps)
+    # A server of another failure domain answers.
+    detector.on_packet_answered(10_000)
     assert detector.silence(server("i-1", failure_domain=FAR_DOMAIN)) is expected
 
 
+@pytest.mark.parametrize(
+    ("answered_ms", "expected"),
+    [
+        pytest.param(None, Suspicion.NONE, id="no packet"),
+        pytest.param(399, Suspicion.NONE, id="a packet sent before"),
+        pytest.param(401, Suspicion.CONDEMNED, id="a packet sent later"),
+    ],
+)
+def test_silence_is_known_once_a_packet_that_was_sent_later_is_answered(
+    answered_ms: int | None, expected: Suspicion
+) -> None:
+    # A host whose own link was congested took this for the silence of servers.
+    detector = detector_after(
+        *(Stall("i-1", port, 1_000 + port, retransmissions=2) for port in range(3))
+    )
+    if answered_ms is not None:
+        detector.on_packet_answered(answered_ms)
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    assert detector.suspicion(of) is Suspicion.CONDEMNED
+    assert detector.silence(of) is expected
+
+
 @pytest.mark.parametrize(
     ("steps", "is_needed"),
     [
@@ -213,7 +243,11 @@
     for stall in DOMAIN_CONDEMNED:
         stalled = server(stall.server_id, failure_domain=FAR_DOMAIN)
         detector.on_opening_unanswered(
-            stalled, flow_id(stall.port), 1_000 + stall.at_ms, is_confirmed=True
+            stalled,
+            flow_id(stall.port),
+            1_000 + stall.at_ms,
+            sent_ms=1_000 + stall.at_ms,
+            is_confirmed=True,
         )
     assert detector.needs_probe(of)
 
--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -65,6 +65,12 @@
     raise AssertionError("the silent server is no longer offered flows")
 
 
+def let_answer(host: CookieSteering, server_id: str, *, port: int, sent_ms: int) -> None:
+    """Let a server answer a request at once."""
+    host.on_packet(request_packet(flow_id(port), server_id), sent_ms)
+    host.on_packet(acknowledgement_packet(flow_id(port), server_id, 500), sent_ms)
+
+
 def cookie_of(server_id: str, destination: RouteAddress = JOB_BOARD) -> int:
     return flow_cookie(server_id=server_id, destination=destination)
 
@@ -344,6 +350,7 @@
         if not is_listed:
             host.directory.on_list_lost()
         for copy_ms in sent_ms:
+            let_answer(host, "i-1", port=50 + copy_ms, sent_ms=now_ms + copy_ms)
             decided = verdict(host, request_packet(flow_id(1), working), now_ms + copy_ms)
         assert decided is expected
 
@@ -354,6 +361,7 @@
         for port, each in enumerate(far, start=100):
             for copy_ms in (0, 200, 600):
                 host.on_packet(request_packet(flow_id(port), each.server_id), copy_ms)
+        let_answer(host, "i-1", port=50, sent_ms=100)
         for port, each in enumerate(far, start=200):
             request = request_packet(flow_id(port), each.server_id)
             assert verdict(host, request, 700) is Verdict.STEERED
@@ -379,6 +387,29 @@
         # No caller waits for this server, so no caller's opening packet is spent on it.
         assert host.failure_detector.needs_probe(server("i-15", failure_domain=FAR_DOMAIN))
 
+    @pytest.mark.parametrize(
+        ("answered_ms", "expected"),
+        [
+            pytest.param(None, Verdict.STEERED, id="no server answers"),
+            pytest.param(-1, Verdict.STEERED, id="a server answers an earlier packet"),
+            pytest.param(1, Verdict.RESET_SERVER_SILENT, id="a server answers a later packet"),
+        ],
+    )
+    def test_a_host_whose_own_link_is_congested_resets_no_flow(
+        self, answered_ms: int | None, expected: Verdict
+    ) -> None:
+        # While a host with a narrow link read large routes, packets waited on its link for longer
+        # than callers wait before they send data again, and it reset flows of live servers.
+        host = job_host()
+        if answered_ms is not None:
+            host.on_packet(request_packet(flow_id(1), "i-1"), answered_ms)
+        for copy_ms in (0, 200, 600):
+            if answered_ms is not None and copy_ms == 600:
+                host.on_packet(acknowledgement_packet(flow_id(1), "i-1", 500), 599)
+            for port in (100, 101, 102):
+                decided = verdict(host, request_packet(flow_id(port), "i-2"), copy_ms)
+        assert decided is expected
+
     def test_openings_of_callers_that_went_to_another_host_end_no_flow(self) -> None:
         # After the routers change the set of hosts, the later packets of an opening go to another
         # host, so that this host sees no answer. Long test runs showed resets of flows of live
