Leave out packets that the host's own link may have dropped

Cause: the link of a host that reads large routes also drops packets. From 21.9 to 22.4 s no opening packet of edge-hobart-8 to servers of three failure domains was answered; from 22.5 s on its link carried packets again. The third transmission of a request came 0.6 s after two that were dropped, and an answer to a packet sent since then seemed to prove the server's silence. Change: stalls in two or more failure domains without an answer in between put the link in doubt, until a packet that was sent after them is answered. What was sent before that counts neither as a stall nor as a transmission when a flow is to be reset. Tests: packets dropped on the way to two failure domains; the first transmission after it reset the flow before. In the detector, five cases of a link in doubt.

--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -47,6 +47,8 @@
 SILENT_FROM_MS = 5_000
 END_MS = 12_000
 DATA_BYTES = 100
+# Servers of other failure domains, the number of these domains, and how many servers fall silent.
+CASES = ((4, 1, 4), (8, 1, 8), (20, 1, 20), (4, 1, 3), (8, 2, 8), (20, 2, 20))
 
 
 class _Result(NamedTuple):
@@ -76,7 +78,7 @@
 class _Model:
     """One host, its callers and the servers, on a virtual clock."""
 
-    def __init__(self, *, far_servers: int, silent: int, seed: int) -> None:
+    def __init__(self, *, far_servers: int, far_domains: int, silent: int, seed: int) -> None:
         self._random = random.Random(seed)
         self._now_ms = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -94,7 +96,8 @@
         )
         self._host.apply_routes(RouteTable(1, {DESTINATION: route}, 15_000))
         self._host.directory.on_list_read(-10_000)
-        domains = [NEAR_DOMAIN] * NEAR_SERVERS + [FAR_DOMAIN] * far_servers
+        far = [f"{FAR_DOMAIN}-{number % far_domains}" for number in range(far_servers)]
+        domains = [NEAR_DOMAIN] * NEAR_SERVERS + far
         for number, domain in enumerate(domains):
             self._host.directory.put(_server(number, domain), 0)
         self._silent = {f"i-{NEAR_SERVERS + number}" for number in range(silent)}
@@ -178,7 +181,7 @@
         server = action.server
         if server.server_id in self._silent and self._now_ms >= SILENT_FROM_MS:
             return
-        delay_ms = 2 * (DOMAIN_DELAY_MS if server.failure_domain == FAR_DOMAIN else 1)
+        delay_ms = 2 * (1 if server.failure_domain == NEAR_DOMAIN else DOMAIN_DELAY_MS)
         attempt = caller.attempt
         if action.packet.opens:
             self._after(delay_ms, lambda: self._opened(caller, attempt, action))
@@ -243,14 +246,18 @@
     )
 
 
-def _row(far_servers: int, silent: int) -> tuple[str, ...]:
+def _row(far_servers: int, far_domains: int, silent: int) -> tuple[str, ...]:
     results = [
-        _Model(far_servers=far_servers, silent=silent, seed=SEED + run).run() for run in range(RUNS)
+        _Model(
+            far_servers=far_servers, far_domains=far_domains, silent=silent, seed=SEED + run
+        ).run()
+        for run in range(RUNS)
     ]
     waits_ms = sorted(wait_ms for result in results for wait_ms in result.waits_ms)
     mean_ms = sum(waits_ms) / len(waits_ms)
     return (
         f"{silent} of {far_servers}",
+        str(far_domains),
         str(len(waits_ms)),
         f"{mean_ms:.0f}",
         str(waits_ms[len(waits_ms) // 2]),
@@ -265,11 +272,12 @@
     return [
         Table(
             key="silence",
-            title="Servers of a failure domain that fall silent",
+            title="Servers of other failure domains that fall silent",
             command="python -m benchmarks.run_all silence",
             seed=SEED,
             columns=(
-                "silent servers of the domain",
+                "silent servers of other domains",
+                "these domains",
                 "flows reset",
                 "mean wait, ms",
                 "median",
@@ -277,7 +285,7 @@
                 "attempts without an answer",
                 "flows of live servers reset",
             ),
-            rows=tuple(_row(far, silent) for far, silent in ((4, 4), (8, 8), (20, 20), (4, 3))),
+            rows=tuple(_row(*case) for case in CASES),
             conclusion=f"{RUNS} runs each; the wait is from the request until its flow is reset.",
         )
     ]
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -343,7 +343,7 @@
             state.acknowledged = packet.acknowledged
             opened = FlowOpened(packet.flow, server, now_ms - state.created_ms)
             self._observations.append(opened)
-            self.failure_detector.on_packet_answered(state.created_ms)
+            self.failure_detector.on_packet_answered(state.created_ms, latest_copy_ms=now_ms)
             self._note_answer(state, server, now_ms)
             for server_id in state.offered_server_ids[:-1]:
                 if server_id != server.server_id:
@@ -351,7 +351,9 @@
         elif is_sequence_after(packet.acknowledged, state.acknowledged):
             state.acknowledged = packet.acknowledged
             if state.is_busy:
-                self.failure_detector.on_packet_answered(state.request_start_ms)
+                self.failure_detector.on_packet_answered(
+                    state.request_start_ms, latest_copy_ms=state.last_data_ms
+                )
                 latency_ms = now_ms - state.request_start_ms
                 is_late = latency_ms > route.latency_goal_ms > 0
                 self._observations.append(RequestAnswered(server, latency_ms, is_late))
@@ -382,8 +384,9 @@
     ) -> None:
         if is_old_data(state, packet):
             if now_ms - state.last_data_ms >= MIN_RETRANSMISSION_MS:
+                is_counted = self.failure_detector.was_link_trusted(state.last_data_ms)
+                state.retransmissions = state.retransmissions + 1 if is_counted else 0
                 state.last_data_ms = now_ms
-                state.retransmissions += 1
                 if self.failure_detector.on_retransmission(
                     server,
                     packet.flow,
--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Collection, Container
 from typing import NamedTuple
 
 from redwingswitch._internal.decisions.retry import backoff_ms
@@ -19,6 +19,9 @@
 STALLED_FLOWS_TO_CONDEMN = 3
 # A failure domain is suspected only when flows stall at this many of its servers.
 MIN_STALLED_SERVERS_PER_DOMAIN = 2
+# Stalls in this many failure domains, without an answer in between, may come from this host's own
+# link: a congested one delays or drops packets of all flows.
+MIN_STALLED_DOMAINS_OF_OWN_LINK = 2
 # The third transmission of the same data counts as a stall: the first two were not acknowledged for
 # 600 ms. Requests that take longer than 200 ms are sent twice to healthy servers too.
 RETRANSMISSIONS_TO_STALL = 2
@@ -32,6 +35,8 @@
 # another server.
 FIRST_PROBE_DELAY_MS = 500
 MAX_PROBE_DELAY_MS = 4_000
+# Before any time on the clock of a host.
+NEVER_MS = -(1 << 62)
 
 
 class _Stall(NamedTuple):
@@ -45,6 +50,13 @@
     is_confirmed: bool
 
 
+class _StallTimes(NamedTuple):
+    """When a packet was sent, and when it counted as unanswered."""
+
+    sent_ms: int
+    noted_ms: int
+
+
 class _StallTracker:
     """Stalls of a server, or of all servers of a failure domain, since its last answer.
 
@@ -66,7 +78,7 @@
     def __init__(self, *, min_servers: int) -> None:
         self._min_servers = min_servers
         self.last_answer_ms: int | None = None
-        self.stalls: dict[_Stall, int] = {}
+        self.stalls: dict[_Stall, _StallTimes] = {}
         # When the first packet was sent that is still unanswered, or later.
         self.unanswered_since_ms = 0
         self.suspicion = Suspicion.NONE
@@ -93,8 +105,8 @@
             self._discard_old_stalls(now_ms)
         if not self.stalls:
             self.unanswered_since_ms = sent_ms
-        self.stalls[stall] = now_ms
-        suspicion = self._compute_suspicion()
+        self.stalls[stall] = _StallTimes(sent_ms, now_ms)
+        suspicion = self._compute_suspicion(self.stalls)
         if suspicion <= self.suspicion:
             return False
         if self.suspicion is Suspicion.NONE:
@@ -105,23 +117,29 @@
     def has_confirmed_stall_since(self, since_ms: int) -> bool:
         """Return whether a stall since ``since_ms``, and since the last answer, is confirmed."""
         return any(
-            stall.is_confirmed and noted_ms >= since_ms for stall, noted_ms in self.stalls.items()
+            stall.is_confirmed and times.noted_ms >= since_ms
+            for stall, times in self.stalls.items()
         )
 
+    def suspicion_by_packets_since(self, since_ms: int) -> Suspicion:
+        """Return the suspicion that packets sent at ``since_ms`` or later justify."""
+        stalls = [stall for stall, times in self.stalls.items() if times.sent_ms >= since_ms]
+        return min(self.suspicion, self._compute_suspicion(stalls))
+
     def _discard_old_stalls(self, now_ms: int) -> None:
-        old = [s for s, noted_ms in self.stalls.items() if now_ms - noted_ms > STALL_WINDOW_MS]
+        old = [s for s, t in self.stalls.items() if now_ms - t.noted_ms > STALL_WINDOW_MS]
         for stall in old:
             del self.stalls[stall]
         if old and self.stalls:
-            self.unanswered_since_ms = min(self.stalls.values())
+            self.unanswered_since_ms = min(times.sent_ms for times in self.stalls.values())
 
-    def _compute_suspicion(self) -> Suspicion:
-        if len({stall.server_id for stall in self.stalls}) < self._min_servers:
+    def _compute_suspicion(self, stalls: Collection[_Stall]) -> Suspicion:
+        if len({stall.server_id for stall in stalls}) < self._min_servers:
             return Suspicion.NONE
-        confirmed = {stall.flow for stall in self.stalls if stall.is_confirmed}
+        confirmed = {stall.flow for stall in stalls if stall.is_confirmed}
         if len(confirmed) >= STALLED_FLOWS_TO_CONDEMN:
             return Suspicion.CONDEMNED
-        flows = {stall.flow for stall in self.stalls}
+        flows = {stall.flow for stall in stalls}
         return Suspicion.SUSPECTED if len(flows) >= STALLED_FLOWS_TO_SUSPECT else Suspicion.NONE
 
 
@@ -137,7 +155,12 @@
     def __init__(self, *, random_source: RandomSource) -> None:
         self._random = random_source
         # When the latest packet was sent that a server has answered.
-        self._answered_packet_ms: int | None = None
+        self._answered_packet_ms = NEVER_MS
+        # When the latest packet was sent that stalled while the link was in doubt; None without
+        # doubt.
+        self._doubted_packet_ms: int | None = None
+        # Packets sent before may have been lost on this host's own link.
+        self._trusted_since_ms = NEVER_MS
         self._servers: dict[str, _StallTracker] = {}
         self._domains: dict[str, _StallTracker] = {}
 
@@ -148,10 +171,20 @@
             tracker.on_answer(now_ms)
         return was_suspected
 
-    def on_packet_answered(self, sent_ms: int) -> None:
-        """Record that a server has answered a packet that was sent to it at ``sent_ms``."""
-        if self._answered_packet_ms is None or sent_ms > self._answered_packet_ms:
-            self._answered_packet_ms = sent_ms
+    def on_packet_answered(self, sent_ms: int, *, latest_copy_ms: int) -> None:
+        """Record that a server has answered a packet.
+
+        It was sent to the server at ``sent_ms`` for the first time, and no later than at
+        ``latest_copy_ms`` for the last time.
+        """
+        self._answered_packet_ms = max(self._answered_packet_ms, sent_ms)
+        if self._doubted_packet_ms is not None and sent_ms > self._doubted_packet_ms:
+            self._doubted_packet_ms = None
+            self._trusted_since_ms = latest_copy_ms
+
+    def was_link_trusted(self, sent_ms: int) -> bool:
+        """Return whether a packet sent at ``sent_ms`` was hardly lost on this host's own link."""
+        return sent_ms >= self._trusted_since_ms
 
     def on_opening_unanswered(
         self,
@@ -189,7 +222,9 @@
         if retransmissions < RETRANSMISSIONS_TO_STALL:
             return False
         stall = _Stall(server.server_id, flow, is_confirmed=True)
-        return self._on_stall(server, stall, sent_ms=sent_ms, now_ms=now_ms)
+        # Transmissions before this host's link was trusted again are not counted.
+        counted_from_ms = max(sent_ms, self._trusted_since_ms)
+        return self._on_stall(server, stall, sent_ms=counted_from_ms, now_ms=now_ms)
 
     def suspicion(self, server: ListedServer) -> Suspicion:
         """Return the higher suspicion of a server and of its failure domain.
@@ -208,16 +243,19 @@
         congested, which delays packets and the callers' acknowledgements.
         """
         own, domain = self._trackers(server)
-        suspicion = own.suspicion
-        if domain.suspicion > suspicion and own.has_confirmed_stall_since(
+        if (
+            max(own.suspicion, domain.suspicion) is Suspicion.NONE
+            or self._doubted_packet_ms is not None
+        ):
+            return Suspicion.NONE
+        suspicion = own.suspicion_by_packets_since(self._trusted_since_ms)
+        domain_suspicion = domain.suspicion_by_packets_since(self._trusted_since_ms)
+        if domain_suspicion > suspicion and own.has_confirmed_stall_since(
             domain.suspected_ms - STALL_WINDOW_MS
         ):
-            suspicion = domain.suspicion
-        return (
-            suspicion
-            if self._was_packet_answered_since(own.unanswered_since_ms)
-            else Suspicion.NONE
-        )
+            suspicion = domain_suspicion
+        is_answered_since = self._answered_packet_ms >= own.unanswered_since_ms
+        return suspicion if is_answered_since else Suspicion.NONE
 
     def is_suspected(self, server: ListedServer) -> bool:
         """Return whether a server or its failure domain is suspected."""
@@ -264,9 +302,15 @@
         for server_id in [name for name in self._servers if name not in server_ids]:
             del self._servers[server_id]
 
-    def _was_packet_answered_since(self, since_ms: int) -> bool:
-        answered_ms = self._answered_packet_ms
-        return answered_ms is not None and answered_ms >= since_ms
+    def _doubt_link_if_domains_stall(self, sent_ms: int) -> None:
+        """Doubt the link while servers of several domains stall and no later packet is answered."""
+        stalled = [
+            tracker
+            for tracker in self._domains.values()
+            if tracker.stalls and tracker.unanswered_since_ms > self._answered_packet_ms
+        ]
+        if len(stalled) >= MIN_STALLED_DOMAINS_OF_OWN_LINK:
+            self._doubted_packet_ms = max(self._doubted_packet_ms or NEVER_MS, sent_ms)
 
     def _on_stall(self, server: ListedServer, stall: _Stall, *, sent_ms: int, now_ms: int) -> bool:
         rises = False
@@ -276,6 +320,7 @@
                 rises = True
                 if was_clear:
                     tracker.next_probe_ms = now_ms + self._probe_delay_ms(1)
+        self._doubt_link_if_domains_stall(sent_ms)
         return rises
 
     def _trackers(self, server: ListedServer) -> tuple[_StallTracker, _StallTracker]:
--- a/src/redwingswitch/_internal/decisions/cookies/flow_table.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_table.py
@@ -44,7 +44,7 @@
         self.is_closed = False
         self.acknowledged = 0
         self.next_sequence = 0
-        # Retransmitted packets since the last progress.
+        # Retransmitted packets since the last progress, or since this host's link is trusted again.
         self.retransmissions = 0
         self.created_ms = now_ms
         self.request_start_ms = now_ms
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -123,6 +123,50 @@
     assert detector.suspicion(server("i-1", failure_domain=FAR_DOMAIN)) is expected
 
 
+@pytest.mark.parametrize(
+    ("other_domain", "answered_ms", "expected"),
+    [
+        pytest.param(FAR_DOMAIN, 1_500, Suspicion.CONDEMNED, id="one domain, answered since"),
+        pytest.param("derwent", None, Suspicion.NONE, id="two domains, no answer"),
+        pytest.param("derwent", 1_100, Suspicion.NONE, id="two domains, an earlier answer"),
+        pytest.param("derwent", 1_500, Suspicion.NONE, id="two domains, before an answer"),
+    ],
+)
+def test_stalls_while_the_own_link_is_in_doubt_are_no_silence(
+    other_domain: str, answered_ms: int | None, expected: Suspicion
+) -> None:
+    # The link of a host dropped packets to the servers of all failure domains.
+    detector = detector_after(*(Stall("i-1", port, 1_000 + port) for port in range(3)))
+    detector.on_opening_unanswered(
+        server("i-2", failure_domain=other_domain),
+        flow_id(9),
+        1_200,
+        sent_ms=1_200,
+        is_confirmed=True,
+    )
+    if answered_ms is not None:
+        detector.on_packet_answered(answered_ms, latest_copy_ms=answered_ms)
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    assert detector.suspicion(of) is Suspicion.CONDEMNED
+    assert detector.silence(of) is expected
+
+
+def test_stalls_after_the_own_link_was_in_doubt_count_again() -> None:
+    detector = detector_after(Stall("i-1", 1, 1_000), Stall("i-1", 2, 1_010))
+    detector.on_opening_unanswered(
+        server("i-2", failure_domain="derwent"), flow_id(9), 1_200, sent_ms=1_200, is_confirmed=True
+    )
+    assert detector.was_link_trusted(1_000)
+    detector.on_packet_answered(1_300, latest_copy_ms=1_500)
+    assert not detector.was_link_trusted(1_499)
+    assert detector.was_link_trusted(1_500)
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    for port, expected in ((3, Suspicion.NONE), (4, Suspicion.SUSPECTED), (5, Suspicion.CONDEMNED)):
+        detector.on_retransmission(of, flow_id(port), 2, 2_200 + port, sent_ms=1_600)
+        detector.on_packet_answered(1_700, latest_copy_ms=1_700)
+        assert detector.silence(of) is expected
+
+
 DOMAIN_CONDEMNED = [Stall("i-2", 11, 0), Stall("i-3", 12, 100), Stall("i-3", 13, 200)]
 
 
@@ -185,7 +229,7 @@
     # which was working on requests of 250 ms, were reset.
     detector = detector_after(*steps)
     # A server of another failure domain answers.
-    detector.on_packet_answered(10_000)
+    detector.on_packet_answered(10_000, latest_copy_ms=10_000)
     assert detector.silence(server("i-1", failure_domain=FAR_DOMAIN)) is expected
 
 
@@ -205,7 +249,7 @@
         *(Stall("i-1", port, 1_000 + port, retransmissions=2) for port in range(3))
     )
     if answered_ms is not None:
-        detector.on_packet_answered(answered_ms)
+        detector.on_packet_answered(answered_ms, latest_copy_ms=answered_ms)
     of = server("i-1", failure_domain=FAR_DOMAIN)
     assert detector.suspicion(of) is Suspicion.CONDEMNED
     assert detector.silence(of) is expected
--- a/tests/unit/cookies/test_steering.py
+++ b/tests/unit/cookies/test_steering.py
@@ -410,6 +410,32 @@
                 decided = verdict(host, request_packet(flow_id(port), "i-2"), copy_ms)
         assert decided is expected
 
+    def test_packets_that_the_own_link_may_have_dropped_are_no_evidence(self) -> None:
+        # A host's link dropped packets while it read large routes. Once it carried packets again,
+        # the third transmission of a request reset its flow, though the server had got none before.
+        silent = [
+            server(f"i-{number}", failure_domain=domain)
+            for number, domain in enumerate(("hobart", "derwent") * 2, start=11)
+        ]
+        host = steering([server("i-1"), *silent])
+        for copy_ms in (0, 200):
+            for port, each in enumerate(silent, start=100):
+                host.on_packet(request_packet(flow_id(port), each.server_id), copy_ms)
+        for port in range(300, 304):
+            host.on_packet(opening_packet(flow_id(port)), 210)
+        fire_timers_until(host, 400)
+        assert all(host.failure_detector.is_suspected(each) for each in silent)
+        let_answer(host, "i-1", port=50, sent_ms=450)
+        verdicts = {}
+        for copy_ms in (600, 1_400, 3_000):
+            let_answer(host, "i-1", port=50 + copy_ms, sent_ms=copy_ms - 1)
+            for port, each in enumerate(silent, start=100):
+                request = request_packet(flow_id(port), each.server_id)
+                verdicts[copy_ms, each.server_id] = verdict(host, request, copy_ms)
+        reset = {key for key, each in verdicts.items() if each is Verdict.RESET_SERVER_SILENT}
+        # A failure domain is suspected again by the second one of its servers.
+        assert reset == {(3_000, "i-13"), (3_000, "i-14")}
+
     def test_openings_of_callers_that_went_to_another_host_end_no_flow(self) -> None:
         # After the routers change the set of hosts, the later packets of an opening go to another
         # host, so that this host sees no answer. Long test runs showed resets of flows of live
