--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -101,6 +101,8 @@
         for number, domain in enumerate(domains):
             self._host.directory.put(_server(number, domain), 0)
         self._silent = {f"i-{NEAR_SERVERS + number}" for number in range(silent)}
+        # The callers whose opening packets the host has passed on, by their ports.
+        self._waiting: dict[int, _Caller] = {}
         self.result = _Result([], 0, 0)
 
     def run(self) -> _Result:
@@ -175,9 +177,11 @@
     def _perform(self, action: SteeringAction, caller: _Caller | None) -> None:
         if not isinstance(action, ForwardPacket):
             return
-        caller = caller or self._waiting[action.packet.flow.caller_port]
+        port = action.packet.flow.caller_port
+        # The host repeats only opening packets by itself.
+        caller = caller or self._waiting[port]
         if action.packet.opens:
-            self._waiting[action.packet.flow.caller_port] = caller
+            self._waiting[port] = caller
         server = action.server
         if server.server_id in self._silent and self._now_ms >= SILENT_FROM_MS:
             return
@@ -190,10 +194,6 @@
             work_ms = TAIL_WORK_MS if is_tail else max(1, self._random.gauss(MEAN_WORK_MS, 10))
             self._after(delay_ms + work_ms, lambda: self._answered(caller, attempt))
 
-    @property
-    def _waiting(self) -> dict[int, _Caller]:
-        return self.__dict__.setdefault("_waiting_callers", {})
-
     def _opened(self, caller: _Caller, attempt: int, action: ForwardPacket) -> None:
         if caller.attempt != attempt:
             return
