--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -150,14 +150,16 @@
     after a few stalls and condemned, that is, taken to be unresponsive, after more stalls that are
     all confirmed. A single answer clears the server and its failure domain. Only the path from
     this host is observed, so a network partition is detected in the same way as a failed server.
+
+    This host's own link is in doubt from the time when servers of several failure domains stall,
+    until a server answers a packet that was sent after those that stalled.
     """
 
     def __init__(self, *, random_source: RandomSource) -> None:
         self._random = random_source
         # When the latest packet was sent that a server has answered.
         self._answered_packet_ms = NEVER_MS
-        # When the latest packet was sent that stalled while the link was in doubt; None without
-        # doubt.
+        # When the latest of the packets was sent that put the link in doubt; None without doubt.
         self._doubted_packet_ms: int | None = None
         # Packets sent before may have been lost on this host's own link.
         self._trusted_since_ms = NEVER_MS
@@ -183,7 +185,7 @@
             self._trusted_since_ms = latest_copy_ms
 
     def was_link_trusted(self, sent_ms: int) -> bool:
-        """Return whether a packet sent at ``sent_ms`` was hardly lost on this host's own link."""
+        """Return whether a packet sent at ``sent_ms`` cannot count as lost on this host's link."""
         return sent_ms >= self._trusted_since_ms
 
     def on_opening_unanswered(
@@ -238,9 +240,11 @@
 
         Stalls at other servers of the failure domain do not show that this one is silent: it may be
         working on a request. The domain's suspicion counts here only with a confirmed stall of the
-        server itself since shortly before the domain was suspected. Nor do stalls show it
-        while no server has answered a packet that was sent later: this host's own link may be
-        congested, which delays packets and the callers' acknowledgements.
+        server itself since shortly before the domain was suspected.
+
+        Stalls may also come from this host's own link, which delays or drops packets while it is
+        congested. They count only once a server has answered a packet that was sent later, not
+        while the link is in doubt, and without the packets that were sent before that doubt ended.
         """
         own, domain = self._trackers(server)
         if (
