Count and name damaged lines in the report by seconds

The report counted all lines that it could not parse in one number, took cut lines for whole events, and ended with a traceback on a number of thousands of digits. Lines that are no events, cut or joined lines, unknown events, missing fields and files that are not text are now each counted and named on standard error with the place of the first one, and so are events that hosts left out for their rate limit.

--- a/src/redwingswitch/_internal/commands/report_seconds.py
+++ b/src/redwingswitch/_internal/commands/report_seconds.py
@@ -3,50 +3,42 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from pathlib import Path
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.exceptions import Finding, InvalidInputGroup
-from redwingswitch._internal.report.log_lines import LogLine, parse_log_line
+from redwingswitch._internal.report.known_events import check_lines
+from redwingswitch._internal.report.line_problems import LineProblems
+from redwingswitch._internal.report.log_files import read_log_files
 from redwingswitch._internal.report.seconds import build_report
 from redwingswitch._internal.report.seconds_table import render_seconds_json, render_seconds_text
 
+_COMMAND_LINE = "(command line)"
+_SUBJECT = "the command line"
+
 
 def run(*, files: Sequence[str], failure_domain: str, as_json: bool) -> int:
     """Print one row for each second and failure domain of the hosts whose logs are in ``files``."""
-    paths = _check_files(files)
-    rows = build_report(_read_lines(paths)).rows(failure_domain=failure_domain)
+    paths = [Path(file) for file in files]
+    findings = _check_files(paths)
+    if findings:
+        raise InvalidInputGroup.from_findings(subject=_SUBJECT, findings=findings)
+    problems = LineProblems()
+    lines = check_lines(read_log_files(paths, problems), problems)
+    rows = build_report(lines).rows(failure_domain=failure_domain)
+    for message in problems.messages():
+        print(message, file=sys.stderr)
     print(render_seconds_json(rows) if as_json else render_seconds_text(rows))
     return status_codes.SUCCESS
 
 
-def _check_files(files: Sequence[str]) -> list[Path]:
-    """Return the paths; raise InvalidInputGroup with all files that cannot be read."""
-    paths = [Path(file) for file in files]
-    findings = [
-        Finding("(command line)", None, str(path), "is no file", "name the hosts' log files")
+def _check_files(paths: Sequence[Path]) -> list[Finding]:
+    """Return a finding for each file that cannot be read."""
+    if not paths:
+        return [Finding(_COMMAND_LINE, None, "FILES", "no file is given", "name the hosts' logs")]
+    return [
+        Finding(_COMMAND_LINE, None, str(path), "is no file", "name the hosts' log files")
         for path in paths
         if not path.is_file()
     ]
-    if not paths:
-        findings = [
-            Finding("(command line)", None, "FILES", "no file is given", "name the hosts' logs")
-        ]
-    if findings:
-        raise InvalidInputGroup.from_findings(subject="the command line", findings=findings)
-    return paths
-
-
-def _read_lines(paths: Sequence[Path]) -> Iterator[LogLine]:
-    others = 0
-    for path in paths:
-        with path.open(errors="replace") as lines:
-            for line in lines:
-                parsed = parse_log_line(line, file=path.stem)
-                if parsed is None:
-                    others += 1
-                else:
-                    yield parsed
-    if others:
-        print(f"{others} lines are no events and were left out", file=sys.stderr)
