Show waits, rejections, avoided servers and slow start by second

The report by seconds lacked the decisions of admission, load sharing, slow start and out-of-service failure domains. New counts are waiting, admitted_after_wait, rejected_shortage, dropped_abandoned, other_domain, held_slow_start, slow_start and avoided_silent, avoided_overdue and avoided_slow. Rejections are split by reason and priority. The lines have no reason of their own, so wait_ms tells whether a flow was rejected at once or after a wait; lines that a host left out have neither. An avoided server counts once a second and failure domain, however many hosts avoid it. JSON has all columns and the names of the avoided servers; the table leaves out columns that are empty in all rows.

--- a/tests/unit/report/test_seconds.py
+++ b/tests/unit/report/test_seconds.py
@@ -6,27 +6,16 @@
 
 from redwingswitch._internal.cli.report import main
 from redwingswitch._internal.report.log_lines import parse_log_line
-from redwingswitch._internal.report.seconds import UNKNOWN_DOMAIN, SecondRow, build_report
-from redwingswitch._internal.report.seconds_table import COUNT_COLUMNS, render_seconds_text
+from redwingswitch._internal.report.seconds import UNKNOWN_DOMAIN, Rejection, RejectionReason
+from redwingswitch._internal.report.seconds_table import (
+    COUNT_COLUMNS,
+    rejection_heading,
+    render_seconds_json,
+    render_seconds_text,
+    sort_rejections,
+)
 from redwingswitch._internal.utils.event_log import format_event
-
-TIME = "2026-02-16T09:56:2{}.{:06d}"
-FLOW = "100.68.0.10:1078>198.18.0.1:8443"
-
-
-def line(second: int, text: str, *, part: str = "packets", prefix: str = "") -> str:
-    return f"{prefix}{TIME.format(second, 5)} INFO    {part}: {text}\n"
-
-
-def started(second: int, *, domain: str = "huon", prefix: str = "") -> str:
-    text = f"started host=entry-1 failure_domain={domain}"
-    return line(second, text, part="steering", prefix=prefix)
-
-
-def rows(*texts: str, file: str = "entry-1", failure_domain: str = "") -> list[SecondRow]:
-    parsed = [parse_log_line(text, file=file) for text in texts]
-    report = build_report(each for each in parsed if each is not None)
-    return report.rows(failure_domain=failure_domain)
+from tests.lib.steering_logs import FLOW, line, rows, started
 
 
 @pytest.mark.parametrize(
@@ -97,6 +86,23 @@
         pytest.param("suspicion level=none", "packets", "suspected", 0, id="suspicion cleared"),
         pytest.param("server changed presence=lapsed", "fleet", "lapsed", 1, id="lapsed server"),
         pytest.param("server changed presence=gone", "fleet", "ended", 1, id="ended server"),
+        pytest.param("waiting priority=2", "packets", "waiting", 1, id="waiting"),
+        pytest.param("waiting omitted=3", "packets", "waiting", 4, id="left out waits count"),
+        pytest.param(
+            "admitted_after_wait failure_domain=huon wait_ms=8",
+            "packets",
+            "admitted_after_wait",
+            1,
+            id="admitted after a wait",
+        ),
+        pytest.param("rejected_shortage", "packets", "rejected_shortage", 1, id="rejected"),
+        pytest.param("dropped_abandoned", "packets", "dropped_abandoned", 1, id="abandoned"),
+        pytest.param("slow start sent=1", "packets", "slow_start", 1, id="slow start"),
+        pytest.param("server avoided fault=silent", "load", "avoided_silent", 1, id="silent"),
+        pytest.param("server avoided fault=overdue", "load", "avoided_overdue", 1, id="overdue"),
+        pytest.param("server avoided fault=slow", "load", "avoided_slow", 1, id="slow"),
+        pytest.param("server avoided fault=new", "load", "avoided_slow", 0, id="unknown fault"),
+        pytest.param("server used again", "load", "avoided_slow", 0, id="used again"),
     ],
 )
 def test_each_event_counts_in_its_column(text: str, part: str, column: str, count: int) -> None:
@@ -106,6 +112,173 @@
     assert {name: n for name, n in row.counts.items() if n} == ({column: count} if count else {})
 
 
+def test_a_flow_held_for_slow_start_counts_as_held_too() -> None:
+    (row,) = rows(line(1, "held_slow_start omitted=1"))
+    assert (row.counts["held"], row.counts["held_slow_start"]) == (2, 2)
+
+
+@pytest.mark.parametrize(
+    ("text", "count"),
+    [
+        pytest.param("opened failure_domain=hobart", 1, id="opened elsewhere"),
+        pytest.param("admitted_after_wait failure_domain=hobart", 1, id="admitted elsewhere"),
+        pytest.param("opened failure_domain=huon", 0, id="own domain"),
+        pytest.param("opened", 0, id="older version without the domain"),
+        # The omitted flows may have gone anywhere.
+        pytest.param("opened failure_domain=hobart omitted=9", 1, id="left out lines"),
+        # These are further offers of flows that were counted before.
+        pytest.param("offered_elsewhere failure_domain=hobart", 0, id="second offer"),
+        pytest.param("opened_again failure_domain=hobart", 0, id="retransmission"),
+    ],
+)
+def test_flows_opened_in_another_failure_domain_count(text: str, count: int) -> None:
+    _, row = rows(started(0), line(1, text))
+    assert row.counts["other_domain"] == count
+
+
+def test_without_the_domain_of_the_host_no_flow_counts_as_opened_in_another_one() -> None:
+    (row,) = rows(line(1, "opened failure_domain=hobart"))
+    assert row.counts["other_domain"] == 0
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        pytest.param("priority=2 wait_ms=0", {(RejectionReason.AT_ONCE, 2): 1}, id="at once"),
+        pytest.param("priority=0 wait_ms=9", {(RejectionReason.AFTER_WAIT, 0): 1}, id="waited"),
+        pytest.param(
+            "priority=2 wait_ms=0 omitted=5",
+            {(RejectionReason.AT_ONCE, 2): 1, (RejectionReason.UNKNOWN, None): 5},
+            id="left out lines have no known priority",
+        ),
+        pytest.param("priority=1", {(RejectionReason.UNKNOWN, 1): 1}, id="no wait"),
+        pytest.param("wait_ms=0", {(RejectionReason.AT_ONCE, None): 1}, id="no priority"),
+        pytest.param(
+            f"priority={'9' * 5000} wait_ms=0",
+            {(RejectionReason.AT_ONCE, None): 1},
+            id="number of thousands of digits",
+        ),
+    ],
+)
+def test_rejections_are_split_by_reason_and_priority(fields: str, expected) -> None:
+    (row,) = rows(line(1, f"rejected_shortage {fields}"))
+    assert row.rejected == expected
+    assert row.counts["rejected_shortage"] == sum(expected.values())
+
+
+def test_a_server_that_several_hosts_avoid_counts_once_a_second_and_failure_domain() -> None:
+    avoided = "server avoided server=i-1 fault=silent"
+    found = rows(
+        started(0, prefix="entry-1 "),
+        started(0, prefix="entry-2 "),
+        started(0, prefix="entry-3 ", domain="hobart"),
+        line(1, avoided, part="load", prefix="entry-1 "),
+        line(1, avoided, part="load", prefix="entry-2 "),
+        line(1, avoided, part="load", prefix="entry-3 "),
+        line(1, "server avoided server=i-2 fault=slow", part="load", prefix="entry-1 "),
+    )
+    hobart, huon = found[2:]
+    assert huon.avoided_servers == (("i-1", "silent", 2), ("i-2", "slow", 1))
+    assert hobart.avoided_servers == (("i-1", "silent", 1),)
+    assert (huon.counts["avoided_silent"], huon.counts["avoided_slow"]) == (1, 1)
+
+
+def test_failure_domains_are_out_of_service_from_the_line_that_names_them_to_the_next() -> None:
+    def out(second: int, domains: str, host: str) -> str:
+        text = f"out of service failure_domains={domains} store_revision=9"
+        return line(second, text, part="fleet", prefix=f"{host} ")
+
+    def other(second: int) -> str:
+        return line(second, "opened", prefix="entry-1 ")
+
+    found = rows(
+        started(0, prefix="entry-1 "),
+        started(0, prefix="entry-2 "),
+        out(1, "hobart", "entry-1"),
+        other(2),
+        out(3, "bruny,hobart", "entry-2"),
+        out(4, "none", "entry-1"),
+        # The second host still takes both for out of service.
+        other(5),
+        # A host that starts again knows of none until it hears of them.
+        started(6, prefix="entry-2 "),
+        other(7),
+    )
+    assert [row.out_of_service for row in found] == [
+        (),
+        ("hobart",),
+        ("hobart",),
+        ("bruny", "hobart"),
+        ("bruny", "hobart"),
+        ("bruny", "hobart"),
+        ("bruny", "hobart"),
+        (),
+    ]
+
+
+def test_json_has_all_columns_under_fixed_names() -> None:
+    found = rows(
+        started(0),
+        line(1, "rejected_shortage priority=2 wait_ms=0 omitted=4"),
+        line(1, "server avoided server=i-1 fault=overdue", part="load"),
+        line(1, "out of service failure_domains=bruny", part="fleet"),
+    )
+    _, row = json.loads(render_seconds_json(found))
+    assert set(row) == {
+        "time_s",
+        "failure_domain",
+        "ready_hosts",
+        "counts",
+        "max_list_age_ms",
+        "routes_versions",
+        "rejected",
+        "avoided_servers",
+        "out_of_service",
+    }
+    assert set(row["counts"]) == {
+        "opened",
+        "other_domain",
+        "again",
+        "elsewhere",
+        "waiting",
+        "admitted_after_wait",
+        "rejected_shortage",
+        "dropped_abandoned",
+        "no_route",
+        "no_server",
+        "gone",
+        "silent",
+        "held",
+        "held_slow_start",
+        "slow_start",
+        "dropped",
+        "suspected",
+        "avoided_silent",
+        "avoided_overdue",
+        "avoided_slow",
+        "listed",
+        "lapsed",
+        "ended",
+    }
+    assert row["rejected"] == [
+        {"reason": "at_once", "priority": 2, "flows": 1},
+        {"reason": "unknown", "priority": None, "flows": 4},
+    ]
+    assert row["avoided_servers"] == [{"server": "i-1", "fault": "overdue", "hosts": 1}]
+    assert row["out_of_service"] == ["bruny"]
+
+
+def test_rejections_of_unknown_priority_come_last() -> None:
+    kinds = {
+        Rejection(RejectionReason.UNKNOWN, None),
+        Rejection(RejectionReason.AT_ONCE, 10),
+        Rejection(RejectionReason.AT_ONCE, 2),
+        Rejection(RejectionReason.AFTER_WAIT, 2),
+    }
+    headings = [rejection_heading(kind) for kind in sort_rejections(kinds)]
+    assert headings == ["p2_after_wait", "p2_at_once", "p10_at_once", "p?_unknown"]
+
+
 def test_ages_and_versions_are_those_of_the_packets_of_the_second() -> None:
     found = rows(
         line(1, "opened routes_version=3 list_age_ms=70"),
@@ -154,6 +327,38 @@
     assert "No events" in render_seconds_text([])
 
 
+@pytest.mark.parametrize(
+    ("text", "part", "headings", "cells"),
+    [
+        pytest.param("opened", "packets", ["opened"], ["1"], id="others left out"),
+        pytest.param(
+            "rejected_shortage priority=2 wait_ms=0 omitted=3",
+            "packets",
+            ["rejected", "p2_at_once", "p?_unknown"],
+            ["4", "1", "3"],
+            id="rejections by reason and priority",
+        ),
+        pytest.param(
+            "server avoided server=i-1 fault=slow", "load", ["av_slow"], ["1"], id="avoided"
+        ),
+        pytest.param(
+            "out of service failure_domains=bruny,hobart",
+            "fleet",
+            ["out"],
+            ["bruny,hobart"],
+            id="out of service",
+        ),
+        pytest.param("readiness=ready", "steering", [], [], id="no counts at all"),
+    ],
+)
+def test_the_table_leaves_out_columns_that_are_empty_in_all_rows(
+    text: str, part: str, headings: list[str], cells: list[str]
+) -> None:
+    heading, *_, last = render_seconds_text(rows(started(0), line(1, text, part=part))).splitlines()
+    assert heading.split() == ["time", "domain", "ready", *headings, "age_ms", "routes"]
+    assert last.split()[3:-2] == cells
+
+
 def test_the_command_reads_files_and_names_those_that_it_cannot_read(
     tmp_path, capsys, monkeypatch
 ) -> None:
