--- a/src/redwingswitch/_internal/cli/report.py
+++ b/src/redwingswitch/_internal/cli/report.py
@@ -39,20 +39,26 @@
             as_json=json,
         )
 
-    def seconds(self, *files: str, domain: str = "", json: bool = False) -> Invocation:
+    def seconds(
+        self, *files: str, domain: str = "", json: bool = False, plot: str | None = None
+    ) -> Invocation:
         """Show what steering hosts did in each second, by failure domain, from their logs.
 
         Args:
             files: the logs of the hosts, one file a host, or any files whose lines name the host.
             domain: show only the hosts of this failure domain.
             json: print JSON instead of a table.
+            plot: also write the rows to this SVG file; needs matplotlib (the extra 'plot').
 
         """
+        # fire passes True for an option without a value.
+        plot_file = "" if isinstance(plot, bool) else plot
         return Invocation(
             "report_seconds",
             files=[str(file) for file in files],
             failure_domain=str(domain),
             as_json=json,
+            plot=None if plot_file is None else join_commas(plot_file),
         )
 
     def collect(
