Test the report by seconds with arbitrary logs

Random bytes and pieces of whole lines in one file must never end the report. Another test compares the columns with the operations page.

--- a/tests/unit/report/test_log_files.py
+++ b/tests/unit/report/test_log_files.py
@@ -4,13 +4,17 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
 
 from redwingswitch._internal.report import log_files
 from redwingswitch._internal.report.known_events import check_lines
 from redwingswitch._internal.report.line_problems import LineProblem, LineProblems
 from redwingswitch._internal.report.log_files import read_log_files
 from redwingswitch._internal.report.log_lines import LogLine, split_joined_lines
-from tests.lib.steering_logs import FLOW, line
+from redwingswitch._internal.report.seconds import build_report
+from redwingswitch._internal.report.seconds_table import render_seconds_json, render_seconds_text
+from tests.lib.steering_logs import FLOW, line, started
 
 PACKET = f"flow={FLOW} copy=0 routes_version=3 list_age_ms=70"
 OPENED = line(1, f"opened {PACKET} failure_domain=huon")
@@ -162,3 +166,36 @@
     assert "others (900)" in message
     assert "and 96 more" in message
     assert message.isprintable()
+
+
+WHOLE_LINES = [
+    OPENED,
+    started(0),
+    line(1, f"rejected_shortage {PACKET} priority=2 wait_ms=0 omitted=9"),
+    line(2, "server avoided server=i-1 fault=silent silent_hosts=2", part="load"),
+    line(3, "out of service failure_domains=huon store_revision=1:7", part="fleet"),
+]
+
+
+@settings(derandomize=True, suppress_health_check=[HealthCheck.function_scoped_fixture])
+@given(
+    pieces=st.lists(
+        st.one_of(
+            st.binary(max_size=40),
+            st.builds(
+                lambda text, start, end: text.encode()[start:end],
+                st.sampled_from(WHOLE_LINES),
+                st.integers(0, 60),
+                st.integers(0, 200),
+            ),
+        ),
+        max_size=20,
+    )
+)
+def test_no_log_ends_the_report(tmp_path: Path, pieces: list[bytes]) -> None:
+    log = tmp_path / "entry-1.log"
+    log.write_bytes(b"".join(pieces))
+    lines, _ = read(log)
+    found = build_report(lines).rows()
+    render_seconds_text(found)
+    render_seconds_json(found)
--- a/tests/unit/report/test_seconds.py
+++ b/tests/unit/report/test_seconds.py
@@ -1,6 +1,7 @@
 """Guards against a view by seconds that counts a host's events wrongly or in another domain."""
 
 import json
+from pathlib import Path
 
 import pytest
 
@@ -268,6 +269,12 @@
     assert row["out_of_service"] == ["bruny"]
 
 
+def test_each_count_is_on_the_operations_page() -> None:
+    page = (Path(__file__).parents[3] / "docs" / "OPERATIONS.md").read_text()
+    section = page.partition("## The seconds")[2].partition("\n## ")[0]
+    assert [name for name in COUNT_COLUMNS if f"`{name}`" not in section] == []
+
+
 def test_rejections_of_unknown_priority_come_last() -> None:
     kinds = {
         Rejection(RejectionReason.UNKNOWN, None),
