Import load sharing and admission only when a host can serve flows

The daemon now starts them right after its readiness, or 100 ms after its start if it is still waiting for the list. A host without both settings no longer imports them.

--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
-from redwingswitch._internal.daemon.load_exchange import LoadExchange
 from redwingswitch._internal.daemon.neighbour_exchange import NeighbourExchange, SharedList
 from redwingswitch._internal.daemon.routes_exchange import RoutesExchange, SharedRoutes
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
@@ -32,6 +32,9 @@
 from redwingswitch._internal.ports import Clock, DatagramSender, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
+if TYPE_CHECKING:
+    from redwingswitch._internal.daemon.load_exchange import LoadExchange
+
 # With the default settings, a follower abandons a silent reader after 2,000 ms; see
 # ``server_list_sync.reader_age_limit_ms``. Three requests fit into that time.
 REQUEST_INTERVAL_MS = 500
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 
 from logbook import Logger
+from tornado.ioloop import PeriodicCallback
 
-from redwingswitch._internal.daemon.load_parts import start_load_parts
 from redwingswitch._internal.daemon.packet_path import PacketPath
 from redwingswitch._internal.daemon.server_list_sync import (
     ServerListSynchronizer,
@@ -48,6 +48,8 @@
 STOP_CHECK_INTERVAL_MS = 100
 # The part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_MS = 500
+# The store and the reader normally answer sooner; a host that waits longer has time for imports.
+LOAD_PARTS_DELAY_MS = 100
 METRICS_PATH = "/metrics"
 # The probability that two hosts, or two starts of one host, draw the same incarnation is 1 in 2^53.
 INCARNATION_RANGE = 1 << 53
@@ -130,6 +132,8 @@
             log_stream=log_stream,
         )
         self._stop_requested = asyncio.Event()
+        self._has_load_parts = False
+        self._load_timer: PeriodicCallback | None = None
         self.readiness = Readiness.NOT_CONFIGURED
         self.readiness_port = settings.readiness.port
 
@@ -186,17 +190,11 @@
         self._packet_path.set_sender(endpoint)
         endpoints = [endpoint, *self._peer_endpoints()]
         servers = [self._readiness_server(), *self._metrics_servers()]
-        load_timer = start_load_parts(
-            settings=settings,
-            steering=self._steering,
-            sharing=self._sharing,
-            server_list=self._server_list,
-            clock=self._clock,
-            age_clock=self._age_clock,
-            metrics=self._metrics,
-        )
         reader_task = asyncio.create_task(self._server_list.run())
         settings_task = asyncio.create_task(self._reload.watch())
+        load_parts_timer = asyncio.get_running_loop().call_later(
+            LOAD_PARTS_DELAY_MS / MS_PER_S, self._start_load_parts
+        )
         log.info(f"started host={settings.host} failure_domain={settings.failure_domain}")
         try:
             await self._wait_for_stop_request(reader_task)
@@ -204,8 +202,9 @@
         finally:
             reader_task.cancel()
             settings_task.cancel()
-            if load_timer is not None:
-                load_timer.stop()
+            load_parts_timer.cancel()
+            if self._load_timer is not None:
+                self._load_timer.stop()
             for server in servers:
                 server.close()
             for datagram_endpoint in endpoints:
@@ -283,6 +282,32 @@
     def _on_list_change(self) -> None:
         self._update_readiness()
         self._packet_path.on_list_changed()
+        if self.readiness is Readiness.READY and not self._has_load_parts:
+            asyncio.get_running_loop().call_soon(self._start_load_parts)
+
+    def _start_load_parts(self) -> None:
+        """Start the load sharing and the admission if the settings call for them.
+
+        Neither changes a decision before other hosts have answered the first report. Their modules
+        are therefore imported only when this host can serve flows, or while it waits for the list.
+        """
+        settings = self._settings
+        if self._has_load_parts or self._stop_requested.is_set():
+            return
+        self._has_load_parts = True
+        if not settings.load_sharing and not settings.admission:
+            return
+        from redwingswitch._internal.daemon.load_parts import start_load_parts  # noqa: PLC0415
+
+        self._load_timer = start_load_parts(
+            settings=settings,
+            steering=self._steering,
+            sharing=self._sharing,
+            server_list=self._server_list,
+            clock=self._clock,
+            age_clock=self._age_clock,
+            metrics=self._metrics,
+        )
 
     def _update_readiness(self) -> None:
         current = readiness(
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -5,22 +5,19 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 from redwingswitch._internal.decisions.cookies.cookie import NO_COOKIE
 from redwingswitch._internal.decisions.cookies.failure_detector import PassiveFailureDetector
 from redwingswitch._internal.decisions.cookies.flow_observer import FlowObserver
 from redwingswitch._internal.decisions.cookies.flow_resets import FlowResets
 from redwingswitch._internal.decisions.cookies.flow_table import FlowState, FlowTable
-from redwingswitch._internal.decisions.cookies.opening_admission import OpeningAdmission
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence, ServerDirectory
 from redwingswitch._internal.decisions.cookies.server_offers import ServerOffers
 from redwingswitch._internal.decisions.cookies.server_selection import ServerSelector
 from redwingswitch._internal.decisions.cookies.slow_start_limits import SlowStartLimits
 from redwingswitch._internal.decisions.cookies.unresolved_packets import MAX_HOLD_MS, HeldPackets
 from redwingswitch._internal.decisions.cookies.unrouted_flows import UnroutedFlows
-from redwingswitch._internal.decisions.flow_admission.sources import DemandSource
-from redwingswitch._internal.decisions.load_sharing.load_sharing import LoadSharing
 from redwingswitch._internal.models.cookie_flows import (
     DiscardPacket,
     FlowPacket,
@@ -35,6 +32,12 @@
 )
 from redwingswitch._internal.ports import RandomSource
 
+if TYPE_CHECKING:
+    # A host imports these when it begins to use them, so that they do not delay its start.
+    from redwingswitch._internal.decisions.cookies.opening_admission import OpeningAdmission
+    from redwingswitch._internal.decisions.flow_admission.sources import DemandSource
+    from redwingswitch._internal.decisions.load_sharing.load_sharing import LoadSharing
+
 
 class CookieSteering:
     """Sends each packet of a flow to the backend server that its cookie identifies.
@@ -92,7 +95,9 @@
 
     def use_admission(self, demand_source: DemandSource) -> None:
         """Delay or reject new flows in a shortage, by the demand of all hosts."""
-        self.admission = OpeningAdmission(
+        from redwingswitch._internal.decisions.cookies import opening_admission  # noqa: PLC0415
+
+        self.admission = opening_admission.OpeningAdmission(
             demand_source=demand_source,
             directory=self.directory,
             failure_detector=self.failure_detector,
@@ -112,7 +117,9 @@
 
         ``all_domains`` is the number of failure domains of the deployment.
         """
-        self.load_sharing = LoadSharing(
+        from redwingswitch._internal.decisions.load_sharing import load_sharing  # noqa: PLC0415
+
+        self.load_sharing = load_sharing.LoadSharing(
             all_domains=all_domains,
             flows=self.flows,
             directory=self.directory,
--- a/tests/functional/test_steering_reports.py
+++ b/tests/functional/test_steering_reports.py
@@ -115,3 +115,18 @@
     messages = [record.message for record in handler.records]
     assert any(re.fullmatch(pattern, message) for message in messages), messages
     assert any(message.startswith("held_slow_start") for message in messages), messages
+
+
+@pytest.mark.parametrize("has_servers", [True, False])
+def test_a_host_shares_load_whether_or_not_it_can_serve_flows_yet(has_servers: bool) -> None:
+    # Its modules are imported late. A reader without servers must begin to share load too, as it
+    # sums up what the other hosts report.
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            if has_servers:
+                site.configure()
+                await site.add_server(1)
+            host = site.add_host(load_sharing=True)
+            await wait_until(lambda: f"{PREFIX}load_hosts 1" in host.daemon.metrics_text())
+
+    run(scenario())
