Split the client of the platform's store into calls, items and keys

They are now store_calls.py, store_items.py and out_of_service_keys.py; PlatformStore keeps its name, methods and order of calls.

Tests that replace private parts follow the move.

--- a/tests/functional/test_out_of_service.py
+++ b/tests/functional/test_out_of_service.py
@@ -79,7 +79,7 @@
 
 async def cut_a_follower_off_from_the_store(_site: SteeringSite, hosts: list[RunningHost]) -> None:
     for connection in ("_connection", "_probe_connection"):
-        getattr(hosts[1].daemon._store, connection)._port = 1
+        getattr(hosts[1].daemon._store._calls, connection)._port = 1
 
 
 async def lose_history(site: SteeringSite, _hosts: list[RunningHost]) -> None:
--- a/tests/unit/platform/test_out_of_service_keys.py
+++ b/tests/unit/platform/test_out_of_service_keys.py
@@ -9,7 +9,7 @@
 
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.server_list import OutOfService
-from redwingswitch._internal.platform import store as store_module
+from redwingswitch._internal.platform import out_of_service_keys
 from redwingswitch._internal.platform.standins.store import Fault, PlatformStoreStandin
 from tests.lib.loops import run, wait_until
 from tests.unit.platform.test_store import StoreFixture, entry
@@ -154,7 +154,7 @@
             async def fail(*_arguments: object, **_options: object) -> None:
                 raise StoreUnavailableError("refused")
 
-            monkeypatch.setattr(fixture.store, "_read_pages", fail)
+            monkeypatch.setattr(fixture.store._calls, "read_pages", fail)
             with pytest.raises(StoreUnavailableError):
                 await fixture.store.read_server_changes(after_revision=known.revision)
 
@@ -164,7 +164,7 @@
 def test_a_full_set_takes_a_left_out_domain_when_there_is_room(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(store_module, "MAX_OUT_OF_SERVICE_DOMAINS", 2)
+    monkeypatch.setattr(out_of_service_keys, "MAX_OUT_OF_SERVICE_DOMAINS", 2)
 
     async def scenario() -> None:
         async with StoreFixture() as fixture:
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -14,7 +14,6 @@
     ListReader,
     RegisteredReader,
 )
-from redwingswitch._internal.models.server_list import OutOfService
 from redwingswitch._internal.models.store_revisions import era_of, number_of
 from redwingswitch._internal.platform.http_connection import HttpConnection
 from redwingswitch._internal.platform.standins.documents import (
@@ -287,14 +286,14 @@
             for number in range(len(revisions)):
                 fixture.standin.put(f"servers/i-{number}", entry(8000 + number))
             remaining = iter(revisions)
-            read_page = fixture.store._read_page
+            read_page = fixture.store._calls.read_page
 
             async def read_page_of_another_revision(*arguments: object) -> object:
                 page = await read_page(*arguments)
                 page.store_revision = next(remaining)
                 return page
 
-            monkeypatch.setattr(fixture.store, "_read_page", read_page_of_another_revision)
+            monkeypatch.setattr(fixture.store._calls, "read_page", read_page_of_another_revision)
             assert (await fixture.store.read_all(may_be_stale=True)).revision == expected
 
     run(scenario())
@@ -416,7 +415,7 @@
                     failure_domain="huon",
                 )
                 # As after a read of the list: the first call of this connection is the watch.
-                store._out_of_service = OutOfService(frozenset(), known)
+                store._out_of_service.replace((), known)
                 watch = asyncio.create_task(
                     store.read_changes(after_revision=known, wait_ms=10_000)
                 )
