Split the synchronizer of the server list by what its parts do

It keeps the loop that decides when to read; getting the whole list, reads of what is missing, the watch with its probes, the list's age and pauses, and the contact with the store are now whole_list.py, list_reads.py, list_watch.py, list_confirmation.py and store_contact.py. Names outside, log lines and the calls to the store with their order stay.

Tests that set constants or call private methods follow the move.

--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -98,10 +98,10 @@
         self.decided += [action.verdict for action in actions]
 
     async def start(self) -> None:
-        self.sync._may_load_stale_list = False
-        await self.sync._load_list()
+        self.sync._whole_list._may_be_stale = False
+        await self.sync._whole_list.load()
         self.sync._update_role()
-        self.sync._is_new_reader = False
+        self.sync._reads.on_caught_up()
         self.clock.time_ms = NOW_MS
 
     def receive_update(self, *, routes_version: int = 1, sent_ms: int = NOW_MS) -> None:
@@ -133,29 +133,29 @@
 async def probes_in_vain(host: Host) -> None:
     host.store.answers_probes = False
     with pytest.raises(StoreUnavailableError):
-        await host.sync._watch_changes()
+        await host.sync._watch.watch_changes()
 
 
 async def reads_in_parts(host: Host) -> None:
     host.store.call_ms = 300
-    await host.sync._read_parts()
+    await host.sync._reads.read_parts()
 
 
 async def reads_servers_but_no_routes(host: Host) -> None:
     host.store.refuses_routes = True
     with pytest.raises(StoreUnavailableError):
-        await host.sync._read_parts()
+        await host.sync._reads.read_parts()
 
 
 async def reads_servers_but_no_routes_and_then_changes(host: Host) -> None:
     await reads_servers_but_no_routes(host)
-    await host.sync._read_changes(wait_ms=0)
+    await host.sync._reads.read_changes(wait_ms=0)
 
 
 async def reads_in_parts_at_the_second_try(host: Host) -> None:
     await reads_servers_but_no_routes(host)
     host.store.refuses_routes = False
-    await host.sync._catch_up()
+    await host.sync._reads.catch_up()
 
 
 @pytest.mark.parametrize(
@@ -200,7 +200,7 @@
     async def scenario() -> None:
         host = Host(LOCAL_RECORD)
         await host.start()
-        watch = asyncio.create_task(host.sync._watch_changes())
+        watch = asyncio.create_task(host.sync._watch.watch_changes())
         host.store.results.put_nowait(changes(NEWER_ROUTES, 9))
         while host.sync.routes_confirmed_ms() == START_MS:
             await asyncio.sleep(0)
@@ -234,11 +234,11 @@
                 host.sync._updates.apply_routes(StoredRoutes(newer, 9), is_newest=False)
         elif newer:
             host.store.results.put_nowait(changes(newer, 9))
-            await host.sync._watch_changes()
+            await host.sync._watch.watch_changes()
         else:
             # A probe finds no change, and the watch goes on.
-            watch = asyncio.create_task(host.sync._watch_changes())
-            host.sync._probe_requested.set()
+            watch = asyncio.create_task(host.sync._watch.watch_changes())
+            host.sync._watch.request_probe()
             while not host.decided:
                 await asyncio.sleep(0)
             watch.cancel()
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -9,12 +9,18 @@
 
 import pytest
 
-from redwingswitch._internal.daemon import reader_following, server_list_sync
-from redwingswitch._internal.daemon.metered_store import MeteredStore
-from redwingswitch._internal.daemon.server_list_sync import (
-    MAX_WATCH_WAIT_MS,
-    ServerListSynchronizer,
+from redwingswitch._internal.daemon import (
+    list_confirmation,
+    list_reads,
+    list_watch,
+    reader_following,
+    server_list_sync,
+    store_contact,
+    whole_list,
 )
+from redwingswitch._internal.daemon.list_watch import MAX_WATCH_WAIT_MS
+from redwingswitch._internal.daemon.metered_store import MeteredStore
+from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies import server_directory
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
@@ -174,24 +180,24 @@
 
 @pytest.fixture(autouse=True)
 def _short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in (
-        "FOLLOW_CHECK_INTERVAL_MS",
-        "PROBE_INTERVAL_MS",
-        "MIN_RETRY_MS",
-        "MAX_RETRY_MS",
-        "MIN_FOLLOWER_RETRY_MS",
-        "MAX_FOLLOWER_RETRY_MS",
-        "COLD_START_WAIT_MS",
-        "READER_RECOVERY_WAIT_MS",
+    for module, name in (
+        (server_list_sync, "FOLLOW_CHECK_INTERVAL_MS"),
+        (list_watch, "PROBE_INTERVAL_MS"),
+        (store_contact, "MIN_RETRY_MS"),
+        (store_contact, "MAX_RETRY_MS"),
+        (store_contact, "MIN_FOLLOWER_RETRY_MS"),
+        (store_contact, "MAX_FOLLOWER_RETRY_MS"),
+        (whole_list, "COLD_START_WAIT_MS"),
+        (list_reads, "READER_RECOVERY_WAIT_MS"),
+        (reader_following, "FOLLOW_CHECK_INTERVAL_MS"),
+        (reader_following, "ROUTES_ANSWER_TIMEOUT_MS"),
     ):
-        monkeypatch.setattr(server_list_sync, name, 2)
-    for name in ("FOLLOW_CHECK_INTERVAL_MS", "ROUTES_ANSWER_TIMEOUT_MS"):
-        monkeypatch.setattr(reader_following, name, 2)
+        monkeypatch.setattr(module, name, 2)
 
 
 def wait_for_the_reader(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let a host wait for an answer of its reader for longer than any test."""
-    for module in (reader_following, server_list_sync):
+    for module in (reader_following, list_reads, whole_list):
         monkeypatch.setattr(module, "READER_ANSWER_TIMEOUT_MS", 60_000)
 
 
@@ -271,7 +277,7 @@
             assert running.store.calls[:3] == [
                 "stale list",
                 "after 5 wait 0",
-                f"after 5 wait {server_list_sync.MAX_WATCH_WAIT_MS}",
+                f"after 5 wait {MAX_WATCH_WAIT_MS}",
             ]
             assert running.steering.routes is not None
 
@@ -647,7 +653,7 @@
 
     # Without a reader's record, the host would claim the role meanwhile.
     monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
-    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 2)
     run(scenario())
 
 
@@ -690,7 +696,7 @@
             await wait_until(lambda: "after 15" in running.watches()[-1])
             assert len([call for call in running.store.calls if call.startswith("servers")]) == 1
 
-    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 2)
     run(scenario())
 
 
@@ -796,7 +802,7 @@
             await wait_until(lambda: running.steering.routes is not None)
             assert running.watches()[:1] == calls
 
-    monkeypatch.setattr(server_list_sync, "COLD_START_WAIT_MS", 60_000)
+    monkeypatch.setattr(whole_list, "COLD_START_WAIT_MS", 60_000)
     monkeypatch.setattr(reader_following, "READER_LOOKUP_INTERVAL_MS", 2)
     run(scenario())
 
@@ -833,9 +839,7 @@
                 await wait_until(lambda: "servers after 9" in running.store.calls)
             assert [call for call in running.store.calls if "servers" in call] == calls
 
-    monkeypatch.setattr(
-        server_list_sync, "READER_RECOVERY_WAIT_MS", 60_000 if reader_recovers else 50
-    )
+    monkeypatch.setattr(list_reads, "READER_RECOVERY_WAIT_MS", 60_000 if reader_recovers else 50)
     run(scenario())
 
 
@@ -873,9 +877,9 @@
             assert running.reader.role is ListSharingRole.FOLLOWING
 
     for name in ("MIN_FOLLOWER_RETRY_MS", "MIN_RETRY_MS"):
-        monkeypatch.setattr(server_list_sync, name, 60_000)
+        monkeypatch.setattr(store_contact, name, 60_000)
     for name in ("MAX_FOLLOWER_RETRY_MS", "MAX_RETRY_MS"):
-        monkeypatch.setattr(server_list_sync, name, 60_000)
+        monkeypatch.setattr(store_contact, name, 60_000)
     run(scenario())
 
 
@@ -976,7 +980,7 @@
             running.reader.peers.on_datagram(answer, PEER_ADDRESS)
             assert running.reader.is_outdated_by_pause() is is_outdated
 
-    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(list_confirmation, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -996,8 +1000,8 @@
             # The held packets are decided.
             await wait_until(lambda: running.list_changes > known_changes)
 
-    monkeypatch.setattr(server_list_sync, "PROBE_INTERVAL_MS", 60_000)
-    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(list_watch, "PROBE_INTERVAL_MS", 60_000)
+    monkeypatch.setattr(list_confirmation, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -1008,7 +1012,7 @@
             running.store.answers_probes = False
             running.age_clock.paused_ms = PAUSE_MS
             assert running.reader.is_outdated_by_pause()
-            limit_ms = server_list_sync.PAUSE_CONFIRMATION_LIMIT_MS + 1
+            limit_ms = list_confirmation.PAUSE_CONFIRMATION_LIMIT_MS + 1
             running.age_clock.paused_ms += limit_ms
             assert not running.reader.is_outdated_by_pause()
 
@@ -1067,7 +1071,7 @@
             assert set(known) == expected_servers
             assert version_in_force(running) == 7
 
-    monkeypatch.setattr(server_list_sync, "SNAPSHOT_DELAY_MS", 0)
+    monkeypatch.setattr(whole_list, "SNAPSHOT_DELAY_MS", 0)
     run(scenario())
 
 
