--- a/src/redwingswitch/_internal/daemon/list_reads.py
+++ b/src/redwingswitch/_internal/daemon/list_reads.py
@@ -10,8 +10,14 @@
 )
 from redwingswitch._internal.daemon.store_contact import StoreContact
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.models.list_sharing import ListSharingRole
 from redwingswitch._internal.models.server_list import ServerListChanges
+from redwingswitch._internal.models.store_knowledge import (
+    OtherReadersRead,
+    PartsBegun,
+    RoutesCompared,
+)
 from redwingswitch._internal.ports import Clock
 
 # When the store is back, a follower gives its reader this long to reach it too: the longest delay
@@ -20,10 +26,7 @@
 
 
 class ListReads:
-    """Knows which kind of read the list needs next, and makes it.
-
-    Errors of the store pass through.
-    """
+    """Makes the calls that ``StoreKnowledge`` asks for; errors of the store pass through."""
 
     def __init__(
         self,
@@ -32,6 +35,7 @@
         sharing: ListSharing,
         updates: ListUpdates,
         following: ReaderFollowing,
+        knowledge: StoreKnowledge,
         contact: StoreContact,
         age_clock: Clock,
         shares_load: bool,
@@ -40,57 +44,15 @@
         self._sharing = sharing
         self._updates = updates
         self._following = following
+        self._knowledge = knowledge
         self._contact = contact
         self._age_clock = age_clock
         self._shares_load = shares_load
-        # A new reader may lack changes after the last update of its predecessor. Only a read that
-        # does not wait shows that the list is complete.
-        self._is_new_reader = False
-        # Whether records of the readers of other failure domains may have been missed. Hosts that
-        # do not watch all keys do not see them.
-        self._needs_other_readers = False
-        # Set after a watch that did not deliver the changes that a probe had found.
-        self._has_abandoned_watch = False
-        # Whether the latest read brought other routes, so that more changes of them may follow.
-        self._have_routes_changed = False
-
-    @property
-    def has_abandoned_watch(self) -> bool:
-        """Return whether changes are known that a watch did not deliver."""
-        return self._has_abandoned_watch
-
-    @property
-    def must_catch_up(self) -> bool:
-        """Return whether the next read must not wait for changes."""
-        # Without a wait, so that the end of an outage is noticed immediately.
-        return self._contact.is_lost or self._is_new_reader or self._has_abandoned_watch
-
-    @property
-    def must_read_parts(self) -> bool:
-        """Return whether a watch would transfer versions of the routes over a narrow link."""
-        return self._sharing.has_narrow_link and self._have_routes_changed
-
-    def on_role_changed(self, role: ListSharingRole) -> None:
-        """Record how this host gets the list from now on."""
-        self._is_new_reader = role is ListSharingRole.SERVING
-        self._needs_other_readers = self._is_new_reader
-
-    def on_watch_abandoned(self) -> None:
-        """Record that a watch did not deliver the changes that a probe had found."""
-        self._has_abandoned_watch = True
-
-    def on_caught_up(self) -> None:
-        """Record that the list had all changes when it was read."""
-        self._is_new_reader = False
-        self._has_abandoned_watch = False
 
     async def catch_up(self) -> None:
         """Read everything that has changed, without waiting for more."""
         if self._sharing.role(self._age_clock.now_ms()) is ListSharingRole.SERVING:
-            # A response with each version of the routes may be what failed: too large, or too late.
-            has_failed = self._has_abandoned_watch or self._contact.is_lost
-            has_failed = has_failed or self._store.lacks_routes
-            if self._sharing.has_narrow_link or has_failed:
+            if self._knowledge.must_read_parts():
                 await self.read_parts_and_record()
                 return
             # The followers need each change in its order, that of the reader's record included.
@@ -116,14 +78,14 @@
         """
         known_version = self._updates.version_in_force
         changes = await self._store.read_server_changes(after_revision=self._sharing.revision)
-        self._contact.on_list_read()
         self._updates.apply_server_changes(changes)
         self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
-        self._have_routes_changed = self._updates.version_in_force != known_version
+        have_changed = self._updates.version_in_force != known_version
+        self._contact.report(RoutesCompared(have_changed))
 
     async def read_parts_and_record(self) -> None:
         """Read the changes in parts, and the record of a host that claimed the reader role."""
-        self._needs_other_readers = True
+        self._contact.report(PartsBegun())
         await self.read_parts()
         registered = await self._store.read_reader()
         # The answer may be from before this host's own claim.
@@ -132,9 +94,9 @@
 
     async def read_other_readers_if_needed(self) -> None:
         """Read the records of the readers of other failure domains if some may be missing."""
-        if self._needs_other_readers and self._shares_load:
+        if self._knowledge.needs_other_readers and self._shares_load:
             self._updates.other_readers.apply(await self._store.read_other_readers())
-        self._needs_other_readers = False
+        self._contact.report(OtherReadersRead())
 
     async def read_changes(self, *, wait_ms: int) -> ServerListChanges:
         """Return what changed since the known revision, waiting up to ``wait_ms`` for a change."""
@@ -144,12 +106,11 @@
 
     def apply_changes(self, changes: ServerListChanges) -> None:
         """Apply what ``read_changes`` returned."""
-        self._contact.on_list_read()
-        self._have_routes_changed = changes.routes is not None
+        self._contact.report(RoutesCompared(have_changed=changes.routes is not None))
         self._updates.apply_changes(changes)
 
     def _reader_wait_ms(self, *, is_new_reader: bool) -> int:
         """Return how long to wait for the reader before the list is read without it."""
-        if self._contact.is_lost and self._following.has_answering_reader:
+        if self._knowledge.is_store_lost and self._following.has_answering_reader:
             return READER_RECOVERY_WAIT_MS
         return READER_ANSWER_TIMEOUT_MS if is_new_reader else 0
--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -10,6 +10,7 @@
 
 from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
+from redwingswitch._internal.daemon.store_contact import StoreContact
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
@@ -28,7 +29,8 @@
     ServerListChanges,
     StoredRoutes,
 )
-from redwingswitch._internal.models.store_revisions import era_of, format_revision
+from redwingswitch._internal.models.store_knowledge import ListSource, ListTaken
+from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.ports import Clock, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -51,9 +53,7 @@
         age_clock: Clock,
         random_source: RandomSource,
         metrics: SteeringMetrics,
-        list_age_ms: Callable[[], int],
-        wants_snapshot: Callable[[ListOffer], bool],
-        on_snapshot: Callable[[], None],
+        contact: StoreContact,
         on_change: Callable[[], None],
     ) -> None:
         self._steering = steering
@@ -61,12 +61,9 @@
         self._clock = clock
         self._age_clock = age_clock
         self._event_log = EventLog(part="fleet", clock=clock)
-        self.wants_snapshot = wants_snapshot
-        self._on_snapshot = on_snapshot
+        self._contact = contact
         self._on_change = on_change
         self._unconfirmed_routes = NO_ROUTES
-        self._store_era: int | None = None
-        self._store_era_began_ms = 0
         self._routes_history = RoutesHistory()
         self._feed_received = asyncio.Event()
         self.other_readers = OtherReaders()
@@ -75,7 +72,7 @@
             clock=age_clock,
             random_source=random_source,
             metrics=metrics,
-            list_age_ms=list_age_ms,
+            list_age_ms=contact.list_age_ms,
             on_changes=self._apply_feed_changes,
             shared_list=self,
             shared_routes=self,
@@ -86,35 +83,10 @@
         self._feed_received.clear()
         await self._feed_received.wait()
 
-    @property
-    def store_era_age_ms(self) -> int:
-        """Return milliseconds since this host's list follows the present era of the store."""
-        return self._age_clock.now_ms() - self._store_era_began_ms
-
-    def note_store_era(self, revision: int, *, source: str) -> None:
-        """Record the era of a whole list from ``source``, before the list is applied.
-
-        A store that was restored lacks entries until their servers have written them again.
-        """
-        era = era_of(revision)
-        if self._store_era is not None and era <= self._store_era:
-            return
-        self._steering.directory.on_list_lost()
-        self._event_log.info(
-            "store era",
-            era=era,
-            former="none" if self._store_era is None else self._store_era,
-            source=source,
-            store_revision=format_revision(revision),
-            known_revision=format_revision(self._sharing.revision),
-        )
-        self._store_era = era
-        self._store_era_began_ms = self._age_clock.now_ms()
-
     def apply_unconfirmed_list(self, fleet: ServerList) -> None:
         """Apply a whole list that may be stale."""
         self.other_readers.apply(fleet.other_readers)
-        self.note_store_era(fleet.revision, source="stale_list")
+        self._contact.report(ListTaken(ListSource.STALE_STORE, fleet.revision))
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
         self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
         self._sharing.on_routes_read(fleet.routes, is_newest=False)
@@ -186,13 +158,16 @@
             out_of_service=self._sharing.out_of_service,
         )
 
+    def wants_snapshot(self, offer: ListOffer) -> bool:
+        """Return whether to take a neighbour's list."""
+        return self._contact.wants_neighbours_list(offer)
+
     def apply_snapshot(self, fleet: ServerList) -> None:
         """Apply the list of a neighbour unless this host knows a newer one."""
         if self._sharing.is_outdated(fleet.revision):
             return
-        self.note_store_era(fleet.revision, source="neighbour")
+        self._contact.report(ListTaken(ListSource.NEIGHBOUR, fleet.revision))
         self.apply_list(fleet)
-        self._on_snapshot()
 
     @property
     def version_in_force(self) -> int:
--- a/src/redwingswitch/_internal/daemon/list_watch.py
+++ b/src/redwingswitch/_internal/daemon/list_watch.py
@@ -10,7 +10,10 @@
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.daemon.reader_following import ReaderFollowing
+from redwingswitch._internal.daemon.store_contact import StoreContact
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
+from redwingswitch._internal.models.store_knowledge import WatchAbandoned
 from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.ports import Clock
 from redwingswitch._internal.utils.event_log import EventLog
@@ -41,6 +44,8 @@
         updates: ListUpdates,
         following: ReaderFollowing,
         reads: ListReads,
+        knowledge: StoreKnowledge,
+        contact: StoreContact,
         clock: Clock,
         age_clock: Clock,
     ) -> None:
@@ -49,6 +54,8 @@
         self._updates = updates
         self._following = following
         self._reads = reads
+        self._knowledge = knowledge
+        self._contact = contact
         self._age_clock = age_clock
         self._event_log = EventLog(part="fleet", clock=clock)
         # Set when the host resumes after a pause, so that a probe need not wait until it is due.
@@ -72,7 +79,7 @@
         elif probe_task in done:
             # Raises the error of a failed probe.
             await probe_task
-            self._reads.on_watch_abandoned()
+            self._contact.report(WatchAbandoned())
 
     async def _watch_and_apply(self) -> None:
         # In one task: until the changes are applied, no other one may take the list as confirmed.
@@ -91,7 +98,8 @@
         while True:
             # Without probes, the list would seem too old to the followers, which then abandon this
             # reader.
-            delay_ms = max(MIN_PROBE_DELAY_MS, PROBE_INTERVAL_MS - self._store.list_age_ms())
+            list_age_ms = self._knowledge.own_list_age_ms(self._age_clock.now_ms())
+            delay_ms = max(MIN_PROBE_DELAY_MS, PROBE_INTERVAL_MS - list_age_ms)
             with suppress(TimeoutError):
                 async with asyncio.timeout(delay_ms / MS_PER_S):
                     await self._probe_requested.wait()
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -1,12 +1,11 @@
-"""Counts the calls to the store of the routes and backend servers, and knows the list's age."""
+"""Counts the calls to the store of the routes and backend servers, and reports its answers."""
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
-from redwingswitch._internal.decisions.list_sharing.list_age import ListAge
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import (
     DomainReader,
@@ -14,42 +13,39 @@
     RegisteredReader,
 )
 from redwingswitch._internal.models.server_list import ServerList, ServerListChanges, StoredRoutes
+from redwingswitch._internal.models.store_knowledge import (
+    ChangesRead,
+    ProbeAnswered,
+    RoutesRead,
+    ServersRead,
+    StaleListRead,
+    StoreEvent,
+    WholeListRead,
+)
 from redwingswitch._internal.ports import Clock, ServerListStore
 
 Result = TypeVar("Result")
 
 
 class MeteredStore:
-    """Wraps a ``ServerListStore`` (see ``ports``) to count its calls by operation and result."""
+    """Wraps a ``ServerListStore`` (see ``ports``) to count its calls by operation and result.
+
+    ``report`` takes what answers show about the list, before they are applied. Whether other
+    answers show that the store is back depends on the call, so those are not reported here.
+    """
 
     def __init__(
-        self, *, store: ServerListStore, metrics: SteeringMetrics, age_clock: Clock
+        self,
+        *,
+        store: ServerListStore,
+        metrics: SteeringMetrics,
+        age_clock: Clock,
+        report: Callable[[StoreEvent], object],
     ) -> None:
         self._store = store
         self._metrics = metrics
         self._clock = age_clock
-        self._list_age = ListAge(now_ms=age_clock.now_ms())
-        # Changes of servers that were read without the routes: when, and up to which revision. They
-        # do not confirm the list, which includes the routes, until the routes are read too.
-        self._unpaired_read: tuple[int, int] | None = None
-
-    def list_age_ms(self) -> int:
-        """Return milliseconds since the list last had all changes in the store."""
-        return self._list_age.age_ms(self._clock.now_ms())
-
-    @property
-    def resumed_ms(self) -> int | None:
-        """Return when this host last resumed after a pause, or None if it was never paused."""
-        return self._list_age.resumed_ms
-
-    @property
-    def lacks_routes(self) -> bool:
-        """Return whether servers were read up to a revision without the routes."""
-        return self._unpaired_read is not None
-
-    def on_tick(self) -> None:
-        """Record that the host is running; must be called several times a second."""
-        self._list_age.on_tick(self._clock.now_ms())
+        self._report = report
 
     async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
         """Return the full list; one that may be stale does not make the list younger."""
@@ -57,9 +53,7 @@
         operation = "stale_list" if may_be_stale else "list"
         began_ms = self._clock.now_ms()
         fleet = await self._call(operation, call)
-        if not may_be_stale:
-            self._unpaired_read = None
-            self._list_age.on_list_read(began_ms, began_ms, revision=fleet.revision)
+        self._report(StaleListRead() if may_be_stale else WholeListRead(began_ms, fleet.revision))
         return fleet
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
@@ -69,8 +63,7 @@
         changes = await self._call("changes", call)
         # The store waits for a change before it answers, but not while it sends the answer.
         answered_ms = max(began_ms, self._clock.now_ms() - changes.transfer_ms)
-        if not self.lacks_routes:
-            self._list_age.on_list_read(began_ms, answered_ms, revision=changes.revision)
+        self._report(ChangesRead(began_ms, answered_ms, changes.revision))
         return changes
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
@@ -78,17 +71,15 @@
         call = self._store.read_server_changes(after_revision=after_revision)
         began_ms = self._clock.now_ms()
         changes = await self._call("changes", call)
-        self._unpaired_read = (began_ms, changes.revision)
+        self._report(ServersRead(began_ms, changes.revision))
         return changes
 
     async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
         """Return the newest routes."""
         operation = "stale_routes" if may_be_stale else "routes"
         routes = await self._call(operation, self._store.read_routes(may_be_stale=may_be_stale))
-        if not may_be_stale and self._unpaired_read is not None:
-            began_ms, revision = self._unpaired_read
-            self._unpaired_read = None
-            self._list_age.on_list_read(began_ms, began_ms, revision=revision)
+        if not may_be_stale:
+            self._report(RoutesRead())
         return routes
 
     async def read_reader(self) -> RegisteredReader:
@@ -111,10 +102,7 @@
         """Return the store's revision while a watch waits for changes after ``known_revision``."""
         began_ms = self._clock.now_ms()
         revision = await self._call("probe", self._store.probe(known_revision=known_revision))
-        if not self.lacks_routes:
-            self._list_age.on_probe(
-                began_ms, store_revision=revision, known_revision=known_revision
-            )
+        self._report(ProbeAnswered(began_ms, revision, known_revision))
         return revision
 
     def close(self) -> None:
--- a/src/redwingswitch/_internal/daemon/reader_following.py
+++ b/src/redwingswitch/_internal/daemon/reader_following.py
@@ -11,6 +11,7 @@
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.models.list_sharing import ListSharingRole
 from redwingswitch._internal.ports import Clock
 
@@ -37,12 +38,14 @@
         *,
         store: MeteredStore,
         sharing: ListSharing,
+        knowledge: StoreKnowledge,
         updates: ListUpdates,
         age_clock: Clock,
         on_response: Callable[[], None],
     ) -> None:
         self._store = store
         self._sharing = sharing
+        self._knowledge = knowledge
         self._updates = updates
         self._age_clock = age_clock
         self._on_response = on_response
@@ -55,8 +58,7 @@
     @property
     def has_answering_reader(self) -> bool:
         """Return whether another host is the reader and answers."""
-        has_reader = self._sharing.other_reader is not None
-        return has_reader and not self._sharing.is_reader_silent(self._age_clock.now_ms())
+        return self._knowledge.has_answering_reader(self._age_clock.now_ms())
 
     async def follow(self) -> None:
         """Follow the reader, and get the routes that it announces, until it is lost."""
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -15,7 +15,6 @@
 import asyncio
 from collections.abc import Callable
 
-from redwingswitch._internal.daemon.list_confirmation import ListConfirmation
 from redwingswitch._internal.daemon.list_reads import ListReads
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.list_watch import ListWatch
@@ -30,10 +29,17 @@
 from redwingswitch._internal.daemon.whole_list import WholeList
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.decisions.load_sharing.other_readers import OtherReaders
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
-from redwingswitch._internal.models.list_sharing import ListOffer, ListSharingRole
-from redwingswitch._internal.models.store_revisions import format_revision
+from redwingswitch._internal.models.list_sharing import ListSharingRole
+from redwingswitch._internal.models.store_knowledge import (
+    CallFailed,
+    CaughtUp,
+    HistoryLost,
+    NextRead,
+    RoleChanged,
+)
 from redwingswitch._internal.ports import Clock, RandomSource, ServerListStore
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -45,9 +51,6 @@
 # one read interval and a lost datagram, and leaves a third of the limit for the follower to read
 # the store itself.
 READER_AGE_LIMIT_RATIO = 2 / 3
-# After the store lost its history, every host reads the full list; a random delay up to this limit
-# spreads these reads.
-MAX_RELOAD_JITTER_MS = 100
 
 
 def reader_age_limit_ms(list_age_limit_ms: int) -> int:
@@ -76,23 +79,23 @@
         on_change: Callable[[], None],
         shares_load: bool = False,
     ) -> None:
-        metered_store = MeteredStore(store=store, metrics=metrics, age_clock=age_clock)
         self._sharing = sharing
         self._clock = clock
         self._age_clock = age_clock
-        self._random = random_source
         self._event_log = EventLog(part="fleet", clock=clock)
         self._read_interval_ms = list_age_limit_ms // READS_PER_AGE_LIMIT
         self._role = ListSharingRole.READING
-        self._confirmation = ListConfirmation(
-            store=metered_store, sharing=sharing, age_clock=age_clock
+        self._knowledge = StoreKnowledge(
+            sharing=sharing, random_source=random_source, now_ms=age_clock.now_ms()
         )
         self._contact = StoreContact(
-            sharing=sharing,
+            knowledge=self._knowledge,
             directory=steering.directory,
             clock=clock,
             age_clock=age_clock,
-            random_source=random_source,
+        )
+        metered_store = MeteredStore(
+            store=store, metrics=metrics, age_clock=age_clock, report=self._contact.report
         )
         self._updates = ListUpdates(
             steering=steering,
@@ -101,14 +104,13 @@
             age_clock=age_clock,
             random_source=random_source,
             metrics=metrics,
-            list_age_ms=self.list_age_ms,
-            wants_snapshot=self._wants_snapshot,
-            on_snapshot=self._on_snapshot,
+            contact=self._contact,
             on_change=on_change,
         )
         self._following = ReaderFollowing(
             store=metered_store,
             sharing=sharing,
+            knowledge=self._knowledge,
             updates=self._updates,
             age_clock=age_clock,
             on_response=self._contact.on_response,
@@ -118,6 +120,7 @@
             sharing=sharing,
             updates=self._updates,
             following=self._following,
+            knowledge=self._knowledge,
             contact=self._contact,
             age_clock=age_clock,
             shares_load=shares_load,
@@ -128,7 +131,7 @@
             sharing=sharing,
             updates=self._updates,
             following=self._following,
-            contact=self._contact,
+            knowledge=self._knowledge,
             reads=self._reads,
             age_clock=age_clock,
         )
@@ -138,6 +141,8 @@
             updates=self._updates,
             following=self._following,
             reads=self._reads,
+            knowledge=self._knowledge,
+            contact=self._contact,
             clock=clock,
             age_clock=age_clock,
         )
@@ -155,7 +160,7 @@
     @property
     def is_store_reachable(self) -> bool:
         """Return whether the latest call to the store succeeded."""
-        return not self._contact.is_lost
+        return not self._knowledge.is_store_lost
 
     @property
     def role(self) -> ListSharingRole:
@@ -170,11 +175,11 @@
     @property
     def store_era_age_ms(self) -> int:
         """Return milliseconds since the list follows the present era of the store."""
-        return self._updates.store_era_age_ms
+        return self._knowledge.era_age_ms(self._age_clock.now_ms())
 
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
-        return self._confirmation.list_age_ms()
+        return self._knowledge.list_age_ms(self._age_clock.now_ms())
 
     @property
     def reader_incarnation(self) -> int:
@@ -196,7 +201,7 @@
 
         May be called before the timers of a resumed host have run.
         """
-        return self._confirmation.is_outdated_by_pause()
+        return self._knowledge.is_outdated_by_pause(self._age_clock.now_ms())
 
     async def run(self) -> None:
         """Keep the list up to date; a failing store only delays this."""
@@ -211,13 +216,13 @@
 
     async def _pause_until_followed(self, delay_ms: int) -> None:
         """Wait; end the wait early when the reader sends a list that is up to date."""
-        if self._whole_list.is_known and self.role is ListSharingRole.FOLLOWING:
+        if self._knowledge.is_list_known and self.role is ListSharingRole.FOLLOWING:
             # The host follows its reader already; only the announced routes could not be read.
             await asyncio.sleep(delay_ms / MS_PER_S)
             return
         deadline_ms = self._age_clock.now_ms() + delay_ms
         while (left_ms := deadline_ms - self._age_clock.now_ms()) > 0:
-            if self._whole_list.is_known and self.role is ListSharingRole.FOLLOWING:
+            if self._knowledge.is_list_known and self.role is ListSharingRole.FOLLOWING:
                 return
             await self._following.wait_for_feed(left_ms)
 
@@ -225,37 +230,33 @@
         """Read once; return the delay until the next read."""
         try:
             await self._read_once()
-            if self._update_role() or self._reads.has_abandoned_watch:
+            if self._update_role() or self._knowledge.has_abandoned_watch:
                 return 0
             await self._pause_after_read()
         except StoreHistoryLostError as error:
-            self._event_log.info(
-                "history lost",
-                store_revision=format_revision(self._sharing.revision),
-                reason=error,
-            )
-            self._whole_list.discard()
-            return int(self._random.random() * MAX_RELOAD_JITTER_MS)
+            return self._contact.report(HistoryLost(str(error)))
         except StoreUnavailableError as error:
-            return self._contact.on_failure(
-                error, has_answering_reader=self._following.has_answering_reader
-            )
+            return self._contact.report(CallFailed(str(error)))
         return 0
 
     async def _read_once(self) -> None:
         self._update_role()
-        if not self._whole_list.is_known:
-            await self._whole_list.load()
-        elif self.role is ListSharingRole.FOLLOWING:
-            await self._follow_reader()
-        elif self._reads.must_catch_up:
-            await self._reads.catch_up()
-            self._reads.on_caught_up()
-        elif self._reads.must_read_parts:
-            await self._reads.read_parts_and_record()
-        elif not await self._following.claim_if_due():
-            await self._reads.read_other_readers_if_needed()
-            await self._watch.watch_changes()
+        match self._contact.next_read():
+            case NextRead.STALE_LIST:
+                await self._whole_list.load_stale()
+            case NextRead.WHOLE_LIST:
+                await self._whole_list.load_newest()
+            case NextRead.FOLLOW:
+                await self._follow_reader()
+            case NextRead.CATCH_UP:
+                await self._reads.catch_up()
+                self._contact.report(CaughtUp())
+            case NextRead.PARTS:
+                await self._reads.read_parts_and_record()
+            case NextRead.WATCH:
+                if not await self._following.claim_if_due():
+                    await self._reads.read_other_readers_if_needed()
+                    await self._watch.watch_changes()
 
     async def _pause_after_read(self) -> None:
         """Wait until the next read is due; meanwhile look for a reader if there is none."""
@@ -283,12 +284,6 @@
             was_outdated = is_outdated
             await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
 
-    def _wants_snapshot(self, offer: ListOffer) -> bool:
-        return self._whole_list.wants_snapshot(offer)
-
-    def _on_snapshot(self) -> None:
-        self._whole_list.on_snapshot()
-
     async def _follow_reader(self) -> None:
         """Follow the reader until it is lost, and then read what it did not send."""
         await self._following.follow()
@@ -306,5 +301,5 @@
         reader = self._sharing.registered_reader.reader
         self._event_log.info("list role", role=role, reader=reader.host if reader else "none")
         self._role = role
-        self._reads.on_role_changed(role)
+        self._contact.report(RoleChanged(role))
         return True
--- a/src/redwingswitch/_internal/daemon/store_contact.py
+++ b/src/redwingswitch/_internal/daemon/store_contact.py
@@ -1,70 +1,94 @@
-"""Whether the store answers this host, and when to call it again after a failure."""
+"""Reports what the store answers to the decision part, and carries out the actions."""
 
 from __future__ import annotations
 
 from redwingswitch._internal.decisions.cookies.server_directory import ServerDirectory
-from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
-from redwingswitch._internal.decisions.retry import backoff_ms
-from redwingswitch._internal.exceptions import StoreUnavailableError
-from redwingswitch._internal.models.list_sharing import ListSharingRole
-from redwingswitch._internal.ports import Clock, RandomSource
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
+from redwingswitch._internal.models.list_sharing import ListOffer
+from redwingswitch._internal.models.store_knowledge import (
+    BeginEra,
+    CallAgain,
+    NextRead,
+    NoteListLost,
+    NoteListRead,
+    ReportHistoryLost,
+    ReportStoreLost,
+    ReportStoreRegained,
+    StoreAnswered,
+    StoreEvent,
+)
+from redwingswitch._internal.models.store_revisions import format_revision
+from redwingswitch._internal.ports import Clock
 from redwingswitch._internal.utils.event_log import EventLog
 
-MIN_RETRY_MS = 100
-MAX_RETRY_MS = 1_000
-# In an outage of the store, followers whose reader answers leave the frequent calls to it.
-MIN_FOLLOWER_RETRY_MS = 1_000
-MAX_FOLLOWER_RETRY_MS = 2_000
-
 
 class StoreContact:
-    """Counts failed calls in a row, and tells the directory of servers when an outage begins."""
+    """Carries events to ``StoreKnowledge``, and its actions to the directory and to the log."""
 
     def __init__(
         self,
         *,
-        sharing: ListSharing,
+        knowledge: StoreKnowledge,
         directory: ServerDirectory,
         clock: Clock,
         age_clock: Clock,
-        random_source: RandomSource,
     ) -> None:
-        self._sharing = sharing
+        self._knowledge = knowledge
         self._directory = directory
         self._clock = clock
         self._age_clock = age_clock
-        self._random = random_source
         self._event_log = EventLog(part="fleet", clock=clock)
-        self._consecutive_failures = 0
 
-    @property
-    def is_lost(self) -> bool:
-        """Return whether the latest call to the store failed."""
-        return self._consecutive_failures > 0
+    def list_age_ms(self) -> int:
+        """Return milliseconds since the list was last known to be up to date."""
+        return self._knowledge.list_age_ms(self._age_clock.now_ms())
+
+    def wants_neighbours_list(self, offer: ListOffer) -> bool:
+        """Return whether to take a neighbour's list."""
+        return self._knowledge.wants_neighbours_list(offer, self._age_clock.now_ms())
+
+    def next_read(self) -> NextRead:
+        """Return what to do next for the list."""
+        return self._knowledge.next_read(self._age_clock.now_ms())
 
     def on_response(self) -> None:
-        """Record that the store answered a call."""
-        if self._consecutive_failures:
-            self._event_log.info("store regained", failures=self._consecutive_failures)
-        self._consecutive_failures = 0
+        """Report that the store answered a call that brings no list."""
+        self.report(StoreAnswered())
 
-    def on_list_read(self) -> None:
-        """Record a successful read of the list from the store."""
-        self.on_response()
-        self._directory.on_list_read(self._clock.now_ms())
+    def report(self, event: StoreEvent) -> int:
+        """Report an event; return the delay in milliseconds until the next call."""
+        delay_ms = 0
+        for action in self._knowledge.on_event(event, self._age_clock.now_ms()):
+            match action:
+                case CallAgain():
+                    delay_ms = action.delay_ms
+                case NoteListRead():
+                    self._directory.on_list_read(self._clock.now_ms())
+                case NoteListLost():
+                    self._directory.on_list_lost()
+                case BeginEra():
+                    self._begin_era(action)
+                case ReportStoreRegained():
+                    self._event_log.info("store regained", failures=action.failures)
+                case ReportStoreLost():
+                    self._event_log.warning(
+                        "store lost", reason=action.reason, retry_ms=action.retry_ms
+                    )
+                case ReportHistoryLost():
+                    self._event_log.info(
+                        "history lost",
+                        store_revision=format_revision(action.known_revision),
+                        reason=action.reason,
+                    )
+        return delay_ms
 
-    def on_failure(self, error: StoreUnavailableError, *, has_answering_reader: bool) -> int:
-        """Record a failed call; return the delay until the next one."""
-        self._consecutive_failures += 1
-        if self._sharing.role(self._age_clock.now_ms()) is not ListSharingRole.FOLLOWING:
-            self._sharing.on_store_lost()
-            self._directory.on_list_lost()
-        retry_delay_ms = backoff_ms(
-            self._consecutive_failures,
-            self._random,
-            base_ms=MIN_FOLLOWER_RETRY_MS if has_answering_reader else MIN_RETRY_MS,
-            limit_ms=MAX_FOLLOWER_RETRY_MS if has_answering_reader else MAX_RETRY_MS,
+    def _begin_era(self, action: BeginEra) -> None:
+        self._directory.on_list_lost()
+        self._event_log.info(
+            "store era",
+            era=action.era,
+            former="none" if action.former is None else action.former,
+            source=action.source,
+            store_revision=format_revision(action.store_revision),
+            known_revision=format_revision(action.known_revision),
         )
-        if self._consecutive_failures == 1:
-            self._event_log.warning("store lost", reason=error, retry_ms=retry_delay_ms)
-        return retry_delay_ms
--- a/src/redwingswitch/_internal/daemon/whole_list.py
+++ b/src/redwingswitch/_internal/daemon/whole_list.py
@@ -9,15 +9,12 @@
     READER_ANSWER_TIMEOUT_MS,
     ReaderFollowing,
 )
-from redwingswitch._internal.daemon.store_contact import StoreContact
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
-from redwingswitch._internal.models.list_sharing import ListOffer, ListSharingRole
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
+from redwingswitch._internal.models.list_sharing import ListSharingRole
 from redwingswitch._internal.ports import Clock
 
-# At a start, the store and the reader answer within 100 ms. A host that waits longer takes the list
-# of a neighbour.
-SNAPSHOT_DELAY_MS = 300
 # At a cold start, when no host is the reader yet, a host without callers waits this long for one: a
 # claim comes after 2,600 ms where all links are narrow, and its record is found 500 ms later.
 COLD_START_WAIT_MS = 3_200
@@ -26,7 +23,7 @@
 
 
 class WholeList:
-    """Knows whether this host has a list, and gets one from the store or from a neighbour."""
+    """Reads a list from the store, and waits for what confirms it."""
 
     def __init__(
         self,
@@ -36,7 +33,7 @@
         sharing: ListSharing,
         updates: ListUpdates,
         following: ReaderFollowing,
-        contact: StoreContact,
+        knowledge: StoreKnowledge,
         reads: ListReads,
         age_clock: Clock,
     ) -> None:
@@ -45,69 +42,32 @@
         self._sharing = sharing
         self._updates = updates
         self._following = following
-        self._contact = contact
+        self._knowledge = knowledge
         self._reads = reads
         self._age_clock = age_clock
-        self._start_ms = age_clock.now_ms()
-        self._is_known = False
-        self._may_be_stale = True
 
-    @property
-    def is_known(self) -> bool:
-        """Return whether this host has a list that changes can continue."""
-        return self._is_known
-
-    def discard(self) -> None:
-        """Record that the store cannot tell what changed after this host's list."""
-        self._is_known = False
+    async def load_stale(self) -> None:
+        """Read the whole list at the start.
 
-    async def load(self) -> None:
-        """Read the whole list.
-
-        At the start, a list that may be stale is enough if the reader's feed continues it.
+        A list that may be stale is enough if the reader's feed continues it.
         """
-        if not self._may_be_stale:
-            await self._load_newest()
-            return
         stale = await self._store.read_all(may_be_stale=True)
-        self._may_be_stale = False
-        self._contact.on_response()
-        if self._is_known:
+        if self._knowledge.is_list_known:
             # A neighbour's list was applied meanwhile.
             if not await self._following.is_following_soon(limit_ms=READER_ANSWER_TIMEOUT_MS):
                 await self._reads.catch_up()
             return
         self._updates.apply_unconfirmed_list(stale)
-        self._is_known = True
         # The list contained the record.
         self._following.postpone_lookup()
         if not await self._is_confirmed_by_reader():
             self._reads.apply_changes(await self._reads.read_changes(wait_ms=0))
 
-    def wants_snapshot(self, offer: ListOffer) -> bool:
-        """Return whether to take a neighbour's list: this host gets none from reader and store."""
-        if self._role is not ListSharingRole.READING:
-            return False
-        if self._sharing.has_fresh_reader(self._age_clock.now_ms()):
-            # The rest of a batch of changes is on its way.
-            return False
-        if self._contact.is_lost:
-            return not self._is_known or offer.revision > self._sharing.revision
-        is_store_late = self._age_clock.now_ms() - self._start_ms > SNAPSHOT_DELAY_MS
-        return is_store_late and not self._is_known
-
-    def on_snapshot(self) -> None:
-        """Record that a neighbour's list was applied."""
-        self._is_known = True
-        self._may_be_stale = False
-
-    async def _load_newest(self) -> None:
+    async def load_newest(self) -> None:
+        """Read the whole list as the store has it."""
         fleet = await self._store.read_all()
         was_reader = self._sharing.is_reader
-        self._updates.note_store_era(fleet.revision, source="list")
-        self._contact.on_list_read()
         self._updates.apply_list(fleet)
-        self._is_known = True
         if was_reader and not self._sharing.is_reader:
             # A restored store has an earlier record; the followers still know this host.
             self._sharing.claim_at(self._age_clock.now_ms())
--- a/tests/unit/daemon/test_out_of_service_sync.py
+++ b/tests/unit/daemon/test_out_of_service_sync.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from redwingswitch._internal.daemon import whole_list
+from redwingswitch._internal.decisions.list_sharing import store_knowledge
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.cookie_flows import DiscardPacket, ResetFlow, Verdict
 from redwingswitch._internal.models.list_readers import RegisteredReader
@@ -250,7 +250,7 @@
             assert version_in_force(running) == SNAPSHOT.routes.version
             assert not offers_servers(running)
 
-    monkeypatch.setattr(whole_list, "SNAPSHOT_DELAY_MS", 0)
+    monkeypatch.setattr(store_knowledge, "SNAPSHOT_DELAY_MS", 0)
     run(scenario())
 
 
--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.models.list_readers import RegisteredReader
 from redwingswitch._internal.models.server_list import ServerListChanges, StoredRoutes
+from redwingswitch._internal.models.store_knowledge import CaughtUp
 from tests.lib.cookie_flows import (
     JOB_BOARD,
     UNROUTED,
@@ -98,10 +99,9 @@
         self.decided += [action.verdict for action in actions]
 
     async def start(self) -> None:
-        self.sync._whole_list._may_be_stale = False
-        await self.sync._whole_list.load()
+        await self.sync._whole_list.load_newest()
         self.sync._update_role()
-        self.sync._reads.on_caught_up()
+        self.sync._contact.report(CaughtUp())
         self.clock.time_ms = NOW_MS
 
     def receive_update(self, *, routes_version: int = 1, sent_ms: int = NOW_MS) -> None:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -10,26 +10,25 @@
 import pytest
 
 from redwingswitch._internal.daemon import (
-    list_confirmation,
     list_reads,
     list_watch,
     reader_following,
     server_list_sync,
-    store_contact,
     whole_list,
 )
 from redwingswitch._internal.daemon.list_watch import MAX_WATCH_WAIT_MS
-from redwingswitch._internal.daemon.metered_store import MeteredStore
 from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies import server_directory
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
 from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
+from redwingswitch._internal.decisions.list_sharing import store_knowledge
 from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
     split_routes,
     split_snapshot,
 )
+from redwingswitch._internal.decisions.list_sharing.list_age import ListAge
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import (
@@ -183,10 +182,10 @@
     for module, name in (
         (server_list_sync, "FOLLOW_CHECK_INTERVAL_MS"),
         (list_watch, "PROBE_INTERVAL_MS"),
-        (store_contact, "MIN_RETRY_MS"),
-        (store_contact, "MAX_RETRY_MS"),
-        (store_contact, "MIN_FOLLOWER_RETRY_MS"),
-        (store_contact, "MAX_FOLLOWER_RETRY_MS"),
+        (store_knowledge, "MIN_RETRY_MS"),
+        (store_knowledge, "MAX_RETRY_MS"),
+        (store_knowledge, "MIN_FOLLOWER_RETRY_MS"),
+        (store_knowledge, "MAX_FOLLOWER_RETRY_MS"),
         (whole_list, "COLD_START_WAIT_MS"),
         (list_reads, "READER_RECOVERY_WAIT_MS"),
         (reader_following, "FOLLOW_CHECK_INTERVAL_MS"),
@@ -528,6 +527,40 @@
     run(scenario())
 
 
+def test_a_follower_that_takes_the_role_of_its_silent_reader_catches_up_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with following() as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(running.waits_for_changes)
+            assert running.reader.role is ListSharingRole.SERVING
+            assert "register expected 4" in running.store.calls
+            watches = [call for call in running.watches() if call.startswith("after 9")]
+            assert watches[:-1] == ["after 9 wait 0"]
+
+    monkeypatch.setattr(sharing_module, "READER_SILENCE_LIMIT_MS", 20)
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 2)
+    run(scenario())
+
+
+def test_a_host_that_lost_its_reader_leaves_the_feed() -> None:
+    # The reader must send again all changes after the revision that the host has, since the host
+    # may read some of them from the store meanwhile.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            asked = running.reader._sharing.build_request(running.age_clock.now_ms())
+            assert asked is not None
+            assert asked[1].feed == 0
+
+    run(scenario())
+
+
 def test_a_new_reader_reads_what_its_list_lacks_before_it_is_taken_as_complete() -> None:
     # The answer to its claim says nothing about its list.
     async def scenario() -> None:
@@ -700,6 +733,70 @@
     run(scenario())
 
 
+def test_a_watch_ends_when_the_host_begins_to_follow_a_reader() -> None:
+    # Until its end, up to 20 s later, the host would not get routes that the reader announces.
+    async def scenario() -> None:
+        async with following() as running:
+            await wait_until(running.waits_for_changes)
+            running.reader.peers.on_datagram(update(revision=9, routes_version=99), PEER_ADDRESS)
+            await wait_until(lambda: "stale routes" in running.store.calls)
+            assert running.reader.role is ListSharingRole.FOLLOWING
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("claim_in_ms", "expected_ms"),
+    [
+        pytest.param(None, MAX_WATCH_WAIT_MS, id="no claim"),
+        pytest.param(300, 300, id="a claim within the wait"),
+        pytest.param(60_000, MAX_WATCH_WAIT_MS, id="a claim after the wait"),
+        # A watch without a wait would be repeated in a busy loop.
+        pytest.param(0, 1, id="a claim that is due"),
+        pytest.param(-5, 1, id="a claim that is overdue"),
+    ],
+)
+def test_a_watch_waits_no_longer_than_until_the_next_claim(
+    claim_in_ms: int | None, expected_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def claim_deadline_ms(now_ms: int) -> int | None:
+        return None if claim_in_ms is None else now_ms + claim_in_ms
+
+    async def scenario() -> None:
+        running = RunningReader(local=LOCAL_READER)
+        running.store.first_list = asyncio.Event()
+        async with running:
+            sharing = running.reader._sharing
+            monkeypatch.setattr(sharing, "claim_deadline_ms", claim_deadline_ms)
+            assert running.reader._watch._watch_wait_ms() == expected_ms
+
+    run(scenario())
+
+
+def test_a_watch_is_kept_if_the_feed_brings_what_a_probe_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            await wait_until(running.waits_for_changes)
+            running.store.revision = 14
+            await wait_until(lambda: "probe" in running.store.calls)
+            # The answer is too old to follow the reader by it.
+            sent_ms = running.age_clock.now_ms() - 1_000
+            running.reader.peers.on_datagram(
+                update(revision=14, request_sent_ms=sent_ms), PEER_ADDRESS
+            )
+            assert running.reader.revision == 14
+            assert running.reader.role is ListSharingRole.READING
+            probes = running.store.calls.count("probe")
+            await wait_until(lambda: running.store.calls.count("probe") > probes)
+            assert not any(call.startswith("servers") for call in running.store.calls)
+
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 300)
+    run(scenario())
+
+
 def test_a_watch_that_delivers_soon_after_a_probe_is_kept() -> None:
     async def scenario() -> None:
         async with RunningReader(
@@ -803,10 +900,40 @@
             assert running.watches()[:1] == calls
 
     monkeypatch.setattr(whole_list, "COLD_START_WAIT_MS", 60_000)
+    # A claim of its own would end the wait, too.
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
     monkeypatch.setattr(reader_following, "READER_LOOKUP_INTERVAL_MS", 2)
     run(scenario())
 
 
+def test_a_host_that_shares_no_list_waits_for_no_reader(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with RunningReader() as running:
+            await wait_until(lambda: running.steering.routes is not None)
+            assert running.store.calls[:2] == ["stale list", "after 5 wait 0"]
+
+    monkeypatch.setattr(whole_list, "COLD_START_WAIT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_reader_whose_record_a_restore_lost_claims_the_role_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Its followers still know it; another reader would make them read the whole list.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            running.store.reader = NO_READER
+            running.store.results.put_nowait(StoreHistoryLostError("restored"))
+            await wait_until(lambda: "register expected 0" in running.store.calls)
+            assert running.reader.role is ListSharingRole.SERVING
+
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     ("reader_recovers", "calls"),
     [
@@ -877,9 +1004,9 @@
             assert running.reader.role is ListSharingRole.FOLLOWING
 
     for name in ("MIN_FOLLOWER_RETRY_MS", "MIN_RETRY_MS"):
-        monkeypatch.setattr(store_contact, name, 60_000)
+        monkeypatch.setattr(store_knowledge, name, 60_000)
     for name in ("MAX_FOLLOWER_RETRY_MS", "MAX_RETRY_MS"):
-        monkeypatch.setattr(store_contact, name, 60_000)
+        monkeypatch.setattr(store_knowledge, name, 60_000)
     run(scenario())
 
 
@@ -914,7 +1041,7 @@
             await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
             running.store.is_down = True
             await wait_until(lambda: running.reader.role is ListSharingRole.READING)
-            monkeypatch.setattr(MeteredStore, "list_age_ms", lambda _: own_read_age_ms)
+            monkeypatch.setattr(ListAge, "age_ms", lambda *_: own_read_age_ms)
             assert 200 < running.reader.list_age_ms() < own_read_age_ms
 
     run(scenario())
@@ -980,7 +1107,7 @@
             running.reader.peers.on_datagram(answer, PEER_ADDRESS)
             assert running.reader.is_outdated_by_pause() is is_outdated
 
-    monkeypatch.setattr(list_confirmation, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(store_knowledge, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -1001,7 +1128,7 @@
             await wait_until(lambda: running.list_changes > known_changes)
 
     monkeypatch.setattr(list_watch, "PROBE_INTERVAL_MS", 60_000)
-    monkeypatch.setattr(list_confirmation, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(store_knowledge, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -1012,7 +1139,7 @@
             running.store.answers_probes = False
             running.age_clock.paused_ms = PAUSE_MS
             assert running.reader.is_outdated_by_pause()
-            limit_ms = list_confirmation.PAUSE_CONFIRMATION_LIMIT_MS + 1
+            limit_ms = store_knowledge.PAUSE_CONFIRMATION_LIMIT_MS + 1
             running.age_clock.paused_ms += limit_ms
             assert not running.reader.is_outdated_by_pause()
 
@@ -1071,7 +1198,7 @@
             assert set(known) == expected_servers
             assert version_in_force(running) == 7
 
-    monkeypatch.setattr(whole_list, "SNAPSHOT_DELAY_MS", 0)
+    monkeypatch.setattr(store_knowledge, "SNAPSHOT_DELAY_MS", 0)
     run(scenario())
 
 
--- /dev/null
+++ b/tests/unit/list_sharing/test_store_knowledge_machine.py
@@ -0,0 +1,546 @@
+"""Guards against a host that takes its list for newer than the store's answers have shown."""
+
+import random
+from collections.abc import Iterable
+from typing import NamedTuple, TypeVar
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from redwingswitch._internal.decisions.list_sharing import feed
+from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
+from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
+from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
+from redwingswitch._internal.models.list_sharing import ListOffer, ListSharingRole
+from redwingswitch._internal.models.server_list import ServerChange
+from redwingswitch._internal.models.store_knowledge import (
+    CallAgain,
+    CallFailed,
+    CaughtUp,
+    ChangesRead,
+    HistoryLost,
+    ListSource,
+    ListTaken,
+    NextRead,
+    ProbeAnswered,
+    RoleChanged,
+    RoutesCompared,
+    RoutesRead,
+    ServersRead,
+    StaleListRead,
+    StoreAnswered,
+    StoreEvent,
+    WatchAbandoned,
+    WholeListRead,
+)
+from redwingswitch._internal.models.store_revisions import era_of
+from tests.lib.cookie_flows import route_table
+from tests.unit.list_sharing.test_sharing_machine import (
+    MAX_CHANGES_PER_UPDATE,
+    MAX_HISTORY_CHANGES,
+    SERVER_COUNT,
+    Store,
+)
+
+T = TypeVar("T")
+
+AGE_LIMIT_MS = 2_000
+TICK_MS = 250
+READ_INTERVAL_MS = 1_000
+REQUEST_INTERVAL_MS = 500
+PROBE_INTERVAL_MS = 1_000
+WATCH_LAG_LIMIT_MS = 500
+MAX_LATENCY_TICKS = 6
+HOST_COUNT = 4
+# Its link is narrow, so that it reads changes and routes apart.
+NARROW_HOST = 3
+NARROW_LINK_MBPS = 10.0
+
+
+class StoreState(NamedTuple):
+    """What the store had at a revision."""
+
+    revision: int
+    listed: frozenset[int]
+    record: RegisteredReader
+    routes_version: int
+
+
+class VersionedStore(Store):
+    """A store that has routes, too; they are named by their version."""
+
+    def __init__(self) -> None:
+        self.routes_version = 1
+        self.past_versions = [(-10_000, 1)]
+        super().__init__()
+        # The states since the last restore; a read that may be stale returns one of the last.
+        self.states = [self.state()]
+
+    def take_copy(self) -> None:
+        super().take_copy()
+        self.copied_version = self.routes_version
+
+    def restore(self, now_ms: int) -> None:
+        super().restore(now_ms)
+        self.routes_version = self.copied_version
+        self.past_versions.append((now_ms, self.routes_version))
+        self.states = [self.state()]
+
+    def toggle(self, number: int, now_ms: int) -> None:
+        super().toggle(number, now_ms)
+        self.states.append(self.state())
+
+    def write_routes(self, version: int, now_ms: int) -> None:
+        self.revision += 1
+        self.routes_version = version
+        self.past_versions.append((now_ms, version))
+        self.states.append(self.state())
+
+    def register(self, local: ListReader, expected: int) -> None:
+        if self.record.revision == expected:
+            self.revision += 1
+            self.record = RegisteredReader(local, self.revision)
+            self.states.append(self.state())
+
+    def drop_history(self) -> None:
+        self.history.clear()
+        self.begin = self.revision + 1
+
+    def state(self) -> StoreState:
+        return StoreState(self.revision, self.listed, self.record, self.routes_version)
+
+    def knows_changes_after(self, revision: int) -> bool:
+        is_full = len(self.history) == MAX_HISTORY_CHANGES
+        begin = self.history[0][0] if is_full else self.begin
+        return era_of(revision) == era_of(self.revision) and revision + 1 >= begin
+
+    def changes_after(self, revision: int) -> list[ServerChange]:
+        numbers = {number for at, number in self.history if at > revision}
+        return [change(number, number in self.listed) for number in sorted(numbers)]
+
+
+class Call(NamedTuple):
+    """A call to the store; its answer is made at ``made_ms`` and arrives at ``arrival_ms``."""
+
+    read: NextRead
+    began_ms: int
+    made_ms: int
+    arrival_ms: int
+
+
+class Answer(NamedTuple):
+    """An answer, with the changes after the revision of the call."""
+
+    state: StoreState
+    changes: list[ServerChange]
+    is_continued: bool
+
+
+def change(number: int, is_listed: bool) -> ServerChange:
+    return ServerChange(str(number), None, is_listed)
+
+
+class Host:
+    """A host of the failure domain; its clock advances while it is paused."""
+
+    def __init__(self, *, number: int, incarnation: int, now_ms: int, world_ms: int) -> None:
+        self.local = ListReader(f"entry-{number}", "10.0.0.1", 7000 + number, incarnation)
+        self.sharing = ListSharing(
+            local_reader=self.local,
+            age_limit_ms=AGE_LIMIT_MS,
+            random_source=random.Random(incarnation),
+            link_mbps=NARROW_LINK_MBPS if number == NARROW_HOST else None,
+        )
+        self.knowledge = StoreKnowledge(
+            sharing=self.sharing, random_source=random.Random(incarnation), now_ms=now_ms
+        )
+        self.now_ms = now_ms
+        self.started_ms = world_ms
+        self.listed: set[int] = set()
+        self.routes_version = 0
+        self.role = ListSharingRole.READING
+        self.has_lost_reader = False
+        self.call: Call | None = None
+        self.answer: Answer | None = None
+        self.known_at_call = 0
+        self.probe: tuple[int, int, int] | None = None
+        self.next_probe_ms = now_ms
+        self.lagging_since_ms: int | None = None
+        self.next_call_ms = now_ms
+        self.next_request_ms = now_ms
+        self.is_paused = False
+        self.reaches_store = True
+        self.reaches_peers = True
+        self.is_refused_routes = number % 2 == 1
+        self.random = random.Random(incarnation)
+        self.is_watch_silent = False
+
+    def report(self, event: StoreEvent) -> None:
+        for action in self.knowledge.on_event(event, self.now_ms):
+            if isinstance(action, CallAgain):
+                self.next_call_ms = self.now_ms + action.delay_ms
+
+    def fail(self) -> None:
+        self.end_call()
+        self.report(CallFailed("refused"))
+
+    def end_call(self) -> None:
+        self.call = self.answer = self.probe = self.lagging_since_ms = None
+
+    def update_role(self) -> None:
+        role = self.sharing.role(self.now_ms)
+        if role is not self.role:
+            if self.role is ListSharingRole.FOLLOWING and role is ListSharingRole.READING:
+                self.sharing.on_reader_lost(self.now_ms)
+                # A host that lost its reader catches up, whatever it reads afterwards.
+                self.has_lost_reader = True
+            self.role = role
+            self.report(RoleChanged(role))
+            if role is ListSharingRole.FOLLOWING:
+                self.end_call()
+
+    def take_routes(self, version: int, *, is_newest: bool = False) -> None:
+        self.report(RoutesCompared(version > self.routes_version))
+        self.routes_version = max(self.routes_version, version)
+        self.sharing.on_routes_read(route_table(version=version), is_newest=is_newest)
+
+    def take_list(self, state: StoreState) -> None:
+        self.sharing.on_routes_read(route_table(version=state.routes_version), is_newest=False)
+        self.routes_version = max(self.routes_version, state.routes_version)
+        if not self.sharing.is_outdated(state.revision):
+            self.listed = set(state.listed)
+            self.sharing.on_list_read(state.revision, self.now_ms)
+        self.sharing.on_reader_registered(state.record, self.now_ms)
+
+    def take_changes(self, answer: Answer) -> None:
+        if not self.sharing.is_outdated(answer.state.revision):
+            self.apply(answer.changes)
+            self.sharing.on_changes_read(answer.changes, answer.state.revision, self.now_ms)
+
+    def apply(self, changes: Iterable[ServerChange]) -> None:
+        for each in changes:
+            number = int(each.server_id)
+            (self.listed.add if each.is_listed else self.listed.discard)(number)
+
+    def end_read(self, store: VersionedStore) -> None:
+        """Apply the answer to the present call."""
+        call, answer = self.call, self.answer
+        assert call is not None
+        assert answer is not None
+        self.end_call()
+        self.next_call_ms = self.now_ms + READ_INTERVAL_MS
+        revision = answer.state.revision
+        if call.read is NextRead.STALE_LIST:
+            self.report(StaleListRead())
+            if not self.knowledge.is_list_known:
+                self.report(ListTaken(ListSource.STALE_STORE, revision))
+                self.take_list(answer.state)
+            self.next_call_ms = self.now_ms
+        elif call.read is NextRead.WHOLE_LIST:
+            was_reader = self.sharing.is_reader
+            self.report(WholeListRead(call.began_ms, revision))
+            self.take_list(answer.state)
+            if was_reader and not self.sharing.is_reader:
+                self.sharing.claim_at(self.now_ms)
+        elif not answer.is_continued:
+            self.report(HistoryLost("dropped"))
+        elif call.read is NextRead.WATCH or (
+            call.read is NextRead.CATCH_UP
+            and self.role is ListSharingRole.SERVING
+            and not self.knowledge.must_read_parts()
+        ):
+            self.report(ChangesRead(call.began_ms, call.made_ms, revision))
+            self.take_routes(answer.state.routes_version)
+            self.take_changes(answer)
+            self.sharing.on_reader_registered(answer.state.record, self.now_ms)
+        else:
+            self.report(ServersRead(call.began_ms, revision))
+            self.take_changes(answer)
+            if self.is_refused_routes and self.random.random() < 0.5:
+                self.fail()
+                return
+            # The routes are read alone, after the servers.
+            self.report(RoutesRead())
+            self.take_routes(store.routes_version, is_newest=True)
+            self.sharing.on_reader_registered(store.record, self.now_ms)
+        if call.read is NextRead.CATCH_UP and answer.is_continued:
+            self.report(CaughtUp())
+            self.has_lost_reader = False
+
+
+class KnowledgeMachine(RuleBasedStateMachine):
+    """Drives the hosts of one failure domain against one store."""
+
+    @initialize()
+    def start(self) -> None:
+        self.now_ms = 0
+        self.store = VersionedStore()
+        self.incarnations = iter(range(1, 10_000))
+        self.random = random.Random(7)
+        self.newest_version = 1
+        self.hosts = [self._new_host(number, now_ms=0) for number in range(HOST_COUNT)]
+        self.loses_datagrams = False
+        self.max_latency_ticks = MAX_LATENCY_TICKS
+        self.revisions: dict[int, int] = {}
+        self.changes_per_update = feed.MAX_CHANGES_PER_UPDATE
+        # A batch of changes takes several updates, and lost ones leave a gap.
+        feed.MAX_CHANGES_PER_UPDATE = MAX_CHANGES_PER_UPDATE
+
+    def _new_host(self, number: int, *, now_ms: int) -> Host:
+        incarnation = next(self.incarnations)
+        return Host(number=number, incarnation=incarnation, now_ms=now_ms, world_ms=self.now_ms)
+
+    @rule(ticks=st.integers(1, 20))
+    def pass_time(self, ticks: int) -> None:
+        for _ in range(ticks):
+            self.now_ms += TICK_MS
+            for host in self.hosts:
+                host.now_ms += TICK_MS
+            for host in self.hosts:
+                if not host.is_paused:
+                    self._tick(host)
+            self._check_ages()
+
+    @rule(number=st.integers(0, SERVER_COUNT - 1))
+    def toggle_a_server(self, number: int) -> None:
+        self.store.toggle(number, self.now_ms)
+
+    @rule()
+    def write_routes(self) -> None:
+        self.newest_version += 1
+        self.store.write_routes(self.newest_version, self.now_ms)
+
+    @rule()
+    def take_a_copy_of_the_store(self) -> None:
+        self.store.take_copy()
+
+    @rule()
+    def restore_the_store(self) -> None:
+        self.store.restore(self.now_ms)
+
+    @rule()
+    def drop_the_history(self) -> None:
+        self.store.drop_history()
+
+    @rule(number=st.integers(0, HOST_COUNT - 1))
+    def crash_and_return(self, number: int) -> None:
+        # The store's record may still name the host's former process.
+        self.hosts[number] = self._new_host(number, now_ms=self.random.randrange(10_000))
+
+    @rule()
+    def let_a_second_host_take_the_role(self) -> None:
+        # The former reader serves until it learns of the record.
+        others = [host for host in self.hosts if not host.sharing.is_reader]
+        if others:
+            self.store.register(others[0].local, self.store.record.revision)
+
+    @rule(number=st.integers(0, HOST_COUNT - 1))
+    def pause_or_resume(self, number: int) -> None:
+        self.hosts[number].is_paused = not self.hosts[number].is_paused
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), refuses=st.booleans())
+    def refuse_or_admit_a_host(self, number: int, refuses: bool) -> None:
+        self.hosts[number].reaches_store = not refuses
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), refuses=st.booleans())
+    def refuse_or_return_the_routes(self, number: int, refuses: bool) -> None:
+        self.hosts[number].is_refused_routes = refuses
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), silent=st.booleans())
+    def silence_or_mend_its_watch(self, number: int, silent: bool) -> None:
+        self.hosts[number].is_watch_silent = silent
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), cut=st.booleans())
+    def cut_or_restore_peer_path(self, number: int, cut: bool) -> None:
+        self.hosts[number].reaches_peers = not cut
+
+    @rule(loses=st.booleans())
+    def lose_half_of_the_datagrams(self, loses: bool) -> None:
+        self.loses_datagrams = loses
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), neighbour=st.integers(0, HOST_COUNT - 1))
+    def offer_the_list_of_a_neighbour(self, number: int, neighbour: int) -> None:
+        host, source = self.hosts[number], self.hosts[neighbour]
+        if host.is_paused or host is source or not source.knowledge.is_list_known:
+            return
+        revision = source.sharing.revision
+        wants = host.knowledge.wants_neighbours_list(ListOffer(revision), host.now_ms)
+        if not wants or host.sharing.is_outdated(revision) or not self._delivers(host, source):
+            return
+        known = host.sharing.revision if host.knowledge.is_list_known else 0
+        host.report(ListTaken(ListSource.NEIGHBOUR, revision))
+        record = source.sharing.registered_reader
+        host.take_list(
+            StoreState(revision, frozenset(source.listed), record, source.routes_version)
+        )
+        assert host.sharing.revision > known
+
+    @invariant()
+    def known_revisions_never_fall(self) -> None:
+        for host in self.hosts:
+            known = self.revisions.get(host.local.incarnation, 0)
+            assert host.sharing.revision >= known
+            self.revisions[host.local.incarnation] = host.sharing.revision
+
+    def teardown(self) -> None:
+        """Check that, once all faults end, all hosts know the store's state and say so."""
+        if not hasattr(self, "hosts"):
+            return
+        try:
+            self._check_recovery()
+        finally:
+            feed.MAX_CHANGES_PER_UPDATE = self.changes_per_update
+
+    def _check_recovery(self) -> None:
+        self.loses_datagrams = False
+        self.max_latency_ticks = 1
+        for host in self.hosts:
+            host.is_paused = host.is_watch_silent = host.is_refused_routes = False
+            host.reaches_store = host.reaches_peers = True
+        self.pass_time(400)
+        roles = sorted(host.sharing.role(host.now_ms) for host in self.hosts)
+        assert roles == [ListSharingRole.FOLLOWING] * (HOST_COUNT - 1) + [ListSharingRole.SERVING]
+        for host in self.hosts:
+            assert host.listed == self.store.listed
+            assert host.routes_version >= self.store.routes_version
+            assert host.knowledge.list_age_ms(host.now_ms) <= AGE_LIMIT_MS
+            if host.role is ListSharingRole.SERVING:
+                assert not host.knowledge.is_store_lost
+                assert not host.knowledge.has_abandoned_watch
+
+    def _check_ages(self) -> None:
+        """Check that each host has what the store had when its list was last up to date."""
+        for host in self.hosts:
+            # A paused host makes no decisions.
+            if host.is_paused or not host.knowledge.is_list_known:
+                continue
+            confirmed_ms = self.now_ms - host.knowledge.list_age_ms(host.now_ms)
+            # A list that has not been confirmed since the start is not used.
+            if confirmed_ms <= host.started_ms:
+                continue
+            states = _since(self.store.past, confirmed_ms)
+            for number in range(SERVER_COUNT):
+                assert any((number in host.listed) == (number in listed) for listed in states)
+            if not host.sharing.needs_routes:
+                assert host.routes_version >= min(_since(self.store.past_versions, confirmed_ms))
+
+    def _tick(self, host: Host) -> None:
+        host.knowledge.is_outdated_by_pause(host.now_ms)
+        self._go_on_with_call(host)
+        host.update_role()
+        if host.call is None and host.now_ms >= host.next_call_ms:
+            self._begin_call(host)
+        if host.now_ms >= host.next_request_ms:
+            host.next_request_ms = host.now_ms + REQUEST_INTERVAL_MS
+            self._ask_reader(host)
+        host.update_role()
+
+    def _begin_call(self, host: Host) -> None:
+        read = host.knowledge.next_read(host.now_ms)
+        if read is NextRead.FOLLOW:
+            return
+        if host.has_lost_reader and read in (NextRead.WATCH, NextRead.PARTS):
+            read = NextRead.CATCH_UP
+        if not host.reaches_store:
+            host.fail()
+            return
+        deadline_ms = host.sharing.claim_deadline_ms(host.now_ms)
+        if read is NextRead.WATCH and deadline_ms is not None and host.now_ms >= deadline_ms:
+            host.sharing.on_claim_attempt()
+            self.store.register(host.local, host.sharing.registered_reader.revision)
+            host.sharing.on_reader_registered(self.store.record, host.now_ms, is_newest=True)
+            host.report(StoreAnswered())
+            return
+        made_ticks = self.random.randint(0, self.max_latency_ticks)
+        ticks = self.random.randint(max(1, made_ticks), self.max_latency_ticks)
+        made_ms = host.now_ms + made_ticks * TICK_MS
+        host.call = Call(read, host.now_ms, made_ms, host.now_ms + ticks * TICK_MS)
+        host.known_at_call = host.sharing.revision
+        host.next_probe_ms = host.now_ms + PROBE_INTERVAL_MS
+        self._make_answer(host)
+
+    def _make_answer(self, host: Host) -> None:
+        call = host.call
+        if call is None or host.answer is not None or host.now_ms < call.made_ms:
+            return
+        state = self.store.state()
+        if call.read is NextRead.STALE_LIST:
+            state = self.random.choice(self.store.states[-3:])
+        host.answer = Answer(
+            state,
+            self.store.changes_after(host.known_at_call),
+            self.store.knows_changes_after(host.known_at_call),
+        )
+
+    def _go_on_with_call(self, host: Host) -> None:
+        if host.call is None:
+            return
+        if not host.reaches_store:
+            host.fail()
+            return
+        self._make_answer(host)
+        is_silent = host.is_watch_silent and host.call.read is NextRead.WATCH
+        if host.now_ms >= host.call.arrival_ms and not is_silent:
+            host.end_read(self.store)
+        elif host.call.read is NextRead.WATCH:
+            self._probe(host)
+
+    def _probe(self, host: Host) -> None:
+        """Probe the store while a watch waits; abandon a watch that lags behind."""
+        if host.lagging_since_ms is not None:
+            if host.now_ms - host.lagging_since_ms > WATCH_LAG_LIMIT_MS:
+                host.end_call()
+                host.report(WatchAbandoned())
+                host.next_call_ms = host.now_ms
+            return
+        if host.probe is None:
+            if host.now_ms >= host.next_probe_ms:
+                host.probe = (host.now_ms, self.store.revision, host.sharing.revision)
+            return
+        began_ms, store_revision, known_revision = host.probe
+        host.probe = None
+        host.next_probe_ms = host.now_ms + PROBE_INTERVAL_MS
+        if era_of(store_revision) > era_of(known_revision):
+            host.end_call()
+            host.report(HistoryLost("restored"))
+            return
+        host.report(ProbeAnswered(began_ms, store_revision, known_revision))
+        if store_revision > host.sharing.revision:
+            host.lagging_since_ms = host.now_ms
+
+    def _ask_reader(self, host: Host) -> None:
+        asked = host.sharing.build_request(host.now_ms)
+        if asked is None:
+            return
+        reader = next((h for h in self.hosts if h.local.port == asked[0].port), None)
+        for _ in range(10):
+            if reader is None or not self._delivers(host, reader):
+                return
+            request = host.sharing.build_request(host.now_ms)
+            assert request is not None
+            list_age_ms = reader.knowledge.list_age_ms(reader.now_ms)
+            update = reader.sharing.build_update(request[1], list_age_ms=list_age_ms)
+            if update is None:
+                return
+            taken = host.sharing.on_update(update, host.now_ms)
+            host.apply(taken.changes)
+            if host.sharing.needs_routes:
+                host.take_routes(reader.routes_version)
+            if not taken.has_gap:
+                return
+
+    def _delivers(self, left: Host, right: Host) -> bool:
+        if right.is_paused or not (left.reaches_peers and right.reaches_peers):
+            return False
+        return not self.loses_datagrams or self.random.random() < 0.5
+
+
+def _since(past: list[tuple[int, T]], begin_ms: int) -> list[T]:
+    """Return the state before a time and the ones from then on."""
+    before = [state for at_ms, state in past if at_ms < begin_ms]
+    return [*before[-1:], *(state for at_ms, state in past if at_ms >= begin_ms)]
+
+
+TestKnowledge = KnowledgeMachine.TestCase
+TestKnowledge.settings = settings(max_examples=100, stateful_step_count=50, deadline=None)
