--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -714,6 +714,51 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("record", "role"),
+    [
+        pytest.param(RegisteredReader(PEER_READER, 20), ListSharingRole.READING, id="a successor"),
+        # The answer may be from before this host's own claim.
+        pytest.param(NO_READER, ListSharingRole.SERVING, id="no record"),
+    ],
+)
+def test_a_reader_that_reads_in_parts_learns_of_other_readers(
+    record: RegisteredReader, role: ListSharingRole
+) -> None:
+    # It does not watch all keys meanwhile.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4), shares_load=True
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            assert running.store.calls.count("other readers") == 1
+            running.store.reader = record
+            before = len(running.store.calls)
+            running.store.results.put_nowait(StoreUnavailableError("too large"))
+            await wait_until(lambda: "reader" in running.store.calls[before:])
+            await settle()
+            assert running.reader.role is role
+            if role is ListSharingRole.SERVING:
+                await wait_until(lambda: running.store.calls.count("other readers") == 2)
+
+    run(scenario())
+
+
+def test_routes_that_the_store_does_not_have_are_no_longer_waited_for() -> None:
+    # A restore may lose the version that a reader announced before it was lost.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.store.refuses_routes = True
+            running.reader.peers.on_datagram(update(revision=9, routes_version=99), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            assert running.reader.routes_confirmed_ms() is None
+            running.store.refuses_routes = False
+            await wait_until(lambda: running.reader.routes_confirmed_ms() is not None)
+
+    run(scenario())
+
+
 def test_the_store_is_watched_again_after_an_abandoned_watch(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -961,6 +1006,7 @@
             if reader_recovers:
                 peers.on_datagram(update(revision=9), PEER_ADDRESS)
                 await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+                await wait_until(lambda: running.reader.is_store_reachable)
                 await settle()
             else:
                 await wait_until(lambda: "servers after 9" in running.store.calls)
