--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -9,21 +9,26 @@
 
 import pytest
 
-from redwingswitch._internal.daemon import reader_following, server_list_sync
-from redwingswitch._internal.daemon.metered_store import MeteredStore
-from redwingswitch._internal.daemon.server_list_sync import (
-    MAX_WATCH_WAIT_MS,
-    ServerListSynchronizer,
+from redwingswitch._internal.daemon import (
+    list_reads,
+    list_watch,
+    reader_following,
+    server_list_sync,
+    whole_list,
 )
+from redwingswitch._internal.daemon.list_watch import MAX_WATCH_WAIT_MS
+from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies import server_directory
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.server_directory import ListPresence
 from redwingswitch._internal.decisions.list_sharing import sharing as sharing_module
+from redwingswitch._internal.decisions.list_sharing import store_knowledge
 from redwingswitch._internal.decisions.list_sharing.datagram_parts import (
     split_routes,
     split_snapshot,
 )
+from redwingswitch._internal.decisions.list_sharing.list_age import ListAge
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import StoreHistoryLostError, StoreUnavailableError
 from redwingswitch._internal.models.list_readers import (
@@ -174,24 +179,24 @@
 
 @pytest.fixture(autouse=True)
 def _short_intervals(monkeypatch: pytest.MonkeyPatch) -> None:
-    for name in (
-        "FOLLOW_CHECK_INTERVAL_MS",
-        "PROBE_INTERVAL_MS",
-        "MIN_RETRY_MS",
-        "MAX_RETRY_MS",
-        "MIN_FOLLOWER_RETRY_MS",
-        "MAX_FOLLOWER_RETRY_MS",
-        "COLD_START_WAIT_MS",
-        "READER_RECOVERY_WAIT_MS",
+    for module, name in (
+        (server_list_sync, "FOLLOW_CHECK_INTERVAL_MS"),
+        (list_watch, "PROBE_INTERVAL_MS"),
+        (store_knowledge, "MIN_RETRY_MS"),
+        (store_knowledge, "MAX_RETRY_MS"),
+        (store_knowledge, "MIN_FOLLOWER_RETRY_MS"),
+        (store_knowledge, "MAX_FOLLOWER_RETRY_MS"),
+        (whole_list, "COLD_START_WAIT_MS"),
+        (list_reads, "READER_RECOVERY_WAIT_MS"),
+        (reader_following, "FOLLOW_CHECK_INTERVAL_MS"),
+        (reader_following, "ROUTES_ANSWER_TIMEOUT_MS"),
     ):
-        monkeypatch.setattr(server_list_sync, name, 2)
-    for name in ("FOLLOW_CHECK_INTERVAL_MS", "ROUTES_ANSWER_TIMEOUT_MS"):
-        monkeypatch.setattr(reader_following, name, 2)
+        monkeypatch.setattr(module, name, 2)
 
 
 def wait_for_the_reader(monkeypatch: pytest.MonkeyPatch) -> None:
     """Let a host wait for an answer of its reader for longer than any test."""
-    for module in (reader_following, server_list_sync):
+    for module in (reader_following, list_reads, whole_list):
         monkeypatch.setattr(module, "READER_ANSWER_TIMEOUT_MS", 60_000)
 
 
@@ -271,7 +276,7 @@
             assert running.store.calls[:3] == [
                 "stale list",
                 "after 5 wait 0",
-                f"after 5 wait {server_list_sync.MAX_WATCH_WAIT_MS}",
+                f"after 5 wait {MAX_WATCH_WAIT_MS}",
             ]
             assert running.steering.routes is not None
 
@@ -522,6 +527,40 @@
     run(scenario())
 
 
+def test_a_follower_that_takes_the_role_of_its_silent_reader_catches_up_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with following() as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(running.waits_for_changes)
+            assert running.reader.role is ListSharingRole.SERVING
+            assert "register expected 4" in running.store.calls
+            watches = [call for call in running.watches() if call.startswith("after 9")]
+            assert watches[:-1] == ["after 9 wait 0"]
+
+    monkeypatch.setattr(sharing_module, "READER_SILENCE_LIMIT_MS", 20)
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 2)
+    run(scenario())
+
+
+def test_a_host_that_lost_its_reader_leaves_the_feed() -> None:
+    # The reader must send again all changes after the revision that the host has, since the host
+    # may read some of them from the store meanwhile.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            asked = running.reader._sharing.build_request(running.age_clock.now_ms())
+            assert asked is not None
+            assert asked[1].feed == 0
+
+    run(scenario())
+
+
 def test_a_new_reader_reads_what_its_list_lacks_before_it_is_taken_as_complete() -> None:
     # The answer to its claim says nothing about its list.
     async def scenario() -> None:
@@ -647,7 +686,7 @@
 
     # Without a reader's record, the host would claim the role meanwhile.
     monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
-    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 2)
     run(scenario())
 
 
@@ -675,6 +714,51 @@
     run(scenario())
 
 
+@pytest.mark.parametrize(
+    ("record", "role"),
+    [
+        pytest.param(RegisteredReader(PEER_READER, 20), ListSharingRole.READING, id="a successor"),
+        # The answer may be from before this host's own claim.
+        pytest.param(NO_READER, ListSharingRole.SERVING, id="no record"),
+    ],
+)
+def test_a_reader_that_reads_in_parts_learns_of_other_readers(
+    record: RegisteredReader, role: ListSharingRole
+) -> None:
+    # It does not watch all keys meanwhile.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4), shares_load=True
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            assert running.store.calls.count("other readers") == 1
+            running.store.reader = record
+            before = len(running.store.calls)
+            running.store.results.put_nowait(StoreUnavailableError("too large"))
+            await wait_until(lambda: "reader" in running.store.calls[before:])
+            await settle()
+            assert running.reader.role is role
+            if role is ListSharingRole.SERVING:
+                await wait_until(lambda: running.store.calls.count("other readers") == 2)
+
+    run(scenario())
+
+
+def test_routes_that_the_store_does_not_have_are_no_longer_waited_for() -> None:
+    # A restore may lose the version that a reader announced before it was lost.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.store.refuses_routes = True
+            running.reader.peers.on_datagram(update(revision=9, routes_version=99), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            assert running.reader.routes_confirmed_ms() is None
+            running.store.refuses_routes = False
+            await wait_until(lambda: running.reader.routes_confirmed_ms() is not None)
+
+    run(scenario())
+
+
 def test_the_store_is_watched_again_after_an_abandoned_watch(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -690,7 +774,71 @@
             await wait_until(lambda: "after 15" in running.watches()[-1])
             assert len([call for call in running.store.calls if call.startswith("servers")]) == 1
 
-    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 2)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 2)
+    run(scenario())
+
+
+def test_a_watch_ends_when_the_host_begins_to_follow_a_reader() -> None:
+    # Until its end, up to 20 s later, the host would not get routes that the reader announces.
+    async def scenario() -> None:
+        async with following() as running:
+            await wait_until(running.waits_for_changes)
+            running.reader.peers.on_datagram(update(revision=9, routes_version=99), PEER_ADDRESS)
+            await wait_until(lambda: "stale routes" in running.store.calls)
+            assert running.reader.role is ListSharingRole.FOLLOWING
+
+    run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("claim_in_ms", "expected_ms"),
+    [
+        pytest.param(None, MAX_WATCH_WAIT_MS, id="no claim"),
+        pytest.param(300, 300, id="a claim within the wait"),
+        pytest.param(60_000, MAX_WATCH_WAIT_MS, id="a claim after the wait"),
+        # A watch without a wait would be repeated in a busy loop.
+        pytest.param(0, 1, id="a claim that is due"),
+        pytest.param(-5, 1, id="a claim that is overdue"),
+    ],
+)
+def test_a_watch_waits_no_longer_than_until_the_next_claim(
+    claim_in_ms: int | None, expected_ms: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def claim_deadline_ms(now_ms: int) -> int | None:
+        return None if claim_in_ms is None else now_ms + claim_in_ms
+
+    async def scenario() -> None:
+        running = RunningReader(local=LOCAL_READER)
+        running.store.first_list = asyncio.Event()
+        async with running:
+            sharing = running.reader._sharing
+            monkeypatch.setattr(sharing, "claim_deadline_ms", claim_deadline_ms)
+            assert running.reader._watch._watch_wait_ms() == expected_ms
+
+    run(scenario())
+
+
+def test_a_watch_is_kept_if_the_feed_brings_what_a_probe_found(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            await wait_until(running.waits_for_changes)
+            running.store.revision = 14
+            await wait_until(lambda: "probe" in running.store.calls)
+            # The answer is too old to follow the reader by it.
+            sent_ms = running.age_clock.now_ms() - 1_000
+            running.reader.peers.on_datagram(
+                update(revision=14, request_sent_ms=sent_ms), PEER_ADDRESS
+            )
+            assert running.reader.revision == 14
+            assert running.reader.role is ListSharingRole.READING
+            probes = running.store.calls.count("probe")
+            await wait_until(lambda: running.store.calls.count("probe") > probes)
+            assert not any(call.startswith("servers") for call in running.store.calls)
+
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 300)
     run(scenario())
 
 
@@ -796,11 +944,41 @@
             await wait_until(lambda: running.steering.routes is not None)
             assert running.watches()[:1] == calls
 
-    monkeypatch.setattr(server_list_sync, "COLD_START_WAIT_MS", 60_000)
+    monkeypatch.setattr(whole_list, "COLD_START_WAIT_MS", 60_000)
+    # A claim of its own would end the wait, too.
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
     monkeypatch.setattr(reader_following, "READER_LOOKUP_INTERVAL_MS", 2)
     run(scenario())
 
 
+def test_a_host_that_shares_no_list_waits_for_no_reader(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with RunningReader() as running:
+            await wait_until(lambda: running.steering.routes is not None)
+            assert running.store.calls[:2] == ["stale list", "after 5 wait 0"]
+
+    monkeypatch.setattr(whole_list, "COLD_START_WAIT_MS", 60_000)
+    run(scenario())
+
+
+def test_a_reader_whose_record_a_restore_lost_claims_the_role_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Its followers still know it; another reader would make them read the whole list.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            running.store.reader = NO_READER
+            running.store.results.put_nowait(StoreHistoryLostError("restored"))
+            await wait_until(lambda: "register expected 0" in running.store.calls)
+            assert running.reader.role is ListSharingRole.SERVING
+
+    monkeypatch.setattr(sharing_module, "FIRST_CLAIM_DELAY_MS", 60_000)
+    run(scenario())
+
+
 @pytest.mark.parametrize(
     ("reader_recovers", "calls"),
     [
@@ -828,14 +1006,13 @@
             if reader_recovers:
                 peers.on_datagram(update(revision=9), PEER_ADDRESS)
                 await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+                await wait_until(lambda: running.reader.is_store_reachable)
                 await settle()
             else:
                 await wait_until(lambda: "servers after 9" in running.store.calls)
             assert [call for call in running.store.calls if "servers" in call] == calls
 
-    monkeypatch.setattr(
-        server_list_sync, "READER_RECOVERY_WAIT_MS", 60_000 if reader_recovers else 50
-    )
+    monkeypatch.setattr(list_reads, "READER_RECOVERY_WAIT_MS", 60_000 if reader_recovers else 50)
     run(scenario())
 
 
@@ -873,9 +1050,9 @@
             assert running.reader.role is ListSharingRole.FOLLOWING
 
     for name in ("MIN_FOLLOWER_RETRY_MS", "MIN_RETRY_MS"):
-        monkeypatch.setattr(server_list_sync, name, 60_000)
+        monkeypatch.setattr(store_knowledge, name, 60_000)
     for name in ("MAX_FOLLOWER_RETRY_MS", "MAX_RETRY_MS"):
-        monkeypatch.setattr(server_list_sync, name, 60_000)
+        monkeypatch.setattr(store_knowledge, name, 60_000)
     run(scenario())
 
 
@@ -910,7 +1087,7 @@
             await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
             running.store.is_down = True
             await wait_until(lambda: running.reader.role is ListSharingRole.READING)
-            monkeypatch.setattr(MeteredStore, "list_age_ms", lambda _: own_read_age_ms)
+            monkeypatch.setattr(ListAge, "age_ms", lambda *_: own_read_age_ms)
             assert 200 < running.reader.list_age_ms() < own_read_age_ms
 
     run(scenario())
@@ -976,7 +1153,7 @@
             running.reader.peers.on_datagram(answer, PEER_ADDRESS)
             assert running.reader.is_outdated_by_pause() is is_outdated
 
-    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(store_knowledge, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -996,8 +1173,8 @@
             # The held packets are decided.
             await wait_until(lambda: running.list_changes > known_changes)
 
-    monkeypatch.setattr(server_list_sync, "PROBE_INTERVAL_MS", 60_000)
-    monkeypatch.setattr(server_list_sync, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
+    monkeypatch.setattr(list_watch, "PROBE_INTERVAL_MS", 60_000)
+    monkeypatch.setattr(store_knowledge, "PAUSE_CONFIRMATION_LIMIT_MS", 60_000)
     run(scenario())
 
 
@@ -1008,7 +1185,7 @@
             running.store.answers_probes = False
             running.age_clock.paused_ms = PAUSE_MS
             assert running.reader.is_outdated_by_pause()
-            limit_ms = server_list_sync.PAUSE_CONFIRMATION_LIMIT_MS + 1
+            limit_ms = store_knowledge.PAUSE_CONFIRMATION_LIMIT_MS + 1
             running.age_clock.paused_ms += limit_ms
             assert not running.reader.is_outdated_by_pause()
 
@@ -1067,7 +1244,7 @@
             assert set(known) == expected_servers
             assert version_in_force(running) == 7
 
-    monkeypatch.setattr(server_list_sync, "SNAPSHOT_DELAY_MS", 0)
+    monkeypatch.setattr(store_knowledge, "SNAPSHOT_DELAY_MS", 0)
     run(scenario())
 
 
