Refuse settings that the TOML parser cannot read, with one finding

A settings file with thousands of nested brackets raised RecursionError, and one with a number of 5,000 or 400 digits, or with a port of 5,000 digits, raised ValueError or OverflowError. A key of 30,000 parts took 4 s. Reload caught none of these. SIGTERM reads the file too, before it records the stop, so that the process did not stop.

The text is now checked for nesting, parts of a key and long words before it is parsed, which takes linear time and gives the line. Integers of more than 64 bits are findings, as TOML requires. A stop is recorded before the file is read. A finding about a key with a newline stays on one line, and a null character in secret_key_file is a finding.

--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -295,9 +295,10 @@
     def request_stop(self) -> None:
         """Begin a planned stop: leave the routers' rotation, but steer packets that still come."""
         log.info("stop requested")
-        self.reload()
         self._stop_requested.set()
         self._update_readiness()
+        # Last, so that no fault in reading the file keeps the process from stopping.
+        self.reload()
 
     def reload(self) -> None:
         """Reload the settings file and log what changed; apply only the grace period."""
--- a/src/redwingswitch/_internal/settings.py
+++ b/src/redwingswitch/_internal/settings.py
@@ -241,7 +241,8 @@
     try:
         mode = path.stat().st_mode
         key = path.read_text(encoding="ascii").strip()
-    except (OSError, UnicodeDecodeError) as error:
+    except (OSError, ValueError) as error:
+        # A ValueError comes from a path with a null character, or from a file that is not ASCII.
         root.add_finding(
             "secret_key_file",
             f"cannot be read: {error}",
--- a/src/redwingswitch/_internal/utils/toml_reader.py
+++ b/src/redwingswitch/_internal/utils/toml_reader.py
@@ -10,11 +10,17 @@
 from typing import TypeVar
 
 from redwingswitch._internal.exceptions import Finding
+from redwingswitch._internal.utils.toml_limits import find_exceeded_limit
 from redwingswitch._internal.utils.toml_paths import KeyPath, format_key_path
 
 E = TypeVar("E", bound=StrEnum)
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
+# TOML requires 64 bits of an integer, and the parser limits none. Longer ones cannot be converted
+# to a number with a fraction, or to text.
+MIN_INTEGER = -(2**63)
+MAX_INTEGER = 2**63 - 1
 MAX_NAME_CHARACTERS = 63
 NAME_PATTERN = re.compile(r"[A-Za-z0-9](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9])?")
 # The alphabet of Z85 (ZeroMQ RFC 32); a CURVE key of 32 bytes has 40 characters.
@@ -188,7 +194,8 @@
             return "", 0
         address, _, port = value.partition(":")
         problem = address_problem(address)
-        if problem is None and port.isdecimal() and 0 < int(port) <= MAX_PORT:
+        is_number = port.isdecimal() and len(port) <= MAX_PORT_DIGITS
+        if problem is None and is_number and 0 < int(port) <= MAX_PORT:
             return address, int(port)
         self.add_finding(key, problem or f"{port!r} is not a port", "write it as 10.1.0.1:8080")
         return "", 0
@@ -249,6 +256,9 @@
                 self.add_finding(key, "missing key", "add it")
             return None
         value = self._values[key]
+        if type(value) is int and not MIN_INTEGER <= value <= MAX_INTEGER:
+            self.add_finding(key, "an integer of more than 64 bits found", "use a smaller number")
+            return None
         if type(value) is wanted or (wanted is float and type(value) is int):
             return value
         self.add_finding(key, _found_type(value), f"write {TYPE_NAMES[wanted]}")
@@ -274,7 +284,14 @@
 
 
 def read_document(*, text: str, collector: FindingCollector) -> TableReader | None:
-    """Return a reader of the root table, or None with one finding when ``text`` is not TOML."""
+    """Return a reader of the root table, or None with one finding when ``text`` is not TOML.
+
+    A text that the parser cannot read, or not in a short time, counts as not TOML.
+    """
+    if exceeded := find_exceeded_limit(text):
+        line, problem, remedy = exceeded
+        collector.add(("(syntax)",), problem, remedy, line=line)
+        return None
     try:
         values = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -320,6 +320,57 @@
         run(scenario())
 
 
+@pytest.mark.parametrize(
+    "addition",
+    [
+        pytest.param("link_mbps = " + "[" * 5_000, id="nested arrays"),
+        pytest.param("link_mbps = " + "9" * 5_000, id="5,000 digits"),
+        pytest.param("link_mbps = " + "9" * 400, id="400 digits"),
+    ],
+)
+def test_settings_that_cannot_be_parsed_are_refused_and_a_stop_completes(
+    tmp_path: Path, addition: str
+) -> None:
+    # Reading them raised RecursionError, ValueError or OverflowError, also at the start of a stop:
+    # SIGTERM did not end the process.
+    async def scenario() -> None:
+        settings_file = tmp_path / "settings.toml"
+        settings_file.write_text(VALID_SETTINGS.format(grace_period_s=3) + addition)
+        async with SteeringSite() as site:
+            site.configure()
+            await site.add_server(1)
+            host = site.add_host(settings_file=settings_file)
+            await until_ready(host)
+            host.daemon.reload()
+            refused = [r.message for r in handler.records if "reload refused" in r.message]
+            assert len(refused) == 1
+            assert f"{settings_file}:8: " in refused[0]
+            assert await check(host, "/ready") == 200
+            host.daemon.request_stop()
+            await host.task
+
+    with logbook.TestHandler() as handler:
+        run(scenario())
+
+
+def test_an_error_in_reading_the_settings_does_not_keep_the_process_from_stopping(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(_path: Path) -> None:
+        raise RecursionError
+
+    async def scenario() -> None:
+        async with SteeringSite() as site:
+            host = await start_site(site, 1)
+            host.daemon._settings_file = tmp_path / "settings.toml"
+            monkeypatch.setattr(steering_daemon, "read_steering_settings", fail)
+            with pytest.raises(RecursionError):
+                host.daemon.request_stop()
+            await host.task
+
+    run(scenario())
+
+
 def test_an_error_in_the_fleet_reader_ends_the_process(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/unit/test_settings.py
+++ b/tests/unit/test_settings.py
@@ -49,6 +49,12 @@
     (PLAIN, "true", "true\nrequest_port = 7201", "request_port", "equal to data_port", 5),
     (PLAIN, "true", 'true\nsecret_key_file = "absent"', "secret_key_file", "cannot be read", 5),
     (PLAIN, "true", "true\n=", "(syntax)", "Invalid", 5),
+    # Each of these raised ValueError, RecursionError or OverflowError.
+    (PLAIN, "true", 'true\nsecret_key_file = "a\\u0000"', "secret_key_file", "cannot be read", 5),
+    (PLAIN, "true", "true\nseeds = " + "[" * 5_000, "(syntax)", "nested", 5),
+    (PLAIN, "true", "true\ngrace_period_s = " + "9" * 5_000, "(syntax)", "characters", 5),
+    (PLAIN, "true", "true\ngrace_period_s = " + "9" * 900, "grace_period_s", "64 bits", 5),
+    (PLAIN, "1:2379", "1:" + "9" * 5_000, "store_endpoints", "127.0.0.1", 5),
 ]
 
 
--- a/tests/unit/test_steering_settings.py
+++ b/tests/unit/test_steering_settings.py
@@ -6,11 +6,13 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.cli.steer import main
 from redwingswitch._internal.commands import steer
-from redwingswitch._internal.exceptions import InvalidInputGroup
+from redwingswitch._internal.exceptions import InvalidInputError, InvalidInputGroup
 from redwingswitch._internal.steering_settings import (
     DEFAULT_LIST_AGE_LIMIT_MS,
     Endpoint,
@@ -154,6 +156,69 @@
     assert key in key_paths
 
 
+@pytest.mark.parametrize(
+    ("old", "new", "line"),
+    [
+        # Each of these raised RecursionError, ValueError or OverflowError, or took seconds.
+        pytest.param("link_mbps = 10", f"link_mbps = {'[' * 5_000}", 12, id="nested arrays"),
+        pytest.param("link_mbps = 10", f"link_mbps = {'{a=' * 5_000}", 12, id="nested tables"),
+        pytest.param("link_mbps = 10", f"{'[' * 5_000}a", 12, id="nested header"),
+        pytest.param(
+            "link_mbps = 10", f"x = {'[' * 100}{']' * 100}", 12, id="nested below an unknown key"
+        ),
+        pytest.param("link_mbps = 10", f"{'a.' * 30_000}b = 1", 12, id="key of 30,001 parts"),
+        pytest.param("link_mbps = 10", f"[{'a.' * 30_000}b]", 12, id="header of 30,001 parts"),
+        pytest.param("link_mbps = 10", f"link_mbps = {'9' * 5_000}", 12, id="5,000 digits"),
+        pytest.param("link_mbps = 10", f"link_mbps = {'9' * 400}", 12, id="400 digits"),
+        pytest.param("link_mbps = 10", f"link_mbps = 0x{'f' * 5_000}", 12, id="hexadecimal"),
+        pytest.param("grace_period_s = 6", f"grace_period_s = {'9' * 30}", 9, id="integer"),
+        pytest.param(":8172", ":" + "9" * 5_000, 4, id="port of 5,000 digits"),
+        pytest.param("link_mbps = 10", '"link\\nmbps" = 10', 12, id="key of two lines"),
+    ],
+)
+def test_a_value_that_cannot_be_parsed_is_one_finding_with_its_line(
+    old: str, new: str, line: int
+) -> None:
+    assert old in VALID_SETTINGS
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_steering_settings(text=VALID_SETTINGS.replace(old, new, 1), file="settings.toml")
+    (error,) = caught.value.exceptions
+    assert error.finding.line == line
+    assert str(error).isprintable()
+
+
+@pytest.mark.parametrize(
+    "addition",
+    [
+        pytest.param("# " + "[" * 100 + "9" * 2_000 + "a." * 100, id="comment"),
+        pytest.param("# it's \"quoted\n# " + "[" * 100, id="comment with quotes"),
+        pytest.param('readiness_path = "/' + "[" * 100 + "9" * 2_000 + ".a" * 100 + '"', id="text"),
+        pytest.param("readiness_path = '/\"" + "[" * 100 + "'", id="literal text"),
+        pytest.param('readiness_path = "/\\"' + "[" * 100 + '"', id="text with an escape"),
+        pytest.param('readiness_path = """/\n"' + "[" * 100 + '"""', id="text of two lines"),
+        pytest.param("readiness_path = '''/\n'" + "[" * 100 + "'''", id="two literal lines"),
+    ],
+)
+def test_limits_of_the_text_do_not_apply_within_strings_and_comments(addition: str) -> None:
+    others = VALID_SETTINGS.replace('readiness_path = "/v1/ready"\n', "")
+    assert parse_steering_settings(text=f"{addition}\n{others}", file="settings.toml")
+
+
+@given(
+    st.lists(
+        st.sampled_from([*"[]{}=.,#'\"\\\n 9a", '"""', "'" * 3, "0x", "inf", "1e9", "host"])
+        | st.text(max_size=3),
+        max_size=30,
+    ).map("".join)
+)
+@example("link_mbps = " + "[" * 480 + "]" * 480)
+@example("x = 1979-05-27T07:32:00+99:99")
+def test_any_text_is_refused_with_findings(text: str) -> None:
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_steering_settings(text=text, file="settings.toml")
+    assert all(isinstance(error, InvalidInputError) for error in caught.value.exceptions)
+
+
 def test_all_findings_are_reported_together() -> None:
     text = VALID_SETTINGS.replace("10.1.0.10:8172", "x").replace("10.200.1.7:8169", "y")
     with pytest.raises(InvalidInputGroup) as caught:
