Refuse routes from other hosts that no packet can be steered by

Routes and slow starts in messages must now meet the bounds that the decoder of the store has, so that no message of a present host is refused. One that does not is refused as malformed, with the log line that such messages have.

All 11 cases of test_routes_that_no_packet_can_be_steered_by_are_rejected failed before.

--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -33,6 +33,12 @@
 from redwingswitch._internal.models.server_list import OutOfService, ServerChange, ServerList
 from redwingswitch._internal.network.load_messages import check_load_message
 from redwingswitch._internal.network.packing import check_integer, convert_to_model, pack, unpack
+from redwingswitch._internal.network.route_checks import (
+    check_destination,
+    check_routes,
+    check_slow_starts,
+    check_version_and_limit,
+)
 
 log = Logger("peers")
 
@@ -142,6 +148,10 @@
     if snapshot.reader.reader is not None:
         _check_address(snapshot.reader.reader.address, snapshot.reader.reader.port)
     _check_out_of_service(snapshot.out_of_service)
+    check_integer(snapshot.revision, name="revision", maximum=MAX_UINT64)
+    check_version_and_limit(version=snapshot.routes_version, idle_limit_ms=snapshot.idle_limit_ms)
+    check_routes(snapshot.routes)
+    check_slow_starts(snapshot.slow_starts)
     routes = RouteTable(
         version=snapshot.routes_version,
         routes={route.destination: route for route in snapshot.routes},
@@ -165,7 +175,13 @@
 
 def decode_routes_difference(data: bytes) -> RoutesDifference:
     """Return the difference in ``data``; raise DecodeError if malformed or of another version."""
-    return convert_to_model(_decompress(data), RoutesDifference)
+    difference = convert_to_model(_decompress(data), RoutesDifference)
+    check_version_and_limit(version=difference.version, idle_limit_ms=difference.idle_limit_ms)
+    check_routes(difference.changed)
+    check_slow_starts(difference.slow_starts or ())
+    for destination in difference.removed:
+        check_destination(destination)
+    return difference
 
 
 def _compress(fields: Sequence[object]) -> bytes:
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -15,7 +15,12 @@
 )
 from redwingswitch._internal.decisions.list_sharing.feed import MAX_CHANGES_PER_UPDATE
 from redwingswitch._internal.exceptions import DecodeError
-from redwingswitch._internal.models.cookie_flows import RouteAddress, ServiceSlowStart
+from redwingswitch._internal.models.cookie_flows import (
+    Route,
+    RouteAddress,
+    ServiceShare,
+    ServiceSlowStart,
+)
 from redwingswitch._internal.models.list_readers import ListReader, Neighbour, RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
     FeedChange,
@@ -51,7 +56,7 @@
     encode_routes_difference,
     encode_snapshot,
 )
-from tests.lib.cookie_flows import route_table, server
+from tests.lib.cookie_flows import route, route_table, server
 
 MAX_LIST_DATAGRAM_BYTES = 1_200
 UPDATE = FeedUpdate(
@@ -324,3 +329,40 @@
     fleet = SNAPSHOT._replace(**fields)  # type: ignore[arg-type]
     with pytest.raises(DecodeError):
         decode_snapshot(encode_snapshot(fleet))
+
+
+ROUTE = route(RouteAddress(1, 443), "job-board")
+
+
+@pytest.mark.parametrize(
+    "changed",
+    [
+        # A packet of the first raised IndexError on each host that had taken the routes.
+        pytest.param(ROUTE._replace(shares=()), id="no service"),
+        pytest.param(
+            ROUTE._replace(shares=(ServiceShare("a", float("nan")),)), id="weight no number"
+        ),
+        pytest.param(
+            ROUTE._replace(shares=(ServiceShare("a", float("inf")),)), id="weight without end"
+        ),
+        pytest.param(ROUTE._replace(shares=(ServiceShare("a", -1.0),)), id="negative weight"),
+        pytest.param(ROUTE._replace(destination=RouteAddress(-1, 443)), id="negative address"),
+        pytest.param(ROUTE._replace(destination=RouteAddress(1, 65_536)), id="port out of range"),
+        pytest.param(ROUTE._replace(timeout_ms=-1), id="negative timeout"),
+        pytest.param(ROUTE._replace(latency_goal_ms=2**63), id="latency goal beyond 63 bits"),
+        pytest.param(ROUTE._replace(priority=-1), id="negative priority"),
+        pytest.param(ServiceSlowStart("a", float("nan"), 1), id="rate no number"),
+        pytest.param(ServiceSlowStart("a", 1.0, -1), id="negative duration"),
+    ],
+)
+def test_routes_that_no_packet_can_be_steered_by_are_rejected(
+    changed: Route | ServiceSlowStart,
+) -> None:
+    routes = (changed if isinstance(changed, Route) else ROUTE,)
+    slow_starts = () if isinstance(changed, Route) else (changed,)
+    table = route_table(*routes)._replace(slow_starts=slow_starts)
+    with pytest.raises(DecodeError):
+        decode_snapshot(encode_snapshot(SNAPSHOT._replace(routes=table)))
+    difference = RoutesDifference(0, 1, 1, 1, routes, (), slow_starts)
+    with pytest.raises(DecodeError):
+        decode_routes_difference(encode_routes_difference(difference))
