Escape label values in the metrics as the Prometheus text format specifies

aioprometheus writes label values as they are. The operators' document allows any name of a service, and one with a quote, backslash or newline made the metrics page of a host unreadable. Both daemons now escape labels.

--- a/src/redwingswitch/_internal/daemon/metrics.py
+++ b/src/redwingswitch/_internal/daemon/metrics.py
@@ -14,6 +14,7 @@
 from aioprometheus.renderer import render
 
 from redwingswitch._internal.decisions.flows.steering_context import SteeringStatistics
+from redwingswitch._internal.utils.metric_labels import build_labels
 
 PREFIX = "redwingswitch_"
 LATENCY_BUCKETS_MS = (
@@ -89,7 +90,8 @@
 
     def observe_latency(self, *, service: str, size_class: str, latency_ms: float) -> None:
         """Add one answered request to the latency histogram."""
-        self._latency.observe({"service": service, "size_class": size_class}, latency_ms)
+        labels = build_labels(("service", "size_class"), (service, size_class))
+        self._latency.observe(labels, latency_ms)
 
     def render(
         self, *, status: Mapping[str, Any], statistics: SteeringStatistics, open_connections: int
@@ -110,7 +112,7 @@
 def _labels(
     definitions: Mapping[str, tuple[str, tuple[str, ...]]], name: str, values: tuple[str, ...]
 ) -> dict[str, str]:
-    return dict(zip(definitions[name][1], values, strict=True))
+    return build_labels(definitions[name][1], values)
 
 
 def _gauge_values(
--- a/src/redwingswitch/_internal/daemon/steering_metrics.py
+++ b/src/redwingswitch/_internal/daemon/steering_metrics.py
@@ -11,6 +11,8 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 
+from redwingswitch._internal.utils.metric_labels import build_labels
+
 PREFIX = "redwingswitch_steering_"
 # The latency goals of the users' routes are between 150 and 1,400 ms.
 LATENCY_BUCKETS_MS = (10.0, 25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 500.0, 1e3, 2e3, 5e3)
@@ -160,11 +162,10 @@
 
         for name, values in counts.items():
             for labels, value in values.items():
-                label_values = dict(zip(COUNTERS[name][1], labels, strict=True))
-                self._counters[name].set(label_values, value)
+                self._counters[name].set(build_labels(COUNTERS[name][1], labels), value)
         for name, labels, gauge_value in gauges:
-            self._gauges[name].set(dict(zip(GAUGES[name][1], labels, strict=True)), gauge_value)
+            self._gauges[name].set(build_labels(GAUGES[name][1], labels), gauge_value)
         for name, service, latency_ms in latencies:
-            self._histograms[name].observe({"service": service}, latency_ms)
+            self._histograms[name].observe(build_labels(("service",), (service,)), latency_ms)
         content, headers = render(self._registry, ["text/plain"])
         return content, headers["Content-Type"]
--- a/tests/unit/configuration_check/test_agreement.py
+++ b/tests/unit/configuration_check/test_agreement.py
@@ -35,8 +35,6 @@
     st.sampled_from(
         ["", "a", "/80/", "/0/", "/65536/", "80", "10.0.0.1", "10.0.0.256", "download"]
     ),
-    # The reader of metrics takes a backslash before most characters as it is, so the cases have
-    # one where it does not; the check rejects all backslashes.
     st.sampled_from(['a"b', "a\\nb", "a\\", "a\nb", "x" * 128, "x" * 129, "\u6ce8\u6587", " "]),
     st.sampled_from([[], {}, [1], [{"Service": "a"}], [{"Service": "a", "Weight": 0}]]),
 )
