Keep the values of log lines on one line

The configuration may name a service with any text. A newline in the name ended a log line, and the rest looked like a line of its own to the report. Values that cannot be printed on one line are escaped.

Before the fix test_a_value_stays_on_its_line failed for a newline and a control character.

--- a/src/redwingswitch/_internal/utils/event_log.py
+++ b/src/redwingswitch/_internal/utils/event_log.py
@@ -92,7 +92,7 @@
 
 
 def format_event(event: str, fields: dict[str, object], omitted: int) -> str:
-    """Return the text of a line; values with spaces are quoted."""
+    """Return the text of a line; values with spaces are quoted, those of several lines escaped."""
     all_fields = {**fields, "omitted": omitted} if omitted else fields
     return " ".join(
         [event, *(f"{name}={_format_value(value)}" for name, value in all_fields.items())]
@@ -101,4 +101,6 @@
 
 def _format_value(value: object) -> str:
     text = str(value)
+    if not text.isprintable():
+        text = ascii(text)[1:-1]
     return f'"{text}"' if " " in text else text
--- a/tests/unit/daemon/test_event_log.py
+++ b/tests/unit/daemon/test_event_log.py
@@ -90,3 +90,16 @@
     stream.write("after the reader has gone\n")
     assert stream.lost_lines == before + 1
     os.close(writing)
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        pytest.param("a\nreset flow=b", 'failed service="a\\nreset flow=b"', id="second line"),
+        pytest.param("a\x1b[2J", "failed service=a\\x1b[2J", id="control character"),
+        pytest.param("\u6ce8\u6587", "failed service=\u6ce8\u6587", id="other letters"),
+    ],
+)
+def test_a_value_stays_on_its_line(value: str, expected: str) -> None:
+    # A configuration may name a service with any text, which forged a second line.
+    assert format_event("failed", {"service": value}, 0) == expected
