Use servers in a slow start of more than an hour

The document allows any RampS. With one over 3,600, entries of servers show a remaining slow start of more than an hour, which find_server_problem refused, so that the service had no server; a RampS over 1e9 s left the service without its limit. check_configuration reported an error for values that the document allows.

Decision: RampS has no bound but that of all numbers of the document, 2^53. A bound would cost a whole service over a number that only delays traffic. The remaining slow start of an entry counts up to an hour; servers report every second or so, and each report counts it anew, so that no slow start ends early. The range in messages between hosts stays, so that present hosts take them.

--- a/src/redwingswitch/_internal/models/server_checks.py
+++ b/src/redwingswitch/_internal/models/server_checks.py
@@ -17,6 +17,7 @@
 # The platform's limit for a key.
 MAX_SERVER_ID_BYTES = 200
 MAX_SLOTS = 1_000_000
+# The remaining slow start counts up to here; a server reports it again every second or so.
 MAX_SLOW_START_MS = 3_600_000
 # Integers that every codec and log reader represents exactly.
 MAX_COUNTER = 2**53
--- a/src/redwingswitch/_internal/platform/entries.py
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -24,6 +24,7 @@
 from redwingswitch._internal.models.list_readers import ListReader
 from redwingswitch._internal.models.server_checks import (
     MAX_PORT,
+    MAX_SLOW_START_MS,
     TUNNEL_PREFIX_BYTES,
     find_server_problem,
 )
@@ -43,16 +44,15 @@
 MAX_EXACT_NUMBER = 2**53
 MAX_HOST_NAME_CHARS = 255
 MS_PER_S = 1_000
-# Larger numbers limit nothing and would exceed an integer of milliseconds.
-MAX_SLOW_START_NUMBER = 1e9
+# A larger rate limits nothing.
+MAX_SLOW_START_PER_S = 1e9
 _PREFIX_PATTERN = re.compile(r"/([0-9]{1,5})/")
 _PORT_PATTERN = re.compile(r"[0-9]{1,5}")
 _NON_HEX_DIGIT = re.compile(r"[^0-9a-fA-F]")
 
 
 _Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
-# In seconds, or in requests a second.
-_SlowStartNumber = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLOW_START_NUMBER)]
+_SlowStartRate = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLOW_START_PER_S)]
 # Numbers that are used as integers.
 _Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
 
@@ -78,8 +78,8 @@
 
 class _ServiceEntry(msgspec.Struct):
     name: str = msgspec.field(name="Name")
-    slow_start_s: _SlowStartNumber | None = msgspec.field(name="RampS", default=None)
-    slow_start_per_s: _SlowStartNumber | None = msgspec.field(name="RampPerS", default=None)
+    slow_start_s: _Number | None = msgspec.field(name="RampS", default=None)
+    slow_start_per_s: _SlowStartRate | None = msgspec.field(name="RampPerS", default=None)
 
 
 class _Limits(msgspec.Struct):
@@ -103,7 +103,9 @@
     slots: _Integer = msgspec.field(name="Slots")
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     # Remaining duration of the slow start.
-    slow_start_left_ms: float = msgspec.field(name="RampLeftMs")
+    slow_start_left_ms: Annotated[float, msgspec.Meta(le=MAX_INTEGER)] = msgspec.field(
+        name="RampLeftMs"
+    )
     # Counts the server's reports since its start.
     report_number: int = msgspec.field(name="Seq")
     # Start time in Unix milliseconds; distinguishes two starts under the same id.
@@ -197,7 +199,8 @@
         failure_domain=entry.zone,
         slots=max(1, entry.slots),
         state=_SERVER_STATES[entry.state],
-        slow_start_left_ms=max(0, int(entry.slow_start_left_ms)),
+        # A server in a longer slow start reports again long before this one ends.
+        slow_start_left_ms=min(MAX_SLOW_START_MS, max(0, int(entry.slow_start_left_ms))),
         tunnel_prefix=tunnel_prefix,
         report_number=entry.report_number,
     )
--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -79,6 +79,14 @@
     assert decode_server("i-1", encoded({**ENTRY, "Service": service})).service == service
 
 
+@pytest.mark.parametrize("left_ms", [3_600_001, 2**53, 2**53 * 1_000])
+def test_a_server_in_a_long_slow_start_can_be_used(left_ms: int) -> None:
+    # The document allows any RampS. Entries with more than an hour were refused, so that all
+    # servers of the service were unknown until their slow start had less than an hour left.
+    server = decode_server("i-1", encoded({**ENTRY, "RampLeftMs": left_ms}))
+    assert server.slow_start_left_ms == 3_600_000
+
+
 def test_new_fields_are_ignored() -> None:
     assert decode_server("i-1", encoded({**ENTRY, "Colour": "red"})).service == "job-board"
 
@@ -133,6 +141,7 @@
     [
         pytest.param({"RampS": 30, "RampPerS": 4.5}, (4.5, 30_000), id="limited"),
         pytest.param({"RampPerS": 4}, (4.0, 0), id="duration missing"),
+        pytest.param({"RampS": 2**53, "RampPerS": 4}, (4.0, 2**53 * 1_000), id="longest"),
         pytest.param({"RampS": 30}, None, id="rate missing"),
         pytest.param({"RampS": 30, "RampPerS": 0}, None, id="rate 0"),
         pytest.param({"RampS": None, "RampPerS": None}, None, id="null"),
