Do not confirm a list by a late watch that lacks what a probe found

A response to a watch counted from the arrival of its headers. One that was under way while the store acknowledged a further change, which a probe beside it then found, made the list up to date as of the arrival, after the probe, without that change: until the next watch, and on the followers too.

Such a read now confirms the list only as of its own beginning, or that of the probe if that is earlier; a probe that found nothing new confirms as before. No call to the store is added.

--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -47,8 +47,12 @@
 
         The list is as the store had it at ``answered_ms``, the earliest time at which the store may
         have made its response. A read that began before or during a pause confirms the list only as
-        of a probe whose revision it reaches.
+        of a probe whose revision it reaches. So does a read that lacks what a probe found before
+        ``answered_ms``: its response was made earlier and was long under way.
         """
+        unmet = self._unmet_probe
+        if unmet and revision < unmet.store_revision and answered_ms >= unmet.began_ms:
+            answered_ms = min(began_ms, unmet.began_ms)
         if self._began_since_pause(began_ms):
             self._confirm(answered_ms)
         if self._unmet_probe is not None and revision >= self._unmet_probe.store_revision:
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -710,6 +710,31 @@
     run(scenario())
 
 
+def test_a_late_watch_that_lacks_what_a_probe_found_does_not_make_the_list_fresh(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # The response to the watch was under way while the store acknowledged the change that the probe
+    # then found. The list counted as up to date without that change until the next watch.
+    async def scenario() -> None:
+        async with RunningReader(
+            local=LOCAL_READER, reader=RegisteredReader(LOCAL_READER, 4)
+        ) as running:
+            await wait_until(running.waits_for_changes)
+            running.reader._read_interval_ms = 60_000
+            running.store.revision = 14
+            before = len(running.store.calls)
+            await wait_until(lambda: "probe" in running.store.calls[before:])
+            probed_ms = running.age_clock.now_ms()
+            running.age_clock.paused_ms += 500
+            running.store.results.put_nowait(changes(REMOVED_CHANGE, revision=9))
+            await wait_until(lambda: running.reader.revision == 9)
+            confirmed_ms = running.age_clock.now_ms() - running.reader.list_age_ms()
+            assert confirmed_ms <= probed_ms
+
+    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 60_000)
+    run(scenario())
+
+
 class ReaderWithRoutes:
     """A datagram sender that stands for a reader; it answers requests for routes."""
 
--- a/tests/unit/list_sharing/test_list_age.py
+++ b/tests/unit/list_sharing/test_list_age.py
@@ -3,6 +3,8 @@
 from typing import NamedTuple
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from redwingswitch._internal.decisions.list_sharing.list_age import PAUSE_THRESHOLD_MS, ListAge
 
@@ -69,6 +71,14 @@
         pytest.param(
             [Probe(400, 9), Read(0, 300, 8), Read(800, 800, 9)], 200, id="a later read has them"
         ),
+        # The store had acknowledged a change before the probe, and the list lacked it.
+        pytest.param([Probe(400, 9), Read(0, 600, 8)], 1_000, id="a late response lacks some"),
+        pytest.param(
+            [Probe(300, 5), Probe(400, 9), Read(0, 600, 8)], 700, id="an earlier probe confirms it"
+        ),
+        pytest.param(
+            [Probe(400, 9), Read(0, 600, 8), Read(650, 650, 9)], 350, id="the next read has them"
+        ),
         pytest.param([Read(0, 200, 9)], 800, id="a response that was long under way"),
         pytest.param(
             [Probe(400, 5), Read(0, 200, 9)], 600, id="a response made before the latest probe"
@@ -92,6 +102,40 @@
     assert age.age_ms(1_000) == expected_ms
 
 
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["write", "answer watch", "deliver", "probe"]), st.integers(0, 9)
+        ),
+        max_size=40,
+    )
+)
+def test_a_list_is_never_confirmed_beyond_a_probe_that_found_more_than_it_has(
+    steps: list[tuple[str, int]],
+) -> None:
+    """Compare with a store whose responses to watches are under way for any time."""
+    age = ListAge(now_ms=0)
+    now_ms, stored, known, watch_began_ms = 0, 1, 1, 0
+    on_the_way: int | None = None
+    latest_probe = (0, 1)
+    for step, passed_ms in steps:
+        now_ms += passed_ms
+        if step == "write":
+            stored += 1
+        elif step == "answer watch" and on_the_way is None and stored > known:
+            on_the_way = stored
+        elif step == "deliver" and on_the_way is not None:
+            known, on_the_way = on_the_way, None
+            age.on_list_read(watch_began_ms, now_ms, revision=known)
+            watch_began_ms = now_ms
+        elif step == "probe":
+            latest_probe = (now_ms, stored)
+            age.on_probe(now_ms, store_revision=stored, known_revision=known)
+        probed_ms, found = latest_probe
+        if found > known:
+            assert now_ms - age.age_ms(now_ms) <= probed_ms
+
+
 @pytest.mark.parametrize(
     ("began_ms", "expected_ms"),
     [
