Read the whole list once when the changes of servers exceed a response

A response may have 16 MB as the client reads it: 45 versions of a configuration of 256 KiB. The storms of 25 versions in 2 s and 12 in 4 s fit. Above 45, a watch of all keys fails once, and the changes of servers and the newest routes are read apart, as before. If the changes of servers alone exceed 16 MB, that call failed again and again until the store discarded them.

A response whose Content-Length is above the limit now has its own error, and for the changes of servers it counts as a lost history, so that the whole list is read. The error of a large response names its size; its reason was empty.

The whole list is not read when only the routes are too many: the reader's feed would begin anew, and all followers would read the store.

Without the change of platform/store.py test_a_host_reads_the_whole_list_once_ when_the_changes_of_servers_are_too_many failed (the host never caught up). The other tests of tests/functional/test_backlog.py show what holds already.

--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -46,6 +46,10 @@
     """A read from the key-value service failed, or a write certainly had no effect."""
 
 
+class ResponseTooLargeError(StoreUnavailableError):
+    """A response is larger than this program reads; the same call would fail again."""
+
+
 class StoreOutcomeUnknownError(RedwingswitchError):
     """The key-value service did not confirm a write; it may or may not have taken effect."""
 
--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import socket
 import time
 from typing import NamedTuple
@@ -16,9 +17,10 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
-from redwingswitch._internal.exceptions import StoreUnavailableError
+from redwingswitch._internal.exceptions import ResponseTooLargeError, StoreUnavailableError
 
 MAX_RESPONSE_BYTES = 16_000_000
+CONTENT_LENGTH_PATTERN = re.compile(r"[0-9]{1,18}")
 # A host behind a partition does not answer. A short timeout lets a later attempt succeed soon
 # after the partition has healed.
 CONNECT_TIMEOUT_MS = 1_000
@@ -109,7 +111,7 @@
         except (OSError, StreamClosedError) as error:
             self.close()
             raise StoreUnavailableError(f"the connection failed: {error}") from error
-        except asyncio.CancelledError:
+        except (ResponseTooLargeError, asyncio.CancelledError):
             self.close()
             raise
 
@@ -138,6 +140,7 @@
         collector = _ResponseCollector()
         await connection.read_response(collector)
         if not collector.is_complete:
+            _check_size(collector.headers.get("Content-Length", ""))
             raise StreamClosedError()
         if collector.closes_connection:
             self.close()
@@ -159,6 +162,14 @@
         return self._stream
 
 
+def _check_size(content_length: str) -> None:
+    size = int(content_length) if CONTENT_LENGTH_PATTERN.fullmatch(content_length) else 0
+    if size > MAX_RESPONSE_BYTES:
+        raise ResponseTooLargeError(
+            f"a response of {size} bytes is above the limit of {MAX_RESPONSE_BYTES}"
+        )
+
+
 def _create_tcp_socket() -> socket.socket:
     tcp_socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     tcp_socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -14,6 +14,7 @@
 
 from redwingswitch._internal.exceptions import (
     DecodeError,
+    ResponseTooLargeError,
     StoreHistoryLostError,
     StoreUnavailableError,
 )
@@ -179,7 +180,11 @@
         out of service are read whole, after the servers: the next watch begins at the revision of
         the servers, and an earlier set would miss what changed up to there.
         """
-        events = await self._watch(SERVER_PREFIX, after_revision, 0)
+        try:
+            events = await self._watch(SERVER_PREFIX, after_revision, 0)
+        except ResponseTooLargeError as error:
+            # Repeating it would fail until the store discards this history.
+            raise StoreHistoryLostError(f"{error}; read the full list") from error
         _, changes = _translate_items(events.events)
         out_of_service = await self._read_out_of_service()
         return ServerListChanges(
