--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from redwingswitch._internal.exceptions import ResponseTooLargeError, StoreHistoryLostError
 from redwingswitch._internal.models.list_readers import (
     NO_READER,
     DomainReader,
@@ -93,7 +94,11 @@
         out of service are read whole, after the servers: the next watch begins at the revision of
         the servers, and an earlier set would miss what changed up to there.
         """
-        watched = await self._calls.watch(SERVER_PREFIX, after_revision, 0)
+        try:
+            watched = await self._calls.watch(SERVER_PREFIX, after_revision, 0)
+        except ResponseTooLargeError as error:
+            # Repeating it would fail until the store discards this history.
+            raise StoreHistoryLostError(f"{error}; read the full list") from error
         _, changes = translate_items(watched.events)
         out_of_service = await self._read_out_of_service()
         return ServerListChanges(
