Simulate crashed servers and a change of the routers' rotation in the load model

The model had no server that resets its callers and no packets that take another host than the opening packet, so neither the detection of crashed servers nor its false alarms could be measured. A server can now reset all openings, and for a time each packet can take any host of its failure domain. Flows that have moved acknowledge answers with a packet of their own, as callers do; other flows send the same packets as before.

--- a/benchmarks/shared_load_model.py
+++ b/benchmarks/shared_load_model.py
@@ -56,12 +56,18 @@
 
 
 class SimulatedServer:
-    """A server with slots and a queue; ``speed`` and ``hang_ratio`` may be changed."""
+    """A server with slots and a queue; its speed and faults may be changed.
+
+    ``resets_openings`` is a server that has crashed: its machine resets callers.
+    """
 
     def __init__(self, *, server: ListedServer) -> None:
         self.server = server
         self.speed = 1.0
         self.is_silent = False
+        self.resets_openings = False
+        # Callers' tries that met a reset since the crash.
+        self.resets = 0
         self.hang_ratio = 0.0
         self.working = 0
         self.queue: deque[Callable[[], None]] = deque()
@@ -115,13 +121,15 @@
 class _Attempt:
     """One try of a caller: a flow through one host."""
 
-    __slots__ = ("began_ms", "domain", "flow", "host", "is_over", "server", "tries")
+    __slots__ = ("began_ms", "domain", "flow", "has_moved", "host", "is_over", "server", "tries")
 
     def __init__(self, *, began_ms: int, domain: str, tries: int) -> None:
         self.began_ms = began_ms
         self.domain = domain
         self.tries = tries
         self.is_over = False
+        # Whether its packets take another host than its opening packet.
+        self.has_moved = False
         self.server: SimulatedServer | None = None
         self.host: SimulatedHost
         self.flow: FlowEndpoints
@@ -149,6 +157,8 @@
         self.shares_load = shares_load
         # Pairs of a host's failure domain and another host's or server's that cannot communicate.
         self.cuts: set[tuple[str, str]] = set()
+        # Until then, the routers change their rotation and send each packet to any host.
+        self.rotation_deadline_ms = 0
         self.requests: list[Request] = []
         self.resets = 0
         # Numbers and bytes of the messages between hosts by kind.
@@ -251,9 +261,30 @@
     def _delay_ms(self, left: str, right: str) -> int:
         return LOCAL_DELAY_MS if left == right else REMOTE_DELAY_MS
 
+    def _choose_host(self, domain: str) -> SimulatedHost:
+        return self.random.choice([h for h in self.hosts if h.domain == domain and h.is_running])
+
+    def _route(self, attempt: _Attempt) -> SimulatedHost:
+        """Return the host that the next packet of a flow takes."""
+        if self.time_ms < self.rotation_deadline_ms:
+            attempt.host = self._choose_host(attempt.domain)
+            attempt.has_moved = True
+        return attempt.host
+
+    def _acknowledge(self, attempt: _Attempt, cookie: int, acknowledged: int) -> None:
+        """Send the caller's acknowledgement of an answer of the server.
+
+        Flows that have not moved go without, since their next packet acknowledges too.
+        """
+        host = self._route(attempt)
+        if attempt.has_moved:
+            packet = _packet(attempt.flow, cookie=cookie, acknowledged=acknowledged)
+            self._perform(host, host.steering.on_packet(packet, self.time_ms))
+
     def _try(self, attempt: _Attempt) -> None:
-        hosts = [h for h in self.hosts if h.domain == attempt.domain and h.is_running]
-        attempt.host = self.random.choice(hosts)
+        attempt.host = self._choose_host(attempt.domain)
+        attempt.has_moved = False
+        attempt.server = None
         attempt.tries += 1
         number = next(self._flow_numbers)
         attempt.flow = FlowEndpoints(0x64400000 + number // 60_000, number % 60_000, DESTINATION)
@@ -273,7 +304,8 @@
             is_waiting = attempt.tries == tries and attempt.server is None
             if is_waiting and not attempt.is_over:
                 packet = _packet(attempt.flow, copy_number=copy_number)
-                self._perform(attempt.host, attempt.host.steering.on_packet(packet, self.time_ms))
+                host = self._route(attempt) if copy_number else attempt.host
+                self._perform(host, host.steering.on_packet(packet, self.time_ms))
 
         return send
 
@@ -295,7 +327,8 @@
 
         def answer() -> None:
             if not attempt.is_over and attempt.tries == tries and attempt.server is None:
-                if server.is_full:
+                server.resets += server.resets_openings
+                if server.is_full or server.resets_openings:
                     self._refuse(attempt)
                 else:
                     attempt.server = server
@@ -327,7 +360,8 @@
     def _request(
         self, attempt: _Attempt, server: SimulatedServer, cookie: int, trip_ms: int
     ) -> None:
-        attempt.host.steering.on_packet(
+        self._acknowledge(attempt, cookie, 1)
+        self._route(attempt).steering.on_packet(
             _packet(attempt.flow, cookie=cookie, data_bytes=DATA_BYTES), self.time_ms
         )
         if self.random.random() < server.hang_ratio:
@@ -342,19 +376,31 @@
             server.working -= 1
             if server.queue:
                 server.queue.popleft()()
-            self.after(trip_ms / 2 + CALLER_DELAY_MS, lambda: self._answered(attempt, cookie))
+            if server.resets_openings:
+                # The requests in progress end with the crash.
+                self.after(trip_ms / 2 + CALLER_DELAY_MS, lambda: self._lose(attempt))
+            else:
+                self.after(trip_ms / 2 + CALLER_DELAY_MS, lambda: self._answered(attempt, cookie))
 
         if server.working < SLOTS:
             work()
         else:
             server.queue.append(work)
 
+    def _lose(self, attempt: _Attempt) -> None:
+        if not attempt.is_over:
+            self._refuse(attempt)
+
     def _answered(self, attempt: _Attempt, cookie: int) -> None:
         self._end(attempt, is_answered=True)
+        self._acknowledge(attempt, cookie, 2)
         closing = _packet(
             attempt.flow, cookie=cookie, sequence=1 + DATA_BYTES, acknowledged=2, closes=True
         )
-        self.after(CALLER_DELAY_MS, lambda: attempt.host.steering.on_packet(closing, self.time_ms))
+        self.after(
+            CALLER_DELAY_MS,
+            lambda: self._route(attempt).steering.on_packet(closing, self.time_ms),
+        )
 
     def _end(self, attempt: _Attempt, *, is_answered: bool) -> None:
         if attempt.is_over:
