Count hosts that share unconfirmed unanswered opening packets

A crashed server resets its callers, which hosts do not see: each host sees one opening packet after which the flow sends nothing. Such an opening counted only with a second one in a row at the same host, and with 65 hosts one host sends a server a flow in 5 s.

A host now reports such an opening at once (unconfirmed_hosts, 1 to 2 bytes for each named server; the schema version stays, since hosts that do not know the field ignore it). The reader finds a server silent by three hosts, confirmed or not, without an answer since. Unconfirmed openings do not count while flows move between hosts, nor for 0.3 s after, nor while more than half of the known servers show them. After a crash the flow's later offers are unanswered too, since its caller is gone, so only the first server that a flow was offered to is reported. Pairs of unconfirmed openings end when flows move: they came from rotations.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -365,7 +365,12 @@
             return None
         self._note_unanswered(state, pending.server_id, now_ms, is_confirmed=False)
         sent_ms = pending.deadline_ms - ANSWER_TIMEOUT_MS
-        self._share_unanswered(pending.server_id, sent_ms, is_confirmed=False)
+        self._share_unanswered(
+            pending.server_id,
+            sent_ms,
+            is_confirmed=False,
+            is_first_offer=len(state.offered_server_ids) == 1,
+        )
         route = self._routes.routes.get(pending.flow.destination) if self._routes else None
         if self.is_list_outdated or route is None or len(state.offered_server_ids) >= MAX_OFFERS:
             return None
@@ -600,10 +605,15 @@
         ):
             self._note_suspicion(state.flow, known.server)
 
-    def _share_unanswered(self, server_id: str, sent_ms: int, *, is_confirmed: bool) -> None:
+    def _share_unanswered(
+        self, server_id: str, sent_ms: int, *, is_confirmed: bool, is_first_offer: bool = True
+    ) -> None:
         if self.load_sharing is not None:
             self.load_sharing.observations.on_opening_unanswered(
-                server_id, sent_ms=sent_ms, is_confirmed=is_confirmed
+                server_id,
+                sent_ms=sent_ms,
+                is_confirmed=is_confirmed,
+                is_first_offer=is_first_offer,
             )
 
     def _note_suspicion(self, flow: FlowEndpoints, server: ListedServer) -> None:
--- a/src/redwingswitch/_internal/decisions/load_sharing/observations.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/observations.py
@@ -40,6 +40,9 @@
 # shorter than the time between two reports, so that a silent server's last answers soon end.
 RECENT_ANSWER_MS = 300
 MIN_UNCONFIRMED_OPENINGS = 2
+# A report at once because of moved flows; after a change of the routers' rotation, all hosts have
+# such flows for a second or more.
+MIN_MOVED_REPORT_INTERVAL_MS = 500
 # Between two calls that take the evidence.
 MAX_EVIDENCE = 256
 # A service time counts at most as much as this many usual ones.
@@ -64,10 +67,12 @@
     __slots__ = (
         "answered_ms",
         "answers",
+        "is_confirmed",
         "relative_time",
         "unanswered",
         "unanswered_sent_ms",
         "unconfirmed",
+        "unconfirmed_sent_ms",
     )
 
     def __init__(self) -> None:
@@ -77,10 +82,29 @@
         # was sent.
         self.unanswered = 0
         self.unanswered_sent_ms: int | None = None
-        # Those of them that may have been answered through another host.
+        # Whether any of them is confirmed.
+        self.is_confirmed = False
+        # Those of them that may have been answered through another host, and when the latest of
+        # them was sent.
         self.unconfirmed = 0
+        self.unconfirmed_sent_ms: int | None = None
         self.answered_ms: int | None = None
 
+    def forget_unanswered(self) -> None:
+        """Forget all openings, as after an answer."""
+        self.unanswered = 0
+        self.unanswered_sent_ms = None
+        self.is_confirmed = False
+        self.forget_unconfirmed()
+
+    def forget_unconfirmed(self) -> None:
+        """Forget the openings that may have been answered through another host."""
+        self.unconfirmed = 0
+        self.unconfirmed_sent_ms = None
+        if not self.is_confirmed:
+            self.unanswered = 0
+            self.unanswered_sent_ms = None
+
 
 class _RouteObservations:
     __slots__ = ("answers", "requests", "service_time_ms", "times")
@@ -109,6 +133,7 @@
         self._evidence: list[ServerEvidence] = []
         # Flows since the last report whose answer came through this host, but not their opening.
         self._moved_flows = 0
+        self._next_moved_report_ms = 0
         # The usual service times that all hosts know together, while they are fresh.
         self.shared_service_ms: Mapping[RouteAddress, float] = {}
         # Servers of which all hosts should report what they know.
@@ -117,42 +142,55 @@
         self.doubted: Container[str] = frozenset()
 
     def on_opening_unanswered(
-        self, server_id: str, *, sent_ms: int, is_confirmed: bool = False
+        self,
+        server_id: str,
+        *,
+        sent_ms: int,
+        is_confirmed: bool = False,
+        is_first_offer: bool = True,
     ) -> None:
         """Record an opening packet that a server did not answer in time.
 
         It is confirmed once the caller's later packets have reached this host. Otherwise the answer
         may have been acknowledged through another host, which two openings in a row make unlikely.
+
+        When a server has reset the caller, no further server that the flow is offered to gets an
+        acknowledgement. An unconfirmed opening is therefore reported of the first one only.
         """
         server = self._server(server_id)
         if server.answered_ms is not None and server.answered_ms >= sent_ms:
             return
         if not is_confirmed:
             server.unconfirmed += 1
+            if is_first_offer:
+                # At once only the first: the sums count hosts.
+                self._is_urgent |= server.unconfirmed_sent_ms is None
+                server.unconfirmed_sent_ms = sent_ms
             if server.unconfirmed < MIN_UNCONFIRMED_OPENINGS:
                 return
         if not server.unanswered:
             self._note_evidence(server_id, Evidence.UNANSWERED)
         server.unanswered += 1
         server.unanswered_sent_ms = sent_ms
+        server.is_confirmed |= is_confirmed
 
     def on_flow_moved(self) -> None:
         """Record a packet that answers a server on a flow that was opened through another host."""
         self._moved_flows += 1
 
     def forget_waiting(self) -> None:
-        """Forget the requests that wait now: their answers may take other hosts."""
+        """Forget the requests and openings that wait now: their answers may take other hosts."""
         self._overdue.forget()
+        for server in self._servers.values():
+            server.forget_unconfirmed()
 
     def on_answer(self, server_id: str, now_ms: int) -> None:
         """Record any answer of a server."""
         # For each acknowledgement of an answer, so it does as little as possible.
         server = self._servers.get(server_id) or self._server(server_id)
         server.answered_ms = now_ms
-        server.unconfirmed = 0
-        if server.unanswered:
-            server.unanswered = 0
-            server.unanswered_sent_ms = None
+        if server.unconfirmed or server.unanswered:
+            server.forget_unanswered()
         if server_id in self.doubted:
             self._is_urgent = True
 
@@ -195,6 +233,10 @@
         self._updated_ms = now_ms
         if elapsed_ms > 0:
             self._decay(0.5 ** (elapsed_ms / HALF_LIFE_MS), now_ms)
+        if self._moved_flows and now_ms >= self._next_moved_report_ms:
+            # Before the unconfirmed openings of these flows speak against servers.
+            self._next_moved_report_ms = now_ms + MIN_MOVED_REPORT_INTERVAL_MS
+            self._is_urgent = True
         return self._is_urgent
 
     def build_sums(self, now_ms: int, *, is_link_doubted: bool) -> LoadSums:
@@ -221,7 +263,10 @@
             or server_id in self.watched
         ]
         if is_link_doubted:
-            entries = [e._replace(silent_hosts=0, silent_age_cs=MAX_AGE_CS) for e in entries]
+            entries = [
+                e._replace(silent_hosts=0, silent_age_cs=MAX_AGE_CS, unconfirmed_hosts=0)
+                for e in entries
+            ]
         entries.sort(key=by_significance)
         return LoadSums(
             servers=tuple(entries[:MAX_SERVERS_PER_MESSAGE]),
@@ -253,6 +298,8 @@
 
     def _sum_server(self, server_id: str, busy: int, overdue: int, now_ms: int) -> ServerSums:
         server = self._servers.get(server_id) or _ServerObservations()
+        is_unconfirmed = not server.unanswered and server.unconfirmed_sent_ms is not None
+        sent_ms = server.unconfirmed_sent_ms if is_unconfirmed else server.unanswered_sent_ms
         return ServerSums(
             server=wire_id(server_id),
             busy_flows=busy,
@@ -260,8 +307,9 @@
             relative_time_tenths=round(TENTHS * server.relative_time),
             overdue_requests=overdue,
             silent_hosts=int(server.unanswered > 0),
-            silent_age_cs=age_cs(server.unanswered_sent_ms, now_ms),
+            silent_age_cs=age_cs(sent_ms, now_ms),
             answer_age_cs=age_cs(server.answered_ms, now_ms),
+            unconfirmed_hosts=int(is_unconfirmed),
         )
 
     def _sum_routes(self) -> tuple[RouteSums, ...]:
@@ -299,11 +347,13 @@
             sent_ms = server.unanswered_sent_ms
             if sent_ms is not None and age_cs(sent_ms, now_ms) == MAX_AGE_CS:
                 # A later opening packet shows whether the server is still silent.
-                server.unanswered = 0
-                server.unconfirmed = 0
-                server.unanswered_sent_ms = None
+                server.forget_unanswered()
+            sent_ms = server.unconfirmed_sent_ms
+            if sent_ms is not None and age_cs(sent_ms, now_ms) == MAX_AGE_CS:
+                server.forget_unconfirmed()
             is_quiet = age_cs(server.answered_ms, now_ms) == MAX_AGE_CS
-            if is_quiet and server.answers < MIN_SUM and not server.unanswered:
+            is_waiting = server.unanswered or server.unconfirmed_sent_ms is not None
+            if is_quiet and server.answers < MIN_SUM and not is_waiting:
                 stale.append(server_id)
         for server_id in stale:
             del self._servers[server_id]
--- a/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
@@ -11,9 +11,11 @@
 from redwingswitch._internal.decisions.load_sharing.server_sums import (
     MIN_OVERDUE_REQUESTS,
     MIN_SILENT_HOSTS,
+    is_new_evidence,
     is_unusual,
 )
 from redwingswitch._internal.decisions.load_sharing.summation import ReceivedSums, Summation
+from redwingswitch._internal.decisions.load_sharing.unconfirmed_silence import UnconfirmedSilence
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.load_sharing import (
     DomainLoad,
@@ -59,6 +61,7 @@
         self._hosts: LatestMessages[Neighbour] = LatestMessages(limit=MAX_HOSTS)
         self._domains: LatestMessages[str] = LatestMessages(limit=MAX_DOMAINS)
         self._watch_deadlines_ms: dict[int, int] = {}
+        self._unconfirmed = UnconfirmedSilence()
         self._sent_number = 0
         self._built: _Built | None = None
         self._faulty: frozenset[int] = frozenset()
@@ -70,7 +73,7 @@
     ) -> bool:
         """Take a report; return False for one that is older than another one of its sender."""
         known = frozenset() if self._built is None else self._built.unusual
-        if any(is_unusual(e) and e.server not in known for e in report.sums.servers):
+        if any(is_new_evidence(e) and e.server not in known for e in report.sums.servers):
             self.has_new_evidence = True
         return self._hosts.put(
             sender,
@@ -157,7 +160,12 @@
         # host shows that a server is not silent, also if nothing speaks against it here.
         summation.add(domains.values())
         merged = summation.build(watched=self._watch_deadlines_ms, now_ms=now_ms)
-        all_domains = merged._replace(servers=_with_own_silence(merged, own))
+        merged = merged._replace(servers=_with_own_silence(merged, own))
+        all_domains = merged._replace(
+            servers=self._unconfirmed.confirm(
+                merged, unconfirmed_ratio=summation.unconfirmed_ratio(), now_ms=now_ms
+            )
+        )
         self._watch(all_domains, now_ms)
         self._built = _Built(
             own=own,
--- a/src/redwingswitch/_internal/decisions/load_sharing/server_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/server_sums.py
@@ -13,8 +13,15 @@
 MIN_OVERDUE_REQUESTS = 2
 # The word of one host, whose own link may be bad, does not make a server suspected.
 MIN_SILENT_HOSTS = 2
+# A host with an unconfirmed unanswered opening packet may have missed the acknowledgement of the
+# answer, so it takes one host more.
+MIN_UNCONFIRMED_HOSTS = 3
+# Beyond this part of all servers, the hosts miss the acknowledgements rather than the answers.
+MAX_UNCONFIRMED_RATIO = 0.5
 # One flow may also have been forgotten by its host.
 MIN_MOVED_FLOWS = 2
+# A host first reports an unconfirmed opening 40 to 140 ms after it was sent, again 500 ms later.
+NEW_UNCONFIRMED_AGE_CS = 30
 # Sums that decay with a half-life of 2 s contain the events of the last 2.9 s.
 SUM_WINDOW_S = 2.885
 # Overdue requests are compared with the answers of this time, as the first are overdue earlier than
@@ -47,11 +54,21 @@
     """Return whether something speaks against a server."""
     return bool(
         entry.silent_hosts
+        or entry.unconfirmed_hosts
         or entry.overdue_requests
         or excess_tenths(entry) >= UNUSUAL_EXCESS_TENTHS
     )
 
 
+def is_new_evidence(entry: ServerSums) -> bool:
+    """Return whether the report of a host that names a server should be added up at once.
+
+    A host repeats an unconfirmed opening while it knows of no later answer, though other hosts do.
+    """
+    is_repeated = entry.unconfirmed_hosts and entry.silent_age_cs > NEW_UNCONFIRMED_AGE_CS
+    return is_unusual(entry._replace(unconfirmed_hosts=0) if is_repeated else entry)
+
+
 def mean_relative_time(entry: ServerSums) -> float:
     """Return the mean relative service time; 1 without answers."""
     if not entry.answers_tenths:
@@ -76,7 +93,13 @@
     return overdue / requests if requests else 0.0
 
 
-def by_significance(entry: ServerSums) -> tuple[int, int, float, int]:
-    """Return a sort key: silent servers, overdue requests, slow servers, busy ones."""
+def by_significance(entry: ServerSums) -> tuple[int, int, float, int, int]:
+    """Return a sort key: silent servers, overdue requests, slow ones, unconfirmed, busy ones."""
     excess = max(0.0, excess_tenths(entry)) if is_unusual(entry) else 0.0
-    return (-entry.silent_hosts, -entry.overdue_requests, -excess, -entry.busy_flows)
+    return (
+        -entry.silent_hosts,
+        -entry.overdue_requests,
+        -excess,
+        -entry.unconfirmed_hosts,
+        -entry.busy_flows,
+    )
--- a/src/redwingswitch/_internal/decisions/load_sharing/summation.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/summation.py
@@ -17,6 +17,7 @@
     MAX_ROUTES_PER_MESSAGE,
     MAX_SERVERS_PER_MESSAGE,
     MAX_SERVICES_PER_MESSAGE,
+    MAX_UNCONFIRMED_HOSTS,
     MS_PER_CS,
     LoadSums,
     RouteSums,
@@ -46,6 +47,19 @@
     sent_ms: int = 0
 
 
+class _Silence(NamedTuple):
+    """When unanswered opening packets were sent, and by how many hosts."""
+
+    sent_ms: int
+    silent_hosts: int
+    unconfirmed_hosts: int
+
+    @property
+    def hosts(self) -> int:
+        """Return the number of all these hosts."""
+        return self.silent_hosts + self.unconfirmed_hosts
+
+
 class _ServerTotal:
     __slots__ = (
         "answered_ms",
@@ -61,8 +75,7 @@
         self.answers_tenths = 0
         self.relative_time_tenths = 0
         self.overdue_requests = 0
-        # When the unanswered opening packets were sent, and by how many hosts.
-        self.silences: list[tuple[int, int]] = []
+        self.silences: list[_Silence] = []
         self.answered_ms: int | None = None
 
     def add(self, entry: ServerSums, arrived_ms: int) -> None:
@@ -71,14 +84,19 @@
         self.answers_tenths += entry.answers_tenths
         self.relative_time_tenths += entry.relative_time_tenths
         self.overdue_requests += entry.overdue_requests
-        if entry.silent_hosts and entry.silent_age_cs < MAX_AGE_CS:
+        if (entry.silent_hosts or entry.unconfirmed_hosts) and entry.silent_age_cs < MAX_AGE_CS:
             sent_ms = arrived_ms - MS_PER_CS * entry.silent_age_cs
-            self.silences.append((sent_ms, entry.silent_hosts))
+            self.silences.append(_Silence(sent_ms, entry.silent_hosts, entry.unconfirmed_hosts))
         if entry.answer_age_cs < MAX_AGE_CS:
             answered_ms = arrived_ms - MS_PER_CS * entry.answer_age_cs
             if self.answered_ms is None or answered_ms > self.answered_ms:
                 self.answered_ms = answered_ms
 
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Return whether any host has an unconfirmed unanswered opening."""
+        return any(each.unconfirmed_hosts for each in self.silences)
+
     def build(self, server: int, now_ms: int, reported_ms: int | None) -> ServerSums:
         """Return the sums; hosts whose opening packet is older than an answer are not silent.
 
@@ -92,19 +110,21 @@
             answered_ms = reported_ms
         is_answering = answered_ms is not None and now_ms - answered_ms < MIN_SILENCE_MS
         silences = [
-            (sent_ms, hosts)
-            for sent_ms, hosts in sorted(self.silences, reverse=True)
-            if answered_ms is None or sent_ms > answered_ms
+            each
+            for each in sorted(self.silences, reverse=True)
+            if answered_ms is None or each.sent_ms > answered_ms
         ]
+        unconfirmed_hosts = 0 if is_answering else sum(each.unconfirmed_hosts for each in silences)
         return ServerSums(
             server=server,
             busy_flows=self.busy_flows,
             answers_tenths=self.answers_tenths,
             relative_time_tenths=self.relative_time_tenths,
             overdue_requests=self.overdue_requests,
-            silent_hosts=0 if is_answering else sum(hosts for _, hosts in silences),
+            silent_hosts=0 if is_answering else sum(each.silent_hosts for each in silences),
             silent_age_cs=age_cs(_second_sent_ms(silences), now_ms),
             answer_age_cs=age_cs(answered_ms, now_ms),
+            unconfirmed_hosts=min(MAX_UNCONFIRMED_HOSTS, unconfirmed_hosts),
         )
 
 
@@ -138,6 +158,15 @@
                 if each.arrived_ms > self._answered_ms.get(server, 0):
                     self._answered_ms[server] = each.arrived_ms
 
+    def unconfirmed_ratio(self) -> float:
+        """Return the part of the servers that any host has unconfirmed unanswered openings of.
+
+        The others are those that the hosts report or that have just answered.
+        """
+        servers = len(self._servers.keys() | self._answered_ms.keys())
+        unconfirmed = sum(total.is_unconfirmed for total in self._servers.values())
+        return unconfirmed / servers if servers else 0.0
+
     def build(self, *, watched: Container[int], now_ms: int) -> LoadSums:
         """Return the sums.
 
@@ -204,11 +233,12 @@
     return tuple(ServiceBusy(service, domain, busy) for (service, domain), busy in named)
 
 
-def _second_sent_ms(silences: list[tuple[int, int]]) -> int | None:
+def _second_sent_ms(silences: list[_Silence]) -> int | None:
     """Return when the second latest host sent its packet, or the only one; None without any.
 
     The two latest ones show whether two hosts have had no answer since.
     """
     if not silences:
         return None
-    return silences[0][0] if silences[0][1] > 1 or len(silences) == 1 else silences[1][0]
+    is_latest = silences[0].hosts > 1 or len(silences) == 1
+    return silences[0 if is_latest else 1].sent_ms
--- a/tests/unit/load_sharing/test_load_exchange.py
+++ b/tests/unit/load_sharing/test_load_exchange.py
@@ -10,7 +10,11 @@
 import pytest
 
 from benchmarks.shared_load_model import Model, SimulatedHost, SimulatedServer
-from redwingswitch._internal.daemon.load_exchange import CHECK_INTERVAL_MS, REPORT_INTERVAL_MS
+from redwingswitch._internal.daemon.load_exchange import (
+    CHECK_INTERVAL_MS,
+    REPORT_INTERVAL_MS,
+)
+from redwingswitch._internal.decisions.load_sharing.avoided_servers import Fault
 from redwingswitch._internal.decisions.load_sharing.latest_messages import REPORT_LIFETIME_MS
 from redwingswitch._internal.models.list_readers import DomainReader, Neighbour, RegisteredReader
 from redwingswitch._internal.models.load_sharing import (
@@ -120,6 +124,53 @@
         assert any(at_ms > model.time_ms - 1_000 for at_ms in server.offered)
 
 
+def avoid_silent(model: Model) -> set[tuple[str, str]]:
+    """Return which hosts have ever avoided which servers as silent."""
+    return {
+        (host.record.host, server_id)
+        for host in model.hosts
+        for server_id, fault in host.metrics.counts["avoided_servers_total"]
+        if fault == Fault.SILENT
+    }
+
+
+def test_one_host_alone_makes_no_server_avoided_however_often_it_meets_no_answer() -> None:
+    model = Model(hosts=HOSTS, servers=SERVERS, seed=3)
+    model.run(WARM_MS)
+    for _ in range(20):
+        model.hosts[4].load.observations.on_opening_unanswered("i-0", sent_ms=model.time_ms)
+        model.run(model.time_ms + 100)
+    assert not avoid_silent(model)
+
+
+def test_a_crashed_server_is_avoided_by_all_hosts_and_used_again_when_it_is_back() -> None:
+    model = running_model()
+    crashed = faulty_servers(model)
+    for server in crashed:
+        server.resets_openings = True
+    model.run(model.time_ms + 4_500)
+    for server in crashed:
+        assert len(avoiding_hosts(model, server)) == HOSTS
+        server.resets_openings = False
+    names = {server.server.server_id for server in crashed}
+    assert {server_id for _, server_id in avoid_silent(model)} == names
+    assert model.resets == 0
+    # The hosts probe it within a second, and tell each other of the answer as of other recoveries.
+    model.run(model.time_ms + 12_000)
+    for server in crashed:
+        assert not avoiding_hosts(model, server)
+        assert any(at_ms > model.time_ms - 1_000 for at_ms in server.offered)
+
+
+def test_no_server_is_found_silent_while_the_routers_change_their_rotation() -> None:
+    # The acknowledgement of an answer then takes another host than the opening packet.
+    model = running_model()
+    model.rotation_deadline_ms = model.time_ms + 1_000
+    model.run(model.time_ms + 4_000)
+    assert sum(host.metrics.counts["load_messages_total"].total() for host in model.hosts)
+    assert not avoid_silent(model)
+
+
 def test_without_a_reader_hosts_serve_by_what_they_see_themselves() -> None:
     model = running_model()
     make_silent(model.servers["i-0"])
--- a/tests/unit/load_sharing/test_report_sums.py
+++ b/tests/unit/load_sharing/test_report_sums.py
@@ -15,6 +15,8 @@
     MIN_REBUILD_INTERVAL_MS,
     ReportSums,
 )
+from redwingswitch._internal.decisions.load_sharing.server_sums import age_cs
+from redwingswitch._internal.decisions.load_sharing.unconfirmed_silence import MOVED_FLOWS_MS
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.load_sharing import (
     MAX_AGE_CS,
@@ -242,3 +244,198 @@
 
 TestReports = ReportMachine.TestCase
 TestReports.settings = settings(max_examples=60, stateful_step_count=25, derandomize=True)
+
+
+class UnconfirmedCase(NamedTuple):
+    """Reports of single hosts and sums of another failure domain, about one server.
+
+    ``answering`` hosts have just had an answer, ``others`` other servers have answered, and
+    ``moved_flows`` flows have moved to other hosts.
+    """
+
+    own: tuple[ServerSums, ...]
+    silent_hosts: int = 0
+    answering: int = 0
+    others: int = 9
+    unconfirmed_others: int = 0
+    moved_flows: int = 0
+    other: ServerSums | None = None
+
+
+UNCONFIRMED = ServerSums(SERVER, 0, 0, 0, 0, 0, 5, MAX_AGE_CS, 1)
+UNCONFIRMED_EARLIER = UNCONFIRMED._replace(silent_age_cs=80)
+CONFIRMED = UNCONFIRMED._replace(silent_hosts=1, unconfirmed_hosts=0)
+
+
+@pytest.mark.parametrize(
+    "case",
+    [
+        pytest.param(UnconfirmedCase((UNCONFIRMED,)), id="one host, as by its bad link"),
+        pytest.param(UnconfirmedCase((UNCONFIRMED,) * 2), id="two hosts"),
+        pytest.param(UnconfirmedCase((UNCONFIRMED,) * 3, 3), id="three hosts: it has crashed"),
+        pytest.param(
+            UnconfirmedCase((CONFIRMED, UNCONFIRMED), 1), id="two hosts, one of them sure"
+        ),
+        pytest.param(UnconfirmedCase((CONFIRMED, *(UNCONFIRMED,) * 2), 3), id="one of three sure"),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, answering=1),
+            id="a full server that has just answered another host",
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED_EARLIER, *(UNCONFIRMED,) * 2, ANSWERED)),
+            id="answered after one of three",
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, moved_flows=2), id="the rotation has changed"
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, 3, moved_flows=1), id="one host forgot a flow"
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, unconfirmed_others=15),
+            id="nearly all servers show such openings",
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, 3, unconfirmed_others=3),
+            id="some other servers have crashed too",
+        ),
+        pytest.param(
+            UnconfirmedCase((CONFIRMED,) * 2, 2, moved_flows=2),
+            id="what hosts are sure of counts while flows move",
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,), 3, other=UNCONFIRMED._replace(unconfirmed_hosts=2)),
+            id="hosts of two failure domains",
+        ),
+        pytest.param(
+            UnconfirmedCase((UNCONFIRMED,) * 3, other=JUST_ANSWERED),
+            id="it answers hosts of another failure domain",
+        ),
+    ],
+)
+def test_unconfirmed_silence_needs_three_hosts_and_settled_routers(case: UnconfirmedCase) -> None:
+    sums = reader_sums()
+    for port, entry in enumerate(case.own):
+        sums.on_report(
+            report(entry), sender=Neighbour("10.0.0.8", port), incarnation=1, now_ms=1_000
+        )
+    for port in range(case.answering):
+        sums.on_report(
+            report(answered=(SERVER,)),
+            sender=Neighbour("10.0.0.9", port),
+            incarnation=1,
+            now_ms=1_000,
+        )
+    others = tuple(range(100, 100 + case.others))
+    unconfirmed = tuple(
+        UNCONFIRMED._replace(server=each) for each in range(200, 200 + case.unconfirmed_others)
+    )
+    answered = report(*unconfirmed, answered=others)
+    moved = answered._replace(sums=answered.sums._replace(moved_flows=case.moved_flows))
+    sums.on_report(moved, sender=OTHERS[0], incarnation=1, now_ms=1_000)
+    if case.other is not None:
+        load = DomainLoad("b", 1, 9, LoadSums((case.other,), (), ()))
+        sums.on_domain_load(load, incarnation=2, now_ms=1_000)
+    summary = sums.build_summary(OTHERS[0], 1_000)
+    assert summary is not None
+    found = {entry.server: entry.silent_hosts for entry in summary.sums.servers}
+    assert found.get(SERVER, 0) == case.silent_hosts
+    assert sums.has_new_fault(1_000) is (case.silent_hosts >= 2)
+
+
+def test_unconfirmed_openings_count_again_after_a_change_of_the_rotation() -> None:
+    sums = reader_sums()
+    moved = report(answered=(100, 101))
+    moved = moved._replace(sums=moved.sums._replace(moved_flows=5))
+    sums.on_report(moved, sender=READER, incarnation=1, now_ms=0)
+    sums.build_summary(READER, 0)
+    found = []
+    for now_ms in (MOVED_FLOWS_MS - 1, MOVED_FLOWS_MS + MIN_REBUILD_INTERVAL_MS):
+        settled = report(number=now_ms, answered=(100, 101))
+        sums.on_report(settled, sender=READER, incarnation=1, now_ms=now_ms)
+        for sender in OTHERS[:3]:
+            unconfirmed = report(UNCONFIRMED, number=now_ms)
+            sums.on_report(unconfirmed, sender=sender, incarnation=1, now_ms=now_ms)
+        summary = sums.build_summary(READER, now_ms)
+        assert summary is not None
+        found.append(summary.sums.servers[0].silent_hosts)
+    assert found == [0, 3]
+
+
+def test_a_server_that_answers_again_is_not_silent() -> None:
+    sums = reader_sums()
+    for sender in OTHERS[:3]:
+        sums.on_report(report(UNCONFIRMED), sender=sender, incarnation=1, now_ms=1_000)
+    sums.on_report(report(answered=(100, 101)), sender=READER, incarnation=1, now_ms=1_000)
+    assert sums.has_new_fault(1_000)
+    back = report(UNCONFIRMED._replace(silent_age_cs=MAX_AGE_CS, answer_age_cs=0), number=2)
+    sums.on_report(back, sender=OTHERS[0], incarnation=1, now_ms=1_500)
+    summary = sums.build_summary(READER, 1_500)
+    assert summary is not None
+    entry = summary.sums.servers[0]
+    assert (entry.server, entry.silent_hosts, entry.unconfirmed_hosts) == (SERVER, 0, 0)
+    assert entry.answer_age_cs < MAX_AGE_CS
+
+
+class UnconfirmedMachine(RuleBasedStateMachine):
+    """Hosts that meet unanswered openings, answers and moved flows of one server in any order.
+
+    The sums may find it silent only by openings of three hosts after every answer known.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sums = reader_sums()
+        self.now_ms = 10_000
+        self.number = 0
+        self.opened_ms: dict[Neighbour, int] = {}
+        self.answered_ms: dict[Neighbour, int] = {}
+        self.moved_ms = 0
+
+    def report(self, host: Neighbour, *, moved_flows: int = 0) -> None:
+        self.number += 1
+        entry = UNCONFIRMED._replace(
+            silent_age_cs=age_cs(self.opened_ms.get(host), self.now_ms),
+            answer_age_cs=age_cs(self.answered_ms.get(host), self.now_ms),
+            unconfirmed_hosts=int(host in self.opened_ms),
+        )
+        sums = LoadSums((entry,), (), (), moved_flows)
+        message = LoadReport(self.number, 0, (100, 101), sums)
+        self.sums.on_report(message, sender=host, incarnation=1, now_ms=self.now_ms)
+
+    @rule(host=st.sampled_from(OTHERS))
+    def leave_unanswered(self, host: Neighbour) -> None:
+        self.opened_ms[host] = self.now_ms
+        self.report(host)
+
+    @rule(host=st.sampled_from(OTHERS))
+    def answer(self, host: Neighbour) -> None:
+        self.answered_ms[host] = self.now_ms
+        self.opened_ms.pop(host, None)
+        self.report(host)
+
+    @rule(host=st.sampled_from(OTHERS))
+    def move(self, host: Neighbour) -> None:
+        self.moved_ms = self.now_ms
+        self.report(host, moved_flows=2)
+
+    @rule(passed_ms=st.sampled_from([100, 400, 1_500]))
+    def wait(self, passed_ms: int) -> None:
+        self.now_ms += passed_ms
+
+    @invariant()
+    def silent_by_three_hosts_only(self) -> None:
+        self.now_ms += MIN_REBUILD_INTERVAL_MS
+        entry = entry_in(self.sums, self.now_ms)
+        self.now_ms += MIN_REBUILD_INTERVAL_MS
+        if entry is None or not entry.silent_hosts:
+            return
+        answered_ms = max(self.answered_ms.values(), default=0)
+        later = [each for each in self.opened_ms.values() if each > answered_ms]
+        assert len(later) >= 3
+        assert entry.silent_hosts <= len(later)
+        assert self.now_ms - self.moved_ms >= MOVED_FLOWS_MS
+
+
+TestUnconfirmed = UnconfirmedMachine.TestCase
+TestUnconfirmed.settings = settings(max_examples=60, stateful_step_count=25, derandomize=True)
--- a/tests/unit/load_sharing/test_shared_load.py
+++ b/tests/unit/load_sharing/test_shared_load.py
@@ -200,6 +200,36 @@
     assert load.shared.avoided.get("i-0") is None
 
 
+@pytest.mark.parametrize(
+    ("later", "is_avoided"),
+    [
+        pytest.param({"unconfirmed_hosts": 1, "answer_age_cs": 90}, True, id="a probe unanswered"),
+        pytest.param({"answer_age_cs": 90}, False, id="a probe answered"),
+    ],
+)
+def test_a_crashed_server_stays_avoided_until_it_answers_a_probe(
+    later: dict[str, int], is_avoided: bool
+) -> None:
+    # The openings of probes are unconfirmed too, and two domains may send fewer than three.
+    _, load = sharing_host()
+    load.on_summary(summary(0, entry(**SILENT)), 0)
+    for now_ms in range(REPORT_MS, HOLD_MS + 2 * REPORT_MS, REPORT_MS):
+        load.on_summary(summary(now_ms, entry(**later)), now_ms)
+    assert (load.shared.avoided.get("i-0") is not None) is is_avoided
+
+
+@pytest.mark.parametrize("unconfirmed_hosts", [1, 2])
+def test_unconfirmed_openings_that_the_reader_does_not_count_make_no_server_avoided(
+    unconfirmed_hosts: int,
+) -> None:
+    _, load = sharing_host()
+    sums = entry(unconfirmed_hosts=unconfirmed_hosts, silent_age_cs=5)
+    load.on_summary(summary(0, sums), 0)
+    assert load.shared.avoided.get("i-0") is None
+    # Whoever has an answer of it reports that at once.
+    assert load.observations.doubted == {"i-0"}
+
+
 @pytest.mark.parametrize(
     ("sums", "rounds"),
     [
