Tell all failure domains of a silent server as soon as the sums show it

Readers sent their sums to other domains when hosts reported evidence. The sums often show a silent server only later, once its last answers are old enough, and the other domains then heard of it up to 0.5 s later and added it up 0.25 s after that. Hosts of one domain avoided a crashed server at 0.85 s, those of the other two at 1.55 s. Servers that crash together are also found one after the other, and the reader told its hosts once in 0.5 s.

The reader now sends its sums once when they newly show a server that two hosts find silent, adds up such sums of others within 0.1 s, and notifies its hosts up to three times at once, on average still once in 0.5 s.

--- a/src/redwingswitch/_internal/daemon/load_exchange.py
+++ b/src/redwingswitch/_internal/daemon/load_exchange.py
@@ -24,6 +24,9 @@
 # How often ``send_due_messages`` is called; also the least time between two reports.
 CHECK_INTERVAL_MS = 100
 REPORT_INTERVAL_MS = 500
+# Servers that fail together are found silent one after the other. The reader tells its hosts so up
+# to this many times at once, and every ``REPORT_INTERVAL_MS`` on average.
+MAX_NOTIFICATIONS_AT_ONCE = 3
 # The age clock continues while the host is suspended, the other one may not. Beyond this difference
 # between two calls, what the host knew is old.
 MAX_SUSPENSION_MS = 500
@@ -158,8 +161,8 @@
         return "taken" if is_taken else "late"
 
     def _send_domain_load_if_due(self, now_ms: int) -> None:
-        evidence_ms = self._new_evidence_ms
-        if evidence_ms is None and now_ms < self._next_domain_load_ms:
+        has_evidence = self._new_evidence_ms is not None or self._sums.has_untold_silence
+        if not has_evidence and now_ms < self._next_domain_load_ms:
             return
         readers = self._other_readers.readers()
         if not readers:
@@ -176,9 +179,12 @@
 
         They would get it with the answer to their next report, up to ``REPORT_INTERVAL_MS`` later.
         """
-        if now_ms < self._next_notification_ms or not self._sums.has_new_fault(now_ms):
+        earliest_ms = (
+            self._next_notification_ms - (MAX_NOTIFICATIONS_AT_ONCE - 1) * REPORT_INTERVAL_MS
+        )
+        if now_ms < earliest_ms or not self._sums.has_new_fault(now_ms):
             return
-        self._next_notification_ms = now_ms + REPORT_INTERVAL_MS
+        self._next_notification_ms = max(now_ms, self._next_notification_ms) + REPORT_INTERVAL_MS
         for host, summary in self._sums.build_summaries(now_ms):
             if host == self._local:
                 self._use_summary(summary, self._incarnation, now_ms)
--- a/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
@@ -67,6 +67,19 @@
         self._faulty: frozenset[int] = frozenset()
         # Whether a host reported something that the sums do not contain yet.
         self.has_new_evidence = False
+        # Whether another domain's sums name a server as silent, and the sums do not contain them.
+        self._has_new_domain_load = False
+        # Servers that this domain finds silent, as far as other domains have been told.
+        self._own_silent: frozenset[int] = frozenset()
+        self._told_silent: frozenset[int] = frozenset()
+
+    @property
+    def has_untold_silence(self) -> bool:
+        """Return whether hosts of this domain find a server silent, and other domains do not know.
+
+        The sums may say so later than the first evidence, once its last answers are old enough.
+        """
+        return not self._own_silent <= self._told_silent
 
     def on_report(
         self, report: LoadReport, *, sender: Neighbour, incarnation: int, now_ms: int
@@ -87,6 +100,7 @@
         if load.failure_domain == self._failure_domain:
             return False
         received = ReceivedSums(load.sums, now_ms, host_count=load.host_count)
+        self._has_new_domain_load |= bool(_silent_servers(load.sums))
         return self._domains.put(load.failure_domain, received, incarnation, load.number)
 
     def build_summary(self, receiver: Neighbour, now_ms: int) -> LoadSummary | None:
@@ -135,6 +149,7 @@
     def build_domain_load(self, now_ms: int) -> DomainLoad:
         """Return the sums over this failure domain for the readers of other ones."""
         built = self._build(now_ms, needed=self._local_host)
+        self._told_silent = self._own_silent
         self._sent_number += 1
         return DomainLoad(
             failure_domain=self._failure_domain,
@@ -145,9 +160,8 @@
 
     def _build(self, now_ms: int, *, needed: Neighbour) -> _Built:
         built = self._built
-        interval_ms = (
-            MIN_URGENT_REBUILD_INTERVAL_MS if self.has_new_evidence else MIN_REBUILD_INTERVAL_MS
-        )
+        is_urgent = self.has_new_evidence or self._has_new_domain_load
+        interval_ms = MIN_URGENT_REBUILD_INTERVAL_MS if is_urgent else MIN_REBUILD_INTERVAL_MS
         if built is not None and needed in built.ranks and now_ms - built.at_ms < interval_ms:
             return built
         hosts = self._hosts.fresh(now_ms)
@@ -176,7 +190,10 @@
             unusual=frozenset(entry.server for entry in own.servers if is_unusual(entry)),
             at_ms=now_ms,
         )
+        self._own_silent = _silent_servers(own)
+        self._told_silent &= self._own_silent
         self.has_new_evidence = False
+        self._has_new_domain_load = False
         return self._built
 
     def _watch(self, sums: LoadSums, now_ms: int) -> None:
@@ -188,6 +205,15 @@
                 del self._watch_deadlines_ms[server]
 
 
+def _silent_servers(sums: LoadSums) -> frozenset[int]:
+    """Return the servers that two hosts find silent, also if they cannot confirm it."""
+    return frozenset(
+        entry.server
+        for entry in sums.servers
+        if entry.silent_hosts + entry.unconfirmed_hosts >= MIN_SILENT_HOSTS
+    )
+
+
 def _with_own_silence(merged: LoadSums, own: LoadSums) -> tuple[ServerSums, ...]:
     """Return all domains' sums with the silence that the own domain found by its own answers.
 
--- a/tests/unit/load_sharing/test_load_exchange.py
+++ b/tests/unit/load_sharing/test_load_exchange.py
@@ -12,8 +12,10 @@
 from benchmarks.shared_load_model import Model, SimulatedHost, SimulatedServer
 from redwingswitch._internal.daemon.load_exchange import (
     CHECK_INTERVAL_MS,
+    MAX_NOTIFICATIONS_AT_ONCE,
     REPORT_INTERVAL_MS,
 )
+from redwingswitch._internal.decisions.cookies.pending_openings import ANSWER_TIMEOUT_MS
 from redwingswitch._internal.decisions.load_sharing.avoided_servers import Fault
 from redwingswitch._internal.decisions.load_sharing.latest_messages import REPORT_LIFETIME_MS
 from redwingswitch._internal.models.list_readers import DomainReader, Neighbour, RegisteredReader
@@ -134,6 +136,24 @@
     }
 
 
+def test_all_hosts_avoid_a_server_within_half_a_second_of_the_third_hosts_opening() -> None:
+    # A crashed server resets callers; each host sees a single opening without an answer.
+    model = Model(hosts=HOSTS, servers=SERVERS, seed=3)
+    model.run(WARM_MS)
+    for number in range(4):
+        for host in model.hosts:
+            host.load.observations.on_answer(f"i-{number + 1}", model.time_ms)
+        if number < 3:
+            host = model.hosts[number]
+            host.load.observations.on_opening_unanswered(
+                "i-0", sent_ms=model.time_ms - ANSWER_TIMEOUT_MS
+            )
+            assert not avoiding_hosts(model, model.servers["i-0"])
+        model.run(model.time_ms + (50 if number < 2 else 230))
+    assert len(avoiding_hosts(model, model.servers["i-0"])) == HOSTS
+    assert {server_id for _, server_id in avoid_silent(model)} == {"i-0"}
+
+
 def test_one_host_alone_makes_no_server_avoided_however_often_it_meets_no_answer() -> None:
     model = Model(hosts=HOSTS, servers=SERVERS, seed=3)
     model.run(WARM_MS)
@@ -171,6 +191,19 @@
     assert not avoid_silent(model)
 
 
+def test_hosts_are_told_of_servers_that_are_found_silent_one_after_the_other() -> None:
+    # Those of one crash; they waited half a second for each.
+    model = Model(hosts=HOSTS, servers=SERVERS, seed=3)
+    model.run(WARM_MS)
+    reader = model.hosts[0].exchange
+    sent: list[int] = []
+    reader._sums.has_new_fault = lambda _now_ms: True  # type: ignore[method-assign]
+    reader._sums.build_summaries = lambda now_ms: sent.append(now_ms) or []  # type: ignore[method-assign,func-returns-value]
+    model.run(model.time_ms + 10 * REPORT_INTERVAL_MS)
+    assert sent[MAX_NOTIFICATIONS_AT_ONCE - 1] - sent[0] < REPORT_INTERVAL_MS
+    assert len(sent) <= MAX_NOTIFICATIONS_AT_ONCE + 10
+
+
 def test_without_a_reader_hosts_serve_by_what_they_see_themselves() -> None:
     model = running_model()
     make_silent(model.servers["i-0"])
--- a/tests/unit/load_sharing/test_report_sums.py
+++ b/tests/unit/load_sharing/test_report_sums.py
@@ -13,9 +13,11 @@
 from redwingswitch._internal.decisions.load_sharing.latest_messages import REPORT_LIFETIME_MS
 from redwingswitch._internal.decisions.load_sharing.report_sums import (
     MIN_REBUILD_INTERVAL_MS,
+    MIN_URGENT_REBUILD_INTERVAL_MS,
     ReportSums,
 )
 from redwingswitch._internal.decisions.load_sharing.server_sums import age_cs
+from redwingswitch._internal.decisions.load_sharing.summation import MIN_SILENCE_MS
 from redwingswitch._internal.decisions.load_sharing.unconfirmed_silence import MOVED_FLOWS_MS
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.load_sharing import (
@@ -377,6 +379,31 @@
     assert entry.answer_age_cs < MAX_AGE_CS
 
 
+def test_other_domains_are_told_once_when_the_sums_first_show_a_silent_server() -> None:
+    # The last answer is often too recent when the hosts report their openings.
+    sums = reader_sums()
+    sums.on_report(report(answered=(SERVER, 100)), sender=READER, incarnation=1, now_ms=1_000)
+    for sender in OTHERS[:2]:
+        later = UNCONFIRMED._replace(silent_age_cs=0)
+        sums.on_report(report(later), sender=sender, incarnation=1, now_ms=1_100)
+    sums.build_domain_load(1_100)
+    assert not sums.has_untold_silence
+    sums.build_summary(READER, 1_000 + MIN_SILENCE_MS)
+    assert sums.has_untold_silence
+    load = sums.build_domain_load(1_000 + MIN_SILENCE_MS)
+    assert load.sums.servers[0].unconfirmed_hosts == 2
+    assert not sums.has_untold_silence
+
+
+def test_sums_of_another_domain_that_show_a_silent_server_are_added_at_once() -> None:
+    sums = reader_sums()
+    sums.on_report(report(UNCONFIRMED, answered=(100,)), sender=READER, incarnation=1, now_ms=1_000)
+    sums.build_summary(READER, 1_000)
+    load = DomainLoad("b", 1, 9, LoadSums((UNCONFIRMED._replace(unconfirmed_hosts=2),), (), ()))
+    sums.on_domain_load(load, incarnation=2, now_ms=1_010)
+    assert sums.has_new_fault(1_000 + MIN_URGENT_REBUILD_INTERVAL_MS)
+
+
 class UnconfirmedMachine(RuleBasedStateMachine):
     """Hosts that meet unanswered openings, answers and moved flows of one server in any order.
 
