--- a/benchmarks/shared_load.py
+++ b/benchmarks/shared_load.py
@@ -225,7 +225,7 @@
 
 
 def _full_sums(domains: int) -> LoadSums:
-    server = ServerSums(2**32 - 1, 12, 300, 1_500, 12, 4, 40, 100)
+    server = ServerSums(2**32 - 1, 12, 300, 1_500, 12, 4, 40, 100, 200)
     route = RouteSums(2**32 - 1, 8_443, 15_000, 15_000, 60_000, 220)
     service = ServiceBusy(2**32 - 1, 2**32 - 1, 200)
     return LoadSums(
