--- a/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
@@ -123,7 +123,10 @@
             self._note_suspicion(state.flow, known.server)
         if self.load_sharing is not None:
             self.load_sharing.observations.on_opening_unanswered(
-                server_id, sent_ms=offered_ms, is_confirmed=is_confirmed
+                server_id,
+                sent_ms=offered_ms,
+                is_confirmed=is_confirmed,
+                is_first_offer=len(state.offered_server_ids) == 1,
             )
 
     def on_opening_repeated(self, state: FlowState) -> None:
--- a/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
@@ -11,9 +11,11 @@
 from redwingswitch._internal.decisions.load_sharing.server_sums import (
     MIN_OVERDUE_REQUESTS,
     MIN_SILENT_HOSTS,
+    is_new_evidence,
     is_unusual,
 )
 from redwingswitch._internal.decisions.load_sharing.summation import ReceivedSums, Summation
+from redwingswitch._internal.decisions.load_sharing.unconfirmed_silence import UnconfirmedSilence
 from redwingswitch._internal.models.list_readers import Neighbour
 from redwingswitch._internal.models.load_sharing import (
     DomainLoad,
@@ -59,18 +61,32 @@
         self._hosts: LatestMessages[Neighbour] = LatestMessages(limit=MAX_HOSTS)
         self._domains: LatestMessages[str] = LatestMessages(limit=MAX_DOMAINS)
         self._watch_deadlines_ms: dict[int, int] = {}
+        self._unconfirmed = UnconfirmedSilence()
         self._sent_number = 0
         self._built: _Built | None = None
         self._faulty: frozenset[int] = frozenset()
         # Whether a host reported something that the sums do not contain yet.
         self.has_new_evidence = False
+        # Whether another domain's sums name a server as silent, and the sums do not contain them.
+        self._has_new_domain_load = False
+        # Servers that this domain finds silent, as far as other domains have been told.
+        self._own_silent: frozenset[int] = frozenset()
+        self._told_silent: frozenset[int] = frozenset()
+
+    @property
+    def has_untold_silence(self) -> bool:
+        """Return whether hosts of this domain find a server silent, and other domains do not know.
+
+        The sums may say so later than the first evidence, once its last answers are old enough.
+        """
+        return not self._own_silent <= self._told_silent
 
     def on_report(
         self, report: LoadReport, *, sender: Neighbour, incarnation: int, now_ms: int
     ) -> bool:
         """Take a report; return False for one that is older than another one of its sender."""
         known = frozenset() if self._built is None else self._built.unusual
-        if any(is_unusual(e) and e.server not in known for e in report.sums.servers):
+        if any(is_new_evidence(e) and e.server not in known for e in report.sums.servers):
             self.has_new_evidence = True
         return self._hosts.put(
             sender,
@@ -84,6 +100,7 @@
         if load.failure_domain == self._failure_domain:
             return False
         received = ReceivedSums(load.sums, now_ms, host_count=load.host_count)
+        self._has_new_domain_load |= bool(_silent_servers(load.sums))
         return self._domains.put(load.failure_domain, received, incarnation, load.number)
 
     def build_summary(self, receiver: Neighbour, now_ms: int) -> LoadSummary | None:
@@ -132,6 +149,7 @@
     def build_domain_load(self, now_ms: int) -> DomainLoad:
         """Return the sums over this failure domain for the readers of other ones."""
         built = self._build(now_ms, needed=self._local_host)
+        self._told_silent = self._own_silent
         self._sent_number += 1
         return DomainLoad(
             failure_domain=self._failure_domain,
@@ -142,9 +160,8 @@
 
     def _build(self, now_ms: int, *, needed: Neighbour) -> _Built:
         built = self._built
-        interval_ms = (
-            MIN_URGENT_REBUILD_INTERVAL_MS if self.has_new_evidence else MIN_REBUILD_INTERVAL_MS
-        )
+        is_urgent = self.has_new_evidence or self._has_new_domain_load
+        interval_ms = MIN_URGENT_REBUILD_INTERVAL_MS if is_urgent else MIN_REBUILD_INTERVAL_MS
         if built is not None and needed in built.ranks and now_ms - built.at_ms < interval_ms:
             return built
         hosts = self._hosts.fresh(now_ms)
@@ -157,7 +174,12 @@
         # host shows that a server is not silent, also if nothing speaks against it here.
         summation.add(domains.values())
         merged = summation.build(watched=self._watch_deadlines_ms, now_ms=now_ms)
-        all_domains = merged._replace(servers=_with_own_silence(merged, own))
+        merged = merged._replace(servers=_with_own_silence(merged, own))
+        all_domains = merged._replace(
+            servers=self._unconfirmed.confirm(
+                merged, unconfirmed_ratio=summation.unconfirmed_ratio(), now_ms=now_ms
+            )
+        )
         self._watch(all_domains, now_ms)
         self._built = _Built(
             own=own,
@@ -168,7 +190,10 @@
             unusual=frozenset(entry.server for entry in own.servers if is_unusual(entry)),
             at_ms=now_ms,
         )
+        self._own_silent = _silent_servers(own)
+        self._told_silent &= self._own_silent
         self.has_new_evidence = False
+        self._has_new_domain_load = False
         return self._built
 
     def _watch(self, sums: LoadSums, now_ms: int) -> None:
@@ -180,6 +205,15 @@
                 del self._watch_deadlines_ms[server]
 
 
+def _silent_servers(sums: LoadSums) -> frozenset[int]:
+    """Return the servers that two hosts find silent, also if they cannot confirm it."""
+    return frozenset(
+        entry.server
+        for entry in sums.servers
+        if entry.silent_hosts + entry.unconfirmed_hosts >= MIN_SILENT_HOSTS
+    )
+
+
 def _with_own_silence(merged: LoadSums, own: LoadSums) -> tuple[ServerSums, ...]:
     """Return all domains' sums with the silence that the own domain found by its own answers.
 
