--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -362,8 +362,8 @@
     async def scenario() -> None:
         async with SteeringSite() as site:
             host = await start_site(site, 1)
-            host.daemon._settings_file = tmp_path / "settings.toml"
-            monkeypatch.setattr(steering_daemon, "read_steering_settings", fail)
+            host.daemon._reload._settings_file = tmp_path / "settings.toml"
+            monkeypatch.setattr(settings_reload, "read_steering_settings", fail)
             with pytest.raises(RecursionError):
                 host.daemon.request_stop()
             await host.task
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -879,7 +879,7 @@
             confirmed_ms = running.age_clock.now_ms() - running.reader.list_age_ms()
             assert confirmed_ms <= probed_ms
 
-    monkeypatch.setattr(server_list_sync, "WATCH_LAG_LIMIT_MS", 60_000)
+    monkeypatch.setattr(list_watch, "WATCH_LAG_LIMIT_MS", 60_000)
     run(scenario())
 
 
