Report no request as busy that its caller has given up

A server that refuses a flow with a reset leaves its request without an answer at the host, which counted it as busy for 15 s. After a burst, the sums of 65 hosts showed 250 busy flows where 54 slots were a third busy, so admission went on rejecting flows. Such a request is left out of the reports from the end of its time budget on. The host itself still selects the server less often than others.

--- a/src/redwingswitch/_internal/decisions/load_sharing/observations.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/observations.py
@@ -250,7 +250,7 @@
         if moved_flows:
             self.forget_waiting()
         overdue = self._overdue.count_by_server()
-        busy = self._flows.busy_flow_counts()
+        busy = self._busy_flows()
         entries = [
             entry
             for server_id in self._servers.keys() | busy.keys()
@@ -275,6 +275,15 @@
             moved_flows=moved_flows,
         )
 
+    def _busy_flows(self) -> Mapping[str, int]:
+        """Return the flows of each server whose callers still wait for an answer."""
+        given_up = self._overdue.count_given_up()
+        busy = self._flows.busy_flow_counts()
+        if not given_up:
+            return busy
+        left = {name: flows - given_up.get(name, 0) for name, flows in busy.items()}
+        return {name: flows for name, flows in left.items() if flows > 0}
+
     def take_evidence(self) -> list[ServerEvidence]:
         """Return the servers that newly seem not to answer, since the last call."""
         taken = self._evidence
--- a/src/redwingswitch/_internal/decisions/load_sharing/overdue_requests.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/overdue_requests.py
@@ -13,6 +13,9 @@
 # this many times the route's usual answer time.
 OVERDUE_GOAL_RATIO = 0.5
 OVERDUE_USUAL_RATIO = 4.0
+# Requests that callers have given up and whose flows have not ended: a server that refuses a flow
+# with a reset leaves one, since the host does not see the reset.
+MAX_GIVEN_UP_REQUESTS = 1_024
 # About 1 s of requests at 10 times the expected rate of a host.
 MAX_PENDING_REQUESTS = 1_024
 
@@ -34,6 +37,7 @@
     def __init__(self) -> None:
         self._pending: dict[RouteAddress, deque[_Pending]] = {}
         self._overdue: list[_Pending] = []
+        self._given_up: deque[_Pending] = deque(maxlen=MAX_GIVEN_UP_REQUESTS)
 
     def add(self, state: FlowState, route: Route, usual_ms: float | None, now_ms: int) -> None:
         """Record a request that has just been sent to a server."""
@@ -52,7 +56,9 @@
     def update(self, now_ms: int) -> set[str]:
         """Find the requests that are overdue now; return the servers that newly have one."""
         servers = {each.state.server_id for each in self._overdue}
-        self._overdue = [e for e in self._overdue if e.is_waiting() and now_ms < e.end_ms]
+        waiting = [each for each in self._overdue if each.is_waiting()]
+        self._overdue = [each for each in waiting if now_ms < each.end_ms]
+        self._given_up.extend(each for each in waiting if now_ms >= each.end_ms)
         for destination, queue in list(self._pending.items()):
             while queue and queue[0].overdue_ms <= now_ms:
                 pending = queue.popleft()
@@ -67,6 +73,16 @@
         self._pending.clear()
         self._overdue.clear()
 
+    def count_given_up(self) -> Mapping[str, int]:
+        """Return the number of requests of each server that callers no longer wait for.
+
+        Their flows still count as busy at this host.
+        """
+        if self._given_up:
+            left = [each for each in self._given_up if each.is_waiting()]
+            self._given_up = deque(left, maxlen=MAX_GIVEN_UP_REQUESTS)
+        return Counter(each.state.server_id for each in self._given_up)
+
     def count_by_server(self) -> Mapping[str, int]:
         """Return the number of overdue requests of each server that has one."""
         return Counter(each.state.server_id for each in self._overdue if each.is_waiting())
--- a/tests/unit/load_sharing/test_observations.py
+++ b/tests/unit/load_sharing/test_observations.py
@@ -271,6 +271,23 @@
     assert not load.observations.build_sums(5_100, is_link_doubted=False).moved_flows
 
 
+def test_a_request_that_its_caller_has_given_up_is_not_reported_as_busy() -> None:
+    # A server that refuses a flow with a reset leaves its request without an answer at the host.
+    host, load = sharing_host("i-1")
+    open_flow(host, flow_id(1), 0)
+    host.on_packet(request_packet(flow_id(1), "i-1"), OPENING_MS)
+    for now_ms in range(OPENING_MS, OPENING_MS + BUDGET_MS, 100):
+        load.update(now_ms)
+        assert entry_of(load, "i-1", now_ms)
+    load.update(OPENING_MS + BUDGET_MS)
+    assert entry_of(load, "i-1", OPENING_MS + BUDGET_MS) is None
+    # Its server is still selected less than others by this host.
+    assert host.flows.busy_flow_count("i-1") == 1
+    # An answer that comes all the same ends the wait.
+    host.on_packet(acknowledgement_packet(flow_id(1), "i-1", 2), 3_000)
+    assert not load.observations.build_sums(3_000, is_link_doubted=False).services
+
+
 def test_a_report_names_unusual_servers_before_busy_ones_and_is_bounded() -> None:
     names = [f"i-{number}" for number in range(MAX_SERVERS_PER_MESSAGE + 10)]
     host, load = sharing_host(*names)
