Avoid no server for queues, and probe suspected failure domains

Where the sums show queues at most servers, half of a server's requests must be overdue before it is newly avoided.

After the crash of 33 of 60 servers, hosts suspected whole failure domains and sent them no flow for 15 s, since nearer servers had room. A suspected domain now gets a flow whenever a probe is due.

--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -270,6 +270,20 @@
         """Return whether a server or its failure domain is suspected."""
         return self.suspicion(server) is not Suspicion.NONE
 
+    def is_server_suspected(self, server: ListedServer) -> bool:
+        """Return whether a server is suspected for stalls of its own flows."""
+        tracker = self._servers.get(server.server_id)
+        return tracker is not None and tracker.suspicion is not Suspicion.NONE
+
+    def is_domain_probe_due(self, server: ListedServer, now_ms: int) -> bool:
+        """Return whether a flow to this server is due to show that its failure domain answers."""
+        own, domain = self._trackers(server)
+        return (
+            domain.suspicion is not Suspicion.NONE
+            and own.suspicion is Suspicion.NONE
+            and now_ms >= domain.next_probe_ms
+        )
+
     def needs_probe(self, server: ListedServer) -> bool:
         """Return whether only stalls at other servers of its failure domain speak against a server.
 
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -154,6 +154,8 @@
             probed = self.load_sharing.find_due_probe(not_excluded, route, now_ms)
             if probed is not None:
                 return probed
+            if domain_probes := self._due_domain_probes(not_excluded, now_ms):
+                return self._selector.select_server(_candidates(domain_probes, now_ms))
         eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         preferred = [k for k in eligible if k.server.server_id not in excluded]
         # Prefer a server that may have refused this caller to one that answers no caller.
@@ -165,6 +167,19 @@
                 return selected
         return self._selector.select_server(candidates)
 
+    def _due_domain_probes(self, known: Iterable[KnownServer], now_ms: int) -> list[KnownServer]:
+        """Return servers of suspected failure domains of which one should get a flow.
+
+        While nearer servers have room, no flow would go there, and the suspicion of a domain that
+        has recovered would never end.
+        """
+        return [
+            each
+            for each in known
+            if self._failure_detector.is_domain_probe_due(each.server, now_ms)
+            and self._may_offer(each.server, now_ms, is_first=True)
+        ]
+
     def _is_within_slow_start_limit(self, known: KnownServer, now_ms: int) -> bool:
         server = known.server
         return (
--- a/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Container, Mapping
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -24,6 +24,10 @@
 MIN_HELD_OVERDUE_RATIO = 0.1
 # In an overload, requests are overdue at all servers because they wait.
 MIN_OVERDUE_TO_MEAN = 2.0
+# Where requests queue at all servers, chance makes up to two fifths of them overdue at some. A
+# server that leaves two fifths of its requests unanswered gets above this within a second, as they
+# add up.
+MIN_QUEUED_OVERDUE_RATIO = 0.5
 # A mean of fewer answers says little about a server, since the work of requests differs.
 MIN_ANSWERS_TENTHS = 40
 # The excess of a mean counts from this many standard errors on. One answer varies by about its
@@ -84,6 +88,7 @@
         self._host_count = 1
         self._have_flows_moved = False
         self._min_overdue_ratio = MIN_OVERDUE_RATIO
+        self._queueing: Container[str] = frozenset()
         self._changes: list[FaultChange] = []
 
     def __bool__(self) -> bool:
@@ -109,6 +114,7 @@
         *,
         host_count: int,
         load_factors: Mapping[str, float],
+        queueing: Container[str],
         mean_overdue_ratio: float,
         have_flows_moved: bool,
         now_ms: int,
@@ -120,8 +126,10 @@
 
         ``load_factors`` says how many times longer than at other servers a request takes because of
         a server's load. It does not count as slow for that, since its load counts by itself.
+        ``queueing`` are the servers of services whose servers all have queues.
         """
         self._min_overdue_ratio = max(MIN_OVERDUE_RATIO, MIN_OVERDUE_TO_MEAN * mean_overdue_ratio)
+        self._queueing = queueing
         self._host_count = host_count
         self._have_flows_moved = have_flows_moved
         self._named_since_ms = {name: self._named_since_ms.get(name, now_ms) for name in entries}
@@ -170,7 +178,10 @@
             return known if known is not None and now_ms < known.deadline_ms else None
         is_settled = now_ms - self._named_since_ms[server_id] >= SLOW_CONFIRMATION_MS
         relative_time = mean_relative_time(entry) / load_factor
-        fault = _find_fault(entry, relative_time if is_settled else 1.0, self._min_overdue_ratio)
+        min_overdue_ratio = self._min_overdue_ratio
+        if server_id in self._queueing:
+            min_overdue_ratio = max(min_overdue_ratio, MIN_QUEUED_OVERDUE_RATIO)
+        fault = _find_fault(entry, relative_time if is_settled else 1.0, min_overdue_ratio)
         is_new = known is None or known.fault is not fault
         if fault is Fault.OVERDUE and is_new and self._have_flows_moved:
             fault = None
--- a/src/redwingswitch/_internal/decisions/load_sharing/shared_load.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/shared_load.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from typing import TypeVar
 
 from redwingswitch._internal.decisions.cookies.server_directory import ServerDirectory
@@ -37,6 +37,8 @@
 # The ids of the servers that a summary names are looked up again at most this often.
 MIN_INDEX_INTERVAL_MS = 2_000
 MIN_MEAN = 0.01
+# With this many busy flows for each slot of a service, requests queue at most of its servers.
+QUEUEING_FLOWS_PER_SLOT = 1.5
 EMPTY_SUMS = LoadSums((), (), ())
 
 
@@ -89,6 +91,7 @@
             entries,
             host_count=summary.host_count,
             load_factors=self._load_factors(),
+            queueing=self._queueing_servers(entries),
             mean_overdue_ratio=mean_overdue_ratio(summary.sums),
             have_flows_moved=have_flows_moved(summary.sums),
             now_ms=now_ms,
@@ -216,6 +219,21 @@
             factors[server_id] = max(1.0, (1 + load) / (1 + service_loads[service]))
         return factors
 
+    def _queueing_servers(self, server_ids: Iterable[str]) -> Collection[str]:
+        """Return those of the servers in whose service most servers have a queue."""
+        services: dict[str, bool] = {}
+        queueing = set()
+        for server_id in server_ids:
+            known = self._directory.get(server_id)
+            if known is None:
+                continue
+            service = known.server.service
+            if service not in services:
+                services[service] = self._load_per_slot(service) >= QUEUEING_FLOWS_PER_SLOT
+            if services[service]:
+                queueing.add(server_id)
+        return queueing
+
     def _load_per_slot(self, service: str) -> float:
         service_id = wire_id(service)
         busy = sum(flows for key, flows in self._service_busy_flows.items() if key[0] == service_id)
--- a/tests/unit/load_sharing/test_shared_load.py
+++ b/tests/unit/load_sharing/test_shared_load.py
@@ -58,6 +58,7 @@
 
 # Of four servers with two slots.
 USUAL_ROUTES = (RouteSums(JOB_BOARD.address, JOB_BOARD.port, 5_770, 5_770, 12_700, 220),)
+MANY_ANSWERS = (USUAL_ROUTES[0]._replace(answers_tenths=20_000),)
 USUAL_BUSY = (ServiceBusy(wire_id("job-board"), wire_id(NEAR_DOMAIN), 4),)
 
 
@@ -130,6 +131,24 @@
     assert (None if avoided is None else avoided.fault) is fault
 
 
+@pytest.mark.parametrize(
+    ("busy_per_server", "overdue", "is_avoided"),
+    [
+        pytest.param(1, 20, True, id="free slots: two fifths of the requests hang"),
+        pytest.param(6, 20, False, id="queues everywhere: two fifths are late by chance"),
+        pytest.param(6, 40, True, id="queues everywhere, and most requests of one server hang"),
+    ],
+)
+def test_requests_that_wait_in_queues_do_not_make_a_server_avoided(
+    busy_per_server: int, overdue: int, is_avoided: bool
+) -> None:
+    _, load = sharing_host(servers=10)
+    busy = (ServiceBusy(wire_id("job-board"), wire_id(NEAR_DOMAIN), 10 * busy_per_server),)
+    sums = entry(overdue_requests=overdue, busy_flows=50, answers_tenths=0)
+    load.on_summary(summary(0, sums, services=busy, routes=MANY_ANSWERS), 0)
+    assert (load.shared.avoided.get("i-0") is not None) is is_avoided
+
+
 def test_long_requests_at_a_busy_server_do_not_make_it_slow() -> None:
     _, load = sharing_host(servers=10)
     busy = (ServiceBusy(wire_id("job-board"), wire_id(NEAR_DOMAIN), 10),)
@@ -349,3 +368,21 @@
     )
     assert (demand.busy_flows, demand.known_domains, demand.all_domains) == (9, 3, 5)
     assert demand.deadline_ms == SUMMARY_LIFETIME_MS
+
+
+def test_a_suspected_failure_domain_gets_a_probe_while_nearer_servers_have_room() -> None:
+    # Without it, the suspicion of a far domain lasts after its recovery, as no flow goes there.
+    host = steering(
+        [server("near-0"), *(server(f"far-{n}", failure_domain=FAR_DOMAIN) for n in "12")]
+    )
+    load = host.share_load(all_domains=2)
+    for number in (1, 2):
+        far = server(f"far-{number}", failure_domain=FAR_DOMAIN)
+        host.failure_detector.on_opening_unanswered(
+            far, flow_id(number), 40, sent_ms=0, is_confirmed=True
+        )
+    load.on_summary(summary(1_000), 1_000)
+    assert offered(host, 5, 40, answers=False) == {"near-0": 5}
+    selected = offered(host, 20, 1_500)
+    assert sum(selected[name] for name in ("far-1", "far-2")) == 1
+    assert not host.failure_detector.is_suspected(server("far-1", failure_domain=FAR_DOMAIN))
