Reject flows only while answers show queues, by the room of all hosts

A host estimated the room without the failure domains that only it suspected (20 or 34 of 54 slots), saw a burst only seconds later, and went on rejecting after its end. The room now leaves out the servers that do not answer this host or that all hosts find silent. A burst shows in the host's own arrivals within half a second. A flow is rejected only while recent answers took 1.5 times their work or more. Log lines of waits and rejections have the service and the evidence.

--- a/src/redwingswitch/_internal/daemon/packet_path.py
+++ b/src/redwingswitch/_internal/daemon/packet_path.py
@@ -14,6 +14,7 @@
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.exceptions import DecodeError
 from redwingswitch._internal.models.cookie_flows import (
+    AdmissionOutcome,
     FlowEndpoints,
     FlowOpened,
     FlowPacket,
@@ -185,9 +186,7 @@
             fields["flows"] = self._steering.flows.open_flow_count(server.server_id)
             fields["busy"] = self._steering.flows.busy_flow_count(server.server_id)
         if action.admission is not None:
-            fields["priority"] = action.admission.priority
-            fields["wait_ms"] = action.admission.wait_ms
-            fields["expected_wait_ms"] = action.admission.expected_wait_ms
+            fields |= _admission_fields(action.admission)
         routes = self._steering.routes
         fields["routes_version"] = routes.version if routes is not None else "none"
         fields["list_age_ms"] = self._list_age_source.list_age_ms()
@@ -230,6 +229,21 @@
         )
 
 
+def _admission_fields(outcome: AdmissionOutcome) -> dict[str, object]:
+    fields: dict[str, object] = {
+        "service": outcome.service,
+        "priority": outcome.priority,
+        "wait_ms": outcome.wait_ms,
+        "expected_wait_ms": outcome.expected_wait_ms,
+    }
+    if outcome.room_slots:
+        fields["demand_slots"] = f"{outcome.demand_slots:.0f}"
+        fields["room_slots"] = f"{outcome.room_slots:.0f}"
+        fields["busy_flows"] = outcome.busy_flows
+        fields["stretch"] = f"{outcome.stretch:.1f}"
+    return fields
+
+
 def format_flow(flow: FlowEndpoints) -> str:
     """Return both ends of a flow as ``address:port`` for log lines."""
     caller = IPv4Address(flow.caller_address)
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -102,6 +102,7 @@
             directory=self.directory,
             failure_detector=self.failure_detector,
             selector=self._selector,
+            silence_source=self.load_sharing,
         )
         if self._routes is not None:
             self.admission.apply_routes(self._routes)
--- a/src/redwingswitch/_internal/decisions/cookies/opening_admission.py
+++ b/src/redwingswitch/_internal/decisions/cookies/opening_admission.py
@@ -13,12 +13,17 @@
     ServiceLoad,
     WaitEnd,
 )
-from redwingswitch._internal.decisions.flow_admission.sources import DemandSource, UsableRoom
+from redwingswitch._internal.decisions.flow_admission.sources import (
+    DemandSource,
+    SilenceSource,
+    UsableRoom,
+)
 from redwingswitch._internal.models.cookie_flows import (
     AdmissionOutcome,
     DiscardPacket,
     FlowEndpoints,
     FlowPacket,
+    ListedServer,
     ResetFlow,
     Route,
     RouteAddress,
@@ -48,7 +53,9 @@
         directory: ServerDirectory,
         failure_detector: PassiveFailureDetector,
         selector: ServerSelector,
+        silence_source: SilenceSource | None = None,
     ) -> None:
+        self._silence_source = silence_source
         self._directory = directory
         self._failure_detector = failure_detector
         self._selector = selector
@@ -64,18 +71,27 @@
         self._admission.apply_routes(routes)
 
     def usable_room(self, service: str, now_ms: int) -> UsableRoom:
-        """Return the servers of a service that may get new flows."""
+        """Return the servers of a service that may get new flows.
+
+        The room is that of all hosts. A failure domain that only this host suspects counts, since
+        its servers serve the callers of other hosts.
+        """
         usable = [
             known.server
             for known in self._directory.active_servers(service)
             if known.may_be_offered(now_ms)
-            and not self._failure_detector.is_suspected(known.server)
+            and not self._failure_detector.is_server_suspected(known.server)
+            and not self._is_silent(known.server, now_ms)
         ]
         return UsableRoom(
             slots=sum(server.slots for server in usable),
             servers=len(usable),
         )
 
+    def _is_silent(self, server: ListedServer, now_ms: int) -> bool:
+        source = self._silence_source
+        return source is not None and source.is_silent(server, now_ms)
+
     def service_loads(self) -> list[ServiceLoad]:
         """Return demand and room of the services, for metrics."""
         return self._admission.service_loads()
@@ -108,7 +124,7 @@
         decision = self._admission.on_opening(packet, route, service, now_ms, arrived_ms=arrived_ms)
         if decision.admission is Admission.ADMIT:
             return None
-        outcome = AdmissionOutcome(
+        outcome = self._outcome(
             service, route.priority, decision.wait_ms, decision.expected_wait_ms
         )
         if decision.admission is Admission.WAIT:
@@ -123,9 +139,26 @@
         """Return the packets whose wait ends, in the order in which they are to be handled."""
         return [self._ended(end) for end in self._admission.on_timer(now_ms)]
 
+    def _outcome(
+        self, service: str, priority: int, wait_ms: int, expected_wait_ms: int
+    ) -> AdmissionOutcome:
+        estimate = self._admission.estimate(service)
+        if estimate is None:
+            return AdmissionOutcome(service, priority, wait_ms, expected_wait_ms)
+        return AdmissionOutcome(
+            service,
+            priority,
+            wait_ms,
+            expected_wait_ms,
+            demand_slots=estimate.demand_slots,
+            room_slots=estimate.room_slots,
+            busy_flows=estimate.busy_flows,
+            stretch=self._admission.own_demand.stretch(service) or 0.0,
+        )
+
     def _ended(self, end: WaitEnd) -> EndedWait:
         waiting, packet = end.waiting, end.waiting.packet
-        outcome = AdmissionOutcome(
+        outcome = self._outcome(
             waiting.service, waiting.priority, end.wait_ms, waiting.expected_wait_ms
         )
         route = None if self._routes is None else self._routes.routes.get(waiting.flow.destination)
--- a/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
@@ -186,6 +186,11 @@
             for service, plan in self._plans.items()
         ]
 
+    def estimate(self, service: str) -> LoadEstimate | None:
+        """Return the latest estimate of a service, or None without fresh sums."""
+        plan = self._plans.get(service)
+        return None if plan is None else plan.estimate
+
     def on_opening(
         self, packet: FlowPacket, route: Route, service: str, now_ms: int, *, arrived_ms: int
     ) -> OpeningDecision:
@@ -379,6 +384,7 @@
             busy_flows=sums.busy_flows,
             known_ratio=min(1.0, sums.known_domains / sums.all_domains),
             was_short=plan.is_short,
+            stretch=self.own_demand.stretch(service),
         )
         if plan.is_short:
             self._set_rates(service, plan, loads, max(1, sums.host_count), now_ms)
--- a/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
@@ -12,8 +12,11 @@
 # The half-life of the counts that hosts tell each other, so that a host's part of a sum is
 # measured like the sum.
 HALF_LIFE_MS = 2_000
-# A steady rate r leads to a decayed count of r x HALF_LIFE / ln 2.
-RATE_PER_COUNT = math.log(2) * MS_PER_S / HALF_LIFE_MS
+# The sums follow a burst after seconds, in which servers would refuse most of it.
+BURST_HALF_LIFE_MS = 500
+# A burst shows when the count of the shorter half-life exceeds the expected one by this many
+# standard deviations of a Poisson process.
+BURST_DEVIATIONS = 3.0
 # Over a shorter time, one flow would look like a high rate.
 MIN_OBSERVED_MS = 500
 WORK_QUANTILE = 0.5
@@ -26,16 +29,21 @@
 
 
 # Weight of one answer in the mean service time, which follows the servers' queues within a second.
-STRETCH_WEIGHT = 0.05
+STRETCH_WEIGHT = 0.1
 
 
 class _DecayedCount(NamedTuple):
     flows: float
+    burst_flows: float
     updated_at_ms: int
 
-    def at(self, now_ms: int) -> float:
+    def at(self, now_ms: int) -> _DecayedCount:
         elapsed_ms = max(0, now_ms - self.updated_at_ms)
-        return self.flows * float(2.0 ** (-elapsed_ms / HALF_LIFE_MS))
+        return _DecayedCount(
+            self.flows * float(2.0 ** (-elapsed_ms / HALF_LIFE_MS)),
+            self.burst_flows * float(2.0 ** (-elapsed_ms / BURST_HALF_LIFE_MS)),
+            now_ms,
+        )
 
 
 class _WorkSamples:
@@ -75,7 +83,8 @@
             self._first_arrival_ms = now_ms
         key = (service, destination)
         count = self._arrivals.get(key)
-        self._arrivals[key] = _DecayedCount(1.0 + (count.at(now_ms) if count else 0.0), now_ms)
+        flows, burst_flows, _ = (0.0, 0.0, 0) if count is None else count.at(now_ms)
+        self._arrivals[key] = _DecayedCount(1.0 + flows, 1.0 + burst_flows, now_ms)
 
     def note_service_time(
         self, destination: RouteAddress, service_time_ms: float, *, service: str = ""
@@ -103,7 +112,12 @@
             return 0.0
         observed_ms = max(MIN_OBSERVED_MS, now_ms - self._first_arrival_ms)
         held_ratio = 1 - float(2.0 ** (-observed_ms / HALF_LIFE_MS))
-        return count.at(now_ms) * RATE_PER_COUNT / held_ratio
+        flows, burst_flows, _ = count.at(now_ms)
+        rate_per_s = _rate_per_s(flows, HALF_LIFE_MS) / held_ratio
+        burst_rate_per_s = _rate_per_s(burst_flows, BURST_HALF_LIFE_MS)
+        expected_flows = burst_flows * rate_per_s / burst_rate_per_s if burst_rate_per_s else 0.0
+        is_burst = burst_flows > expected_flows + BURST_DEVIATIONS * math.sqrt(expected_flows)
+        return burst_rate_per_s if is_burst else rate_per_s
 
     def work_ms(self, destination: RouteAddress) -> float | None:
         """Return the usual work of a route, or None before enough answers."""
@@ -116,5 +130,10 @@
         self._work = {key: work for key, work in self._work.items() if key in destinations}
 
 
+def _rate_per_s(flows: float, half_life_ms: int) -> float:
+    """Return the steady rate that leads to a decayed count."""
+    return flows * math.log(2) * MS_PER_S / half_life_ms
+
+
 def _low_quantile(samples: list[float]) -> float:
     return sorted(samples)[int(len(samples) * WORK_QUANTILE)]
--- a/src/redwingswitch/_internal/decisions/flow_admission/shortage.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/shortage.py
@@ -21,6 +21,9 @@
 TARGET_WAIT_RATIO = 0.35
 # While flows are held back, busy flows may fall below the room without the end of the shortage.
 RELEASE_RATIO = 0.5
+# Answers that take this many times their work have waited at the servers. Sums of demand and of
+# busy flows follow the end of a burst seconds later.
+MIN_FULL_STRETCH = 1.5
 
 
 class RouteLoad(NamedTuple):
@@ -48,6 +51,7 @@
 
     demand_slots: float
     room_slots: float
+    busy_flows: int
     server_wait_ms: float
     target_stretch: float
     is_short: bool
@@ -61,6 +65,7 @@
     busy_flows: int,
     known_ratio: float,
     was_short: bool,
+    stretch: float | None = None,
 ) -> LoadEstimate:
     """Estimate the state of a service from fresh sums.
 
@@ -73,7 +78,7 @@
     demand = sum(load.slots for load in loads)
     requests_per_s = sum(load.requests_per_s for load in loads)
     if room <= 0 or requests_per_s <= 0:
-        return LoadEstimate(demand, room, 0.0, 0.0, is_short=False, is_full=False)
+        return LoadEstimate(demand, room, busy_flows, 0.0, 0.0, is_short=False, is_full=False)
     mean_work_ms = demand * MS_PER_S / requests_per_s
     harmless_ratio = _harmless_busy_ratio(loads, usable, mean_work_ms)
     begin_ratio = RELEASE_RATIO if was_short else harmless_ratio
@@ -81,10 +86,13 @@
     return LoadEstimate(
         demand_slots=demand,
         room_slots=room,
+        busy_flows=busy_flows,
         server_wait_ms=max(0.0, busy_flows / room - 1) * mean_work_ms,
         target_stretch=1 + TARGET_WAIT_RATIO * _harmless_wait(loads, usable, mean_work_ms, 1.0),
         is_short=exceeds_room and busy_flows >= room * begin_ratio,
-        is_full=exceeds_room and busy_flows >= room,
+        is_full=exceeds_room
+        and busy_flows >= room
+        and (stretch is None or stretch >= MIN_FULL_STRETCH),
     )
 
 
--- a/src/redwingswitch/_internal/decisions/flow_admission/sources.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/sources.py
@@ -4,6 +4,7 @@
 
 from typing import NamedTuple, Protocol
 
+from redwingswitch._internal.models.cookie_flows import ListedServer
 from redwingswitch._internal.models.load_sharing import ServiceDemand
 
 
@@ -28,6 +29,13 @@
         """Return the usable servers of a service."""
 
 
+class SilenceSource(Protocol):
+    """Provides the servers that the hosts of a deployment find silent together."""
+
+    def is_silent(self, server: ListedServer, now_ms: int) -> bool:
+        """Return whether hosts find a server silent that has not answered this one since."""
+
+
 class NoSharedDemand:
     """The demand source of a host that hears of no other host's load."""
 
--- a/src/redwingswitch/_internal/models/cookie_flows.py
+++ b/src/redwingswitch/_internal/models/cookie_flows.py
@@ -155,13 +155,19 @@
 class AdmissionOutcome(NamedTuple):
     """The wait of a flow so far, and the one that was expected for it, in a shortage.
 
-    ``priority`` is that of the flow's route.
+    ``priority`` is that of the flow's route. The evidence of the shortage: ``demand_slots`` that
+    would be busy without it, ``room_slots`` that there are, ``busy_flows`` of all hosts, and
+    ``stretch``, the ratio of recent service times to their work; 0 without sums.
     """
 
     service: str
     priority: int
     wait_ms: int
     expected_wait_ms: int
+    demand_slots: float = 0.0
+    room_slots: float = 0.0
+    busy_flows: int = 0
+    stretch: float = 0.0
 
 
 class ForwardPacket(NamedTuple):
--- a/tests/unit/cookies/test_opening_admission.py
+++ b/tests/unit/cookies/test_opening_admission.py
@@ -5,10 +5,13 @@
 import pytest
 
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
+from redwingswitch._internal.decisions.cookies.opening_admission import OpeningAdmission
+from redwingswitch._internal.decisions.cookies.server_selection import ServerSelector
 from redwingswitch._internal.models.cookie_flows import (
     DiscardPacket,
     FlowPacket,
     ForwardPacket,
+    ListedServer,
     ResetFlow,
     RouteAddress,
     SteeringAction,
@@ -203,6 +206,59 @@
     assert host.admission.work_ms(JOB_BOARD) == 22
 
 
+class SilentServers:
+    """Hosts find some servers silent together."""
+
+    def __init__(self, *server_ids: str) -> None:
+        self._server_ids = server_ids
+
+    def is_silent(self, server: ListedServer, _now_ms: int) -> bool:
+        return server.server_id in self._server_ids
+
+
+@pytest.mark.parametrize(
+    ("stalled", "silent", "usable"),
+    [
+        pytest.param((), (), 3, id="all answer"),
+        pytest.param((), ("i-1",), 2, id="one that all hosts find silent"),
+        pytest.param(("i-1", "i-1"), (), 2, id="one that does not answer this host"),
+        pytest.param(("i-1", "i-2"), (), 3, id="a failure domain that only this host suspects"),
+    ],
+)
+def test_the_room_is_that_of_all_hosts(
+    stalled: tuple[str, ...], silent: tuple[str, ...], usable: int
+) -> None:
+    host = steering([server(name) for name in SERVERS])
+    for number, name in enumerate(stalled):
+        of = server(name)
+        host.failure_detector.on_opening_unanswered(
+            of, flow_id(number), 40, sent_ms=0, is_confirmed=True
+        )
+    admission = OpeningAdmission(
+        demand_source=FixedDemand(),
+        directory=host.directory,
+        failure_detector=host.failure_detector,
+        selector=ServerSelector(
+            failure_domain="huon", load=host.flows, random_source=random.Random(1)
+        ),
+        silence_source=SilentServers(*silent),
+    )
+    assert host.failure_detector.is_suspected(server("i-1")) is bool(stalled)
+    assert admission.usable_room("job-board", 50).servers == usable
+
+
+def test_a_rejection_names_its_evidence() -> None:
+    host = short_host()
+    for port in range(1, 600):
+        action = host.on_packet(opening_packet(flow_id(port)), 0)
+        if action.verdict is Verdict.REJECTED_SHORTAGE:
+            break
+    outcome = action.admission
+    assert outcome is not None
+    assert (outcome.service, outcome.room_slots, outcome.busy_flows) == ("job-board", 6, 20)
+    assert outcome.demand_slots >= 15
+
+
 def test_a_silent_server_is_no_room() -> None:
     host = steering([server(name) for name in SERVERS])
     host.use_admission(FixedDemand())
--- a/tests/unit/flow_admission/test_plan.py
+++ b/tests/unit/flow_admission/test_plan.py
@@ -98,6 +98,28 @@
     assert " ".join(found) == expected
 
 
+@pytest.mark.parametrize(
+    ("stretch", "is_full"),
+    [
+        pytest.param(None, True, id="no answer is known"),
+        pytest.param(1.2, False, id="answers take as long as their work"),
+        pytest.param(2.5, True, id="answers have waited at the servers"),
+    ],
+)
+def test_nothing_is_full_after_a_burst_that_the_sums_still_show(
+    stretch: float | None, is_full: bool
+) -> None:
+    estimate = estimate_load(
+        [load(1, 30)],
+        usable=ROOM,
+        busy_flows=61,
+        known_ratio=1.0,
+        was_short=True,
+        stretch=stretch,
+    )
+    assert estimate.is_full is is_full
+
+
 def test_a_tight_goal_begins_a_shortage_before_queues_are_half_full() -> None:
     # Half of a goal of 60 ms less 20 ms of work leaves a wait of 10 ms, that is 1.5 busy flows a
     # slot. With a goal of 326 ms, 3 a slot are harmless.
@@ -189,6 +211,27 @@
     assert own.requests_per_s("forms", LOOKUP, 20_000) == 0
 
 
+@pytest.mark.parametrize(
+    ("factor", "after_ms", "at_least", "at_most"),
+    [
+        pytest.param(4, 600, 1.8, 4.0, id="a burst shows within 0.6 s"),
+        pytest.param(4, 2_000, 3.0, 4.2, id="and is known after 2 s"),
+        pytest.param(1.5, 600, 1.0, 1.3, id="a small rise may be chance"),
+    ],
+)
+def test_own_demand_shows_a_burst_before_the_sums_do(
+    factor: float, after_ms: int, at_least: float, at_most: float
+) -> None:
+    own = OwnDemand()
+    usual_ms = 50
+    for now_ms in range(0, 10_000, usual_ms):
+        own.note_arrival("forms", LOOKUP, now_ms)
+    for number in range(int(after_ms * factor / usual_ms)):
+        own.note_arrival("forms", LOOKUP, 10_000 + int(number * usual_ms / factor))
+    ratio = own.requests_per_s("forms", LOOKUP, 10_000 + after_ms) * usual_ms / 1_000
+    assert at_least <= ratio <= at_most
+
+
 @example(rate=1_000 / 23, steps_ms=[1])
 @given(rate=st.floats(0.5, 200), steps_ms=st.lists(st.integers(1, 40), min_size=1, max_size=30))
 def test_a_token_is_there_when_it_is_due(rate: float, steps_ms: list[int]) -> None:
