--- a/benchmarks/flow_admission.py
+++ b/benchmarks/flow_admission.py
@@ -20,11 +20,13 @@
 
 import fire
 
-from redwingswitch._internal.decisions.flow_admission.admission_plan import admitted_rates
+from redwingswitch._internal.decisions.flow_admission.admission_plan import (
+    RatePlan,
+    admitted_rates,
+)
 from redwingswitch._internal.decisions.flow_admission.flow_admission import (
     Admission,
     FlowAdmission,
-    RatePlan,
     WaitLimit,
 )
 from redwingswitch._internal.decisions.flow_admission.own_demand import OwnDemand
--- a/src/redwingswitch/_internal/decisions/flow_admission/admission_plan.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/admission_plan.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping, Sequence
 from itertools import groupby
+from typing import Protocol
 
 from redwingswitch._internal.decisions.flow_admission.shortage import MS_PER_S, RouteLoad
 from redwingswitch._internal.models.cookie_flows import RouteAddress
@@ -12,6 +13,15 @@
 MIN_ROUTE_RATIO = 0.05
 
 
+class RatePlan(Protocol):
+    """Shares the room of a service among its routes."""
+
+    def __call__(
+        self, loads: Sequence[RouteLoad], room_slots: float
+    ) -> Mapping[RouteAddress, float]:
+        """Return the admitted flows a second of each route with demand."""
+
+
 def admitted_rates(loads: Sequence[RouteLoad], room_slots: float) -> dict[RouteAddress, float]:
     """Return the admitted flows a second of each route.
 
--- a/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
@@ -5,21 +5,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
 from enum import Enum
 from typing import NamedTuple, Protocol
 
-from redwingswitch._internal.decisions.flow_admission.admission_plan import admitted_rates
-from redwingswitch._internal.decisions.flow_admission.own_demand import OwnDemand
-from redwingswitch._internal.decisions.flow_admission.rate_share import (
-    RateBucket,
-    next_room_factor,
+from redwingswitch._internal.decisions.flow_admission.admission_plan import (
+    RatePlan,
+    admitted_rates,
 )
-from redwingswitch._internal.decisions.flow_admission.shortage import (
-    LoadEstimate,
-    RouteLoad,
-    estimate_load,
+from redwingswitch._internal.decisions.flow_admission.own_demand import OwnDemand
+from redwingswitch._internal.decisions.flow_admission.rate_share import RateBucket
+from redwingswitch._internal.decisions.flow_admission.service_plans import (
+    ServicePlan,
+    ServicePlans,
 )
+from redwingswitch._internal.decisions.flow_admission.shortage import LoadEstimate
 from redwingswitch._internal.decisions.flow_admission.sources import DemandSource, RoomSource
 from redwingswitch._internal.decisions.flow_admission.waiting_flows import (
     CALLER_LIMIT_MS,
@@ -35,13 +34,7 @@
     RouteAddress,
     RouteTable,
 )
-from redwingswitch._internal.models.load_sharing import RouteDemand, ServiceDemand
 
-# The sums change every 500 ms; in a shortage, service times correct the room of the plan between.
-REFRESH_INTERVAL_MS = 100
-# A route whose planned rate is this part of its demand is not limited: its flows would wait only
-# because they arrive irregularly.
-MET_DEMAND_RATIO = 0.99
 # Part of the time that the latency goal leaves in which a flow may wait at its host.
 WAIT_RATIO = 0.5
 
@@ -86,15 +79,6 @@
         """Return the longest wait; ``answer_ms`` is the expected wait and work at a server."""
 
 
-class RatePlan(Protocol):
-    """Shares the room of a service among its routes."""
-
-    def __call__(
-        self, loads: Sequence[RouteLoad], room_slots: float
-    ) -> Mapping[RouteAddress, float]:
-        """Return the admitted flows a second of each route with demand."""
-
-
 class LatencyGoalLimit:
     """Lets a flow wait for a part of the time that its latency goal leaves.
 
@@ -111,31 +95,6 @@
 ADMITTED = OpeningDecision(Admission.ADMIT)
 
 
-class _ServicePlan:
-    """The latest estimate of a service and the buckets of the routes that are limited."""
-
-    def __init__(self) -> None:
-        self.refresh_deadline_ms: int | None = None
-        self.sums: ServiceDemand | None = None
-        self.estimate: LoadEstimate | None = None
-        self.work_ms: dict[RouteAddress, float] = {}
-        self.buckets: dict[RouteAddress, RateBucket] = {}
-        self.room_factor = 1.0
-        self.learnt_work_ms: dict[RouteAddress, float] = {}
-
-    @property
-    def is_short(self) -> bool:
-        return self.estimate is not None and self.estimate.is_short
-
-    @property
-    def is_full(self) -> bool:
-        return self.estimate is not None and self.estimate.is_full
-
-    def end_shortage(self) -> None:
-        self.buckets.clear()
-        self.room_factor = 1.0
-
-
 class FlowAdmission:
     """Decides on the opening packets of one host.
 
@@ -152,25 +111,21 @@
         rate_plan: RatePlan = admitted_rates,
     ) -> None:
         self.own_demand = OwnDemand()
-        self._demand_source = demand_source
-        self._room_source = room_source
         self._wait_limit = wait_limit or LatencyGoalLimit()
-        self._rate_plan = rate_plan
         self._waiting = WaitingFlows()
-        self._plans: dict[str, _ServicePlan] = {}
-        self._routes: Mapping[RouteAddress, Route] = {}
-        self._is_needed = False
+        self._plans = ServicePlans(
+            own_demand=self.own_demand,
+            demand_source=demand_source,
+            room_source=room_source,
+            rate_plan=rate_plan,
+        )
         self._next_number = 0
         self._processed_until_ms = -1
 
     def apply_routes(self, table: RouteTable) -> None:
         """Use new routes; with one route to each service and one priority, admit everything."""
-        self._routes = table.routes
-        services = [share.service for route in table.routes.values() for share in route.shares]
-        has_priorities = len({route.priority for route in table.routes.values()}) > 1
-        self._is_needed = has_priorities or len(set(services)) < len(services)
         self.own_demand.retain(frozenset(table.routes))
-        self._plans = {name: plan for name, plan in self._plans.items() if name in services}
+        self._plans.apply_routes(table)
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -183,12 +138,12 @@
                 if plan.estimate is not None
                 else ServiceLoad(service, 0.0, 0.0)
             )
-            for service, plan in self._plans.items()
+            for service, plan in self._plans.by_service.items()
         ]
 
     def estimate(self, service: str) -> LoadEstimate | None:
         """Return the latest estimate of a service, or None without fresh sums."""
-        plan = self._plans.get(service)
+        plan = self._plans.by_service.get(service)
         return None if plan is None else plan.estimate
 
     def on_opening(
@@ -200,7 +155,7 @@
             return self._on_copy(waiting, packet, now_ms, arrived_ms)
         if packet.copy_number == 0:
             self.own_demand.note_arrival(service, route.destination, now_ms)
-        plan = self._refreshed_plan(service, now_ms)
+        plan = self._plans.refreshed(service, now_ms)
         bucket = plan.buckets.get(route.destination)
         if bucket is None or not plan.is_short:
             return ADMITTED
@@ -229,7 +184,7 @@
         deadlines = [
             plan.refresh_deadline_ms
             for name in self._waiting.services()
-            if (plan := self._plans.get(name)) and plan.refresh_deadline_ms is not None
+            if (plan := self._plans.by_service.get(name)) and plan.refresh_deadline_ms is not None
         ]
         for head in self._waiting.heads():
             deadlines += self._wait_deadlines(head)
@@ -240,7 +195,7 @@
         self._processed_until_ms = now_ms
         ends: list[WaitEnd] = []
         for service in sorted(self._waiting.services()):
-            plan = self._refreshed_plan(service, now_ms)
+            plan = self._plans.refreshed(service, now_ms)
             for destination in self._waiting.destinations(service):
                 ends += self._end_waits(service, destination, plan, now_ms)
         for end in ends:
@@ -251,7 +206,7 @@
         self, before: WaitingFlow, packet: FlowPacket, now_ms: int, arrived_ms: int
     ) -> OpeningDecision:
         waiting = self._waiting.replace_packet(before, packet, arrived_ms)
-        plan = self._refreshed_plan(waiting.service, now_ms)
+        plan = self._plans.refreshed(waiting.service, now_ms)
         is_overdue = now_ms >= waiting.latest_start_ms
         is_rejected = is_overdue and plan.is_full and waiting.may_be_rejected(now_ms)
         if is_rejected:
@@ -263,7 +218,7 @@
         )
 
     def _wait_or_reject(
-        self, waiting: WaitingFlow, plan: _ServicePlan, now_ms: int
+        self, waiting: WaitingFlow, plan: ServicePlan, now_ms: int
     ) -> OpeningDecision:
         bucket = plan.buckets[waiting.flow.destination]
         position = 1 + self._waiting.count(waiting.service, waiting.flow.destination)
@@ -284,7 +239,7 @@
         return ADMITTED
 
     def _waiting_flow(
-        self, packet: FlowPacket, route: Route, service: str, plan: _ServicePlan, arrived_ms: int
+        self, packet: FlowPacket, route: Route, service: str, plan: ServicePlan, arrived_ms: int
     ) -> WaitingFlow:
         return WaitingFlow(
             latest_start_ms=arrived_ms + self._longest_wait_ms(route, plan),
@@ -298,7 +253,7 @@
             packet=packet,
         )
 
-    def _longest_wait_ms(self, route: Route, plan: _ServicePlan) -> int:
+    def _longest_wait_ms(self, route: Route, plan: ServicePlan) -> int:
         """Return how long a flow of a route may wait from its first opening packet on."""
         server_wait_ms = plan.estimate.server_wait_ms if plan.estimate else 0.0
         answer_ms = server_wait_ms + plan.work_ms[route.destination]
@@ -309,7 +264,7 @@
         )
 
     def _end_waits(
-        self, service: str, destination: RouteAddress, plan: _ServicePlan, now_ms: int
+        self, service: str, destination: RouteAddress, plan: ServicePlan, now_ms: int
     ) -> list[WaitEnd]:
         ends = []
         bucket = plan.buckets.get(destination)
@@ -327,7 +282,7 @@
         self,
         waiting: WaitingFlow,
         position: int,
-        plan: _ServicePlan,
+        plan: ServicePlan,
         bucket: RateBucket | None,
         now_ms: int,
     ) -> Admission:
@@ -347,109 +302,9 @@
 
     def _wait_deadlines(self, head: WaitingFlow) -> list[int]:
         """Return when the first waiting flow of a route may be admitted or has to be rejected."""
-        plan = self._plans.get(head.service)
+        plan = self._plans.by_service.get(head.service)
         bucket = plan.buckets.get(head.flow.destination) if plan else None
         token_ms = None if bucket is None else bucket.token_ms()
         deadlines = [head.latest_start_ms, *([] if token_ms is None else [token_ms])]
         # What was due at the last call and still waits is looked at with the next refresh.
         return [each for each in deadlines if each > self._processed_until_ms]
-
-    def _refreshed_plan(self, service: str, now_ms: int) -> _ServicePlan:
-        plan = self._plans.get(service)
-        if plan is None:
-            plan = self._plans[service] = _ServicePlan()
-        if plan.refresh_deadline_ms is None or now_ms >= plan.refresh_deadline_ms:
-            self._refresh(service, plan, now_ms)
-        return plan
-
-    def _refresh(self, service: str, plan: _ServicePlan, now_ms: int) -> None:
-        plan.refresh_deadline_ms = now_ms + REFRESH_INTERVAL_MS
-        sums = self._demand_source.service_demand(service, now_ms) if self._is_needed else None
-        if sums is None or now_ms >= sums.deadline_ms or not sums.all_domains:
-            plan.sums, plan.estimate = None, None
-            plan.end_shortage()
-            return
-        plan.refresh_deadline_ms = min(plan.refresh_deadline_ms, sums.deadline_ms)
-        if sums == plan.sums and not plan.is_short:
-            return
-        usable = self._room_source.usable_room(service, now_ms)
-        if sums.busy_flows < usable.slots:
-            # Without queues at the servers, service times show the work.
-            plan.learnt_work_ms = {each.destination: each.work_ms for each in sums.routes}
-        loads = self._route_loads(service, sums, now_ms)
-        plan.sums = sums
-        plan.estimate = estimate_load(
-            loads,
-            usable=usable,
-            busy_flows=sums.busy_flows,
-            known_ratio=min(1.0, sums.known_domains / sums.all_domains),
-            was_short=plan.is_short,
-            stretch=self.own_demand.stretch(service),
-        )
-        if plan.is_short:
-            self._set_rates(service, plan, loads, max(1, sums.host_count), now_ms)
-        else:
-            plan.end_shortage()
-
-    def _route_loads(self, service: str, sums: ServiceDemand, now_ms: int) -> list[RouteLoad]:
-        """Return the demand of each route, that of rejected flows included.
-
-        The sums have only what was admitted. The routers spread flows evenly over the hosts, so the
-        host's own arrivals tell the rest.
-        """
-        loads = []
-        for demand in sums.routes:
-            route = self._routes.get(demand.destination)
-            work_ms = self._work_ms(service, demand)
-            arrivals_per_s = self.own_demand.requests_per_s(service, demand.destination, now_ms)
-            if route is not None and work_ms:
-                loads.append(
-                    RouteLoad(
-                        destination=demand.destination,
-                        priority=route.priority,
-                        requests_per_s=max(demand.requests_per_s, sums.host_count * arrivals_per_s),
-                        work_ms=work_ms,
-                        latency_goal_ms=route.latency_goal_ms,
-                    )
-                )
-        return loads
-
-    def _work_ms(self, service: str, demand: RouteDemand) -> float:
-        """Return the least known work of a route, since queues only lengthen service times."""
-        known = (
-            self._plans[service].learnt_work_ms.get(demand.destination),
-            self.own_demand.work_ms(demand.destination),
-            demand.work_ms,
-        )
-        return min((each for each in known if each), default=0.0)
-
-    def _set_rates(
-        self,
-        service: str,
-        plan: _ServicePlan,
-        loads: list[RouteLoad],
-        host_count: int,
-        now_ms: int,
-    ) -> None:
-        if plan.estimate is None:
-            return
-        plan.room_factor = next_room_factor(
-            plan.room_factor,
-            stretch=self.own_demand.stretch(service),
-            target=plan.estimate.target_stretch,
-        )
-        rates = self._rate_plan(loads, plan.estimate.room_slots * plan.room_factor)
-        # The factor varies; which routes are limited does not.
-        planned = self._rate_plan(loads, plan.estimate.room_slots)
-        plan.work_ms = {load.destination: load.work_ms for load in loads}
-        limited = {
-            load.destination: rates[load.destination] / host_count
-            for load in loads
-            if planned.get(load.destination, load.requests_per_s)
-            < load.requests_per_s * MET_DEMAND_RATIO
-        }
-        for destination in set(plan.buckets) - set(limited):
-            del plan.buckets[destination]
-        for destination, rate_per_s in limited.items():
-            bucket = plan.buckets.setdefault(destination, RateBucket(now_ms=now_ms))
-            bucket.set_rate(rate_per_s, now_ms)
--- a/tests/unit/flow_admission/test_admission_machine.py
+++ b/tests/unit/flow_admission/test_admission_machine.py
@@ -4,11 +4,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from redwingswitch._internal.decisions.flow_admission.flow_admission import (
-    REFRESH_INTERVAL_MS,
-    Admission,
-    WaitEnd,
-)
+from redwingswitch._internal.decisions.flow_admission.flow_admission import Admission, WaitEnd
+from redwingswitch._internal.decisions.flow_admission.service_plans import REFRESH_INTERVAL_MS
 from redwingswitch._internal.decisions.flow_admission.waiting_flows import (
     CALLER_LIMIT_MS,
     MAX_WAITING_FLOWS,
