--- a/src/redwingswitch/_internal/decisions/load_sharing/observations.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/observations.py
@@ -10,30 +10,26 @@
 from redwingswitch._internal.decisions.cookies.flow_table import FlowState, FlowTable
 from redwingswitch._internal.decisions.cookies.server_directory import ServerDirectory
 from redwingswitch._internal.decisions.load_sharing.overdue_requests import OverdueRequests
-from redwingswitch._internal.decisions.load_sharing.route_times import RouteTimes, relative_time
-from redwingswitch._internal.decisions.load_sharing.server_sums import (
-    TENTHS,
-    age_cs,
-    by_significance,
-    is_unusual,
+from redwingswitch._internal.decisions.load_sharing.route_observations import (
+    RouteObservations,
+    sum_routes,
 )
+from redwingswitch._internal.decisions.load_sharing.route_times import relative_time
+from redwingswitch._internal.decisions.load_sharing.server_observations import ServerObservations
+from redwingswitch._internal.decisions.load_sharing.server_sums import by_significance, is_unusual
 from redwingswitch._internal.models.cookie_flows import Route, RouteAddress
 from redwingswitch._internal.models.identifiers import wire_id
 from redwingswitch._internal.models.load_sharing import (
     HALF_LIFE_MS,
     MAX_AGE_CS,
     MAX_ANSWERED_PER_MESSAGE,
-    MAX_ROUTES_PER_MESSAGE,
     MAX_SERVERS_PER_MESSAGE,
     MAX_SERVICES_PER_MESSAGE,
     LoadSums,
-    RouteSums,
     ServerSums,
     ServiceBusy,
 )
 
-# Decayed sums below this are dropped.
-MIN_SUM = 0.05
 # Routes that were removed are dropped when there are more than this, the oldest first.
 MAX_ROUTES = 1_024
 # Long enough that a server that refuses some flows shows in the reports of several hosts, and
@@ -63,59 +59,6 @@
     evidence: Evidence
 
 
-class _ServerObservations:
-    __slots__ = (
-        "answered_ms",
-        "answers",
-        "is_confirmed",
-        "relative_time",
-        "unanswered",
-        "unanswered_sent_ms",
-        "unconfirmed",
-        "unconfirmed_sent_ms",
-    )
-
-    def __init__(self) -> None:
-        self.answers = 0.0
-        self.relative_time = 0.0
-        # Opening packets that stayed unanswered since the last answer, and when the latest of them
-        # was sent.
-        self.unanswered = 0
-        self.unanswered_sent_ms: int | None = None
-        # Whether any of them is confirmed.
-        self.is_confirmed = False
-        # Those of them that may have been answered through another host, and when the latest of
-        # them was sent.
-        self.unconfirmed = 0
-        self.unconfirmed_sent_ms: int | None = None
-        self.answered_ms: int | None = None
-
-    def forget_unanswered(self) -> None:
-        """Forget all openings, as after an answer."""
-        self.unanswered = 0
-        self.unanswered_sent_ms = None
-        self.is_confirmed = False
-        self.forget_unconfirmed()
-
-    def forget_unconfirmed(self) -> None:
-        """Forget the openings that may have been answered through another host."""
-        self.unconfirmed = 0
-        self.unconfirmed_sent_ms = None
-        if not self.is_confirmed:
-            self.unanswered = 0
-            self.unanswered_sent_ms = None
-
-
-class _RouteObservations:
-    __slots__ = ("answers", "requests", "service_time_ms", "times")
-
-    def __init__(self) -> None:
-        self.requests = 0.0
-        self.answers = 0.0
-        self.service_time_ms = 0.0
-        self.times = RouteTimes()
-
-
 class LoadObservations:
     """Counts events of servers and routes; the counts decay whenever ``update`` is called.
 
@@ -125,8 +68,8 @@
     def __init__(self, *, flows: FlowTable, directory: ServerDirectory) -> None:
         self._flows = flows
         self._directory = directory
-        self._servers: dict[str, _ServerObservations] = {}
-        self._routes: dict[RouteAddress, _RouteObservations] = {}
+        self._servers: dict[str, ServerObservations] = {}
+        self._routes: dict[RouteAddress, RouteObservations] = {}
         self._overdue = OverdueRequests()
         self._updated_ms: int | None = None
         self._is_urgent = False
@@ -270,7 +213,7 @@
         entries.sort(key=by_significance)
         return LoadSums(
             servers=tuple(entries[:MAX_SERVERS_PER_MESSAGE]),
-            routes=self._sum_routes(),
+            routes=sum_routes(self._routes),
             services=self._sum_services(busy),
             moved_flows=moved_flows,
         )
@@ -306,37 +249,11 @@
         return tuple(wire_id(name) for name in names[:MAX_ANSWERED_PER_MESSAGE])
 
     def _sum_server(self, server_id: str, busy: int, overdue: int, now_ms: int) -> ServerSums:
-        server = self._servers.get(server_id) or _ServerObservations()
-        is_unconfirmed = not server.unanswered and server.unconfirmed_sent_ms is not None
-        sent_ms = server.unconfirmed_sent_ms if is_unconfirmed else server.unanswered_sent_ms
-        return ServerSums(
-            server=wire_id(server_id),
-            busy_flows=busy,
-            answers_tenths=round(TENTHS * server.answers),
-            relative_time_tenths=round(TENTHS * server.relative_time),
-            overdue_requests=overdue,
-            silent_hosts=int(server.unanswered > 0),
-            silent_age_cs=age_cs(sent_ms, now_ms),
-            answer_age_cs=age_cs(server.answered_ms, now_ms),
-            unconfirmed_hosts=int(is_unconfirmed),
+        server = self._servers.get(server_id) or ServerObservations()
+        return server.build_sums(
+            server_id, busy_flows=busy, overdue_requests=overdue, now_ms=now_ms
         )
 
-    def _sum_routes(self) -> tuple[RouteSums, ...]:
-        sums = [
-            RouteSums(
-                address=destination.address,
-                port=destination.port,
-                requests_tenths=round(TENTHS * route.requests),
-                answers_tenths=round(TENTHS * route.answers),
-                service_time_ms=round(route.service_time_ms),
-                work_tenths=round(TENTHS * route.times.work_ms),
-            )
-            for destination, route in self._routes.items()
-            if TENTHS * route.requests >= 1 or TENTHS * route.answers >= 1
-        ]
-        sums.sort(key=lambda each: -each.requests_tenths)
-        return tuple(sums[:MAX_ROUTES_PER_MESSAGE])
-
     def _sum_services(self, busy: Mapping[str, int]) -> tuple[ServiceBusy, ...]:
         counts: Counter[tuple[str, str]] = Counter()
         for server_id, flows in busy.items():
@@ -351,36 +268,24 @@
     def _decay(self, factor: float, now_ms: int) -> None:
         stale = []
         for server_id, server in self._servers.items():
-            server.answers *= factor
-            server.relative_time *= factor
-            sent_ms = server.unanswered_sent_ms
-            if sent_ms is not None and age_cs(sent_ms, now_ms) == MAX_AGE_CS:
-                # A later opening packet shows whether the server is still silent.
-                server.forget_unanswered()
-            sent_ms = server.unconfirmed_sent_ms
-            if sent_ms is not None and age_cs(sent_ms, now_ms) == MAX_AGE_CS:
-                server.forget_unconfirmed()
-            is_quiet = age_cs(server.answered_ms, now_ms) == MAX_AGE_CS
-            is_waiting = server.unanswered or server.unconfirmed_sent_ms is not None
-            if is_quiet and server.answers < MIN_SUM and not is_waiting:
+            server.decay(factor, now_ms)
+            if server.is_stale(now_ms):
                 stale.append(server_id)
         for server_id in stale:
             del self._servers[server_id]
         for route in self._routes.values():
-            route.requests *= factor
-            route.answers *= factor
-            route.service_time_ms *= factor
+            route.decay(factor)
 
-    def _server(self, server_id: str) -> _ServerObservations:
+    def _server(self, server_id: str) -> ServerObservations:
         server = self._servers.get(server_id)
         if server is None:
-            server = self._servers[server_id] = _ServerObservations()
+            server = self._servers[server_id] = ServerObservations()
         return server
 
-    def _route(self, destination: RouteAddress) -> _RouteObservations:
+    def _route(self, destination: RouteAddress) -> RouteObservations:
         route = self._routes.get(destination)
         if route is None:
             if len(self._routes) >= MAX_ROUTES:
                 del self._routes[next(iter(self._routes))]
-            route = self._routes[destination] = _RouteObservations()
+            route = self._routes[destination] = RouteObservations()
         return route
