--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -2,21 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Container
-from typing import NamedTuple
+from collections.abc import Container
 
+from redwingswitch._internal.decisions.cookies.stall_tracker import (
+    STALL_WINDOW_MS,
+    Stall,
+    StallTracker,
+)
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.models.cookie_flows import FlowEndpoints, ListedServer, Suspicion
 from redwingswitch._internal.ports import RandomSource
 
-# A flow also stalls when one of its packets is lost, so a single stall does not show that a server
-# has failed. At a loss of 0.3 % of the opening packets, packet loss rarely stalls two flows without
-# an answer from the server in between, so the server is then suspected and gets new flows only as
-# probes. Packet loss even more rarely stalls three flows, each of which another server answers as
-# soon as it is offered the flow. The server is then condemned, and even its flows that have not
-# stalled may be reset.
-STALLED_FLOWS_TO_SUSPECT = 2
-STALLED_FLOWS_TO_CONDEMN = 3
 # A failure domain is suspected only when flows stall at this many of its servers.
 MIN_STALLED_SERVERS_PER_DOMAIN = 2
 # Stalls in this many failure domains, without an answer in between, may come from this host's own
@@ -25,11 +21,6 @@
 # The third transmission of the same data counts as a stall: the first two were not acknowledged for
 # 600 ms. Requests that take longer than 200 ms are sent twice to healthy servers too.
 RETRANSMISSIONS_TO_STALL = 2
-# Stalls further apart than this are taken for unrelated packet losses.
-STALL_WINDOW_MS = 2_000
-# A stall this soon after an answer is ignored, because the stalled packet was sent before that
-# answer. Longer than the timeout of an opening packet plus a round trip between failure domains.
-RECENT_ANSWER_MS = 60
 # A suspected server or failure domain is probed with one new flow after this delay, which doubles
 # with each failed probe. If it fails, that caller waits until its opening packet is offered to
 # another server.
@@ -39,110 +30,6 @@
 NEVER_MS = -(1 << 62)
 
 
-class _Stall(NamedTuple):
-    """A flow that a server did not answer.
-
-    ``is_confirmed`` is true when the caller's later packets reached this host.
-    """
-
-    server_id: str
-    flow: FlowEndpoints
-    is_confirmed: bool
-
-
-class _StallTimes(NamedTuple):
-    """When a packet was sent, and when it counted as unanswered."""
-
-    sent_ms: int
-    noted_ms: int
-
-
-class _StallTracker:
-    """Stalls of a server, or of all servers of a failure domain, since its last answer.
-
-    ``min_servers`` is the minimum number of servers with stalls that can raise a suspicion.
-    """
-
-    __slots__ = (
-        "_min_servers",
-        "failed_probes",
-        "last_answer_ms",
-        "next_probe_ms",
-        "probed_ms",
-        "stalls",
-        "suspected_ms",
-        "suspicion",
-        "unanswered_since_ms",
-    )
-
-    def __init__(self, *, min_servers: int) -> None:
-        self._min_servers = min_servers
-        self.last_answer_ms: int | None = None
-        self.stalls: dict[_Stall, _StallTimes] = {}
-        # When the first packet was sent that is still unanswered, or later.
-        self.unanswered_since_ms = 0
-        self.suspicion = Suspicion.NONE
-        # When the present suspicion began.
-        self.suspected_ms = 0
-        self.next_probe_ms = 0
-        self.probed_ms: int | None = None
-        self.failed_probes = 0
-
-    def on_answer(self, now_ms: int) -> None:
-        """Record an answer, which ends any suspicion."""
-        self.last_answer_ms = now_ms
-        if self.stalls:
-            self.stalls.clear()
-        if self.suspicion is not Suspicion.NONE:
-            self.suspicion = Suspicion.NONE
-            self.failed_probes = 0
-
-    def on_stall(self, stall: _Stall, sent_ms: int, now_ms: int) -> bool:
-        """Record a stall of a packet sent at ``sent_ms``; return whether the suspicion rises."""
-        if self.last_answer_ms is not None and now_ms - self.last_answer_ms < RECENT_ANSWER_MS:
-            return False
-        if self.suspicion is Suspicion.NONE:
-            self._discard_old_stalls(now_ms)
-        if not self.stalls:
-            self.unanswered_since_ms = sent_ms
-        self.stalls[stall] = _StallTimes(sent_ms, now_ms)
-        suspicion = self._compute_suspicion(self.stalls)
-        if suspicion <= self.suspicion:
-            return False
-        if self.suspicion is Suspicion.NONE:
-            self.suspected_ms = now_ms
-        self.suspicion = suspicion
-        return True
-
-    def has_confirmed_stall_since(self, since_ms: int) -> bool:
-        """Return whether a stall since ``since_ms``, and since the last answer, is confirmed."""
-        return any(
-            stall.is_confirmed and times.noted_ms >= since_ms
-            for stall, times in self.stalls.items()
-        )
-
-    def suspicion_by_packets_since(self, since_ms: int) -> Suspicion:
-        """Return the suspicion that packets sent at ``since_ms`` or later justify."""
-        stalls = [stall for stall, times in self.stalls.items() if times.sent_ms >= since_ms]
-        return min(self.suspicion, self._compute_suspicion(stalls))
-
-    def _discard_old_stalls(self, now_ms: int) -> None:
-        old = [s for s, t in self.stalls.items() if now_ms - t.noted_ms > STALL_WINDOW_MS]
-        for stall in old:
-            del self.stalls[stall]
-        if old and self.stalls:
-            self.unanswered_since_ms = min(times.sent_ms for times in self.stalls.values())
-
-    def _compute_suspicion(self, stalls: Collection[_Stall]) -> Suspicion:
-        if len({stall.server_id for stall in stalls}) < self._min_servers:
-            return Suspicion.NONE
-        confirmed = {stall.flow for stall in stalls if stall.is_confirmed}
-        if len(confirmed) >= STALLED_FLOWS_TO_CONDEMN:
-            return Suspicion.CONDEMNED
-        flows = {stall.flow for stall in stalls}
-        return Suspicion.SUSPECTED if len(flows) >= STALLED_FLOWS_TO_SUSPECT else Suspicion.NONE
-
-
 class PassiveFailureDetector:
     """Suspects servers and failure domains at which several flows stall.
 
@@ -163,8 +50,8 @@
         self._doubted_packet_ms: int | None = None
         # Packets sent before may have been lost on this host's own link.
         self._trusted_since_ms = NEVER_MS
-        self._servers: dict[str, _StallTracker] = {}
-        self._domains: dict[str, _StallTracker] = {}
+        self._servers: dict[str, StallTracker] = {}
+        self._domains: dict[str, StallTracker] = {}
 
     def on_answer(self, server: ListedServer, now_ms: int) -> bool:
         """Record an answer from a server; return whether the server was suspected."""
@@ -204,7 +91,7 @@
         The stall is confirmed when the caller accepted another server's answer. Otherwise the
         server may have refused the flow, or the caller's packets may now go to another host.
         """
-        stall = _Stall(server.server_id, flow, is_confirmed)
+        stall = Stall(server.server_id, flow, is_confirmed)
         return self._on_stall(server, stall, sent_ms=sent_ms, now_ms=now_ms)
 
     def on_retransmission(
@@ -223,7 +110,7 @@
         """
         if retransmissions < RETRANSMISSIONS_TO_STALL:
             return False
-        stall = _Stall(server.server_id, flow, is_confirmed=True)
+        stall = Stall(server.server_id, flow, is_confirmed=True)
         # Transmissions before this host's link was trusted again are not counted.
         counted_from_ms = max(sent_ms, self._trusted_since_ms)
         return self._on_stall(server, stall, sent_ms=counted_from_ms, now_ms=now_ms)
@@ -335,7 +222,7 @@
         if len(stalled) >= MIN_STALLED_DOMAINS_OF_OWN_LINK:
             self._doubted_packet_ms = max(self._doubted_packet_ms or NEVER_MS, sent_ms)
 
-    def _on_stall(self, server: ListedServer, stall: _Stall, *, sent_ms: int, now_ms: int) -> bool:
+    def _on_stall(self, server: ListedServer, stall: Stall, *, sent_ms: int, now_ms: int) -> bool:
         rises = False
         for tracker in self._trackers(server):
             was_clear = tracker.suspicion is Suspicion.NONE
@@ -346,13 +233,13 @@
         self._doubt_link_if_domains_stall(sent_ms)
         return rises
 
-    def _trackers(self, server: ListedServer) -> tuple[_StallTracker, _StallTracker]:
+    def _trackers(self, server: ListedServer) -> tuple[StallTracker, StallTracker]:
         server_tracker = self._servers.get(server.server_id)
         if server_tracker is None:
-            server_tracker = self._servers[server.server_id] = _StallTracker(min_servers=1)
+            server_tracker = self._servers[server.server_id] = StallTracker(min_servers=1)
         domain_tracker = self._domains.get(server.failure_domain)
         if domain_tracker is None:
-            domain_tracker = _StallTracker(min_servers=MIN_STALLED_SERVERS_PER_DOMAIN)
+            domain_tracker = StallTracker(min_servers=MIN_STALLED_SERVERS_PER_DOMAIN)
             self._domains[server.failure_domain] = domain_tracker
         return server_tracker, domain_tracker
 
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -8,9 +8,11 @@
 from redwingswitch._internal.decisions.cookies.failure_detector import (
     FIRST_PROBE_DELAY_MS,
     MAX_PROBE_DELAY_MS,
+    PassiveFailureDetector,
+)
+from redwingswitch._internal.decisions.cookies.stall_tracker import (
     RECENT_ANSWER_MS,
     STALL_WINDOW_MS,
-    PassiveFailureDetector,
 )
 from redwingswitch._internal.models.cookie_flows import Suspicion
 from tests.lib.cookie_flows import FAR_DOMAIN, flow_id, server
