Bound the stalls of failure domains, and forget those of servers that are gone

While a failure domain was suspected, its stalls were kept without a bound (1,000 after 500 s), also those of servers that no longer exist: a new server of the domain was condemned for them. Now at most 64 are kept, and a domain's suspicion rests on servers that are still known.

--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -208,9 +208,11 @@
                 tracker.next_probe_ms = now_ms + self._probe_delay_ms(tracker.failed_probes)
 
     def retain(self, server_ids: Container[str]) -> None:
-        """Drop the state of all other servers."""
+        """Drop the state of all other servers, and what failure domains are suspected for them."""
         for server_id in [name for name in self._servers if name not in server_ids]:
             del self._servers[server_id]
+        for domain in self._domains.values():
+            domain.retain(server_ids)
 
     def _doubt_link_if_domains_stall(self, sent_ms: int) -> None:
         """Doubt the link while servers of several domains stall and no later packet is answered."""
--- a/src/redwingswitch/_internal/decisions/cookies/stall_tracker.py
+++ b/src/redwingswitch/_internal/decisions/cookies/stall_tracker.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Container
 from typing import NamedTuple
 
 from redwingswitch._internal.models.cookie_flows import FlowEndpoints, Suspicion
@@ -15,6 +15,8 @@
 # stalled may be reset.
 STALLED_FLOWS_TO_SUSPECT = 2
 STALLED_FLOWS_TO_CONDEMN = 3
+# More stalls of a server or a failure domain say no more; the oldest are forgotten.
+MAX_STALLS = 64
 # Stalls further apart than this are taken for unrelated packet losses.
 STALL_WINDOW_MS = 2_000
 # A stall this soon after an answer is ignored, because the stalled packet was sent before that
@@ -89,6 +91,8 @@
         if not self.stalls:
             self.unanswered_since_ms = sent_ms
         self.stalls[stall] = _StallTimes(sent_ms, now_ms)
+        if len(self.stalls) > MAX_STALLS:
+            del self.stalls[next(iter(self.stalls))]
         suspicion = self._compute_suspicion(self.stalls)
         if suspicion <= self.suspicion:
             return False
@@ -97,6 +101,14 @@
         self.suspicion = suspicion
         return True
 
+    def retain(self, server_ids: Container[str]) -> None:
+        """Forget the stalls of all other servers, and the suspicion that rests on them."""
+        left = {s: t for s, t in self.stalls.items() if s.server_id in server_ids}
+        if len(left) < len(self.stalls):
+            self.stalls = left
+            self._update_unanswered_since()
+            self.suspicion = min(self.suspicion, self._compute_suspicion(left))
+
     def has_confirmed_stall_since(self, since_ms: int) -> bool:
         """Return whether a stall since ``since_ms``, and since the last answer, is confirmed."""
         return any(
@@ -113,7 +125,11 @@
         old = [s for s, t in self.stalls.items() if now_ms - t.noted_ms > STALL_WINDOW_MS]
         for stall in old:
             del self.stalls[stall]
-        if old and self.stalls:
+        if old:
+            self._update_unanswered_since()
+
+    def _update_unanswered_since(self) -> None:
+        if self.stalls:
             self.unanswered_since_ms = min(times.sent_ms for times in self.stalls.values())
 
     def _compute_suspicion(self, stalls: Collection[Stall]) -> Suspicion:
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -11,6 +11,7 @@
     PassiveFailureDetector,
 )
 from redwingswitch._internal.decisions.cookies.stall_tracker import (
+    MAX_STALLS,
     RECENT_ANSWER_MS,
     STALL_WINDOW_MS,
 )
@@ -330,3 +331,26 @@
     assert detector.is_suspected(server("i-1", failure_domain=FAR_DOMAIN))
     detector.retain(set())
     assert not detector.is_suspected(server("i-1", failure_domain=FAR_DOMAIN))
+
+
+@pytest.mark.parametrize(
+    ("retained", "expected"),
+    [
+        pytest.param({"i-1", "i-2"}, Suspicion.CONDEMNED, id="the silent servers are still listed"),
+        pytest.param({"i-1", "i-9"}, Suspicion.NONE, id="stalls at one server say nothing"),
+        pytest.param({"i-9"}, Suspicion.NONE, id="the silent servers are gone"),
+    ],
+)
+def test_a_new_server_is_not_suspected_for_servers_that_are_gone(
+    retained: set[str], expected: Suspicion
+) -> None:
+    detector = detector_after(Stall("i-1", 1, 0), Stall("i-2", 2, 10), Stall("i-1", 3, 20))
+    detector.retain(retained)
+    assert detector.suspicion(server("i-9", failure_domain=FAR_DOMAIN)) is expected
+
+
+def test_the_stalls_of_a_silent_failure_domain_are_bounded() -> None:
+    detector = detector_after(*(Stall(f"i-{n % 2}", n, 10 * n) for n in range(10 * MAX_STALLS)))
+    of = server("i-1", failure_domain=FAR_DOMAIN)
+    assert detector.suspicion(of) is Suspicion.CONDEMNED
+    assert all(len(tracker.stalls) <= MAX_STALLS for tracker in detector._trackers(of))
