Check the limits of settings also behind a text that ends with quotes

A TOML string of several lines may end with one or two quotes before its delimiter. The check of the limits took the fourth of four quotes for the begin of another string and skipped the rest of the line, so that 5,000 brackets or digits there raised RecursionError or ValueError in a reload.

The delimiter now includes these quotes, as in the parser.

--- a/src/redwingswitch/_internal/utils/toml_limits.py
+++ b/src/redwingswitch/_internal/utils/toml_limits.py
@@ -15,11 +15,11 @@
 MAX_WORD_CHARS = 1_000
 
 # A string that does not end extends to the end of its line or of the text, so that each character
-# is matched once.
+# is matched once. A string of several lines may end with one or two quotes before its delimiter.
 _TOKEN_PATTERN = re.compile(
     r"(?P<string>"
-    r'"""(?:[^"\\]|\\.|"(?!""))*+(?:""")?|'
-    r"'''(?:[^']|'(?!''))*+(?:''')?|"
+    r'"""(?:[^"\\]|\\.|"(?!""))*+(?:"{3,5})?|'
+    r"'''(?:[^']|'(?!''))*+(?:'{3,5})?|"
     r'"(?:[^"\\\n]|\\[^\n])*+"?|'
     r"'[^'\n]*+'?)"
     r"|(?P<comment>#[^\n]*+)|(?P<word>[A-Za-z0-9_+-]++)|(?P<dot>\.)|(?P<open>[\[{])"
--- a/tests/unit/test_steering_settings.py
+++ b/tests/unit/test_steering_settings.py
@@ -174,6 +174,17 @@
         pytest.param("link_mbps = 10", f"link_mbps = {'9' * 5_000}", 12, id="5,000 digits"),
         pytest.param("link_mbps = 10", f"link_mbps = {'9' * 400}", 12, id="400 digits"),
         pytest.param("link_mbps = 10", f"link_mbps = 0x{'f' * 5_000}", 12, id="hexadecimal"),
+        # A string may end with four or five quotes, which must not hide the rest of its line.
+        *(
+            pytest.param("link_mbps = 10", f"x = [{string}, {value}]", 12, id=f"{name} {kind}")
+            for name, string in (
+                ("four quotes", '"""a""""'),
+                ("five quotes", '"""a"""""'),
+                ("four apostrophes", "'''a''''"),
+                ("five apostrophes", "'''a'''''"),
+            )
+            for kind, value in (("brackets", "[" * 5_000), ("digits", "9" * 5_000))
+        ),
         pytest.param("grace_period_s = 6", f"grace_period_s = {'9' * 30}", 9, id="integer"),
         pytest.param(":8172", ":" + "9" * 5_000, 4, id="port of 5,000 digits"),
         pytest.param("link_mbps = 10", '"link\\nmbps" = 10', 12, id="key of two lines"),
