Name the part that decides what to read of the list

The docstring of list_updates named server_list_sync, which decided this before StoreKnowledge did. It names StoreKnowledge now; no code changes.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -1,6 +1,6 @@
 """Applies what was read from the store, or received from another host, to this host's list.
 
-The list has the routes and the backend servers. ``server_list_sync`` decides when to read it.
+The list has the routes and the backend servers. ``StoreKnowledge`` decides what to read of it next.
 """
 
 from __future__ import annotations
