Count a request as given up that was never found overdue

Cause: a request counted as given up only after an update had found it overdue. One that first became due at or after the end of its time budget (the host was paused, usual answers take long as in a shortage, or the goal is longer than the budget) was dropped from both lists and stayed busy in the reports until its flow had been idle for 15 s.

Change: a request becomes due at the end of its budget at the latest, and counts as given up if that has passed when it is first looked at.

--- a/src/redwingswitch/_internal/decisions/load_sharing/overdue_requests.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/overdue_requests.py
@@ -51,7 +51,7 @@
             queue = self._pending[route.destination] = deque(maxlen=MAX_PENDING_REQUESTS)
         # The caller gives the request up at the end of the time budget.
         end_ms = now_ms + max(route.timeout_ms, route.latency_goal_ms)
-        queue.append(_Pending(now_ms + int(wait_ms), end_ms, now_ms, state))
+        queue.append(_Pending(min(end_ms, now_ms + int(wait_ms)), end_ms, now_ms, state))
 
     def update(self, now_ms: int) -> set[str]:
         """Find the requests that are overdue now; return the servers that newly have one."""
@@ -62,8 +62,9 @@
         for destination, queue in list(self._pending.items()):
             while queue and queue[0].overdue_ms <= now_ms:
                 pending = queue.popleft()
-                if pending.is_waiting() and now_ms < pending.end_ms:
-                    self._overdue.append(pending)
+                if pending.is_waiting():
+                    is_given_up = now_ms >= pending.end_ms
+                    (self._given_up if is_given_up else self._overdue).append(pending)
             if not queue:
                 del self._pending[destination]
         return {each.state.server_id for each in self._overdue} - servers
