Forget what a host observed of services that no route leads to

Cause: the stretch of service times, which rejections now depend on, was kept for every service ever seen, and arrivals for every service of a route that stays. Configurations that rename services made both grow without a bound, and a service that came back began with an old stretch.

Change: new routes drop the entries of services that they do not name.

--- a/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
@@ -169,7 +169,7 @@
         services = [share.service for route in table.routes.values() for share in route.shares]
         has_priorities = len({route.priority for route in table.routes.values()}) > 1
         self._is_needed = has_priorities or len(set(services)) < len(services)
-        self.own_demand.retain(frozenset(table.routes))
+        self.own_demand.retain(frozenset(table.routes), frozenset(services))
         self._plans = {name: plan for name, plan in self._plans.items() if name in services}
 
     def __len__(self) -> int:
--- a/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import deque
+from collections.abc import Container
 from typing import NamedTuple
 
 from redwingswitch._internal.models.cookie_flows import RouteAddress
@@ -68,7 +69,7 @@
 class OwnDemand:
     """New flows a second and usual work of the routes, from this host's packets.
 
-    Both tables have one entry for each route of the table in force.
+    The tables have entries only for the routes in force and their services.
     """
 
     def __init__(self) -> None:
@@ -124,10 +125,15 @@
         samples = self._work.get(destination)
         return samples.work_ms() if samples else None
 
-    def retain(self, destinations: frozenset[RouteAddress]) -> None:
-        """Forget the routes that are no longer in force."""
-        self._arrivals = {key: c for key, c in self._arrivals.items() if key[1] in destinations}
+    def retain(self, destinations: frozenset[RouteAddress], services: Container[str]) -> None:
+        """Forget the routes and services that are no longer in force."""
+        self._arrivals = {
+            (service, destination): count
+            for (service, destination), count in self._arrivals.items()
+            if service in services and destination in destinations
+        }
         self._work = {key: work for key, work in self._work.items() if key in destinations}
+        self._stretch = {name: mean for name, mean in self._stretch.items() if name in services}
 
 
 def _rate_per_s(flows: float, half_life_ms: int) -> float:
--- a/tests/unit/flow_admission/test_plan.py
+++ b/tests/unit/flow_admission/test_plan.py
@@ -206,11 +206,25 @@
     for _ in range(3 * SAMPLES_PER_WINDOW):
         own.note_service_time(LOOKUP, 110)
     assert own.work_ms(LOOKUP) == 22
-    own.retain(frozenset())
+    own.retain(frozenset(), frozenset())
     assert own.work_ms(LOOKUP) is None
     assert own.requests_per_s("forms", LOOKUP, 20_000) == 0
 
 
+def test_own_demand_forgets_services_that_no_route_leads_to() -> None:
+    # A configuration may rename services any number of times while their routes stay.
+    own = OwnDemand()
+    for service in ("forms", "exports"):
+        for _ in range(SAMPLES_PER_WINDOW):
+            own.note_service_time(LOOKUP, 20, service=service)
+        own.note_arrival(service, LOOKUP, 0)
+    own.retain(frozenset({LOOKUP}), {"forms"})
+    assert own.stretch("forms") == 1
+    assert own.stretch("exports") is None
+    assert own.requests_per_s("forms", LOOKUP, 0) > 0
+    assert own.requests_per_s("exports", LOOKUP, 0) == 0
+
+
 @pytest.mark.parametrize(
     ("factor", "after_ms", "at_least", "at_most"),
     [
