Probe a suspected failure domain by a server that nothing speaks against

Cause: the probe went to the server of the domain with the least load that the host itself observes, also to one that the sums show with overdue requests or as slow, past the limit on probes of such servers. It accepts the flow, and the request may stay without an answer.

Change: the probe leaves avoided servers out while the domain has others.

--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -155,7 +155,11 @@
             if probed is not None:
                 return probed
             if domain_probes := self._due_domain_probes(not_excluded, now_ms):
-                return self._selector.select_server(_candidates(domain_probes, now_ms))
+                candidates = _candidates(domain_probes, now_ms)
+                # A server that all hosts find overdue or slow may not answer the request itself.
+                return self.load_sharing.select_server(
+                    candidates, route, now_ms
+                ) or self._selector.select_server(candidates)
         eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         preferred = [k for k in eligible if k.server.server_id not in excluded]
         # Prefer a server that may have refused this caller to one that answers no caller.
--- a/tests/unit/load_sharing/test_shared_load.py
+++ b/tests/unit/load_sharing/test_shared_load.py
@@ -386,3 +386,18 @@
     selected = offered(host, 20, 1_500)
     assert sum(selected[name] for name in ("far-1", "far-2")) == 1
     assert not host.failure_detector.is_suspected(server("far-1", failure_domain=FAR_DOMAIN))
+
+
+def test_a_probe_of_a_suspected_failure_domain_goes_to_a_server_without_overdue_requests() -> None:
+    # It would accept the flow, and its caller might never get an answer.
+    for seed in range(20):
+        far = [server(f"far-{n}", failure_domain=FAR_DOMAIN) for n in "123"]
+        host = steering([server("near-0"), *far], seed=seed)
+        load = host.share_load(all_domains=2)
+        for number, each in enumerate(far):
+            host.failure_detector.on_opening_unanswered(
+                each, flow_id(number), 40, sent_ms=0, is_confirmed=True
+            )
+        overdue = entry(**OVERDUE)._replace(server=wire_id("far-3"))
+        load.on_summary(summary(1_000, overdue), 1_000)
+        assert offer(host, 1_050) in {"far-1", "far-2"}
