Measure unconfirmed openings by the own domain's reports alone

Cause: unconfirmed openings do not count while more than half of the servers show them, as after a change of the rotation. The part was taken over the own domain's reports and the sums of other domains, and those name hardly any server that answers. With 18 of 60 servers crashed evenly in three domains, the part seemed 0.56, and no crashed server was named.

Change: the part counts the servers in the reports of the own domain.

Result: the new test fails on the earlier version.

--- a/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
@@ -169,6 +169,8 @@
         summation = Summation()
         summation.add(hosts.values())
         own = summation.build(watched=self._watch_deadlines_ms, now_ms=now_ms)
+        # By this domain's reports only: sums of other domains name hardly any server that answers.
+        unconfirmed_ratio = summation.unconfirmed_ratio()
         self._watch(own, now_ms)
         # From the reports rather than from the sums, which name only some servers: an answer to one
         # host shows that a server is not silent, also if nothing speaks against it here.
@@ -177,7 +179,7 @@
         merged = merged._replace(servers=_with_own_silence(merged, own))
         all_domains = merged._replace(
             servers=self._unconfirmed.confirm(
-                merged, unconfirmed_ratio=summation.unconfirmed_ratio(), now_ms=now_ms
+                merged, unconfirmed_ratio=unconfirmed_ratio, now_ms=now_ms
             )
         )
         self._watch(all_domains, now_ms)
--- a/src/redwingswitch/_internal/decisions/load_sharing/unconfirmed_silence.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/unconfirmed_silence.py
@@ -33,7 +33,8 @@
     ) -> tuple[ServerSums, ...]:
         """Return the servers of the sums over all failure domains.
 
-        ``unconfirmed_ratio`` is the part of all servers that show unconfirmed openings.
+        ``unconfirmed_ratio`` is the part of the servers in the own domain's reports that show
+        unconfirmed openings.
         """
         if have_flows_moved(sums):
             self._moved_deadline_ms = now_ms + MOVED_FLOWS_MS
--- a/tests/unit/load_sharing/test_report_sums.py
+++ b/tests/unit/load_sharing/test_report_sums.py
@@ -345,6 +345,22 @@
     assert sums.has_new_fault(1_000) is (case.silent_hosts >= 2)
 
 
+def test_crashed_servers_of_other_domains_do_not_look_like_a_change_of_the_rotation() -> None:
+    # Two in five servers of each of three domains have crashed. Other domains' sums name hardly any
+    # server but these.
+    sums = reader_sums()
+    crashed = [UNCONFIRMED._replace(server=each) for each in range(8)]
+    for sender in OTHERS[:3]:
+        own = report(*crashed, answered=tuple(range(100, 112)))
+        sums.on_report(own, sender=sender, incarnation=1, now_ms=1_000)
+    far = tuple(UNCONFIRMED._replace(server=each, unconfirmed_hosts=3) for each in range(200, 216))
+    load = DomainLoad("b", 1, 9, LoadSums(far, (), ()))
+    sums.on_domain_load(load, incarnation=2, now_ms=1_000)
+    summary = sums.build_summary(OTHERS[0], 1_000)
+    assert summary is not None
+    assert {entry.silent_hosts for entry in summary.sums.servers} == {3}
+
+
 def test_unconfirmed_openings_count_again_after_a_change_of_the_rotation() -> None:
     sums = reader_sums()
     moved = report(answered=(100, 101))
