Probe a suspected failure domain whose servers are all suspected themselves

Cause: the probe of a suspected domain went only to servers without stalls of their own. A host whose flows stalled at every server of a domain, as when the domain is cut off, sent it no probe after its return while nearer servers had room, and went on suspecting it.

Change: when no other server of the domain is due, a probe goes to one that is suspected itself and whose own probe is due.

The test also checks a third server of the domain now.

--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -277,12 +277,8 @@
 
     def is_domain_probe_due(self, server: ListedServer, now_ms: int) -> bool:
         """Return whether a flow to this server is due to show that its failure domain answers."""
-        own, domain = self._trackers(server)
-        return (
-            domain.suspicion is not Suspicion.NONE
-            and own.suspicion is Suspicion.NONE
-            and now_ms >= domain.next_probe_ms
-        )
+        _, domain = self._trackers(server)
+        return domain.suspicion is not Suspicion.NONE and self.is_probe_due(server, now_ms)
 
     def needs_probe(self, server: ListedServer) -> bool:
         """Return whether only stalls at other servers of its failure domain speak against a server.
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -175,14 +175,17 @@
         """Return servers of suspected failure domains of which one should get a flow.
 
         While nearer servers have room, no flow would go there, and the suspicion of a domain that
-        has recovered would never end.
+        has recovered would never end. Servers that are suspected for stalls of their own flows get
+        one only if no other is due: in a domain that was cut off, these may be all.
         """
-        return [
+        due = [
             each
             for each in known
             if self._failure_detector.is_domain_probe_due(each.server, now_ms)
             and self._may_offer(each.server, now_ms, is_first=True)
         ]
+        preferred = [e for e in due if not self._failure_detector.is_server_suspected(e.server)]
+        return preferred or due
 
     def _is_within_slow_start_limit(self, known: KnownServer, now_ms: int) -> bool:
         server = known.server
--- a/tests/unit/load_sharing/test_shared_load.py
+++ b/tests/unit/load_sharing/test_shared_load.py
@@ -370,22 +370,38 @@
     assert demand.deadline_ms == SUMMARY_LIFETIME_MS
 
 
-def test_a_suspected_failure_domain_gets_a_probe_while_nearer_servers_have_room() -> None:
+@pytest.mark.parametrize(
+    ("stalled", "still_suspected"),
+    [
+        pytest.param("12", 0, id="one flow stalled at each of its servers"),
+        pytest.param("1122", 1, id="all its servers are suspected for themselves, as after a cut"),
+    ],
+)
+def test_a_suspected_failure_domain_gets_a_probe_while_nearer_servers_have_room(
+    stalled: str, still_suspected: int
+) -> None:
     # Without it, the suspicion of a far domain lasts after its recovery, as no flow goes there.
     host = steering(
         [server("near-0"), *(server(f"far-{n}", failure_domain=FAR_DOMAIN) for n in "12")]
     )
     load = host.share_load(all_domains=2)
-    for number in (1, 2):
-        far = server(f"far-{number}", failure_domain=FAR_DOMAIN)
+    for port, name in enumerate(stalled):
+        far = server(f"far-{name}", failure_domain=FAR_DOMAIN)
         host.failure_detector.on_opening_unanswered(
-            far, flow_id(number), 40, sent_ms=0, is_confirmed=True
+            far, flow_id(port), 40, sent_ms=0, is_confirmed=True
         )
     load.on_summary(summary(1_000), 1_000)
     assert offered(host, 5, 40, answers=False) == {"near-0": 5}
     selected = offered(host, 20, 1_500)
     assert sum(selected[name] for name in ("far-1", "far-2")) == 1
-    assert not host.failure_detector.is_suspected(server("far-1", failure_domain=FAR_DOMAIN))
+    # The answer ends the suspicion of the domain and of the probed server.
+    suspected = [
+        name
+        for name in ("far-1", "far-2", "far-3")
+        if host.failure_detector.is_suspected(server(name, failure_domain=FAR_DOMAIN))
+    ]
+    assert len(suspected) == still_suspected
+    assert not any(selected[name] for name in suspected)
 
 
 def test_a_probe_of_a_suspected_failure_domain_goes_to_a_server_without_overdue_requests() -> None:
