Keep the stretch of service times through a lasting shortage

Cause: the stretch compares service times with the work, and the work was the least quantile of the latest 8 windows of 64 answers. After 512 answers of a route in a shortage, all windows were of the shortage, the wait counted as work, and the stretch fell to 1. A host rejects only from a stretch of 1.5 on, so it then rejected nothing more and raised the room of its plan.

Change: the stretch counts from the work that was known when the sums last showed no queues, if that is less. That work rises by at most a twentieth with each summary, since the answers just after a shortage have waited too.

--- a/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
@@ -376,6 +376,7 @@
         if sums.busy_flows < usable.slots:
             # Without queues at the servers, service times show the work.
             plan.learnt_work_ms = {each.destination: each.work_ms for each in sums.routes}
+            self.own_demand.on_no_queues(plan.learnt_work_ms)
         loads = self._route_loads(service, sums, now_ms)
         plan.sums = sums
         plan.estimate = estimate_load(
--- a/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import deque
-from collections.abc import Container
+from collections.abc import Container, Iterable
 from typing import NamedTuple
 
 from redwingswitch._internal.models.cookie_flows import RouteAddress
@@ -27,7 +27,8 @@
 # Queue 2016) filters round trips alike.
 WINDOWS = 8
 MIN_SAMPLES = 10
-
+# Factor by which the work may rise with each summary. At two a second it doubles in 7 s.
+MAX_WORK_RISE = 1.05
 
 # Weight of one answer in the mean service time, which follows the servers' queues within a second.
 STRETCH_WEIGHT = 0.1
@@ -76,6 +77,8 @@
         self._first_arrival_ms: int | None = None
         self._arrivals: dict[tuple[str, RouteAddress], _DecayedCount] = {}
         self._work: dict[RouteAddress, _WorkSamples] = {}
+        # The work of a route when the servers last had no queues.
+        self._unqueued_work_ms: dict[RouteAddress, float] = {}
         self._stretch: dict[str, float] = {}
 
     def note_arrival(self, service: str, destination: RouteAddress, now_ms: int) -> None:
@@ -95,10 +98,23 @@
         samples.add(max(1.0, service_time_ms))
         work_ms = samples.work_ms()
         if work_ms:
+            # In a lasting shortage, all windows are filled with answers that have waited.
+            work_ms = min(work_ms, self._unqueued_work_ms.get(destination, work_ms))
             ratio = service_time_ms / work_ms
             mean = self._stretch.get(service, ratio)
             self._stretch[service] = mean + STRETCH_WEIGHT * (ratio - mean)
 
+    def on_no_queues(self, destinations: Iterable[RouteAddress]) -> None:
+        """Keep the present work of routes whose servers have no queues, for the stretch.
+
+        The latest answers after a shortage have still waited, so the work may rise only slowly.
+        """
+        for destination in destinations:
+            work_ms = self.work_ms(destination)
+            if work_ms is not None:
+                limit_ms = MAX_WORK_RISE * self._unqueued_work_ms.get(destination, work_ms)
+                self._unqueued_work_ms[destination] = min(work_ms, limit_ms)
+
     def stretch(self, service: str) -> float | None:
         """Return the recent service times relative to the work, which rise with servers' queues."""
         return self._stretch.get(service)
@@ -133,6 +149,9 @@
             if service in services and destination in destinations
         }
         self._work = {key: work for key, work in self._work.items() if key in destinations}
+        self._unqueued_work_ms = {
+            key: work_ms for key, work_ms in self._unqueued_work_ms.items() if key in destinations
+        }
         self._stretch = {name: mean for name, mean in self._stretch.items() if name in services}
 
 
--- a/tests/unit/flow_admission/test_load_patterns.py
+++ b/tests/unit/flow_admission/test_load_patterns.py
@@ -379,3 +379,20 @@
     assert bool(waits) is (longest_ms > 0)
     assert decisions[-1].admission is Admission.REJECT
     assert all(end.wait_ms <= longest_ms for end in host.advance(CALLER_LIMIT_MS))
+
+
+def test_a_lasting_shortage_goes_on_rejecting_the_lowest_priority() -> None:
+    # Thousands of answers that waited at the servers must not look like a larger work.
+    host = AdmittingHost(table=shared_routes(latency_goal_ms=326))
+    own = host.admission.own_demand
+    for _ in range(600):
+        own.note_service_time(LOOKUP, host.work_ms, service=SERVICE)
+    host.set_demand(EVEN, busy_ratio=0.7)
+    host.open(host.new_packet(COMMIT))
+    for _ in range(2_000):
+        own.note_service_time(LOOKUP, 4 * host.work_ms, service=SERVICE)
+    host.advance(SUMS_LIFETIME_MS // 2)
+    host.set_demand({LOOKUP: 1_200.0, COMMIT: 300.0, EXPORT: 300.0}, busy_ratio=4.0)
+    ends = run_load(host, host.rates)
+    assert ends[LOOKUP][Admission.REJECT] > 0
+    assert ends[COMMIT][Admission.REJECT] == 0
--- a/tests/unit/flow_admission/test_plan.py
+++ b/tests/unit/flow_admission/test_plan.py
@@ -10,6 +10,7 @@
 )
 from redwingswitch._internal.decisions.flow_admission.own_demand import (
     SAMPLES_PER_WINDOW,
+    WINDOWS,
     OwnDemand,
 )
 from redwingswitch._internal.decisions.flow_admission.rate_share import (
@@ -193,6 +194,34 @@
     assert own.stretch("exports") is None
 
 
+@pytest.mark.parametrize(
+    ("rounds", "summaries_without_queues", "at_least", "at_most"),
+    [
+        pytest.param(1, 0, 3.5, 4.0, id="a short shortage"),
+        pytest.param(3 * WINDOWS, 0, 3.9, 4.0, id="one that fills all windows"),
+        pytest.param(3 * WINDOWS, 1, 3.7, 4.0, id="sums without queues come before new answers"),
+        pytest.param(3 * WINDOWS, 30, 1.0, 1.1, id="the work itself has risen"),
+    ],
+)
+def test_a_lasting_shortage_shows_in_the_stretch(
+    rounds: int, summaries_without_queues: int, at_least: float, at_most: float
+) -> None:
+    # Without that, a host rejects nothing any more once all its windows are of the shortage.
+    own = OwnDemand()
+    for _ in range(WINDOWS * SAMPLES_PER_WINDOW):
+        own.note_service_time(LOOKUP, 20, service="forms")
+    own.on_no_queues([LOOKUP])
+    for _ in range(rounds * SAMPLES_PER_WINDOW):
+        own.note_service_time(LOOKUP, 80, service="forms")
+    for _ in range(summaries_without_queues):
+        own.on_no_queues([LOOKUP])
+    for _ in range(SAMPLES_PER_WINDOW):
+        own.note_service_time(LOOKUP, 80, service="forms")
+    stretch = own.stretch("forms")
+    assert stretch is not None
+    assert at_least <= round(stretch, 3) <= at_most
+
+
 def test_own_demand_learns_rate_and_work_through_a_shortage() -> None:
     own = OwnDemand()
     for now_ms in range(0, 20_000, 50):
