--- a/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
@@ -126,7 +126,7 @@
 
         ``load_factors`` says how many times longer than at other servers a request takes because of
         a server's load. It does not count as slow for that, since its load counts by itself.
-        ``queueing`` are the servers of services whose servers all have queues.
+        ``queueing`` are the servers of services that have queues on average.
         """
         self._min_overdue_ratio = max(MIN_OVERDUE_RATIO, MIN_OVERDUE_TO_MEAN * mean_overdue_ratio)
         self._queueing = queueing
