--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -155,7 +155,11 @@
             if probed is not None:
                 return probed
             if domain_probes := self._due_domain_probes(not_excluded, now_ms):
-                return self._selector.select_server(_candidates(domain_probes, now_ms))
+                candidates = _candidates(domain_probes, now_ms)
+                # A server that all hosts find overdue or slow may not answer the request itself.
+                return self.load_sharing.select_server(
+                    candidates, route, now_ms
+                ) or self._selector.select_server(candidates)
         eligible = [k for k in known if self._may_offer(k.server, now_ms, is_first=is_first)]
         preferred = [k for k in eligible if k.server.server_id not in excluded]
         # Prefer a server that may have refused this caller to one that answers no caller.
@@ -171,14 +175,17 @@
         """Return servers of suspected failure domains of which one should get a flow.
 
         While nearer servers have room, no flow would go there, and the suspicion of a domain that
-        has recovered would never end.
+        has recovered would never end. Servers that are suspected for stalls of their own flows get
+        one only if no other is due: in a domain that was cut off, these may be all.
         """
-        return [
+        due = [
             each
             for each in known
             if self._failure_detector.is_domain_probe_due(each.server, now_ms)
             and self._may_offer(each.server, now_ms, is_first=True)
         ]
+        preferred = [e for e in due if not self._failure_detector.is_server_suspected(e.server)]
+        return preferred or due
 
     def _is_within_slow_start_limit(self, known: KnownServer, now_ms: int) -> bool:
         server = known.server
--- a/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/flow_admission.py
@@ -124,7 +124,8 @@
 
     def apply_routes(self, table: RouteTable) -> None:
         """Use new routes; with one route to each service and one priority, admit everything."""
-        self.own_demand.retain(frozenset(table.routes))
+        services = {share.service for route in table.routes.values() for share in route.shares}
+        self.own_demand.retain(frozenset(table.routes), services)
         self._plans.apply_routes(table)
 
     def __len__(self) -> int:
