Limit the probes of suspected failure domains to one in 100 new flows

While a domain stayed silent, up to 15 % of the flows of a host with few flows probed it, and each waited 40 ms for another server. Probes have a credit of their own now, and requests that must not be repeated are none.

--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -162,6 +162,11 @@
         tracker = self._servers.get(server.server_id)
         return tracker is not None and tracker.suspicion is not Suspicion.NONE
 
+    @property
+    def has_suspected_domain(self) -> bool:
+        """Return whether a failure domain is suspected."""
+        return any(tracker.suspicion is not Suspicion.NONE for tracker in self._domains.values())
+
     def is_domain_probe_due(self, server: ListedServer, now_ms: int) -> bool:
         """Return whether a flow to this server is due to show that its failure domain answers."""
         _, domain = self._trackers(server)
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -37,6 +37,7 @@
     ListedServer,
     Observation,
     Route,
+    RouteKind,
     SlowStartOpening,
     Verdict,
 )
@@ -44,6 +45,10 @@
 if TYPE_CHECKING:
     from redwingswitch._internal.decisions.load_sharing.load_sharing import LoadSharing
 
+# At most this part of a host's new flows probe suspected failure domains. While a domain is silent,
+# each of them waits 40 ms for another server.
+MAX_DOMAIN_PROBE_RATIO = 0.01
+
 
 class ServerOffers:
     """Selects the servers that new flows are offered to, and keeps the unanswered offers."""
@@ -67,6 +72,7 @@
         self._observer = observer
         self._observations = observations
         self._openings = PendingOpenings()
+        self._domain_probe_credit = 1.0
         self.load_sharing: LoadSharing | None = None
 
     def next_deadline_ms(self) -> int | None:
@@ -154,7 +160,8 @@
             probed = self.load_sharing.find_due_probe(not_excluded, route, now_ms)
             if probed is not None:
                 return probed
-            if domain_probes := self._due_domain_probes(not_excluded, now_ms):
+            if domain_probes := self._due_domain_probes(not_excluded, route, now_ms):
+                self._domain_probe_credit -= 1.0
                 candidates = _candidates(domain_probes, now_ms)
                 # A server that all hosts find overdue or slow may not answer the request itself.
                 return self.load_sharing.select_server(
@@ -171,13 +178,23 @@
                 return selected
         return self._selector.select_server(candidates)
 
-    def _due_domain_probes(self, known: Iterable[KnownServer], now_ms: int) -> list[KnownServer]:
+    def _due_domain_probes(
+        self, known: Iterable[KnownServer], route: Route, now_ms: int
+    ) -> list[KnownServer]:
         """Return servers of suspected failure domains of which one should get a flow.
 
         While nearer servers have room, no flow would go there, and the suspicion of a domain that
         has recovered would never end. Servers that are suspected for stalls of their own flows get
         one only if no other is due: in a domain that was cut off, these may be all.
+
+        A server that accepts the flow and then hangs loses a request that must not be repeated, so
+        flows of other routes are the probes.
         """
+        credit = min(1.0, self._domain_probe_credit + MAX_DOMAIN_PROBE_RATIO)
+        self._domain_probe_credit = credit
+        may_probe = credit >= 1.0 and route.kind is not RouteKind.NON_IDEMPOTENT
+        if not may_probe or not self._failure_detector.has_suspected_domain:
+            return []
         due = [
             each
             for each in known
--- a/tests/unit/load_sharing/test_shared_load.py
+++ b/tests/unit/load_sharing/test_shared_load.py
@@ -417,3 +417,35 @@
         overdue = entry(**OVERDUE)._replace(server=wire_id("far-3"))
         load.on_summary(summary(1_000, overdue), 1_000)
         assert offer(host, 1_050) in {"far-1", "far-2"}
+
+
+def test_few_flows_probe_a_failure_domain_that_stays_silent() -> None:
+    # At one flow a second, the delay between two probes alone would make every fourth one wait.
+    far = [server(f"far-{n}", failure_domain=FAR_DOMAIN) for n in "12"]
+    host = steering([server("near-0"), *far])
+    load = host.share_load(all_domains=2)
+    for number, each in enumerate(far):
+        host.failure_detector.on_opening_unanswered(
+            each, flow_id(number), 40, sent_ms=0, is_confirmed=True
+        )
+    probes = 0
+    for now_ms in range(1_000, 301_000, 1_000):
+        load.on_summary(summary(now_ms), now_ms)
+        flow = flow_id(1)._replace(caller_address=next(CALLERS))
+        forwarded = as_forwarded(host.on_packet(opening_packet(flow), now_ms))
+        probes += forwarded.server.failure_domain == FAR_DOMAIN
+        if forwarded.server.server_id == "near-0":
+            host.on_packet(packet(flow, cookie=forwarded.cookie, resets=True), now_ms)
+    assert 1 <= probes <= 0.01 * 300 + 1
+
+
+def test_a_request_that_must_not_repeat_probes_no_failure_domain() -> None:
+    far = [server(f"far-{n}", failure_domain=FAR_DOMAIN) for n in "12"]
+    host = steering([server("near-0"), *far])
+    load = host.share_load(all_domains=2)
+    for number, each in enumerate(far):
+        host.failure_detector.on_opening_unanswered(
+            each, flow_id(number), 40, sent_ms=0, is_confirmed=True
+        )
+    load.on_summary(summary(5_000), 5_000)
+    assert {offer(host, 5_000, destination=SIGN_OFFS) for _ in range(20)} == {"near-0"}
