Judge the limit of slow start with complete hosts and in the soak

The limit of servers in slow start over all hosts had run on a virtual clock only. The soak has the action start_server_in_slow_start, for which its hosts are spread over all failure domains and share load, and a judge of the limit.

--- a/src/redwingswitch/_internal/platform/standins/flows.py
+++ b/src/redwingswitch/_internal/platform/standins/flows.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
 import struct
 from ipaddress import IPv4Address
 from typing import NamedTuple
@@ -12,6 +14,12 @@
 OPEN, ACKNOWLEDGE, CLOSE, RESET = 64, 4, 128, 1
 LOOPBACK = "127.0.0.1"
 OPEN_RETRY_WAITS_S = (0.2, 0.4)
+# The option of Linux by which a socket tells when the kernel received each datagram.
+SO_TIMESTAMPNS = 35
+TIMESTAMP = struct.Struct("@qq")
+MAX_DATAGRAM_BYTES = 65_535
+MS_PER_S = 1_000
+NS_PER_MS = 1_000_000
 
 
 class Packet(NamedTuple):
@@ -73,7 +81,7 @@
 
 
 class _DatagramHandler(asyncio.DatagramProtocol):
-    def __init__(self, owner: PlatformServerStandin | PlatformCallerStandin) -> None:
+    def __init__(self, owner: PlatformCallerStandin) -> None:
         self._owner = owner
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
@@ -84,6 +92,8 @@
     """A backend server that answers each request of a flow with its own name.
 
     With ``is_responding`` False it drops every packet, as a crashed server does.
+    ``opening_times_ms`` are the times, on the wall clock, at which opening packets reached its
+    socket, however late this process reads them.
     """
 
     def __init__(self, *, name: str, number: int, caller_port: int) -> None:
@@ -91,30 +101,50 @@
         self.is_responding = True
         self.opened_flow_count = 0
         self.unknown_flow_packets = 0
+        self.opening_times_ms: list[float] = []
         self._tunnel_prefix = number.to_bytes(TUNNEL_PREFIX_BYTES, "big")
         self._caller_port = caller_port
         self._flows: set[tuple[int, int, int]] = set()
-        self._transport: asyncio.DatagramTransport | None = None
+        self._socket: socket.socket | None = None
+        self._received_ms = 0.0
         self.port = 0
 
     async def start(self) -> None:
         """Bind a free loopback port."""
-        loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
-            lambda: _DatagramHandler(self), local_addr=(LOOPBACK, 0)
-        )
-        self.port = self._transport.get_extra_info("sockname")[1]
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._socket.setblocking(False)
+        self._socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
+        self._socket.bind((LOOPBACK, 0))
+        self.port = self._socket.getsockname()[1]
+        asyncio.get_running_loop().add_reader(self._socket, self._receive, self._socket)
 
     def close(self) -> None:
         """Release the port."""
-        if self._transport is not None:
-            self._transport.close()
+        if self._socket is not None:
+            asyncio.get_running_loop().remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    def _receive(self, bound_socket: socket.socket) -> None:
+        try:
+            data, ancillary, _, sender = bound_socket.recvmsg(
+                MAX_DATAGRAM_BYTES, socket.CMSG_SPACE(TIMESTAMP.size)
+            )
+        except OSError:
+            return
+        seconds, nanoseconds = TIMESTAMP.unpack(ancillary[0][2])
+        self._received_ms = seconds * MS_PER_S + nanoseconds / NS_PER_MS
+        self.on_datagram(data, sender)
 
     def on_datagram(self, data: bytes, sender: tuple[str, int]) -> None:
         """Answer a packet whose tunnel prefix names this server."""
-        if not self.is_responding or data[:TUNNEL_PREFIX_BYTES] != self._tunnel_prefix:
+        if data[:TUNNEL_PREFIX_BYTES] != self._tunnel_prefix:
             return
         packet = decode(data[TUNNEL_PREFIX_BYTES:])
+        if packet.flags & OPEN:
+            self.opening_times_ms.append(self._received_ms)
+        if not self.is_responding:
+            return
         flow = (packet.source, packet.source_port, packet.destination_port)
         if packet.flags & OPEN:
             self._flows.add(flow)
@@ -138,9 +168,10 @@
             flags=flags,
             data=data,
         )
-        if self._transport is not None:
+        if self._socket is not None:
             caller = (str(IPv4Address(packet.source)), self._caller_port)
-            self._transport.sendto(encode(reply), caller)
+            with contextlib.suppress(OSError):
+                self._socket.sendto(encode(reply), caller)
 
 
 class PlatformCallerStandin:
--- a/src/redwingswitch/_internal/platform/standins/site.py
+++ b/src/redwingswitch/_internal/platform/standins/site.py
@@ -30,12 +30,14 @@
 STORE_ADDRESS = "127.0.0.1"
 CALLER_ADDRESS = "127.0.0.2"
 HOST_ADDRESSES = ("127.0.0.1", "127.0.0.3", "127.0.0.4")
+# For sites of two failure domains.
+FURTHER_HOST_ADDRESSES = ("127.0.0.5", "127.0.0.6", "127.0.0.7")
 DESTINATION = ("198.18.0.1", 443)
 GRACE_PERIOD_MS = 3_000
 STORE_TIMEOUT_MS = 300
 LIST_AGE_LIMIT_MS = 3_000
 OUT_OF_SERVICE_LIMIT_MS = 5_000
-# All hosts are in the first one.
+# All hosts are in the first one unless a test says otherwise.
 FAILURE_DOMAIN = "huon"
 OTHER_FAILURE_DOMAIN = "hobart"
 
@@ -95,14 +97,24 @@
         )
 
     async def add_server(
-        self, number: int, *, service: str = "job-board", failure_domain: str = FAILURE_DOMAIN
+        self,
+        number: int,
+        *,
+        service: str = "job-board",
+        failure_domain: str = FAILURE_DOMAIN,
+        slow_start_left_ms: int = 0,
     ) -> PlatformServerStandin:
         """Start a backend server and write its entry into the store."""
         name = f"i-{number:08x}"
         server = PlatformServerStandin(name=name, number=number, caller_port=self.callers.port)
         await server.start()
         self.servers[name] = server
-        self.list_server(server, service=service, failure_domain=failure_domain)
+        self.list_server(
+            server,
+            service=service,
+            failure_domain=failure_domain,
+            slow_start_left_ms=slow_start_left_ms,
+        )
         return server
 
     def list_server(
@@ -135,15 +147,16 @@
         load_sharing: bool = False,
     ) -> RunningHost:
         """Start a steering daemon."""
-        address = (HOST_ADDRESSES[number], self.callers.port)
+        host_address = (HOST_ADDRESSES + FURTHER_HOST_ADDRESSES)[number]
+        address = (host_address, self.callers.port)
         settings = SteeringSettings(
             host=f"entry-{number}",
             failure_domain=failure_domain,
             steering=Endpoint(*address),
-            readiness=Endpoint(HOST_ADDRESSES[number], 0),
+            readiness=Endpoint(host_address, 0),
             readiness_path="/ready",
             metrics=None,
-            peers=Endpoint(HOST_ADDRESSES[number], self._peer_port.number),
+            peers=Endpoint(host_address, self._peer_port.number),
             store=Endpoint(STORE_ADDRESS, self.store.port),
             store_timeout_ms=STORE_TIMEOUT_MS,
             grace_period_ms=GRACE_PERIOD_MS,
--- a/tests/soak/disabled_mechanism.py
+++ b/tests/soak/disabled_mechanism.py
@@ -12,6 +12,7 @@
     cookie_steering,
     server_directory,
     server_offers,
+    slow_start_limits,
 )
 from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.platform.__main__ import main
@@ -58,11 +59,21 @@
     cookie_steering.CookieSteering.apply_routes = apply_routes
 
 
+def _without_slow_start_limit() -> None:
+    """Let every host send servers in slow start all flows."""
+
+    def may_open(self, server_id, service, now_ms):
+        return True
+
+    slow_start_limits.SlowStartLimits.may_open = may_open
+
+
 MECHANISMS: dict[str, Callable[[], None]] = {
     "service_in_cookie": _without_service_in_cookie,
     "drain_exclusion": _without_drain_exclusion,
     "domain_exclusion": _without_domain_exclusion,
     "route_removal": _without_route_removal,
+    "slow_start_limit": _without_slow_start_limit,
 }
 
 if __name__ == "__main__":
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,6 +29,8 @@
 # The age of the copy from which the store is restored, and how long the store is away meanwhile.
 COPY_AGE_S = (0.5, 8.0)
 RESTORE_S = (0.1, 2.0)
+# Hosts begin to send flows 3.5 s after the reader has told them which of them may.
+SLOW_START_S = (5.0, 9.0)
 RESTART_DELAY_S = (0.0, 1.5)
 ODD_ENTRIES = (
     b"[" * 100_000 + b"]" * 100_000,
@@ -217,6 +219,15 @@
     site.take_back(domain)
 
 
+async def start_server_in_slow_start(site: SoakSite) -> None:
+    """Start a server in slow start under many new flows, and check its limit."""
+    service = site.random.choice(list(DESTINATIONS))
+    length_s = site.random.uniform(*SLOW_START_S)
+    server = await site.add_server(service, slow_start_ms=int(length_s * MS_PER_S))
+    await site.open_flows_in_slow_start(server)
+    site.invariants.check_slow_start(server)
+
+
 async def send_cookies_to_other_service(site: SoakSite) -> None:
     """Send the cookie of a flow of each service to the address of another service."""
     for service, destination in DESTINATIONS.items():
@@ -248,7 +259,8 @@
     restore_store,
     leave_odd_entry,
 )
-ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_EMPTYING, empty_failure_domain)
+ACTIONS_BEFORE_SLOW_START: tuple[Action, ...] = (*ACTIONS_BEFORE_EMPTYING, empty_failure_domain)
+ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_SLOW_START, start_server_in_slow_start)
 
 
 async def inject_faults(
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from redwingswitch._internal.platform.standins.flows import Packet
+from tests.lib.sliding_seconds import most_in_a_second
 from tests.soak.disturbances import DisturbanceLog, now_ms
 from tests.soak.servers import SoakServer
 
@@ -14,6 +15,13 @@
 CONVERGENCE_LIMIT_MS = 3_000
 # Requirement: how long a failure domain that is out of service may still get new flows.
 OUT_OF_SERVICE_LIMIT_MS = 5_000
+# Requirement: a server in slow start gets in any sliding second at most ``SLOW_START_PER_S`` x
+# ``SLOW_START_OVERSHOOT`` + ``SLOW_START_SLACK`` opening packets, summed over all hosts. With these
+# numbers, each of three failure domains sends all that it may.
+SLOW_START_PER_S = 6
+SLOW_START_OVERSHOOT = 1.0
+SLOW_START_SLACK = 0.0
+SLOW_START_LIMIT = SLOW_START_PER_S * SLOW_START_OVERSHOOT + SLOW_START_SLACK
 # A violation is reported when this many packets of a flow have reached another server while its
 # own server is running.
 MISDIRECTED_PACKET_LIMIT = 3
@@ -94,6 +102,20 @@
         if flow is not None and flow.server.name != name:
             self.report(f"answer: {name} answered a flow of {flow.server.name}")
 
+    def check_slow_start(self, server: SoakServer) -> None:
+        """Check the opening packets that reached a server during its slow start.
+
+        The limit holds for disturbed hosts too, also while they cannot hear each other.
+        """
+        openings_ms = server.slow_start_openings_ms()
+        self.check_count += 1
+        most = most_in_a_second(openings_ms)
+        if most > SLOW_START_LIMIT:
+            self.report(
+                f"slow start: {server.name} got {most} opening packets in a sliding second, "
+                f"{len(openings_ms)} in all; the limit is {SLOW_START_LIMIT:.0f}"
+            )
+
     def _check_service(self, server: SoakServer, destination: RouteAddress) -> None:
         self.check_count += 1
         if server.service not in self.allowed.get(destination, set()):
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -32,8 +32,11 @@
         store: tuple[str, int],
         folder: Path,
         program: tuple[str, ...] = PROGRAM,
+        failure_domain: str = "huon",
+        further_settings: str = "",
     ) -> None:
         self.name = name
+        self.failure_domain = failure_domain
         self.address = address
         self.port = port
         self.log = folder / f"{name}.log"
@@ -45,13 +48,14 @@
         self._process: asyncio.subprocess.Process | None = None
         self._text = (
             f'host = "{name}"\n'
-            'failure_domain = "huon"\n'
+            f'failure_domain = "{failure_domain}"\n'
             f'steering = "{address}:{port}"\n'
             f'readiness = "{address}:{port}"\n'
             f'peers = "{address}:{peer_port}"\n'
             f'store = "{store[0]}:{store[1]}"\n'
             'failure_domains = ["huon", "hobart", "bruny"]\n'
             "out_of_service_limit_ms = 5000\n"
+            f"{further_settings}"
         )
         self.write_settings(GRACE_PERIOD_S)
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.soak.faults import ACTIONS, Action, inject_faults
+from tests.soak.faults import ACTIONS, Action, inject_faults, start_server_in_slow_start
 from tests.soak.processes import PROGRAM
 from tests.soak.site import SoakSite
 
@@ -40,7 +40,13 @@
     actions: Sequence[Action] = ACTIONS,
 ) -> SoakResult:
     """Inject the faults of a seed, then kill and restart all hosts, then stop them."""
-    site = SoakSite(hosts=hosts, folder=folder, seed=seed, program=program)
+    site = SoakSite(
+        hosts=hosts,
+        folder=folder,
+        seed=seed,
+        program=program,
+        limits_slow_start=start_server_in_slow_start in actions,
+    )
     try:
         await site.start()
         await inject_faults(site, seconds=seconds, actions=actions)
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -17,7 +17,14 @@
 from redwingswitch._internal.standins.reserved_ports import ReservedPort
 from tests.soak.callers import Routers, SoakCaller
 from tests.soak.disturbances import DisturbanceLog, now_ms
-from tests.soak.invariants import CONVERGENCE_LIMIT_MS, InvariantChecker, OpenFlow
+from tests.soak.invariants import (
+    CONVERGENCE_LIMIT_MS,
+    SLOW_START_OVERSHOOT,
+    SLOW_START_PER_S,
+    SLOW_START_SLACK,
+    InvariantChecker,
+    OpenFlow,
+)
 from tests.soak.processes import PROGRAM, HostProcess
 from tests.soak.proxy import StoreProxy
 from tests.soak.servers import SoakServer
@@ -29,8 +36,14 @@
 EXTRA_ADDRESS = "198.18.0.3"
 SERVER_PREFIX = "servers/"
 SERVERS_PER_SERVICE = 3
-# All hosts are in the first one.
+# All hosts are in the first one, unless servers start slowly.
 FAILURE_DOMAINS = ("huon", "hobart", "bruny")
+SLOW_START_SETTINGS = (
+    "load_sharing = true\n"
+    f"slow_start_overshoot = {SLOW_START_OVERSHOOT}\n"
+    f"slow_start_slack = {SLOW_START_SLACK}\n"
+)
+SLOW_START_FLOW_INTERVAL_S = 0.025
 CALLER_COUNT = 24
 REQUEST_INTERVAL_S = (0.05, 0.4)
 REQUESTS_PER_FLOW = (2, 30)
@@ -45,10 +58,20 @@
 
 
 class SoakSite:
-    """All processes, servers and callers of one run."""
+    """All processes, servers and callers of one run.
+
+    With ``limits_slow_start``, the hosts are spread over all failure domains and limit the flows of
+    servers in slow start.
+    """
 
     def __init__(
-        self, *, hosts: int, folder: Path, seed: int, program: tuple[str, ...] = PROGRAM
+        self,
+        *,
+        hosts: int,
+        folder: Path,
+        seed: int,
+        program: tuple[str, ...] = PROGRAM,
+        limits_slow_start: bool = False,
     ) -> None:
         self.random = random.Random(seed)
         self.disturbances = DisturbanceLog()
@@ -62,6 +85,7 @@
         self._addresses = [str(IPv4Address(FIRST_HOST_ADDRESS + n)) for n in range(hosts)]
         self._folder = folder
         self._program = program
+        self._limits_slow_start = limits_slow_start
         self._routes = [
             StandinRoute(*destination, service) for service, destination in DESTINATIONS.items()
         ]
@@ -128,7 +152,12 @@
         for route in self._routes:
             destination = (int(IPv4Address(route.address)), route.port)
             self.invariants.allowed.setdefault(destination, set()).add(route.service)
-        self.store.put("op/config", build_configuration(version=self._version, routes=self._routes))
+        configuration = build_configuration(
+            version=self._version,
+            routes=self._routes,
+            slow_start_per_s=SLOW_START_PER_S if self._limits_slow_start else 0,
+        )
+        self.store.put("op/config", configuration)
 
     def list_servers_again(self) -> None:
         """Write each server's present state to a restored store."""
@@ -152,7 +181,7 @@
         key = (int(IPv4Address(destination[0])), destination[1])
         self.invariants.removed_ms[key] = now_ms()
 
-    async def add_server(self, service: str) -> SoakServer:
+    async def add_server(self, service: str, *, slow_start_ms: int = 0) -> SoakServer:
         """Start a server and write its entry to the store."""
         number = next(self._numbers)
         server = SoakServer(
@@ -166,6 +195,7 @@
         )
         await server.start()
         self.servers[server.name] = server
+        server.begin_slow_start(slow_start_ms)
         self.list_server(server)
         return server
 
@@ -178,6 +208,7 @@
             zone=server.failure_domain,
             state=state,
             sequence=self._sequence,
+            slow_start_left_ms=server.slow_start_left_ms,
         )
         self.store.put(f"{SERVER_PREFIX}{server.name}", entry)
 
@@ -204,6 +235,16 @@
             else:
                 self.store.take_back(domain)
 
+    async def open_flows_in_slow_start(self, server: SoakServer) -> None:
+        """Open flows of the service of a server, more than it may get, until its slow start ends.
+
+        Also ends with the server.
+        """
+        while server.slow_start_left_ms and not server.is_ended:
+            _, flow = self.callers.open_routed(DESTINATIONS[server.service])
+            self.start_task(flow.open(("", 0)))
+            await asyncio.sleep(SLOW_START_FLOW_INTERVAL_S)
+
     def end_server(self, server: SoakServer) -> None:
         """Stop a server; its flows end with it."""
         server.is_ended = True
@@ -293,6 +334,7 @@
         proxy = StoreProxy(address=address, target=(STORE_ADDRESS, self.store.port))
         await proxy.start()
         self.proxies[address] = proxy
+        domains = FAILURE_DOMAINS if self._limits_slow_start else FAILURE_DOMAINS[:1]
         host = HostProcess(
             name=f"entry-{number}",
             address=address,
@@ -301,6 +343,8 @@
             store=(address, proxy.port),
             folder=self._folder,
             program=self._program,
+            failure_domain=domains[number % len(domains)],
+            further_settings=SLOW_START_SETTINGS if self._limits_slow_start else "",
         )
         self.hosts.append(host)
         self.disturbances.record_moment(address)
--- a/tests/unit/cookies/test_slow_start_fleet.py
+++ b/tests/unit/cookies/test_slow_start_fleet.py
@@ -27,6 +27,7 @@
     route_table,
     server,
 )
+from tests.lib.sliding_seconds import most_in_a_second
 
 DOMAINS = ("hobart", "huon", "bruny")
 HOSTS_PER_DOMAIN = 8
@@ -195,16 +196,6 @@
             host.steering.on_packet(answer, self.now_ms)
 
 
-def most_in_a_second(arrivals_ms: list[int]) -> int:
-    ordered = sorted(arrivals_ms)
-    first = most = 0
-    for index, at_ms in enumerate(ordered):
-        while at_ms - ordered[first] > 1_000:
-            first += 1
-        most = max(most, index - first + 1)
-    return most
-
-
 @pytest.mark.parametrize("seed", range(3))
 @pytest.mark.parametrize(
     "faults",
