Run odd seeds of the soak without slow start

With the action of slow start, the hosts of a soak are spread over all failure domains and share load. Odd seeds keep all hosts in one failure domain without sharing load, and draw the same faults as before, so that nothing that the soak covered is lost.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,7 +9,7 @@
 
 import fire
 
-from tests.soak.faults import ACTIONS
+from tests.soak.faults import choose_actions
 from tests.soak.regressions import REGRESSIONS
 from tests.soak.run import SoakResult, run_seed
 
@@ -32,7 +32,9 @@
 
     """
     first, _, last = str(seeds).partition("-")
-    chosen = [(seed, seconds, ACTIONS) for seed in range(int(first), int(last or first) + 1)]
+    chosen = [
+        (seed, seconds, choose_actions(seed)) for seed in range(int(first), int(last or first) + 1)
+    ]
     if regressions:
         chosen = [(case.seed, case.seconds, case.actions) for case in REGRESSIONS]
     failed: list[SoakResult] = []
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -263,6 +263,14 @@
 ACTIONS: tuple[Action, ...] = (*ACTIONS_BEFORE_SLOW_START, start_server_in_slow_start)
 
 
+def choose_actions(seed: int) -> tuple[Action, ...]:
+    """Return the actions of a seed.
+
+    Odd seeds run without slow start, so that all hosts are in one failure domain and share no load.
+    """
+    return ACTIONS_BEFORE_SLOW_START if seed % 2 else ACTIONS
+
+
 async def inject_faults(
     site: SoakSite, *, seconds: float, actions: Sequence[Action] = ACTIONS
 ) -> None:
