--- a/src/redwingswitch/_internal/decisions/flow_admission/shortage.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/shortage.py
@@ -18,7 +18,7 @@
 GOAL_RATIO = 0.5
 # Part of the harmless wait that the plan aims at. Flows are spread unevenly over the servers, so
 # with less, some servers would have nothing to do.
-TARGET_WAIT_RATIO = 0.35
+TARGET_WAIT_RATIO = 0.5
 # While flows are held back, busy flows may fall below the room without the end of the shortage.
 RELEASE_RATIO = 0.5
 # Answers that take this many times their work have waited at the servers. Sums of demand and of
