Reset a new flow at once when only other hosts may send it to servers in slow start

Its next try may reach an entitled host, so the first copy is now reset at once if this host knows that others are entitled and no slow start ends within the time of a hold.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -292,7 +292,9 @@
             refused = self.admission.refuse(packet, route, now_ms, arrived_ms)
             if refused is not None:
                 return refused
-        return self._open_flow(packet, route, state, verdict, now_ms)
+        # Later, the caller may have sent a copy that another host has taken.
+        may_reject = may_refuse and packet.copy_number == 0 and arrived_ms == now_ms
+        return self._open_flow(packet, route, state, verdict, now_ms, may_reject=may_reject)
 
     def _open_flow(
         self,
@@ -301,12 +303,15 @@
         state: FlowState | None,
         verdict: Verdict,
         now_ms: int,
+        *,
+        may_reject: bool = False,
     ) -> SteeringAction:
         action = self._offers.offer(packet, route, state, verdict, now_ms)
         if action is not None:
             return action
-        if self._offers.has_limited_server(route, now_ms):
-            return DiscardPacket(packet, Verdict.HELD_SLOW_START)
+        withheld = self._offers.withhold(packet, route, now_ms, may_reject=may_reject)
+        if withheld is not None:
+            return withheld
         may_find_server = not self.directory.are_all_domains_out_of_service()
         if may_find_server and self.directory.may_be_incomplete(now_ms):
             return DiscardPacket(packet, Verdict.HELD_NO_SERVER)
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -30,12 +30,15 @@
     ServerSelector,
 )
 from redwingswitch._internal.decisions.cookies.slow_start_limits import SlowStartLimits
+from redwingswitch._internal.decisions.cookies.unresolved_packets import MAX_HOLD_MS
 from redwingswitch._internal.models.cookie_flows import (
+    DiscardPacket,
     FlowEndpoints,
     FlowPacket,
     ForwardPacket,
     ListedServer,
     Observation,
+    ResetFlow,
     Route,
     RouteKind,
     SlowStartOpening,
@@ -212,13 +215,31 @@
             or self._slow_start.may_open(server.server_id, server.service, now_ms)
         )
 
-    def has_limited_server(self, route: Route, now_ms: int) -> bool:
-        """Return whether a server of the route may get flows later, at its slow start's rate."""
-        return any(
-            known.may_be_offered(now_ms) and not self._is_within_slow_start_limit(known, now_ms)
+    def withhold(
+        self, packet: FlowPacket, route: Route, now_ms: int, *, may_reject: bool
+    ) -> DiscardPacket | ResetFlow | None:
+        """Return the action for an opening packet that no server may get because of slow starts.
+
+        It waits for a server that this host may send flows to later. If there is none, its caller
+        is told at once, since its next try may reach a host that may; ``may_reject`` says that no
+        host can have opened the flow. None if no slow start keeps the packet from a server.
+        """
+        limited = [
+            known.server
             for share in route.shares
             for known in self._directory.active_servers(share.service)
-        )
+            if known.may_be_offered(now_ms) and not self._is_within_slow_start_limit(known, now_ms)
+        ]
+        if not limited:
+            return None
+        if may_reject and not any(self._may_be_offered_soon(each, now_ms) for each in limited):
+            return ResetFlow(packet, Verdict.RESET_NO_SERVER, route.shares[0].service)
+        return DiscardPacket(packet, Verdict.HELD_SLOW_START)
+
+    def _may_be_offered_soon(self, server: ListedServer, now_ms: int) -> bool:
+        known = self._directory.get(server.server_id)
+        is_ending = known is not None and not known.is_in_slow_start(now_ms + MAX_HOLD_MS)
+        return is_ending or self._slow_start.may_open_soon(server.server_id, server.service, now_ms)
 
     def has_alternative(self, route: Route, now_ms: int) -> bool:
         """Return whether a server of the route that is not suspected may get a flow."""
--- a/src/redwingswitch/_internal/decisions/cookies/slow_start_limits.py
+++ b/src/redwingswitch/_internal/decisions/cookies/slow_start_limits.py
@@ -103,6 +103,13 @@
             hashed % period.host_count == period.rank for period in self._periods
         )
 
+    def is_other_entitled(self, server_id: str, now_ms: int) -> bool:
+        """Return whether another host is known to be the entitled one now."""
+        if not self.has_rank(now_ms):
+            return False
+        current = self._periods[-1]
+        return wire_id(server_id) % current.host_count != current.rank
+
     def _continues(self, reader: int, now_ms: int) -> bool:
         is_recent = now_ms < self._deadline_ms and now_ms - self._received_ms <= MAX_SUMMARY_GAP_MS
         return reader == self._reader and is_recent
@@ -156,6 +163,14 @@
             return False
         return self.sent_count(server_id, now_ms) < self.limit(server_id, service)
 
+    def may_open_soon(self, server_id: str, service: str, now_ms: int) -> bool:
+        """Return whether a server in slow start may get an opening packet from this host later.
+
+        False only if this host knows that others send it theirs.
+        """
+        is_other_entitled = self.entitlement.is_other_entitled(server_id, now_ms)
+        return not is_other_entitled and self.limit(server_id, service) > 0
+
     def on_opening(self, server_id: str, now_ms: int) -> None:
         """Record an opening packet that was sent to a server in slow start."""
         for name in list(self._sent_ms):
--- a/tests/functional/test_slow_start.py
+++ b/tests/functional/test_slow_start.py
@@ -137,7 +137,7 @@
                 returning, failure_domain=OTHER_FAILURE_DOMAIN, slow_start_left_ms=SLOW_START_MS
             )
 
-            # The other hosts will hold opening packets in vain.
+            # The other hosts will reject flows.
             await wait_until(
                 lambda: all(
                     len(entitled_hosts(site, [server])) == len(DOMAINS)
--- a/tests/unit/cookies/test_slow_start_limits.py
+++ b/tests/unit/cookies/test_slow_start_limits.py
@@ -292,6 +292,39 @@
     assert host.held_openings == 0
 
 
+@pytest.mark.parametrize(
+    ("rank_offset", "slow_start_left_ms", "copy_number", "expected"),
+    [
+        pytest.param(None, 200_000, 0, Verdict.HELD_SLOW_START, id="this host may be entitled"),
+        pytest.param(0, 200_000, 0, Verdict.HELD_SLOW_START, id="this host will be entitled"),
+        pytest.param(1, 200_000, 0, Verdict.RESET_NO_SERVER, id="other hosts are entitled"),
+        pytest.param(1, 900, 0, Verdict.HELD_SLOW_START, id="the slow start ends soon"),
+        pytest.param(1, 200_000, 1, Verdict.HELD_SLOW_START, id="another host may have opened it"),
+    ],
+)
+def test_a_caller_is_told_at_once_when_only_other_hosts_may_serve_it(
+    rank_offset: int | None, slow_start_left_ms: int, copy_number: int, expected: Verdict
+) -> None:
+    # It would wait 1.4 s for nothing; its next try mostly reaches another host.
+    host = limited_host(
+        server("i-1", slow_start_left_ms=NOW_MS + slow_start_left_ms, report_number=5)
+    )
+    if rank_offset is not None:
+        rank = (entitled_rank("i-1") + rank_offset) % HOST_COUNT
+        give_rank(host.slow_start.entitlement, NOW_MS - 100, rank=rank)
+    action = host.on_packet(opening_packet(flow_id(1), copy_number=copy_number), NOW_MS)
+    assert action.verdict is expected
+
+
+def test_a_held_opening_is_not_rejected_later() -> None:
+    # Its caller may have sent a copy that another host has taken.
+    host = limited_host(slow_server("i-1"))
+    host.on_packet(opening_packet(flow_id(1)), NOW_MS)
+    give_rank(host.slow_start.entitlement, NOW_MS, rank=(entitled_rank("i-1") + 1) % HOST_COUNT)
+    assert host.on_timer(NOW_MS + OPENING_RETRY_MS) == []
+    assert host.held_openings == 1
+
+
 def test_held_openings_keep_to_the_limit_and_expire() -> None:
     host = limited_host(slow_server("i-1"))
     entitle(host.slow_start.entitlement, NOW_MS)
