Remove code without a caller, and read a page of the store in one place

find_json_lines and the daemon's host_rank_receiver had no caller in the sources. read_first_items repeated read_page. apply_list and apply_changes began with the same steps, which _begin_read now holds.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -97,28 +97,20 @@
 
     def apply_list(self, fleet: ServerList) -> None:
         """Apply the whole list."""
-        self._apply_out_of_service(fleet.out_of_service)
-        self.other_readers.apply(fleet.other_readers)
-        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
-        if self._sharing.is_outdated(fleet.revision):
-            self._apply_outdated(routes, fleet.reader)
+        routes = self._begin_read(fleet)
+        if routes is None:
             return
-        now_ms = self._clock.now_ms()
-        changed = self._steering.directory.replace(fleet.servers, now_ms)
+        changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
         self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
         self._finish_read(routes, changed)
         self.apply_reader(fleet.reader)
 
     def apply_changes(self, fleet: ServerListChanges) -> None:
         """Apply the changes after the revision up to which the list is known."""
-        self._apply_out_of_service(fleet.out_of_service)
-        self.other_readers.apply(fleet.other_readers)
-        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
-        if self._sharing.is_outdated(fleet.revision):
-            self._apply_outdated(routes, fleet.reader)
+        routes = self._begin_read(fleet)
+        if routes is None:
             return
-        now_ms = self._clock.now_ms()
-        changed = self._steering.directory.update(fleet.servers, now_ms)
+        changed = self._steering.directory.update(fleet.servers, self._clock.now_ms())
         self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
         self._finish_read(routes, changed)
         if fleet.reader is not None:
@@ -221,6 +213,16 @@
         self.peers.notify_followers()
         self._on_change()
 
+    def _begin_read(self, fleet: ServerList | ServerListChanges) -> StoredRoutes | None:
+        """Apply what has its own order; return the routes, or None if the servers are outdated."""
+        self._apply_out_of_service(fleet.out_of_service)
+        self.other_readers.apply(fleet.other_readers)
+        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        if self._sharing.is_outdated(fleet.revision):
+            self._apply_outdated(routes, fleet.reader)
+            return None
+        return routes
+
     def _apply_outdated(self, routes: StoredRoutes, reader: RegisteredReader | None) -> None:
         """Apply only the routes and the reader record of a response that is older than the feed."""
         self._sharing.on_routes_read(routes.routes, is_newest=False)
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -179,7 +179,7 @@
 
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
-        return self._knowledge.list_age_ms(self._age_clock.now_ms())
+        return self._contact.list_age_ms()
 
     @property
     def reader_incarnation(self) -> int:
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -26,7 +26,6 @@
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.cookies.readiness import Readiness, readiness
 from redwingswitch._internal.decisions.cookies.slow_start_limits import (
-    HostRankReceiver,
     SlowStartLimits,
 )
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
@@ -163,11 +162,6 @@
         """Return the number that distinguishes this start of the host from others."""
         return self._incarnation
 
-    @property
-    def host_rank_receiver(self) -> HostRankReceiver:
-        """Return the part that takes this host's rank for servers in slow start."""
-        return self._steering.slow_start.entitlement
-
     @property
     def known_neighbours(self) -> int:
         """Return the number of other hosts of the failure domain that this host has heard of."""
--- a/src/redwingswitch/_internal/platform/store_calls.py
+++ b/src/redwingswitch/_internal/platform/store_calls.py
@@ -130,11 +130,8 @@
 
     async def read_first_items(self, prefix: str) -> list[Item]:
         """Return the items whose key has a prefix, of the first page only."""
-        response = await self._get(
-            self._connection, "/v1/kv-range", {"Prefix": prefix}, timeout_ms=self._timeout_ms
-        )
-        page = _decode_response(_page_decoder, response.body)
-        return _in_era(page.items, self._note_era(response))
+        page = await self.read_page(prefix, after="", may_be_stale=False)
+        return page.items
 
     async def watch(self, prefix: str, after_revision: int, wait_ms: int) -> Watched:
         """Return the events after a revision, waiting up to ``wait_ms`` for one.
--- a/src/redwingswitch/_internal/utils/json_lines.py
+++ b/src/redwingswitch/_internal/utils/json_lines.py
@@ -64,11 +64,6 @@
     return JsonPlaces(lines, tuple(repeated))
 
 
-def find_json_lines(text: str) -> dict[KeyPath, int]:
-    """Return the line of each key and array element in a JSON text."""
-    return find_json_places(text).lines
-
-
 def _pass_separator(container: _Container | None, separator: str) -> None:
     if container is None:
         return
--- a/tests/functional/test_steering_reports.py
+++ b/tests/functional/test_steering_reports.py
@@ -96,7 +96,7 @@
             opening = asyncio.create_task(site.open_flow(host))
             await wait_until(lambda: f"{PREFIX}held_openings 1" in host.daemon.metrics_text())
             now_ms = MonotonicClock().now_ms()
-            host.daemon.host_rank_receiver.set_host_rank(
+            host.daemon._steering.slow_start.entitlement.set_host_rank(
                 HostRank(0, 1, now_ms + 60_000), reader=host.daemon.incarnation, now_ms=now_ms
             )
             await opening
