Say sums of load and overdue ratios once

The number of hosts with an unanswered opening stood in six places and is a property of the sums now. Two overdue ratios share one formula, naming servers asks once whether each is unusual, and the admission imports the half-life that it had copied.

--- a/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
+++ b/src/redwingswitch/_internal/decisions/flow_admission/own_demand.py
@@ -8,11 +8,9 @@
 from typing import NamedTuple
 
 from redwingswitch._internal.models.cookie_flows import RouteAddress
+from redwingswitch._internal.models.load_sharing import HALF_LIFE_MS
 
 MS_PER_S = 1_000
-# The half-life of the counts that hosts tell each other, so that a host's part of a sum is
-# measured like the sum.
-HALF_LIFE_MS = 2_000
 # The sums follow a burst after seconds, in which servers would refuse most of it.
 BURST_HALF_LIFE_MS = 500
 # A burst shows when the count of the shorter half-life exceeds the expected one by this many
@@ -35,6 +33,11 @@
 
 
 class _DecayedCount(NamedTuple):
+    """Flows counted with the half-life of the counts that hosts tell each other, and a shorter one.
+
+    With the former, a host's part of a sum is measured like the sum.
+    """
+
     flows: float
     burst_flows: float
     updated_at_ms: int
--- a/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/avoided_servers.py
@@ -226,8 +226,7 @@
 
 def _answers(entry: ServerSums) -> bool:
     """Return whether the last unanswered opening packet was followed by an answer."""
-    hosts = entry.silent_hosts + entry.unconfirmed_hosts
-    return hosts == 0 and entry.answer_age_cs < MAX_AGE_CS
+    return entry.unanswered_hosts == 0 and entry.answer_age_cs < MAX_AGE_CS
 
 
 def _speaks_against(known: AvoidedServer, entry: ServerSums, now_ms: int) -> bool:
@@ -236,7 +235,7 @@
     What the sums had before says nothing about a slow server: only new answers count.
     """
     if known.fault is Fault.SILENT:
-        return entry.silent_hosts + entry.unconfirmed_hosts > 0
+        return entry.unanswered_hosts > 0
     if known.fault is Fault.OVERDUE:
         return overdue_ratio(entry) >= MIN_HELD_OVERDUE_RATIO
     rest: float = 0.5 ** ((now_ms - known.updated_ms) / HALF_LIFE_MS)
--- a/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/report_sums.py
@@ -210,9 +210,7 @@
 def _silent_servers(sums: LoadSums) -> frozenset[int]:
     """Return the servers that two hosts find silent, also if they cannot confirm it."""
     return frozenset(
-        entry.server
-        for entry in sums.servers
-        if entry.silent_hosts + entry.unconfirmed_hosts >= MIN_SILENT_HOSTS
+        entry.server for entry in sums.servers if entry.unanswered_hosts >= MIN_SILENT_HOSTS
     )
 
 
--- a/src/redwingswitch/_internal/decisions/load_sharing/server_observations.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/server_observations.py
@@ -41,8 +41,6 @@
 
     def forget_unanswered(self) -> None:
         """Forget all openings, as after an answer."""
-        self.unanswered = 0
-        self.unanswered_sent_ms = None
         self.is_confirmed = False
         self.forget_unconfirmed()
 
--- a/src/redwingswitch/_internal/decisions/load_sharing/server_sums.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/server_sums.py
@@ -78,18 +78,21 @@
 
 def overdue_ratio(entry: ServerSums) -> float:
     """Return the part of a server's requests of about the last half second that is overdue."""
-    answers = entry.answers_tenths / TENTHS * OVERDUE_WINDOW_S / SUM_WINDOW_S
-    requests = max(entry.busy_flows, entry.overdue_requests) + answers
-    return entry.overdue_requests / requests if requests else 0.0
+    return _overdue_ratio(entry.overdue_requests, entry.busy_flows, entry.answers_tenths)
 
 
 def mean_overdue_ratio(sums: LoadSums) -> float:
     """Return the part of all requests of about the last half second that is overdue."""
-    answers_tenths = sum(route.answers_tenths for route in sums.routes)
-    busy = sum(each.busy_flows for each in sums.services)
-    overdue = sum(entry.overdue_requests for entry in sums.servers)
+    return _overdue_ratio(
+        sum(entry.overdue_requests for entry in sums.servers),
+        sum(each.busy_flows for each in sums.services),
+        sum(route.answers_tenths for route in sums.routes),
+    )
+
+
+def _overdue_ratio(overdue: int, busy_flows: int, answers_tenths: int) -> float:
     answers = answers_tenths / TENTHS * OVERDUE_WINDOW_S / SUM_WINDOW_S
-    requests = max(busy, overdue) + answers
+    requests = max(busy_flows, overdue) + answers
     return overdue / requests if requests else 0.0
 
 
--- a/src/redwingswitch/_internal/decisions/load_sharing/shared_load.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/shared_load.py
@@ -135,7 +135,7 @@
         return {
             self._server_ids[entry.server]
             for entry in self.sums.servers
-            if entry.silent_hosts + entry.unconfirmed_hosts and entry.server in self._server_ids
+            if entry.unanswered_hosts and entry.server in self._server_ids
         }
 
     def usual_service_ms(self) -> Mapping[RouteAddress, float]:
--- a/src/redwingswitch/_internal/decisions/load_sharing/summation.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/summation.py
@@ -84,7 +84,7 @@
         self.answers_tenths += entry.answers_tenths
         self.relative_time_tenths += entry.relative_time_tenths
         self.overdue_requests += entry.overdue_requests
-        if (entry.silent_hosts or entry.unconfirmed_hosts) and entry.silent_age_cs < MAX_AGE_CS:
+        if entry.unanswered_hosts and entry.silent_age_cs < MAX_AGE_CS:
             sent_ms = arrived_ms - MS_PER_CS * entry.silent_age_cs
             self.silences.append(_Silence(sent_ms, entry.silent_hosts, entry.unconfirmed_hosts))
         if entry.answer_age_cs < MAX_AGE_CS:
@@ -186,15 +186,20 @@
 
 
 def _name_servers(entries: list[ServerSums], watched: Container[int]) -> tuple[ServerSums, ...]:
-    named = [e for e in entries if e.busy_flows or e.server in watched or is_unusual(e)]
-    named.sort(key=by_significance)
-    unusual = [e for e in named if is_unusual(e)]
-    recovered = [e for e in named if e.server in watched and not is_unusual(e)]
-    others = _much_busier([e for e in named if e.server not in watched and not is_unusual(e)])
+    unusual: list[ServerSums] = []
+    recovered: list[ServerSums] = []
+    others: list[ServerSums] = []
+    for entry in sorted(entries, key=by_significance):
+        if is_unusual(entry):
+            unusual.append(entry)
+        elif entry.server in watched:
+            recovered.append(entry)
+        elif entry.busy_flows:
+            others.append(entry)
     # Hosts avoid a server until they are told that it answers again. Some places are therefore for
     # those that have recovered, also while many others are out of the ordinary.
     kept = MAX_SERVERS_PER_MESSAGE - min(MAX_RECOVERED_SERVERS, len(recovered))
-    ordered = [*unusual[:kept], *recovered, *unusual[kept:], *others]
+    ordered = [*unusual[:kept], *recovered, *unusual[kept:], *_much_busier(others)]
     return tuple(ordered[:MAX_SERVERS_PER_MESSAGE])
 
 
--- a/src/redwingswitch/_internal/decisions/load_sharing/unconfirmed_silence.py
+++ b/src/redwingswitch/_internal/decisions/load_sharing/unconfirmed_silence.py
@@ -44,7 +44,7 @@
 
 
 def _count_unconfirmed(entry: ServerSums) -> ServerSums:
-    hosts = entry.silent_hosts + entry.unconfirmed_hosts
+    hosts = entry.unanswered_hosts
     if not entry.unconfirmed_hosts or hosts < MIN_UNCONFIRMED_HOSTS:
         return entry
     return entry._replace(silent_hosts=hosts, unconfirmed_hosts=0)
--- a/src/redwingswitch/_internal/models/load_sharing.py
+++ b/src/redwingswitch/_internal/models/load_sharing.py
@@ -88,6 +88,11 @@
     answer_age_cs: int
     unconfirmed_hosts: int = 0
 
+    @property
+    def unanswered_hosts(self) -> int:
+        """Return the number of hosts with an unanswered opening packet, confirmed or not."""
+        return self.silent_hosts + self.unconfirmed_hosts
+
 
 class RouteSums(NamedTuple):
     """What one or more hosts have observed of the route to an address and port.
