Use the queues of held packets directly, and look up no server twice

HeldPackets passed six calls on to its two queues unchanged; the steering now calls them. The check of servers in slow start had the directory's entry at hand and looked it up again. The time of a packet's arrival is always given instead of being None for now. Decisions are unchanged.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -146,7 +146,7 @@
 
     def next_deadline_ms(self) -> int | None:
         """Return when ``on_timer`` is due."""
-        deadlines = [self._offers.next_deadline_ms(), self._held.next_deadline_ms()]
+        deadlines = [self._offers.next_deadline_ms(), self._held.openings.next_deadline_ms()]
         if self.admission is not None and not self.is_list_outdated:
             deadlines.append(self.admission.next_deadline_ms())
         return min((each for each in deadlines if each is not None), default=None)
@@ -175,9 +175,9 @@
         """Decide again on opening packets that wait for servers in slow start."""
         actions: list[SteeringAction] = []
         waiting: set[RouteAddress] = set()
-        for deadline_ms, packet in self._held.take_due_openings(now_ms):
+        for deadline_ms, packet in self._held.openings.take_due(now_ms):
             if packet.flow.destination in waiting:
-                self._held.hold_opening(deadline_ms, packet, now_ms)
+                self._held.openings.put(deadline_ms, packet, now_ms)
                 continue
             action = self._choose_action(packet, now_ms, arrived_ms=deadline_ms - MAX_HOLD_MS)
             if isinstance(action, DiscardPacket) and self._held.hold(action, deadline_ms, now_ms):
@@ -200,13 +200,13 @@
     @property
     def held_openings(self) -> int:
         """Return the number of opening packets that wait for servers in slow start."""
-        return self._held.held_openings
+        return len(self._held.openings)
 
     def on_list_changed(self, now_ms: int) -> list[SteeringAction]:
         """Decide again on the held packets after the routes or the servers have changed."""
         self.failure_detector.retain(self.directory.known_servers())
         actions: list[SteeringAction] = []
-        for deadline_ms, packet in self._held.take_unresolved(now_ms):
+        for deadline_ms, packet in self._held.unresolved.take_unexpired(now_ms):
             action = self._choose_action(packet, now_ms, arrived_ms=deadline_ms - MAX_HOLD_MS)
             if isinstance(action, DiscardPacket) and self._held.hold(action, deadline_ms, now_ms):
                 continue
@@ -216,15 +216,13 @@
     def on_packet(self, packet: FlowPacket, now_ms: int) -> SteeringAction:
         """Decide what to do with a caller's packet; hold it when that cannot be decided yet."""
         if packet.opens or packet.resets:
-            self._held.remove_opening(packet.flow)
-        action = self._choose_action(packet, now_ms)
+            self._held.openings.remove(packet.flow)
+        action = self._choose_action(packet, now_ms, arrived_ms=now_ms)
         if isinstance(action, DiscardPacket):
             self._held.hold(action, now_ms + MAX_HOLD_MS, now_ms)
         return action
 
-    def _choose_action(
-        self, packet: FlowPacket, now_ms: int, *, arrived_ms: int | None = None
-    ) -> SteeringAction:
+    def _choose_action(self, packet: FlowPacket, now_ms: int, *, arrived_ms: int) -> SteeringAction:
         if self._routes is None:
             # Other hosts may know the route, so a reset could break a working flow.
             return DiscardPacket(packet, Verdict.HELD_NOT_CONFIGURED)
@@ -237,9 +235,7 @@
         if route is None:
             return self._handle_unrouted_packet(packet, now_ms)
         if packet.opens:
-            return self._handle_opening_packet(
-                packet, route, now_ms, now_ms if arrived_ms is None else arrived_ms
-            )
+            return self._handle_opening_packet(packet, route, now_ms, arrived_ms)
         if self.admission is not None:
             self.admission.discard(packet.flow)
         return self._steer_by_cookie(packet, route, now_ms)
@@ -306,12 +302,11 @@
         *,
         may_reject: bool = False,
     ) -> SteeringAction:
-        action = self._offers.offer(packet, route, state, verdict, now_ms)
+        action = self._offers.offer(packet, route, state, verdict, now_ms) or self._offers.withhold(
+            packet, route, now_ms, may_reject=may_reject
+        )
         if action is not None:
             return action
-        withheld = self._offers.withhold(packet, route, now_ms, may_reject=may_reject)
-        if withheld is not None:
-            return withheld
         may_find_server = not self.directory.are_all_domains_out_of_service()
         if may_find_server and self.directory.may_be_incomplete(now_ms):
             return DiscardPacket(packet, Verdict.HELD_NO_SERVER)
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -225,7 +225,7 @@
         host can have opened the flow. None if no slow start keeps the packet from a server.
         """
         limited = [
-            known.server
+            known
             for share in route.shares
             for known in self._directory.active_servers(share.service)
             if known.may_be_offered(now_ms) and not self._is_within_slow_start_limit(known, now_ms)
@@ -236,9 +236,9 @@
             return ResetFlow(packet, Verdict.RESET_NO_SERVER, route.shares[0].service)
         return DiscardPacket(packet, Verdict.HELD_SLOW_START)
 
-    def _may_be_offered_soon(self, server: ListedServer, now_ms: int) -> bool:
-        known = self._directory.get(server.server_id)
-        is_ending = known is not None and not known.is_in_slow_start(now_ms + MAX_HOLD_MS)
+    def _may_be_offered_soon(self, known: KnownServer, now_ms: int) -> bool:
+        server = known.server
+        is_ending = not known.is_in_slow_start(now_ms + MAX_HOLD_MS)
         return is_ending or self._slow_start.may_open_soon(server.server_id, server.service, now_ms)
 
     def has_alternative(self, route: Route, now_ms: int) -> bool:
--- a/src/redwingswitch/_internal/decisions/cookies/unresolved_packets.py
+++ b/src/redwingswitch/_internal/decisions/cookies/unresolved_packets.py
@@ -92,43 +92,18 @@
     """All packets on which this host decides again later."""
 
     def __init__(self) -> None:
-        self._unresolved = UnresolvedPackets()
-        self._openings = HeldOpenings()
+        self.unresolved = UnresolvedPackets()
+        self.openings = HeldOpenings()
 
     def __len__(self) -> int:
-        return len(self._unresolved) + len(self._openings)
-
-    @property
-    def held_openings(self) -> int:
-        """Return the number of opening packets that wait for servers in slow start."""
-        return len(self._openings)
-
-    def next_deadline_ms(self) -> int | None:
-        """Return when ``take_due_openings`` is due."""
-        return self._openings.next_deadline_ms()
+        return len(self.unresolved) + len(self.openings)
 
     def hold(self, action: DiscardPacket, deadline_ms: int, now_ms: int) -> bool:
         """Hold the packet until a deadline if the verdict says so; return whether it does."""
         if action.verdict is Verdict.HELD_SLOW_START:
-            self.hold_opening(deadline_ms, action.packet, now_ms)
+            self.openings.put(deadline_ms, action.packet, now_ms)
         elif action.verdict in HELD_VERDICTS:
-            self._unresolved.put(deadline_ms, action.packet)
+            self.unresolved.put(deadline_ms, action.packet)
         else:
             return False
         return True
-
-    def hold_opening(self, deadline_ms: int, packet: FlowPacket, now_ms: int) -> None:
-        """Hold an opening packet until a server in slow start may get one."""
-        self._openings.put(deadline_ms, packet, now_ms)
-
-    def remove_opening(self, flow: FlowEndpoints) -> None:
-        """Forget the opening packet of a flow."""
-        self._openings.remove(flow)
-
-    def take_unresolved(self, now_ms: int) -> list[tuple[int, FlowPacket]]:
-        """Remove the packets whose routes or servers were unknown; return the unexpired ones."""
-        return self._unresolved.take_unexpired(now_ms)
-
-    def take_due_openings(self, now_ms: int) -> list[tuple[int, FlowPacket]]:
-        """Remove all opening packets if it is time to decide again; return the unexpired ones."""
-        return self._openings.take_due(now_ms)
