--- a/src/redwingswitch/_internal/commands/ctl_support.py
+++ b/src/redwingswitch/_internal/commands/ctl_support.py
@@ -112,6 +112,6 @@
 
 
 def _raise_for_option(option: str, problems: list[str], remedy: str) -> None:
-    findings = [Finding("(command line)", None, option, problem, remedy) for problem in problems]
+    findings = [Finding.on_option(option, problem, remedy) for problem in problems]
     if findings:
-        raise InvalidInputGroup.from_findings(subject="the command line", findings=findings)
+        raise InvalidInputGroup.from_options(findings)
--- a/src/redwingswitch/_internal/commands/report_seconds.py
+++ b/src/redwingswitch/_internal/commands/report_seconds.py
@@ -17,8 +17,6 @@
 from redwingswitch._internal.report.seconds import SecondRow, build_report
 from redwingswitch._internal.report.seconds_table import render_seconds_json, render_seconds_text
 
-_COMMAND_LINE = "(command line)"
-_SUBJECT = "the command line"
 _PLOT_MODULE = "redwingswitch._internal.report.seconds_plot"
 
 
@@ -36,7 +34,7 @@
     paths = [Path(file) for file in files]
     findings = [*_check_files(paths), *([] if plot is None else _check_plot(plot, paths))]
     if findings:
-        raise InvalidInputGroup.from_findings(subject=_SUBJECT, findings=findings)
+        raise InvalidInputGroup.from_options(findings)
     # Before the logs are read, which may take minutes.
     plot_module = None if plot is None else _load_plot_module()
     problems = LineProblems()
@@ -53,9 +51,9 @@
 def _check_files(paths: Sequence[Path]) -> list[Finding]:
     """Return a finding for each file that cannot be read."""
     if not paths:
-        return [Finding(_COMMAND_LINE, None, "FILES", "no file is given", "name the hosts' logs")]
+        return [Finding.on_option("FILES", "no file is given", "name the hosts' logs")]
     return [
-        Finding(_COMMAND_LINE, None, str(path), "is no file", "name the hosts' log files")
+        Finding.on_option(str(path), "is no file", "name the hosts' log files")
         for path in paths
         if not path.is_file()
     ]
@@ -63,7 +61,7 @@
 
 def _check_plot(plot: str, logs: Sequence[Path]) -> list[Finding]:
     if not plot:
-        return [Finding(_COMMAND_LINE, None, "--plot", "names no file", "use --plot=FILE")]
+        return [Finding.on_option("--plot", "names no file", "use --plot=FILE")]
     return check_plot_path(Path(plot), logs=logs)
 
 
@@ -72,11 +70,9 @@
     try:
         return cast(_PlotModule, importlib.import_module(_PLOT_MODULE))
     except ImportError as error:
-        finding = Finding(
-            _COMMAND_LINE,
-            None,
+        finding = Finding.on_option(
             "--plot",
             f"needs matplotlib, which cannot be imported ({error})",
             "install the extra 'plot': pip install 'redwingswitch[plot]'",
         )
-        raise InvalidInputGroup.from_findings(subject=_SUBJECT, findings=[finding]) from error
+        raise InvalidInputGroup.from_options([finding]) from error
--- a/src/redwingswitch/_internal/commands/steer_check_configuration.py
+++ b/src/redwingswitch/_internal/commands/steer_check_configuration.py
@@ -13,6 +13,7 @@
 
 from redwingswitch._internal.cli import status_codes
 from redwingswitch._internal.exceptions import (
+    COMMAND_LINE,
     DecodeError,
     Finding,
     InvalidInputGroup,
@@ -32,7 +33,6 @@
 
 # The hosts read a configuration in base64 in one response of the store.
 MAX_CONFIGURATION_BYTES = MAX_RESPONSE_BYTES // 4 * 3
-COMMAND_LINE = "(command line)"
 
 
 class OutputFormat(StrEnum):
@@ -130,7 +130,7 @@
     options = TableReader(values={"--store": store}, path=(), collector=collector)
     address, port = options.endpoint("--store")
     if findings := collector.findings(""):
-        raise InvalidInputGroup.from_findings(subject="the command line", findings=findings)
+        raise InvalidInputGroup.from_options(findings)
     reading = read_store(address=address, port=port, timeout_ms=DEFAULT_STORE_TIMEOUT_MS)
     try:
         return asyncio.run(reading)
--- a/src/redwingswitch/_internal/exceptions.py
+++ b/src/redwingswitch/_internal/exceptions.py
@@ -5,9 +5,12 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
+# The place of a finding on an option.
+COMMAND_LINE = "(command line)"
+
 
 class Finding(NamedTuple):
-    """One problem in an input file, its location and how to fix it."""
+    """One problem in an input file or an option, its location and how to fix it."""
 
     file: str
     line: int | None
@@ -15,6 +18,11 @@
     problem: str
     remedy: str
 
+    @classmethod
+    def on_option(cls, option: str, problem: str, remedy: str) -> Finding:
+        """Return a finding on an option of the command line."""
+        return cls(COMMAND_LINE, None, option, problem, remedy)
+
     def __str__(self) -> str:
         location = self.file if self.line is None else f"{self.file}:{self.line}"
         return f"{location}: {self.key_path}: {self.problem}; {self.remedy}"
@@ -41,6 +49,11 @@
         errors = [InvalidInputError(finding=finding) for finding in findings]
         return cls(f"{subject} has {len(errors)} finding(s); nothing was changed", errors)
 
+    @classmethod
+    def from_options(cls, findings: Sequence[Finding]) -> InvalidInputGroup:
+        """Build the group for the command line."""
+        return cls.from_findings(subject="the command line", findings=findings)
+
 
 class StoreUnavailableError(RedwingswitchError):
     """A read from the key-value service failed, or a write certainly had no effect."""
--- a/src/redwingswitch/_internal/report/plot_file.py
+++ b/src/redwingswitch/_internal/report/plot_file.py
@@ -9,7 +9,6 @@
 from redwingswitch._internal.exceptions import Finding, InvalidInputGroup
 
 _OPTION = "--plot"
-_SUBJECT = "the command line"
 
 
 def check_plot_path(path: Path, *, logs: Sequence[Path]) -> list[Finding]:
@@ -39,8 +38,7 @@
             partial.unlink(missing_ok=True)
             raise
     except OSError as error:
-        findings = [_unwritable(path, error)]
-        raise InvalidInputGroup.from_findings(subject=_SUBJECT, findings=findings) from error
+        raise InvalidInputGroup.from_options([_unwritable(path, error)]) from error
 
 
 def _target(path: Path) -> Path:
@@ -53,4 +51,4 @@
 
 
 def _finding(path: Path, problem: str, remedy: str) -> Finding:
-    return Finding("(command line)", None, f"{_OPTION}={path}", problem, remedy)
+    return Finding.on_option(f"{_OPTION}={path}", problem, remedy)
