Share the event queue and the flows of the benchmarks

Three models repeated the event queue of service_model, and three modules built the same servers, routes and packets. benchmarks/event_queue.py and benchmarks/cookie_flows.py serve all.

--- a/benchmarks/flow_admission.py
+++ b/benchmarks/flow_admission.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections import Counter, deque
@@ -20,6 +19,7 @@
 
 import fire
 
+from benchmarks.event_queue import EventQueue
 from redwingswitch._internal.decisions.flow_admission.admission_plan import (
     RatePlan,
     admitted_rates,
@@ -200,17 +200,20 @@
         weights = scenario.domain_weights
         self.host_weights = [weights[number % len(weights)] for number in range(hosts)]
         self.end_ms = WARM_UP_MS + duration_s * 1_000
-        self.now_ms = 0.0
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.numbers = itertools.count()
+        self.events = EventQueue()
+        self.flow_numbers = itertools.count()
         self.demand = OwnDemand()
         self.sums: deque[tuple[float, ServiceDemand]] = deque(maxlen=3)
         self.waiting: dict[FlowEndpoints, _Request] = {}
         self.results: list[tuple[_Request, float | None]] = []
         self.refusals: Counter[str] = Counter()
 
+    @property
+    def now_ms(self) -> float:
+        return self.events.now_ms
+
     def at(self, at_ms: float, call: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (at_ms, next(self.numbers), call))
+        self.events.schedule(at_ms, call)
 
     def service_demand(self, service: str, now_ms: int) -> ServiceDemand | None:
         del service
@@ -228,9 +231,7 @@
                 self.at(at_ms, partial(self.begin, _Request(key, at_ms)))
         self.at(0, self.add_up)
         self.at(WARM_UP_MS, self.lose_servers)
-        while self.events and self.events[0][0] < self.end_ms + 5_000:
-            self.now_ms, _, call = heapq.heappop(self.events)
-            call()
+        self.events.run(self.end_ms + 5_000)
         return self
 
     def lose_servers(self) -> None:
@@ -270,7 +271,7 @@
             return
         request.tries += 1
         host = self.random.choices(self.hosts, self.host_weights)[0]
-        flow = FlowEndpoints(1, next(self.numbers), request.destination)
+        flow = FlowEndpoints(1, next(self.flow_numbers), request.destination)
         self.at(self.now_ms + ONE_WAY_MS, lambda: self.open(request, host, flow, 0))
 
     def open(self, request: _Request, host: _Host, flow: FlowEndpoints, copy_number: int) -> None:
--- a/benchmarks/service_model.py
+++ b/benchmarks/service_model.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from typing import Any, NamedTuple
 
+from benchmarks.event_queue import EventQueue
 from redwingswitch._internal.decisions.health.backend_health import BackendHealth
 from redwingswitch._internal.decisions.requests.coordinator import RequestCoordinator
 from redwingswitch._internal.decisions.requests.target_selection import HealthChecker
@@ -115,26 +115,6 @@
     until_ms: float
 
 
-class EventQueue:
-    """A queue of timed calls on a virtual clock."""
-
-    def __init__(self) -> None:
-        self.now_ms = 0.0
-        self._heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
-        self._order = 0
-
-    def schedule(self, due_ms: float, call: Callable[..., None], *arguments: Any) -> None:
-        """Schedule a call."""
-        self._order += 1
-        heapq.heappush(self._heap, (max(due_ms, self.now_ms), self._order, call, arguments))
-
-    def run(self) -> None:
-        """Run until no calls are left."""
-        while self._heap:
-            self.now_ms, _, call, arguments = heapq.heappop(self._heap)
-            call(*arguments)
-
-
 class AlwaysHealthy:
     """Reports every server as healthy, for models without circuit breaking."""
 
--- a/benchmarks/shared_load_model.py
+++ b/benchmarks/shared_load_model.py
@@ -6,30 +6,30 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections import Counter, deque
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
 
+from benchmarks.cookie_flows import (
+    configure,
+    flow_packet,
+    idempotent_route,
+    listed_server,
+)
+from benchmarks.event_queue import EventQueue
 from redwingswitch._internal.daemon.load_exchange import CHECK_INTERVAL_MS, LoadExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.load_sharing.other_readers import OtherReaders
-from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import (
     FlowEndpoints,
-    FlowPacket,
     ForwardPacket,
     ListedServer,
     ResetFlow,
-    Route,
     RouteAddress,
-    RouteKind,
-    RouteTable,
-    ServiceShare,
     SteeringAction,
 )
 from redwingswitch._internal.models.list_readers import (
@@ -149,7 +149,6 @@
         work_ms: float = 50.0,
         loss: float = 0.0,
     ) -> None:
-        self.time_ms = 0
         self.random = random.Random(seed)
         self.domains = domains
         self.work_ms = work_ms
@@ -164,20 +163,32 @@
         # Numbers and bytes of the messages between hosts by kind.
         self.sent: Counter[str] = Counter()
         self.sent_bytes: Counter[str] = Counter()
-        self._events: list[tuple[int, int, Callable[[], None]]] = []
-        self._numbers = count()
+        self._events = EventQueue()
         self._flow_numbers = count()
         self._open: dict[FlowEndpoints, _Attempt] = {}
         self.servers = {
             each.server_id: SimulatedServer(server=each)
-            for each in (_server(n, domains[n % len(domains)]) for n in range(servers))
+            for each in (
+                listed_server(
+                    f"i-{n}",
+                    service=SERVICE,
+                    failure_domain=domains[n % len(domains)],
+                    port=8_000 + n,
+                )
+                for n in range(servers)
+            )
         }
         self.hosts = [self._create_host(n, seed) for n in range(hosts)]
         for position, domain in enumerate(domains):
             self.elect(self.hosts[position], domain, revision=1)
 
-    def now_ms(self) -> int:
+    @property
+    def time_ms(self) -> int:
         """Return the virtual time."""
+        return int(self._events.now_ms)
+
+    def now_ms(self) -> int:
+        """Return the virtual time, as a clock does."""
         return self.time_ms
 
     def elect(self, host: SimulatedHost, domain: str, *, revision: int) -> None:
@@ -191,15 +202,12 @@
 
     def run(self, until_ms: int) -> None:
         """Handle all events up to a time."""
-        while self._events and self._events[0][0] <= until_ms:
-            self.time_ms, _, event = heapq.heappop(self._events)
-            event()
-        self.time_ms = until_ms
+        self._events.run(until_ms)
+        self._events.now_ms = until_ms
 
     def after(self, delay_ms: float, event: Callable[[], None]) -> None:
         """Call ``event`` after a delay."""
-        at_ms = self.time_ms + max(0, round(delay_ms))
-        heapq.heappush(self._events, (at_ms, next(self._numbers), event))
+        self._events.schedule(self.time_ms + max(0, round(delay_ms)), event)
 
     def call_at_rate(self, domain: str, rate_per_s: float) -> None:
         """Let callers of a failure domain begin requests at random times from now on."""
@@ -233,19 +241,15 @@
         record = ListReader(f"host-{number}", "10.0.0.1", number, 1_000 + number)
         domain = self.domains[number % len(self.domains)]
         host = SimulatedHost(record=record, domain=domain, seed=seed + number, clock=self)
-        route = Route(
-            name="r",
-            destination=DESTINATION,
-            shares=(ServiceShare(SERVICE, 1.0),),
-            kind=RouteKind.IDEMPOTENT,
+        route = idempotent_route(
+            "r",
+            DESTINATION,
+            service=SERVICE,
             timeout_ms=TIME_BUDGET_MS,
             latency_goal_ms=LATENCY_GOAL_MS,
-            priority=1,
         )
-        host.steering.apply_routes(RouteTable(1, {DESTINATION: route}, 15_000))
-        host.steering.directory.on_list_read(-10_000)
-        for each in self.servers.values():
-            host.steering.directory.put(each.server, 0)
+        servers = [each.server for each in self.servers.values()]
+        configure(host.steering, routes=[route], servers=servers)
 
         def check() -> None:
             if host.is_running and self.shares_load:
@@ -278,7 +282,7 @@
         """
         host = self._route(attempt)
         if attempt.has_moved:
-            packet = _packet(attempt.flow, cookie=cookie, acknowledged=acknowledged)
+            packet = flow_packet(attempt.flow, cookie=cookie, acknowledged=acknowledged)
             self._perform(host, host.steering.on_packet(packet, self.time_ms))
 
     def _try(self, attempt: _Attempt) -> None:
@@ -303,7 +307,7 @@
         def send() -> None:
             is_waiting = attempt.tries == tries and attempt.server is None
             if is_waiting and not attempt.is_over:
-                packet = _packet(attempt.flow, copy_number=copy_number)
+                packet = flow_packet(attempt.flow, copy_number=copy_number)
                 host = self._route(attempt) if copy_number else attempt.host
                 self._perform(host, host.steering.on_packet(packet, self.time_ms))
 
@@ -362,7 +366,7 @@
     ) -> None:
         self._acknowledge(attempt, cookie, 1)
         self._route(attempt).steering.on_packet(
-            _packet(attempt.flow, cookie=cookie, data_bytes=DATA_BYTES), self.time_ms
+            flow_packet(attempt.flow, cookie=cookie, data_bytes=DATA_BYTES), self.time_ms
         )
         if self.random.random() < server.hang_ratio:
             return
@@ -394,7 +398,7 @@
     def _answered(self, attempt: _Attempt, cookie: int) -> None:
         self._end(attempt, is_answered=True)
         self._acknowledge(attempt, cookie, 2)
-        closing = _packet(
+        closing = flow_packet(
             attempt.flow, cookie=cookie, sequence=1 + DATA_BYTES, acknowledged=2, closes=True
         )
         self.after(
@@ -409,42 +413,3 @@
         self._open.pop(attempt.flow, None)
         wait_ms = self.time_ms - attempt.began_ms if is_answered else None
         self.requests.append(Request(attempt.began_ms, wait_ms))
-
-
-def _server(number: int, domain: str) -> ListedServer:
-    return ListedServer(
-        server_id=f"i-{number}",
-        instance=1,
-        service=SERVICE,
-        address="10.0.0.1",
-        port=8_000 + number,
-        failure_domain=domain,
-        slots=SLOTS,
-        state=ServerState.ACTIVE,
-        slow_start_left_ms=0,
-        tunnel_prefix=b"",
-    )
-
-
-def _packet(
-    flow: FlowEndpoints,
-    *,
-    copy_number: int = 0,
-    cookie: int = 0,
-    sequence: int = 1,
-    acknowledged: int = 1,
-    data_bytes: int = 0,
-    closes: bool = False,
-) -> FlowPacket:
-    return FlowPacket(
-        flow=flow,
-        opens=not cookie,
-        closes=closes,
-        resets=False,
-        copy_number=copy_number,
-        cookie=cookie,
-        sequence=sequence,
-        acknowledged=acknowledged,
-        data_bytes=data_bytes,
-        datagram=b"",
-    )
--- a/benchmarks/silence.py
+++ b/benchmarks/silence.py
@@ -6,26 +6,26 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Callable
 from itertools import count
 from typing import NamedTuple
 
+from benchmarks.cookie_flows import (
+    configure,
+    flow_packet,
+    idempotent_route,
+    listed_server,
+)
+from benchmarks.event_queue import EventQueue
 from benchmarks.tables import Table
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
-from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import (
     FlowEndpoints,
     FlowPacket,
     ForwardPacket,
-    ListedServer,
     ResetFlow,
-    Route,
     RouteAddress,
-    RouteKind,
-    RouteTable,
-    ServiceShare,
     SteeringAction,
 )
 
@@ -80,26 +80,21 @@
 
     def __init__(self, *, far_servers: int, far_domains: int, silent: int, seed: int) -> None:
         self._random = random.Random(seed)
-        self._now_ms = 0
-        self._events: list[tuple[int, int, Callable[[], None]]] = []
-        self._numbers = count()
+        self._events = EventQueue()
         self._ports = count(1_024)
         self._host = CookieSteering(failure_domain=NEAR_DOMAIN, random_source=self._random)
-        route = Route(
-            name="r",
-            destination=DESTINATION,
-            shares=(ServiceShare(SERVICE, 1.0),),
-            kind=RouteKind.IDEMPOTENT,
-            timeout_ms=CALLER_BUDGET_MS,
-            latency_goal_ms=200,
-            priority=1,
-        )
-        self._host.apply_routes(RouteTable(1, {DESTINATION: route}, 15_000))
-        self._host.directory.on_list_read(-10_000)
         far = [f"{FAR_DOMAIN}-{number % far_domains}" for number in range(far_servers)]
         domains = [NEAR_DOMAIN] * NEAR_SERVERS + far
-        for number, domain in enumerate(domains):
-            self._host.directory.put(_server(number, domain), 0)
+        route = idempotent_route(
+            "r", DESTINATION, service=SERVICE, timeout_ms=CALLER_BUDGET_MS, latency_goal_ms=200
+        )
+        servers = [
+            listed_server(
+                f"i-{number}", service=SERVICE, failure_domain=domain, port=8_000 + number
+            )
+            for number, domain in enumerate(domains)
+        ]
+        configure(self._host, routes=[route], servers=servers)
         self._silent = {f"i-{NEAR_SERVERS + number}" for number in range(silent)}
         # The callers whose opening packets the host has passed on, by their ports.
         self._waiting: dict[int, _Caller] = {}
@@ -108,20 +103,22 @@
     def run(self) -> _Result:
         for _ in range(CALLERS):
             self._after(self._random.uniform(0, PAUSE_MS[1]), self._opener(_Caller()))
-        while self._events and self._events[0][0] <= END_MS:
+        while (due_ms := self._events.next_due_ms()) <= END_MS:
             deadline_ms = self._host.next_deadline_ms()
-            if deadline_ms is not None and deadline_ms <= self._events[0][0]:
-                self._now_ms = max(self._now_ms, deadline_ms)
-                for action in self._host.on_timer(self._now_ms):
-                    self._perform(action, None)
+            if deadline_ms is None or deadline_ms > due_ms:
+                self._events.run_next()
                 continue
-            self._now_ms, _, event = heapq.heappop(self._events)
-            event()
+            self._events.now_ms = max(self._now_ms, deadline_ms)
+            for action in self._host.on_timer(self._now_ms):
+                self._perform(action, None)
         return self.result
 
+    @property
+    def _now_ms(self) -> int:
+        return int(self._events.now_ms)
+
     def _after(self, delay_ms: float, event: Callable[[], None]) -> None:
-        at_ms = self._now_ms + round(delay_ms)
-        heapq.heappush(self._events, (at_ms, next(self._numbers), event))
+        self._events.schedule(self._now_ms + round(delay_ms), event)
 
     def _opener(self, caller: _Caller) -> Callable[[], None]:
         return lambda: self._open(caller)
@@ -216,33 +213,14 @@
             self._after(pause_ms, lambda: self._open(caller))
 
 
-def _server(number: int, domain: str) -> ListedServer:
-    return ListedServer(
-        server_id=f"i-{number}",
-        instance=1,
-        service=SERVICE,
-        address="10.0.0.1",
-        port=8_000 + number,
-        failure_domain=domain,
-        slots=2,
-        state=ServerState.ACTIVE,
-        slow_start_left_ms=0,
-        tunnel_prefix=b"",
-    )
-
-
 def _packet(caller: _Caller, *, copy_number: int, has_data: bool) -> FlowPacket:
-    return FlowPacket(
-        flow=FlowEndpoints(0x64400000, caller.port, DESTINATION),
-        opens=not caller.cookie,
-        closes=False,
-        resets=False,
+    return flow_packet(
+        FlowEndpoints(0x64400000, caller.port, DESTINATION),
         copy_number=copy_number,
         cookie=caller.cookie,
         sequence=caller.sequence,
         acknowledged=caller.acknowledged,
         data_bytes=DATA_BYTES if has_data else 0,
-        datagram=b"",
     )
 
 
--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -11,6 +11,12 @@
 import tracemalloc
 from collections.abc import Callable
 
+from benchmarks.cookie_flows import (
+    configure,
+    flow_packet,
+    idempotent_route,
+    listed_server,
+)
 from benchmarks.slopes import measure
 from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
@@ -18,7 +24,6 @@
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
 from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
-from redwingswitch._internal.models.configuration import ServerState
 from redwingswitch._internal.models.cookie_flows import (
     FlowEndpoints,
     FlowPacket,
@@ -26,9 +31,7 @@
     ListedServer,
     Route,
     RouteAddress,
-    RouteKind,
     RouteTable,
-    ServiceShare,
 )
 from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
 from redwingswitch._internal.models.list_sharing import FeedRequest, ListOffer, RoutesDifference
@@ -65,39 +68,32 @@
 
 
 def _route(number: int) -> Route:
-    return Route(
-        name=f"r-{number}",
-        destination=RouteAddress(0xC6120000 + number, 443),
-        shares=(ServiceShare(f"service-{number}", 1.0),),
-        kind=RouteKind.IDEMPOTENT,
+    return idempotent_route(
+        f"r-{number}",
+        RouteAddress(0xC6120000 + number, 443),
+        service=f"service-{number}",
         timeout_ms=2_000,
         latency_goal_ms=150,
-        priority=1,
     )
 
 
 def _server(number: int) -> ListedServer:
-    return ListedServer(
-        server_id=f"i-{number:08x}",
-        instance=1,
+    return listed_server(
+        f"i-{number:08x}",
         service=f"service-{number % SERVICE_COUNT}",
-        address="10.0.0.1",
-        port=8_000,
         failure_domain=f"domain-{number % 5}",
-        slots=2,
-        state=ServerState.ACTIVE,
-        slow_start_left_ms=0,
+        port=8_000,
         tunnel_prefix=number.to_bytes(8, "big"),
     )
 
 
 def _host(servers: int) -> CookieSteering:
     host = CookieSteering(failure_domain="domain-0", random_source=random.Random(1))
-    routes = [_route(number) for number in range(SERVICE_COUNT)]
-    host.apply_routes(RouteTable(1, {route.destination: route for route in routes}, 15_000))
-    host.directory.on_list_read(-10_000)
-    for number in range(servers):
-        host.directory.put(_server(number), 0)
+    configure(
+        host,
+        routes=[_route(number) for number in range(SERVICE_COUNT)],
+        servers=[_server(number) for number in range(servers)],
+    )
     return host
 
 
@@ -105,21 +101,11 @@
     destination = _route(
         port % SERVICE_COUNT if server is None else server % SERVICE_COUNT
     ).destination
-    cookie = 0
-    if server is not None:
-        cookie = flow_cookie(server_id=f"i-{server:08x}", destination=destination)
-    return FlowPacket(
-        flow=FlowEndpoints(0x64400000 + port // 60_000, port % 60_000, destination),
-        opens=server is None,
-        closes=False,
-        resets=False,
-        copy_number=0,
-        cookie=cookie,
-        sequence=sequence,
-        acknowledged=1,
-        data_bytes=0 if server is None else 100,
-        datagram=b"",
-    )
+    flow = FlowEndpoints(0x64400000 + port // 60_000, port % 60_000, destination)
+    if server is None:
+        return flow_packet(flow, sequence=sequence)
+    cookie = flow_cookie(server_id=f"i-{server:08x}", destination=destination)
+    return flow_packet(flow, cookie=cookie, sequence=sequence, data_bytes=100)
 
 
 def _packet_us(packets: list[FlowPacket], host: CookieSteering) -> float:
