--- a/review/tools-2/rolling_restart.py
+++ b/review/tools-2/rolling_restart.py
@@ -45,11 +45,13 @@
     site: Site,
     has_trouble: bool,
     *,
+    begin_round: Callable[[int], None] = lambda _number: None,
     before_exit: Callable[[int], None] = lambda _number: None,
     after_exit: Callable[[int], int],
 ) -> int:
     """Restart two hosts in turn, round after round, until an open flow is reset.
 
+    ``begin_round`` is called 3.6 s before the first host stops, ``before_exit`` shortly before.
     ``after_exit`` makes a change when the first host has stopped, and returns the port that clients
     then use.
     """
@@ -61,6 +63,7 @@
         counts = {"opened": 0, "not opened": 0, "all answered": 0}
         first = site.reader("huon")
         second = next(host for host in site.hosts if host is not first)
+        begin_round(number)
         await asyncio.sleep(PAUSE_S)
         if has_trouble:
             first.send_signal(signal.SIGTERM)
--- a/review/tools-2/site.py
+++ b/review/tools-2/site.py
@@ -462,7 +462,8 @@
         self.is_open = False
         self.was_reset = False
         self.opened_s = 0.0
-        self.backend = ""
+        # The host that all packets go to; None if the routers select it.
+        self.fixed_host: Host | None = None
         self._echo = 0
         self._seq = random.getrandbits(32)
         self._ack = 0
@@ -473,7 +474,7 @@
         return (int(IPv4Address(CLIENT_ADDRESS)), self.port, self.destination[1])
 
     def host(self) -> Host | None:
-        return self.site.route(self.port, self.destination)
+        return self.fixed_host or self.site.route(self.port, self.destination)
 
     def on_packet(self, packet: Packet, sender: str) -> None:
         if packet.flags & RST:
@@ -567,6 +568,8 @@
     flow: Flow
     host: Host
     was_open: bool
+    # How long the host had not been started or signalled then.
+    calm_s: float
 
 
 class Host:
@@ -769,7 +772,9 @@
     def on_system_reset(self, flow: Flow, sender: str) -> None:
         """Note a reset that no backend has sent: its sum is 0."""
         host = next(each for each in self.hosts if each.address == sender)
-        self.system_resets.append(SystemReset(self.record.now_s(), flow, host, flow.is_open))
+        now_s = self.record.now_s()
+        calm_s = now_s - host.disturbed_s
+        self.system_resets.append(SystemReset(now_s, flow, host, flow.is_open, calm_s))
         if flow.is_open:
             self.record.line(f"client: {host.name} resets the open flow {flow.port}")
 
@@ -790,15 +795,14 @@
             has_backend_reset = any(
                 key == other for each in self.backends.values() for _, other in each.resets
             )
-            calm_s = reset.at_s - reset.host.disturbed_s
             age_s = reset.at_s - reset.flow.opened_s
             if not reset.was_open or not holders or has_backend_reset:
                 continue
-            is_in_touch = calm_s >= BOUNDS["StableWindowMs"] / 1_000
+            is_in_touch = reset.calm_s >= BOUNDS["StableWindowMs"] / 1_000
             self.record.line(
                 f"FLOW: flow {reset.flow.port}, open for {age_s:.3f} s at {holders[0].name}, which"
                 f" runs and has sent no reset, was reset at {reset.at_s:.3f} s by"
-                f" {reset.host.name}, undisturbed for {calm_s:.1f} s"
+                f" {reset.host.name}, undisturbed for {reset.calm_s:.1f} s"
                 f"{'' if is_in_touch else ' (not in touch: does not count)'}"
             )
             if is_in_touch and age_s < BOUNDS["FlowTtlS"]:
