Review scripts: an error of a script is not a broken rule

Python ends with 1 after an error, so run.sh makes 1 of the script's own status 10. A stop of the script ends the daemons.

--- a/review/tools-2/rolling_restart.py
+++ b/review/tools-2/rolling_restart.py
@@ -9,6 +9,7 @@
 from review_site import BROKEN, COULD_NOT_RUN, HELD, Site
 
 ROUNDS = 13
+LAST_ROUND_S = 100.0
 NEW_FLOWS = 80
 NEW_FLOW_INTERVAL_S = 0.02
 REQUESTS = 10
@@ -60,6 +61,8 @@
         return COULD_NOT_RUN
     await asyncio.sleep(2.0)
     for number in range(ROUNDS):
+        if site.record.now_s() > LAST_ROUND_S:
+            break
         counts = {"opened": 0, "not opened": 0, "all answered": 0}
         first = site.reader("huon")
         second = next(host for host in site.hosts if host is not first)
--- a/review/tools-2/site.py
+++ b/review/tools-2/site.py
@@ -835,7 +835,8 @@
     }
 
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Python ends with 1 after an error of the script itself, so run.sh makes 1 of 10.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 
 
 def run_case(
@@ -850,6 +851,9 @@
     record = Record(folder / "record.txt")
 
     async def _run() -> int:
+        # A stop of the script must end the daemons too.
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         with tempfile.TemporaryDirectory() as temporary:
             async with Site(record, Path(temporary), zones) as site:
                 try:
@@ -866,8 +870,8 @@
 
     try:
         verdict = asyncio.run(_run())
-    except OSError as error:
-        record.line(f"the case could not run: {error}")
+    except (Exception, asyncio.CancelledError) as error:
+        record.line(f"the case could not run: {error!r}")
         verdict = COULD_NOT_RUN
     names = {HELD: "held", BROKEN: "broken", COULD_NOT_RUN: "could not run"}
     record.text(f"\nverdict: {names[verdict]}")
