--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -233,26 +233,28 @@
         if packet.opens:
             self._unrouted_flows.remove(packet.flow)
         if route is None:
-            return self._handle_unrouted_packet(packet, now_ms)
+            return self._handle_unrouted_packet(packet, now_ms, arrived_ms)
         if packet.opens:
             return self._handle_opening_packet(packet, route, now_ms, arrived_ms)
         if self.admission is not None:
             self.admission.discard(packet.flow)
         return self._steer_by_cookie(packet, route, now_ms)
 
-    def _handle_unrouted_packet(self, packet: FlowPacket, now_ms: int) -> SteeringAction:
+    def _handle_unrouted_packet(
+        self, packet: FlowPacket, now_ms: int, arrived_ms: int
+    ) -> SteeringAction:
         """Hold an open flow's packet until the routes are confirmed; reset other flows.
 
-        Another host may have newer routes and have opened the flow by them.
+        Another host may have newer routes and have opened the flow by them, to a server that this
+        host has not heard of either. It has then written a cookie into the flow's packets.
         """
-        destination = packet.flow.destination
         may_be_open = (
             not packet.opens
-            and not self._unrouted_flows.was_route_removed(destination)
-            and self.directory.by_cookie(packet.cookie, destination) is not None
+            and packet.cookie != NO_COOKIE
+            and not self._unrouted_flows.was_route_removed(packet.flow.destination)
         )
         if may_be_open and not self._unrouted_flows.is_route_gone(
-            packet.flow, self.routes_confirmed_ms, now_ms
+            packet.flow, self.routes_confirmed_ms, now_ms, arrived_ms=arrived_ms
         ):
             return DiscardPacket(packet, Verdict.HELD_UNKNOWN_ROUTE)
         self.flows.remove(packet.flow)
--- a/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
+++ b/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
@@ -41,10 +41,18 @@
         return destination in self._removed_routes
 
     def is_route_gone(
-        self, flow: FlowEndpoints, routes_confirmed_ms: int | None, now_ms: int
+        self,
+        flow: FlowEndpoints,
+        routes_confirmed_ms: int | None,
+        now_ms: int,
+        *,
+        arrived_ms: int,
     ) -> bool:
-        """Return whether routes that lack the flow's route were confirmed since it was open."""
-        first_ms = self._note_arrival(flow, now_ms)
+        """Return whether routes that lack the flow's route were confirmed since it was open.
+
+        ``arrived_ms`` is when the packet that is decided arrived here.
+        """
+        first_ms = self._note_arrival(flow, now_ms, arrived_ms)
         return (
             routes_confirmed_ms is not None
             and routes_confirmed_ms > first_ms + CONFIRMATION_MARGIN_MS
@@ -54,12 +62,12 @@
         """Forget a flow; a later one may have the same endpoints."""
         self._first_arrivals_ms.pop(flow, None)
 
-    def _note_arrival(self, flow: FlowEndpoints, now_ms: int) -> int:
+    def _note_arrival(self, flow: FlowEndpoints, now_ms: int, arrived_ms: int) -> int:
         first_ms = self._first_arrivals_ms.get(flow)
         if first_ms is not None and now_ms - first_ms < FIRST_ARRIVAL_RETENTION_MS:
             return first_ms
         self.remove(flow)
         if len(self._first_arrivals_ms) >= MAX_UNROUTED_FLOWS:
             self.remove(next(iter(self._first_arrivals_ms)))
-        self._first_arrivals_ms[flow] = now_ms
-        return now_ms
+        self._first_arrivals_ms[flow] = arrived_ms
+        return arrived_ms
