--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -84,8 +84,7 @@
         )
         self._random = random_source
         self._routes: RouteTable | None = None
-        # The latest time at which this host's routes are known to have been the newest.
-        self.routes_confirmed_ms: int | None = None
+        self._routes_confirmed_ms: int | None = None
         # None unless hosts tell each other the load that they observe.
         self.load_sharing: LoadSharing | None = None
         # Set while the routes and servers may have changed during a pause of this host. It then
@@ -113,6 +112,20 @@
         """Return the routes in force."""
         return self._routes
 
+    @property
+    def routes_confirmed_ms(self) -> int | None:
+        """Return the latest time at which this host's routes are known to have been the newest.
+
+        None if newer ones are known to exist.
+        """
+        return self._routes_confirmed_ms
+
+    @routes_confirmed_ms.setter
+    def routes_confirmed_ms(self, confirmed_ms: int | None) -> None:
+        self._routes_confirmed_ms = confirmed_ms
+        if confirmed_ms is not None:
+            self._unrouted_flows.on_routes_confirmed(confirmed_ms)
+
     def share_load(self, *, all_domains: int) -> LoadSharing:
         """Begin to observe load and to use what other hosts observe; return both.
 
@@ -248,13 +261,11 @@
         Another host may have newer routes and have opened the flow by them, to a server that this
         host has not heard of either. It has then written a cookie into the flow's packets.
         """
-        may_be_open = (
-            not packet.opens
-            and packet.cookie != NO_COOKIE
-            and not self._unrouted_flows.was_route_removed(packet.flow.destination)
-        )
+        state = self.flows.get(packet.flow)
+        is_ended = state is not None and self._unrouted_flows.was_ended_by_removal(state)
+        may_be_open = not packet.opens and packet.cookie != NO_COOKIE and not is_ended
         if may_be_open and not self._unrouted_flows.is_route_gone(
-            packet.flow, self.routes_confirmed_ms, now_ms, arrived_ms=arrived_ms
+            packet.flow, self._routes_confirmed_ms, now_ms, arrived_ms=arrived_ms
         ):
             return DiscardPacket(packet, Verdict.HELD_UNKNOWN_ROUTE)
         self.flows.remove(packet.flow)
--- a/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
@@ -57,8 +57,7 @@
         state = self._flows.get(packet.flow)
         if state is None:
             state = self._flows.add(packet.flow, server.server_id, now_ms)
-            state.is_open = True
-            state.acknowledged = packet.acknowledged
+            state.note_open(packet.acknowledged, now_ms)
             is_answer = not (packet.data_bytes or packet.closes or packet.resets)
             if is_answer and self.load_sharing is not None:
                 self.load_sharing.observations.on_flow_moved()
@@ -67,8 +66,7 @@
             self._flows.reassign(state, server.server_id)
         state.last_packet_ms = now_ms
         if not state.is_open:
-            state.is_open = True
-            state.acknowledged = packet.acknowledged
+            state.note_open(packet.acknowledged, now_ms)
             opened = FlowOpened(packet.flow, server, now_ms - state.created_ms)
             self._observations.append(opened)
             if len(state.offered_server_ids) == 1 and opened.latency_ms < MIN_RETRANSMISSION_MS:
--- a/src/redwingswitch/_internal/decisions/cookies/flow_table.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_table.py
@@ -31,6 +31,7 @@
         "last_packet_ms",
         "next_sequence",
         "offered_server_ids",
+        "opened_ms",
         "opening_latency_ms",
         "request_start_ms",
         "retransmissions",
@@ -43,6 +44,8 @@
         # Servers that the opening packets were sent to, in order; the latest is last.
         self.offered_server_ids: tuple[str, ...] = (server_id,)
         self.is_open = False
+        # When this host saw the first packet of the open flow.
+        self.opened_ms: int | None = None
         self.is_busy = False
         self.is_closed = False
         self.acknowledged = 0
@@ -58,6 +61,12 @@
         # When the caller last sent new data or retransmitted data after a timeout.
         self.last_data_ms = now_ms
 
+    def note_open(self, acknowledged: int, now_ms: int) -> None:
+        """Record that the caller has sent a packet of the open flow."""
+        self.is_open = True
+        self.opened_ms = now_ms
+        self.acknowledged = acknowledged
+
     def note_progress(self) -> None:
         """Record that the server has answered."""
         self.retransmissions = 0
--- a/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
+++ b/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from redwingswitch._internal.decisions.cookies.flow_table import FlowState
 from redwingswitch._internal.models.cookie_flows import FlowEndpoints, RouteAddress, RouteTable
 
 # Routes are confirmed as of the arrival of the store's answer, which may be later than the state in
@@ -11,7 +12,7 @@
 # The first four retransmissions of a caller come within 3 s; by then the routes are confirmed.
 FIRST_ARRIVAL_RETENTION_MS = 5_000
 MAX_UNROUTED_FLOWS = 1_024
-# A removed route is remembered to reset its flows at once; flows of a forgotten one wait for the
+# Flows that were open with a removed route are reset at once; flows of a forgotten one wait for the
 # next confirmation of the routes. The deployment has 130 routes.
 MAX_REMOVED_ROUTES = 4_096
 
@@ -19,26 +20,45 @@
 class UnroutedFlows:
     """When the first packet of each flow arrived whose route this host does not know.
 
-    Flows of routes that this host has seen removed need no first packet: they are reset at once.
-
     A flow that was open then had a route then. Confirmations of the routes may be further apart
     than the time for which a packet is held, so the first packet counts for later ones too.
+
+    A flow needs no first packet if it was open while its route, which is removed now, was confirmed
+    to be in the newest version: the removal came later and ended it. Without that the flow may have
+    been opened by a still later version that has the route again.
     """
 
     def __init__(self) -> None:
         self._first_arrivals_ms: dict[FlowEndpoints, int] = {}
-        # Routes that a newer version lacked, in the order of their latest removal.
-        self._removed_routes: dict[RouteAddress, None] = {}
+        # When the routes in force were last confirmed to be the newest.
+        self._confirmed_ms: int | None = None
+        # Removed routes, in the order of their latest removal, and when the version that had them
+        # was last confirmed to be the newest.
+        self._removed_confirmed_ms: dict[RouteAddress, int] = {}
+
+    def on_routes_confirmed(self, confirmed_ms: int) -> None:
+        """Record that the routes in force were the newest at a time."""
+        self._confirmed_ms = confirmed_ms
 
     def on_routes_replaced(self, former: RouteTable, routes: RouteTable) -> None:
         """Remember the routes that a newer version lacks."""
-        removed = [address for address in former.routes if address not in routes.routes]
-        known = [address for address in self._removed_routes if address not in removed]
-        self._removed_routes = dict.fromkeys([*known, *removed][-MAX_REMOVED_ROUTES:])
+        confirmed_ms, self._confirmed_ms = self._confirmed_ms, None
+        for address in former.routes:
+            if address not in routes.routes:
+                self._removed_confirmed_ms.pop(address, None)
+                if confirmed_ms is not None:
+                    self._removed_confirmed_ms[address] = confirmed_ms
+        while len(self._removed_confirmed_ms) > MAX_REMOVED_ROUTES:
+            del self._removed_confirmed_ms[next(iter(self._removed_confirmed_ms))]
 
-    def was_route_removed(self, destination: RouteAddress) -> bool:
-        """Return whether this host has seen the removal of a route."""
-        return destination in self._removed_routes
+    def was_ended_by_removal(self, state: FlowState) -> bool:
+        """Return whether a flow was open before the removal of its route."""
+        confirmed_ms = self._removed_confirmed_ms.get(state.flow.destination)
+        return (
+            confirmed_ms is not None
+            and state.opened_ms is not None
+            and confirmed_ms > state.opened_ms + CONFIRMATION_MARGIN_MS
+        )
 
     def is_route_gone(
         self,
