--- a/benchmarks/steering.py
+++ b/benchmarks/steering.py
@@ -232,6 +232,7 @@
         metrics=SteeringMetrics(),
         random_source=random.Random(1),
         list_age_ms=lambda: 0,
+        routes_age_ms=lambda: 0,
         on_changes=lambda _: None,
         shared_list=_NoList(),
         shared_routes=_NoList(),
--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -73,6 +73,7 @@
             random_source=random_source,
             metrics=metrics,
             list_age_ms=contact.list_age_ms,
+            routes_age_ms=contact.routes_age_ms,
             on_changes=self._apply_feed_changes,
             shared_list=self,
             shared_routes=self,
--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -65,6 +65,7 @@
         metrics: SteeringMetrics,
         random_source: RandomSource,
         list_age_ms: Callable[[], int],
+        routes_age_ms: Callable[[], int | None],
         on_changes: Callable[[ReceivedChanges], None],
         shared_list: SharedList,
         shared_routes: SharedRoutes,
@@ -74,6 +75,7 @@
         self._metrics = metrics
         self._event_log = EventLog(part="peers", clock=clock)
         self._list_age_ms = list_age_ms
+        self._routes_age_ms = routes_age_ms
         self._on_changes = on_changes
         self._sender: DatagramSender | None = None
         self._followers: dict[Neighbour, _Follower] = {}
@@ -179,7 +181,9 @@
         self.send(update._replace(neighbour=self._neighbours.choose(other_than=sender)), sender)
 
     def _build_update(self, request: FeedRequest) -> FeedUpdate | None:
-        return self._sharing.build_update(request, list_age_ms=self._list_age_ms())
+        return self._sharing.build_update(
+            request, list_age_ms=self._list_age_ms(), routes_age_ms=self._routes_age_ms()
+        )
 
     def _on_update(self, update: FeedUpdate) -> None:
         if update.neighbour is not None:
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -188,13 +188,12 @@
         return reader.incarnation if reader else 0
 
     def routes_confirmed_ms(self) -> int | None:
-        """Return when the routes in force were last known to be the newest, on ``clock``.
+        """Return the latest time, on ``clock``, at which the routes certainly were the newest.
 
         Returns None while a reader has announced newer ones.
         """
-        if self._updates.version_in_force < self._sharing.announced_routes_version:
-            return None
-        return self._clock.now_ms() - self.list_age_ms()
+        age_ms = self._contact.routes_age_ms()
+        return None if age_ms is None else self._clock.now_ms() - age_ms
 
     def is_outdated_by_pause(self) -> bool:
         """Return whether this host was paused and the list has not been confirmed since.
--- a/src/redwingswitch/_internal/daemon/store_contact.py
+++ b/src/redwingswitch/_internal/daemon/store_contact.py
@@ -43,6 +43,11 @@
         """Return milliseconds since the list was last known to be up to date."""
         return self._knowledge.list_age_ms(self._age_clock.now_ms())
 
+    def routes_age_ms(self) -> int | None:
+        """Return milliseconds since this host's routes certainly were the newest; None if never."""
+        confirmed_ms = self._knowledge.routes_confirmed_ms()
+        return None if confirmed_ms is None else self._age_clock.now_ms() - confirmed_ms
+
     def wants_neighbours_list(self, offer: ListOffer) -> bool:
         """Return whether to take a neighbour's list."""
         return self._knowledge.wants_neighbours_list(offer, self._age_clock.now_ms())
--- a/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
+++ b/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
@@ -5,10 +5,8 @@
 from redwingswitch._internal.decisions.cookies.flow_table import FlowState
 from redwingswitch._internal.models.cookie_flows import FlowEndpoints, RouteAddress, RouteTable
 
-# Routes are confirmed as of the arrival of the store's answer, which may be later than the state in
-# it: a store that is 50 times slower than usual answers within 200 ms, and a busy host may handle
-# the answer as much later.
-CONFIRMATION_MARGIN_MS = 400
+# The time of a confirmation comes from up to three clocks, each of them rounded to a millisecond.
+CONFIRMATION_MARGIN_MS = 3
 # The first four retransmissions of a caller come within 3 s; by then the routes are confirmed.
 FIRST_ARRIVAL_RETENTION_MS = 5_000
 MAX_UNROUTED_FLOWS = 1_024
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -69,6 +69,7 @@
         list_age_ms: int,
         routes_version: int,
         out_of_service: OutOfService = NONE_OUT_OF_SERVICE,
+        routes_age_ms: int | None = None,
     ) -> FeedUpdate:
         """Return the changes that the sender of a request lacks, or as many as fit one update."""
         first = self._end - len(self._changes)
@@ -94,4 +95,5 @@
             request_sent_ms=request.sent_ms,
             routes_version=routes_version,
             out_of_service=out_of_service,
+            routes_age_ms=routes_age_ms,
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -9,6 +9,7 @@
 from redwingswitch._internal.models.list_sharing import (
     FeedRequest,
     FeedUpdate,
+    NewestRoutes,
     ReceivedChanges,
 )
 
@@ -37,8 +38,6 @@
         self._list_fresh_ms: int | None = None
         # The time of the latest request that the reader answered.
         self._answered_request_ms: int | None = None
-        # The highest version of the routes that a reader announced.
-        self._announced_routes_version = 0
 
     @property
     def reader(self) -> ListReader | None:
@@ -50,11 +49,6 @@
         """Return the store revision up to which the list is known."""
         return self._revision
 
-    @property
-    def announced_routes_version(self) -> int:
-        """Return the operators' version of the newest routes that a reader announced."""
-        return self._announced_routes_version
-
     def set_reader(self, reader: ListReader | None) -> None:
         """Send requests to another reader, or to none, from now on."""
         if reader != self._reader:
@@ -99,10 +93,6 @@
         """Return the milliseconds since the latest request that the reader answered."""
         return now_ms if self._answered_request_ms is None else now_ms - self._answered_request_ms
 
-    def on_routes_checked(self, version: int) -> None:
-        """Forget the announcement of newer routes than the store has."""
-        self._announced_routes_version = min(self._announced_routes_version, version)
-
     def _is_recent(self, fresh_ms: int | None, now_ms: int) -> bool:
         return fresh_ms is not None and now_ms - fresh_ms <= self._age_limit_ms
 
@@ -115,7 +105,11 @@
         self._answered_request_ms = _latest(self._answered_request_ms, request_ms)
         fresh_ms = request_ms - update.list_age_ms
         self._reader_fresh_ms = _latest(self._reader_fresh_ms, fresh_ms)
-        self._announced_routes_version = max(self._announced_routes_version, update.routes_version)
+        routes_age_ms = update.routes_age_ms
+        newest_routes = NewestRoutes(
+            update.routes_version,
+            as_of_ms=None if routes_age_ms is None else request_ms - routes_age_ms,
+        )
         continues = (
             update.feed == self._feed_incarnation and update.first_position <= self._position
         )
@@ -124,12 +118,18 @@
             # Forget the feed and the position in it, so that the reader answers the next request
             # with the changes after this host's revision.
             self.stop_following()
-            return ReceivedChanges(has_gap=had_feed, out_of_service=update.out_of_service)
+            return ReceivedChanges(
+                has_gap=had_feed,
+                out_of_service=update.out_of_service,
+                newest_routes=newest_routes,
+            )
         received = self._apply(update)
         if self._is_complete:
             self._list_fresh_ms = _latest(self._list_fresh_ms, fresh_ms)
         return received._replace(
-            is_fresh=self.is_following(now_ms), out_of_service=update.out_of_service
+            is_fresh=self.is_following(now_ms),
+            out_of_service=update.out_of_service,
+            newest_routes=newest_routes,
         )
 
     def _join(self, update: FeedUpdate) -> bool:
--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -29,6 +29,16 @@
         self._tick_ms = now_ms
         self._resumed_ms: int | None = None
         self._unmet_probe: _Probe | None = None
+        self._proven_ms: int | None = None
+
+    @property
+    def proven_ms(self) -> int | None:
+        """Return when the latest call began whose answer showed that the list had all changes.
+
+        Unlike the age, this does not trust in an answer that was made shortly before it was
+        handled. None before the first such answer.
+        """
+        return self._proven_ms
 
     @property
     def resumed_ms(self) -> int | None:
@@ -55,8 +65,10 @@
             answered_ms = min(began_ms, unmet.began_ms)
         if self._began_since_pause(began_ms):
             self._confirm(answered_ms)
+        self._prove(began_ms)
         if self._unmet_probe is not None and revision >= self._unmet_probe.store_revision:
             self._confirm(self._unmet_probe.began_ms)
+            self._prove(self._unmet_probe.began_ms)
             self._unmet_probe = None
 
     def on_probe(self, began_ms: int, *, store_revision: int, known_revision: int) -> None:
@@ -70,6 +82,7 @@
         if store_revision <= known_revision:
             self._unmet_probe = None
             self._confirm(began_ms)
+            self._prove(began_ms)
         else:
             self._unmet_probe = _Probe(began_ms, store_revision)
 
@@ -82,3 +95,7 @@
 
     def _confirm(self, at_ms: int) -> None:
         self._confirmed_ms = max(self._confirmed_ms, at_ms)
+
+    def _prove(self, began_ms: int) -> None:
+        known_ms = self._proven_ms
+        self._proven_ms = began_ms if known_ms is None else max(known_ms, began_ms)
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -6,6 +6,7 @@
 
 from redwingswitch._internal.decisions.list_sharing.feed import ListFeed
 from redwingswitch._internal.decisions.list_sharing.follower import FeedFollower
+from redwingswitch._internal.decisions.list_sharing.held_routes import HeldRoutes
 from redwingswitch._internal.decisions.retry import backoff_ms
 from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
@@ -65,9 +66,7 @@
         self._registered_reader = NO_READER
         self._claim_attempts = 0
         self._claim_deadline_ms: int | None = None
-        # The operators' version of the newest routes that this host has read. Unlike the revision
-        # of the store, it does not go back when the store is restored.
-        self._routes_version = 0
+        self._routes = HeldRoutes()
         self._out_of_service = NONE_OUT_OF_SERVICE
 
     @property
@@ -98,12 +97,17 @@
     @property
     def needs_routes(self) -> bool:
         """Return whether the reader announced newer routes than this host has read."""
-        return self._follower.announced_routes_version > self._routes_version
+        return self._routes.announced_version > 0
 
     @property
     def announced_routes_version(self) -> int:
-        """Return the operators' version of the newest routes that a reader announced."""
-        return self._follower.announced_routes_version
+        """Return the version of the newer routes that a reader announced, 0 without any."""
+        return self._routes.announced_version
+
+    @property
+    def routes_confirmed_ms(self) -> int | None:
+        """Return the latest time at which a reader knew no routes newer than this host's."""
+        return self._routes.confirmed_ms
 
     @property
     def is_reader(self) -> bool:
@@ -199,10 +203,8 @@
 
         ``is_newest`` is false for routes that the store may have replaced since.
         """
-        if routes is not None:
-            self._routes_version = max(self._routes_version, routes.version)
-        if is_newest:
-            self._follower.on_routes_checked(self._routes_version)
+        version = None if routes is None else routes.version
+        self._routes.on_read(version, is_newest=is_newest)
 
     def on_out_of_service_read(self, found: OutOfService) -> None:
         """Record the failure domains out of service; ignore a set that is not newer."""
@@ -245,15 +247,22 @@
         reader = self._follower.reader
         return None if reader is None else (reader, self._follower.build_request(now_ms))
 
-    def build_update(self, request: FeedRequest, *, list_age_ms: int) -> FeedUpdate | None:
-        """Return the answer to a request; None when this host is not the reader."""
+    def build_update(
+        self, request: FeedRequest, *, list_age_ms: int, routes_age_ms: int | None = None
+    ) -> FeedUpdate | None:
+        """Return the answer to a request; None when this host is not the reader.
+
+        ``routes_age_ms`` is the time since a call began that found no later routes than this
+        host's; None if there was none.
+        """
         if not self.is_reader:
             return None
         return self._feed.build_update(
             request,
             list_age_ms=list_age_ms,
-            routes_version=self._routes_version,
+            routes_version=self._routes.version,
             out_of_service=self._out_of_service,
+            routes_age_ms=routes_age_ms,
         )
 
     def on_update(self, update: FeedUpdate, now_ms: int) -> ReceivedChanges:
@@ -262,6 +271,8 @@
         taken = self._follower.on_update(update, now_ms)
         if taken.out_of_service is not None:
             self.on_out_of_service_read(taken.out_of_service)
+        if taken.newest_routes is not None:
+            self._routes.on_announced(taken.newest_routes)
         if taken.changes or self._follower.revision != known_revision:
             self._is_feed_continuous = False
         if self._follower.is_following(now_ms):
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -129,6 +129,18 @@
         # A host that has just lost its reader last knew the list from the feed.
         return min(feed_age_ms, self.own_list_age_ms(now_ms))
 
+    def routes_confirmed_ms(self) -> int | None:
+        """Return the latest time at which this host's routes certainly were the newest.
+
+        That is when a call to the store began, of this host or of a reader. An answer may have been
+        made long before it is handled, so its arrival shows nothing of that kind. None while newer
+        routes are known to exist, and before the first answer.
+        """
+        if self._sharing.needs_routes:
+            return None
+        times_ms = (self._list_age.proven_ms, self._sharing.routes_confirmed_ms)
+        return max((each for each in times_ms if each is not None), default=None)
+
     def is_outdated_by_pause(self, now_ms: int) -> bool:
         """Return whether this host was paused and the list has not been confirmed since.
 
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -50,6 +50,17 @@
     change: ServerChange
 
 
+class NewestRoutes(NamedTuple):
+    """The newest routes that a reader knows have ``version``.
+
+    The store had no later ones at ``as_of_ms``, on the receiver's clock; None if the reader does
+    not know when.
+    """
+
+    version: int
+    as_of_ms: int | None
+
+
 class FeedUpdate(NamedTuple):
     """Changes from ``first_position`` on, of a feed that ends at ``end_position``.
 
@@ -60,7 +71,9 @@
     copied from the receiver's last request: the update was sent after it, so an update that was
     delayed on the way is not taken for a recent one. ``routes_version`` is the operators' version
     of the newest routes that the reader knows. ``out_of_service`` is the whole set that the reader
-    knows; it needs no continuous feed. ``neighbour`` is another follower.
+    knows; it needs no continuous feed. ``neighbour`` is another follower. ``routes_age_ms`` is the
+    time since the beginning of the call that showed that the store has no later routes; None if the
+    reader knows of later ones, or sends no such time.
     """
 
     feed: int
@@ -75,6 +88,7 @@
     routes_version: int
     out_of_service: OutOfService
     neighbour: Neighbour | None = None
+    routes_age_ms: int | None = None
 
 
 class ListOffer(NamedTuple):
@@ -142,7 +156,7 @@
     If ``has_gap`` is true, the receiver should send another request immediately. ``after_outage``
     is true if the reader has lost its connection to the store since the update before.
     ``is_fresh`` is true if the reader's list was known to be up to date recently.
-    ``out_of_service`` is None if the update was not the followed reader's.
+    ``out_of_service`` and ``newest_routes`` are None if the update was not the followed reader's.
     """
 
     changes: tuple[ServerChange, ...] = ()
@@ -150,3 +164,4 @@
     has_gap: bool = False
     is_fresh: bool = False
     out_of_service: OutOfService | None = None
+    newest_routes: NewestRoutes | None = None
--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -12,7 +12,7 @@
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.exceptions import StoreUnavailableError
 from redwingswitch._internal.models.cookie_flows import RouteTable
-from redwingswitch._internal.models.list_readers import RegisteredReader
+from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
 from redwingswitch._internal.models.server_list import ServerListChanges, StoredRoutes
 from redwingswitch._internal.models.store_knowledge import CaughtUp
 from tests.lib.cookie_flows import (
@@ -69,10 +69,26 @@
         return result
 
 
+class SentDatagrams:
+    """Collects what a host sends."""
+
+    def __init__(self) -> None:
+        self.data: list[bytes] = []
+
+    def send(self, datagram: bytes, _address: tuple[str, int]) -> bool:
+        self.data.append(datagram)
+        return True
+
+    def deliver(self, receiver: "Host", sender: ListReader) -> None:
+        """Let another host receive all that was sent."""
+        while self.data:
+            receiver.sync.peers.on_datagram(self.data.pop(0), (sender.address, sender.port))
+
+
 class Host:
     """A synchronizer that has read the list at ``START_MS``; its own tasks do not run."""
 
-    def __init__(self, reader: RegisteredReader) -> None:
+    def __init__(self, reader: RegisteredReader, *, local: ListReader = LOCAL_READER) -> None:
         self.clock = VirtualClock()
         self.store = TimedStore(self.clock)
         self.store.reader = reader
@@ -83,7 +99,7 @@
             store=self.store,
             steering=self.steering,
             sharing=ListSharing(
-                local_reader=LOCAL_READER, age_limit_ms=60_000, random_source=random.Random(1)
+                local_reader=local, age_limit_ms=60_000, random_source=random.Random(1)
             ),
             clock=self.clock,
             age_clock=self.clock,
@@ -104,8 +120,15 @@
         self.sync._contact.report(CaughtUp())
         self.clock.time_ms = NOW_MS
 
-    def receive_update(self, *, routes_version: int = 1, sent_ms: int = NOW_MS) -> None:
-        data = update(revision=9, routes_version=routes_version, request_sent_ms=sent_ms)
+    def receive_update(
+        self, *, routes_version: int = 1, sent_ms: int = NOW_MS, routes_age_ms: int | None = 0
+    ) -> None:
+        data = update(
+            revision=9,
+            routes_version=routes_version,
+            request_sent_ms=sent_ms,
+            routes_age_ms=routes_age_ms,
+        )
         self.sync.peers.on_datagram(data, PEER_ADDRESS)
 
 
@@ -130,6 +153,21 @@
     host.receive_update(sent_ms=NOW_MS - 700)
 
 
+async def hears_a_reader_that_handled_an_answer_late(host: Host) -> None:
+    # The store made the answer before the reader stood still for less than a detected pause.
+    host.receive_update(routes_age_ms=900)
+
+
+async def hears_a_reader_that_sends_no_age_of_its_routes(host: Host) -> None:
+    host.receive_update(routes_age_ms=None)
+
+
+async def handles_an_answer_late(host: Host) -> None:
+    host.store.call_ms = 900
+    host.store.results.put_nowait(changes(None, 9))
+    await host.sync._watch.watch_changes()
+
+
 async def probes_in_vain(host: Host) -> None:
     host.store.answers_probes = False
     with pytest.raises(StoreUnavailableError):
@@ -167,6 +205,19 @@
         pytest.param(
             PEER_RECORD, hears_late_what_its_reader_sent, NOW_MS - 700, id="delayed answer"
         ),
+        pytest.param(
+            PEER_RECORD,
+            hears_a_reader_that_handled_an_answer_late,
+            NOW_MS - 900,
+            id="reader that handled the store's answer late",
+        ),
+        pytest.param(
+            PEER_RECORD,
+            hears_a_reader_that_sends_no_age_of_its_routes,
+            START_MS,
+            id="reader that does not know when",
+        ),
+        pytest.param(LOCAL_RECORD, handles_an_answer_late, NOW_MS, id="answer handled late"),
         pytest.param(LOCAL_RECORD, probes_in_vain, START_MS, id="store out of reach"),
         pytest.param(LOCAL_RECORD, reads_in_parts, NOW_MS, id="servers and routes read apart"),
         pytest.param(LOCAL_RECORD, reads_servers_but_no_routes, START_MS, id="servers only"),
@@ -245,3 +296,41 @@
         assert host.decided == expected
 
     run(scenario())
+
+
+def test_an_answer_that_a_stalled_reader_handles_late_resets_no_flow_at_its_followers() -> None:
+    # Guards against review/3: hosts that are busy for less than a detected pause, in a storm.
+    async def scenario() -> None:
+        reader, follower = Host(PEER_RECORD, local=PEER_READER), Host(PEER_RECORD)
+        to_reader, to_follower = SentDatagrams(), SentDatagrams()
+        follower.sync.peers.set_sender(to_reader)
+        reader.sync.peers.set_sender(to_follower)
+        await reader.start()
+        await follower.start()
+        to_reader.data.clear()
+        # The reader's call begins, and the store answers it with the old routes. Then the routes
+        # change, and a flow on a new one opens through a host that reads for itself.
+        follower.clock.time_ms = NOW_MS + 100
+        held = request_packet(flow_id(1, UNROUTED), "i-1")
+        assert follower.steering.on_packet(held, NOW_MS + 100).verdict == "held_unknown_route"
+        follower.clock.time_ms = NOW_MS + 700
+        follower.sync.peers.request_changes()
+        # The reader handles the store's answer and the follower's request.
+        reader.store.call_ms = 900
+        reader.store.results.put_nowait(changes(None, 9))
+        await reader.sync._watch.watch_changes()
+        to_reader.deliver(reader, LOCAL_READER)
+        follower.clock.time_ms = NOW_MS + 901
+        to_follower.deliver(follower, PEER_READER)
+        assert follower.decided == []
+        # Its next call brings the change.
+        reader.store.call_ms = 0
+        reader.store.results.put_nowait(changes(NEWER_ROUTES, 10))
+        await reader.sync._watch.watch_changes()
+        to_follower.deliver(follower, PEER_READER)
+        follower.sync.peers.request_routes()
+        to_reader.deliver(reader, LOCAL_READER)
+        to_follower.deliver(follower, PEER_READER)
+        assert follower.decided == ["steered"]
+
+    run(scenario())
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -339,6 +339,7 @@
     later_changes: int = 0,
     outages: int = 0,
     out_of_service: OutOfService = NONE_OUT_OF_SERVICE,
+    routes_age_ms: int | None = 0,
 ) -> bytes:
     """Return an encoded update from a reader; ``later_changes`` do not fit into it."""
     changes = tuple(FeedChange(revision, each) for each in servers)
@@ -354,6 +355,7 @@
         request_sent_ms=BootClock().now_ms() if request_sent_ms is None else request_sent_ms,
         routes_version=routes_version,
         out_of_service=out_of_service,
+        routes_age_ms=routes_age_ms,
     )
     return encode_list_message(incarnation=PEER_READER.incarnation, message=sent)
 
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -76,6 +76,7 @@
     routes_version=2**40,
     out_of_service=OutOfService(frozenset({"hakata-depot"}), 2**40),
     neighbour=Neighbour("10.200.100.100", 7720),
+    routes_age_ms=900,
 )
 # As it is sent: the receiver takes the feed from the sender's incarnation.
 SENT_UPDATE = UPDATE._replace(feed=0)
@@ -260,6 +261,7 @@
     "fields",
     [
         pytest.param({"list_age_ms": -1}, id="a list from the future"),
+        pytest.param({"routes_age_ms": -1}, id="routes from the future"),
         pytest.param({"first_position": -1}, id="a position before the first"),
         pytest.param({"out_of_service": OutOfService(frozenset(), -1)}, id="negative revision"),
         pytest.param({"out_of_service": OutOfService(frozenset({"a\nb"}), 1)}, id="odd domain"),
