--- a/src/redwingswitch/_internal/daemon/list_reads.py
+++ b/src/redwingswitch/_internal/daemon/list_reads.py
@@ -77,9 +77,13 @@
         seconds for them, and the changes of servers would wait behind.
         """
         known_version = self._updates.version_in_force
-        changes = await self._store.read_server_changes(after_revision=self._sharing.revision)
+        changes = await self._store.read_server_changes(
+            after_revision=self._sharing.servers_revision
+        )
         self._updates.apply_server_changes(changes)
-        self._updates.apply_routes(await self._store.read_routes(), is_newest=True)
+        up_to_revision = self._sharing.latest_revision
+        routes = await self._store.read_routes()
+        self._updates.apply_routes(routes, up_to_revision=up_to_revision)
         have_changed = self._updates.version_in_force != known_version
         self._contact.report(RoutesCompared(have_changed))
 
--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -89,8 +89,7 @@
         self.other_readers.apply(fleet.other_readers)
         self._contact.report(ListTaken(ListSource.STALE_STORE, fleet.revision))
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
-        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
-        self._sharing.on_routes_read(fleet.routes, is_newest=False)
+        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms(), routes=fleet.routes)
         self._log_servers(changed)
         self._unconfirmed_routes = StoredRoutes(fleet.routes, fleet.routes_revision)
         self._apply_out_of_service(fleet.out_of_service)
@@ -102,7 +101,7 @@
         if routes is None:
             return
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
-        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms())
+        self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms(), routes=fleet.routes)
         self._finish_read(routes, changed)
         self.apply_reader(fleet.reader)
 
@@ -112,7 +111,9 @@
         if routes is None:
             return
         changed = self._steering.directory.update(fleet.servers, self._clock.now_ms())
-        self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
+        self._sharing.on_changes_read(
+            fleet.servers, fleet.revision, self._age_clock.now_ms(), routes=fleet.routes
+        )
         self._finish_read(routes, changed)
         if fleet.reader is not None:
             self.apply_reader(fleet.reader)
@@ -123,13 +124,16 @@
         if self._sharing.is_outdated(fleet.revision):
             return
         changed = self._steering.directory.update(fleet.servers, self._clock.now_ms())
-        self._sharing.on_changes_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
+        self._sharing.on_servers_read(fleet.servers, fleet.revision, self._age_clock.now_ms())
         self._log_servers(changed)
         self.peers.notify_followers()
 
-    def apply_routes(self, routes: StoredRoutes, *, is_newest: bool) -> None:
-        """Apply routes that were read alone."""
-        self._sharing.on_routes_read(routes.routes, is_newest=is_newest)
+    def apply_routes(self, routes: StoredRoutes, *, up_to_revision: int | None) -> None:
+        """Apply routes that were read alone.
+
+        The store has no later ones up to ``up_to_revision``, which is None if that is not known.
+        """
+        self._sharing.on_routes_read(routes.routes, up_to_revision=up_to_revision)
         self._put_in_force(routes)
         self.peers.notify_followers()
         self._on_change()
@@ -156,10 +160,9 @@
         return self._contact.wants_neighbours_list(offer)
 
     def apply_snapshot(self, fleet: ServerList) -> None:
-        """Apply the list of a neighbour unless this host knows a newer one."""
-        if self._sharing.is_outdated(fleet.revision):
-            return
-        self._contact.report(ListTaken(ListSource.NEIGHBOUR, fleet.revision))
+        """Apply what a neighbour's list has that this host lacks."""
+        if not self._sharing.is_outdated(fleet.revision):
+            self._contact.report(ListTaken(ListSource.NEIGHBOUR, fleet.revision))
         self.apply_list(fleet)
 
     @property
@@ -176,7 +179,7 @@
         routes = self._routes_history.apply_difference(difference)
         if routes is None:
             return False
-        self.apply_routes(StoredRoutes(routes, difference.revision), is_newest=False)
+        self.apply_routes(StoredRoutes(routes, difference.revision), up_to_revision=None)
         self._feed_received.set()
         return True
 
@@ -208,7 +211,6 @@
         self.peers.request_changes()
 
     def _finish_read(self, routes: StoredRoutes, changed: Iterable[str]) -> None:
-        self._sharing.on_routes_read(routes.routes, is_newest=False)
         self._put_in_force(routes)
         self._log_servers(changed)
         self.peers.notify_followers()
@@ -220,16 +222,16 @@
         self.other_readers.apply(fleet.other_readers)
         routes = StoredRoutes(fleet.routes, fleet.routes_revision)
         if self._sharing.is_outdated(fleet.revision):
-            self._apply_outdated(routes, fleet.reader)
+            self._apply_outdated(routes, fleet)
             return None
         return routes
 
-    def _apply_outdated(self, routes: StoredRoutes, reader: RegisteredReader | None) -> None:
+    def _apply_outdated(self, routes: StoredRoutes, fleet: ServerList | ServerListChanges) -> None:
         """Apply only the routes and the reader record of a response that is older than the feed."""
-        self._sharing.on_routes_read(routes.routes, is_newest=False)
+        self._sharing.on_routes_read(routes.routes, up_to_revision=fleet.revision)
         self._put_in_force(routes)
-        if reader is not None:
-            self.apply_reader(reader)
+        if fleet.reader is not None:
+            self.apply_reader(fleet.reader)
         self._on_change()
 
     def _apply_feed_changes(self, received: ReceivedChanges) -> None:
--- a/src/redwingswitch/_internal/daemon/reader_following.py
+++ b/src/redwingswitch/_internal/daemon/reader_following.py
@@ -140,10 +140,9 @@
     async def _read_announced_routes(self) -> None:
         """Read routes at least as new as the reader announced."""
         routes = await self._store.read_routes(may_be_stale=True)
-        is_stale = (
-            routes.routes is None or routes.routes.version < self._sharing.announced_routes_version
-        )
-        if is_stale:
+        up_to_revision = None
+        if routes.routes is None or routes.routes.version < self._sharing.announced_routes_version:
+            up_to_revision = self._sharing.latest_revision
             routes = await self._store.read_routes()
         self._on_response()
-        self._updates.apply_routes(routes, is_newest=is_stale)
+        self._updates.apply_routes(routes, up_to_revision=up_to_revision)
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -40,6 +40,7 @@
     NextRead,
     RoleChanged,
 )
+from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.ports import Clock, RandomSource, ServerListStore
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -298,7 +299,13 @@
         if role is self._role:
             return False
         reader = self._sharing.registered_reader.reader
-        self._event_log.info("list role", role=role, reader=reader.host if reader else "none")
+        self._event_log.info(
+            "list role",
+            role=role,
+            reader=reader.host if reader else "none",
+            store_revision=format_revision(self._sharing.revision),
+            servers_revision=format_revision(self._sharing.servers_revision),
+        )
         self._role = role
         self._contact.report(RoleChanged(role))
         return True
--- a/src/redwingswitch/_internal/decisions/list_sharing/feed.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/feed.py
@@ -70,6 +70,7 @@
         routes_version: int,
         out_of_service: OutOfService = NONE_OUT_OF_SERVICE,
         routes_age_ms: int | None = None,
+        routes_revision: int = 0,
     ) -> FeedUpdate:
         """Return the changes that the sender of a request lacks, or as many as fit one update."""
         first = self._end - len(self._changes)
@@ -96,4 +97,5 @@
             routes_version=routes_version,
             out_of_service=out_of_service,
             routes_age_ms=routes_age_ms,
+            routes_revision=routes_revision,
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -46,7 +46,7 @@
 
     @property
     def revision(self) -> int:
-        """Return the store revision up to which the list is known."""
+        """Return the store revision up to which the servers are known."""
         return self._revision
 
     def set_reader(self, reader: ListReader | None) -> None:
@@ -108,6 +108,7 @@
         routes_age_ms = update.routes_age_ms
         newest_routes = NewestRoutes(
             update.routes_version,
+            update.routes_revision,
             as_of_ms=None if routes_age_ms is None else request_ms - routes_age_ms,
         )
         continues = (
--- a/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
@@ -6,15 +6,16 @@
 
 
 class HeldRoutes:
-    """The version of the routes of this host, and since when it may be an old one.
+    """The version of the routes of this host, and up to where the store has no later one.
 
-    The newest version in the store at a time confirms the held routes as of that time once this
-    host holds that version. A newer version is announced until the host has read it, or until the
-    store has been found not to have it.
+    What a reader knows of the newest version holds for this host once it has that version. Until
+    then neither ``revision`` nor ``confirmed_ms`` goes beyond what this host had before. A newer
+    version is announced until this host has read it, or has found that the store does not have it.
     """
 
     def __init__(self) -> None:
         self._version = 0
+        self._revision = 0
         self._confirmed_ms: int | None = None
         self._announced: NewestRoutes | None = None
 
@@ -24,9 +25,14 @@
         return self._version
 
     @property
-    def announced_version(self) -> int:
-        """Return the version that a reader announced and this host lacks, 0 without one."""
-        return 0 if self._announced is None else self._announced.version
+    def revision(self) -> int:
+        """Return the store revision up to which there are no later routes than the held ones."""
+        return self._revision
+
+    @property
+    def announced(self) -> NewestRoutes | None:
+        """Return the newest routes that a reader knows, or None if this host has them."""
+        return self._announced
 
     @property
     def confirmed_ms(self) -> int | None:
@@ -36,27 +42,31 @@
     def on_announced(self, newest: NewestRoutes) -> None:
         """Record the newest routes that a reader knows."""
         if newest.version <= self._version:
-            self._confirm(newest)
-        elif newest.version >= self.announced_version:
+            self._take_over(newest)
+        elif self._announced is None or newest.version >= self._announced.version:
             self._announced = newest
 
-    def on_read(self, version: int | None, *, is_newest: bool) -> None:
-        """Record routes that this host read; None if the store has none that can be decoded.
+    def on_read(self, version: int | None, *, up_to_revision: int | None) -> None:
+        """Record routes that this host read; None if there are none that can be decoded.
 
-        ``is_newest`` is false for routes that the store may have replaced since.
+        The store has no later ones up to ``up_to_revision``, which is None if that is not known.
         """
         if version is not None:
             self._version = max(self._version, version)
+        if up_to_revision is not None:
+            self._revision = max(self._revision, up_to_revision)
         announced = self._announced
         if announced is None:
             return
         if announced.version <= self._version:
-            self._confirm(announced)
+            self._take_over(announced)
             self._announced = None
-        elif is_newest:
+        elif up_to_revision is not None and up_to_revision >= announced.revision:
+            # The store was restored from a copy that lacks these routes.
             self._announced = None
 
-    def _confirm(self, newest: NewestRoutes) -> None:
+    def _take_over(self, newest: NewestRoutes) -> None:
+        self._revision = max(self._revision, newest.revision)
         if newest.as_of_ms is not None:
             known_ms = self._confirmed_ms
             self._confirmed_ms = (
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -91,18 +91,38 @@
 
     @property
     def revision(self) -> int:
-        """Return the store revision up to which the list is known."""
+        """Return the store revision up to which the whole list is known.
+
+        That is the lowest one of its parts. The feed of a reader brings the servers, and the routes
+        that it announces come later; a host that then reads the store itself must not miss them.
+        """
+        return min(self._follower.revision, self._routes.revision)
+
+    @property
+    def servers_revision(self) -> int:
+        """Return the store revision up to which the servers are known, by reads or by the feed."""
         return self._follower.revision
 
+    @property
+    def latest_revision(self) -> int:
+        """Return the latest store revision that this host has heard of, whatever it has of it.
+
+        A call that begins now, and that may not be stale, shows the store at this one or later.
+        """
+        announced = self._routes.announced
+        revisions = (self._follower.revision, self._routes.revision)
+        return max(*revisions, 0 if announced is None else announced.revision)
+
     @property
     def needs_routes(self) -> bool:
         """Return whether the reader announced newer routes than this host has read."""
-        return self._routes.announced_version > 0
+        return self._routes.announced is not None
 
     @property
     def announced_routes_version(self) -> int:
         """Return the version of the newer routes that a reader announced, 0 without any."""
-        return self._routes.announced_version
+        announced = self._routes.announced
+        return 0 if announced is None else announced.version
 
     @property
     def routes_confirmed_ms(self) -> int | None:
@@ -173,38 +193,51 @@
         self._schedule_claim(now_ms)
 
     def is_outdated(self, revision: int) -> bool:
-        """Return whether a store response at ``revision`` is older than the list from the feed.
+        """Return whether the servers of a store response are older than those from the feed.
 
         An outdated response must be discarded: it would revert newer changes, and the feed does not
         send these a second time.
         """
         return revision < self._follower.revision
 
-    def on_list_read(self, revision: int, now_ms: int) -> None:
-        """Record that this host read the whole list from the store."""
+    def on_list_read(self, revision: int, now_ms: int, *, routes: RouteTable | None = None) -> None:
+        """Record the whole list up to a revision; ``routes`` is None if it has none."""
+        self.on_routes_read(routes, up_to_revision=revision)
         self._follower.on_store_read(revision)
         # The list shows only the current state, not the changes since the last read.
         self._begin_feed(revision)
         self._schedule_claim(now_ms)
 
-    def on_changes_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
-        """Record all changes that this host read from the store.
+    def on_changes_read(
+        self,
+        changes: Iterable[ServerChange],
+        revision: int,
+        now_ms: int,
+        *,
+        routes: RouteTable | None = None,
+    ) -> None:
+        """Record all changes after ``self.revision`` that this host read from the store.
 
-        Changes without an effect on this host must be included: they may affect a follower that
-        read the list in between.
+        ``routes`` is None if they have not changed. Changes without an effect on this host must be
+        included: they may affect a follower that read the list in between.
         """
+        self.on_routes_read(routes, up_to_revision=revision)
+        self.on_servers_read(changes, revision, now_ms)
+
+    def on_servers_read(self, changes: Iterable[ServerChange], revision: int, now_ms: int) -> None:
+        """Record the changes of servers alone, after ``self.servers_revision``."""
         self._follower.on_store_read(revision)
         if self._is_feed_continuous:
             self._feed.append(changes, revision)
         self._schedule_claim(now_ms)
 
-    def on_routes_read(self, routes: RouteTable | None, *, is_newest: bool) -> None:
-        """Record routes that this host read; None if the store has none that can be decoded.
+    def on_routes_read(self, routes: RouteTable | None, *, up_to_revision: int | None) -> None:
+        """Record routes that this host read; None if there are none that can be decoded.
 
-        ``is_newest`` is false for routes that the store may have replaced since.
+        The store has no later ones up to ``up_to_revision``, which is None if that is not known.
         """
         version = None if routes is None else routes.version
-        self._routes.on_read(version, is_newest=is_newest)
+        self._routes.on_read(version, up_to_revision=up_to_revision)
 
     def on_out_of_service_read(self, found: OutOfService) -> None:
         """Record the failure domains out of service; ignore a set that is not newer."""
@@ -263,6 +296,7 @@
             routes_version=self._routes.version,
             out_of_service=self._out_of_service,
             routes_age_ms=routes_age_ms,
+            routes_revision=self._routes.revision,
         )
 
     def on_update(self, update: FeedUpdate, now_ms: int) -> ReceivedChanges:
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -188,7 +188,9 @@
         """
         has_failed = self._has_abandoned_watch or self.is_store_lost
         has_failed = has_failed or self._unpaired_read is not None
-        return self._sharing.has_narrow_link or has_failed
+        # The changes after the whole list's revision would repeat those of servers from the feed.
+        lacks_routes = self._sharing.revision < self._sharing.servers_revision
+        return self._sharing.has_narrow_link or has_failed or lacks_routes
 
     def on_event(self, event: StoreEvent, now_ms: int) -> list[StoreAction]:
         """Apply an event; return the actions in their order."""
--- a/src/redwingswitch/_internal/models/list_sharing.py
+++ b/src/redwingswitch/_internal/models/list_sharing.py
@@ -53,11 +53,12 @@
 class NewestRoutes(NamedTuple):
     """The newest routes that a reader knows have ``version``.
 
-    The store had no later ones at ``as_of_ms``, on the receiver's clock; None if the reader does
-    not know when.
+    The store had no later ones up to ``revision``, and at ``as_of_ms`` on the receiver's clock,
+    which is None if the reader does not know when.
     """
 
     version: int
+    revision: int
     as_of_ms: int | None
 
 
@@ -73,7 +74,8 @@
     of the newest routes that the reader knows. ``out_of_service`` is the whole set that the reader
     knows; it needs no continuous feed. ``neighbour`` is another follower. ``routes_age_ms`` is the
     time since the beginning of the call that showed that the store has no later routes; None if the
-    reader knows of later ones, or sends no such time.
+    reader knows of later ones, or sends no such time. ``routes_revision`` is the store revision up
+    to which there are no later routes, which may be lower than ``revision``; 0 if not sent.
     """
 
     feed: int
@@ -89,6 +91,7 @@
     out_of_service: OutOfService
     neighbour: Neighbour | None = None
     routes_age_ms: int | None = None
+    routes_revision: int = 0
 
 
 class ListOffer(NamedTuple):
--- a/src/redwingswitch/_internal/network/list_messages.py
+++ b/src/redwingswitch/_internal/network/list_messages.py
@@ -210,6 +210,7 @@
     check_integer(update.list_age_ms, name="list age", maximum=MAX_UINT64)
     if update.routes_age_ms is not None:
         check_integer(update.routes_age_ms, name="age of the routes", maximum=MAX_UINT64)
+    check_integer(update.routes_revision, name="revision of the routes", maximum=MAX_UINT64)
     check_integer(update.first_position, name="first position", maximum=MAX_UINT64)
     if update.neighbour is not None:
         _check_address(*update.neighbour)
--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -146,7 +146,7 @@
 
 async def gets_the_announced_routes(host: Host) -> None:
     host.receive_update(routes_version=2)
-    host.sync._updates.apply_routes(StoredRoutes(NEWER_ROUTES, 9), is_newest=False)
+    host.sync._updates.apply_routes(StoredRoutes(NEWER_ROUTES, 9), up_to_revision=None)
 
 
 async def hears_late_what_its_reader_sent(host: Host) -> None:
@@ -282,7 +282,7 @@
             host.receive_update(routes_version=newer.version if newer else 1, sent_ms=NOW_MS + 900)
             assert host.decided == ([] if newer else expected)
             if newer:
-                host.sync._updates.apply_routes(StoredRoutes(newer, 9), is_newest=False)
+                host.sync._updates.apply_routes(StoredRoutes(newer, 9), up_to_revision=None)
         elif newer:
             host.store.results.put_nowait(changes(newer, 9))
             await host.sync._watch.watch_changes()
@@ -334,3 +334,18 @@
         assert follower.decided == ["steered"]
 
     run(scenario())
+
+
+def test_a_follower_that_takes_the_role_gets_the_routes_that_its_reader_announced() -> None:
+    # Guards against review/6: the claim succeeds late, when the former reader has announced them.
+    async def scenario() -> None:
+        host = Host(PEER_RECORD)
+        await host.start()
+        host.receive_update(routes_version=2)
+        host.store.routes = StoredRoutes(NEWER_ROUTES, 8)
+        host.sync._updates.apply_reader(RegisteredReader(LOCAL_READER, 10), is_newest=True)
+        await host.sync._read_once()
+        assert host.sync.role == "serving"
+        assert host.steering.routes == NEWER_ROUTES
+
+    run(scenario())
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -340,8 +340,12 @@
     outages: int = 0,
     out_of_service: OutOfService = NONE_OUT_OF_SERVICE,
     routes_age_ms: int | None = 0,
+    routes_revision: int | None = None,
 ) -> bytes:
-    """Return an encoded update from a reader; ``later_changes`` do not fit into it."""
+    """Return an encoded update from a reader; ``later_changes`` do not fit into it.
+
+    The reader knows the routes up to ``revision`` unless ``routes_revision`` is given.
+    """
     changes = tuple(FeedChange(revision, each) for each in servers)
     sent = FeedUpdate(
         feed=PEER_READER.incarnation,
@@ -356,6 +360,7 @@
         routes_version=routes_version,
         out_of_service=out_of_service,
         routes_age_ms=routes_age_ms,
+        routes_revision=revision if routes_revision is None else routes_revision,
     )
     return encode_list_message(incarnation=PEER_READER.incarnation, message=sent)
 
--- a/tests/unit/list_sharing/test_feed.py
+++ b/tests/unit/list_sharing/test_feed.py
@@ -1,6 +1,7 @@
 """Guards against a followed list that misses or reverts a change, or is older than the limit."""
 
 import random
+from collections.abc import Callable
 
 import pytest
 
@@ -17,7 +18,12 @@
     ListSharing,
 )
 from redwingswitch._internal.models.list_readers import NO_READER, ListReader, RegisteredReader
-from redwingswitch._internal.models.list_sharing import FeedRequest, FeedUpdate, ListSharingRole
+from redwingswitch._internal.models.list_sharing import (
+    FeedRequest,
+    FeedUpdate,
+    ListSharingRole,
+    NewestRoutes,
+)
 from redwingswitch._internal.models.server_list import ServerChange
 from tests.lib.cookie_flows import route_table
 
@@ -380,22 +386,73 @@
 
 def test_announced_routes_are_needed_until_they_have_been_read() -> None:
     host = followed_sharing()
-    host.on_routes_read(route_table(version=10), is_newest=False)
+    host.on_routes_read(route_table(version=10), up_to_revision=None)
     update_from(make_feed(), host, 0, routes_version=12)
     assert host.needs_routes
-    host.on_routes_read(route_table(version=11), is_newest=False)
+    host.on_routes_read(route_table(version=11), up_to_revision=None)
     assert host.needs_routes
-    host.on_routes_read(None, is_newest=False)
+    host.on_routes_read(None, up_to_revision=None)
     assert host.needs_routes
-    host.on_routes_read(route_table(version=12), is_newest=False)
+    host.on_routes_read(route_table(version=12), up_to_revision=None)
     assert not host.needs_routes
 
 
-def test_a_reader_that_announces_routes_which_do_not_exist_is_not_believed_for_ever() -> None:
+@pytest.mark.parametrize(
+    ("up_to_revision", "expected"),
+    [
+        pytest.param(20, False, id="the store does not have them"),
+        pytest.param(19, True, id="announced while the read was under way"),
+        pytest.param(None, True, id="read that may be stale"),
+    ],
+)
+def test_announced_routes_are_waited_for_until_a_later_read_does_not_find_them(
+    up_to_revision: int | None, expected: bool
+) -> None:
     host = followed_sharing()
-    update_from(make_feed(), host, 0, routes_version=10**9)
-    host.on_routes_read(route_table(version=11), is_newest=True)
-    assert not host.needs_routes
+    announced = NewestRoutes(version=10**9, revision=20, as_of_ms=None)
+    asked = host.build_request(0)
+    assert asked is not None
+    update = make_feed().build_update(asked[1], list_age_ms=0, routes_version=announced.version)
+    host.on_update(update._replace(routes_revision=announced.revision), 0)
+    host.on_routes_read(route_table(version=11), up_to_revision=up_to_revision)
+    assert host.needs_routes is expected
+
+
+@pytest.mark.parametrize(
+    ("step", "expected"),
+    [
+        pytest.param(lambda host: None, 10, id="announced routes are missing"),
+        pytest.param(
+            lambda host: host.on_routes_read(route_table(version=12), up_to_revision=None),
+            20,
+            id="announced routes are received",
+        ),
+        pytest.param(
+            lambda host: host.on_servers_read([], 30, 0), 10, id="servers read without routes"
+        ),
+        pytest.param(
+            lambda host: host.on_changes_read([], 30, 0, routes=route_table(version=12)),
+            30,
+            id="all changes read",
+        ),
+    ],
+)
+def test_the_revision_of_the_list_is_that_of_its_oldest_part(
+    step: Callable[[ListSharing], None], expected: int
+) -> None:
+    # Guards against review/6: a host that follows, takes the role and reads what comes after.
+    host = followed_sharing()
+    asked = host.build_request(0)
+    assert asked is not None
+    feed = make_feed()
+    feed.append([], 20)
+    update = feed.build_update(asked[1], list_age_ms=0, routes_version=12, routes_revision=20)
+    host.on_update(update, 0)
+    assert (host.servers_revision, host.needs_routes) == (20, True)
+    step(host)
+    assert host.revision == expected
+    host.on_reader_registered(RegisteredReader(host.local_reader, 21), 0, is_newest=True)
+    assert (host.is_reader, host.revision) == (True, expected)
 
 
 def test_a_new_reader_serves_hosts_that_read_the_list_at_the_same_time() -> None:
--- a/tests/unit/list_sharing/test_store_knowledge_machine.py
+++ b/tests/unit/list_sharing/test_store_knowledge_machine.py
@@ -33,7 +33,7 @@
     WatchAbandoned,
     WholeListRead,
 )
-from redwingswitch._internal.models.store_revisions import era_of
+from redwingswitch._internal.models.store_revisions import era_of, make_revision, number_of
 from tests.lib.cookie_flows import route_table
 from tests.lib.list_sharing_machine import (
     AGE_LIMIT_MS,
@@ -70,7 +70,10 @@
 
     def __init__(self) -> None:
         self.routes_version = 1
+        self.routes_revision = 1
         self.past_versions = [(-10_000, 1)]
+        # The version at each revision at which it changed, in the order of the revisions.
+        self.versions = [(1, 1)]
         super().__init__()
         # The states since the last restore; a read that may be stale returns one of the last.
         self.states = [self.state()]
@@ -78,10 +81,15 @@
     def take_copy(self) -> None:
         super().take_copy()
         self.copied_version = self.routes_version
+        self.copied_routes_number = number_of(self.routes_revision)
 
     def restore(self, now_ms: int) -> None:
         super().restore(now_ms)
         self.routes_version = self.copied_version
+        self.routes_revision = make_revision(
+            era=era_of(self.revision), number=self.copied_routes_number
+        )
+        self.versions.append((self.revision, self.routes_version))
         self.past_versions.append((now_ms, self.routes_version))
         self.states = [self.state()]
 
@@ -92,6 +100,8 @@
     def write_routes(self, version: int, now_ms: int) -> None:
         self.revision += 1
         self.routes_version = version
+        self.routes_revision = self.revision
+        self.versions.append((self.revision, version))
         self.past_versions.append((now_ms, version))
         self.states.append(self.state())
 
@@ -108,6 +118,10 @@
     def state(self) -> StoreState:
         return StoreState(self.revision, self.listed, self.record, self.routes_version)
 
+    def version_at(self, revision: int) -> int:
+        """Return the version that the store had at a revision."""
+        return max((each for each in self.versions if each[0] <= revision), default=(0, 0))[1]
+
     def knows_changes_after(self, revision: int) -> bool:
         is_full = len(self.history) == MAX_HISTORY_CHANGES
         begin = self.history[0][0] if is_full else self.begin
@@ -122,17 +136,41 @@
     """A call to the store; its answer is made at ``made_ms`` and arrives at ``arrival_ms``."""
 
     read: NextRead
+    is_in_parts: bool
     began_ms: int
     made_ms: int
     arrival_ms: int
 
 
 class Answer(NamedTuple):
-    """An answer, with the changes after the revision of the call."""
+    """An answer, with the changes after the revision of the call.
+
+    ``changed_version`` is None if the routes have not changed since.
+    """
 
     state: StoreState
     changes: list[ServerChange]
     is_continued: bool
+    changed_version: int | None
+
+
+class RoutesCall(NamedTuple):
+    """The second call of a read in parts; its answer arrives at ``arrival_ms``."""
+
+    read: NextRead
+    up_to_revision: int
+    arrival_ms: int
+
+
+class Claim(NamedTuple):
+    """A claim of the reader role, which the store executes at ``made_ms``.
+
+    The answer comes at ``arrival_ms``, or never if that is None.
+    """
+
+    expected: int
+    made_ms: int
+    arrival_ms: int | None
 
 
 def change(number: int, is_listed: bool) -> ServerChange:
@@ -161,6 +199,9 @@
         self.has_lost_reader = False
         self.call: Call | None = None
         self.answer: Answer | None = None
+        self.routes_call: RoutesCall | None = None
+        self.claim: Claim | None = None
+        self.claimed: RegisteredReader | None = None
         self.known_at_call = 0
         self.probe: tuple[int, int, int] | None = None
         self.next_probe_ms = now_ms
@@ -179,12 +220,24 @@
             if isinstance(action, CallAgain):
                 self.next_call_ms = self.now_ms + action.delay_ms
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no call is under way."""
+        return self.call is None and self.routes_call is None and self.claim is None
+
+    def reads_parts(self, read: NextRead) -> bool:
+        """Return whether a read brings the servers first and then the routes."""
+        if read is NextRead.CATCH_UP:
+            is_serving = self.role is ListSharingRole.SERVING
+            return not is_serving or self.knowledge.must_read_parts()
+        return read is NextRead.PARTS
+
     def fail(self) -> None:
         self.end_call()
         self.report(CallFailed("refused"))
 
     def end_call(self) -> None:
-        self.call = self.answer = self.probe = self.lagging_since_ms = None
+        self.call = self.answer = self.probe = self.lagging_since_ms = self.routes_call = None
 
     def update_role(self) -> None:
         role = self.sharing.role(self.now_ms)
@@ -198,23 +251,36 @@
             if role is ListSharingRole.FOLLOWING:
                 self.end_call()
 
-    def take_routes(self, version: int, *, is_newest: bool = False) -> None:
+    def take_routes(self, version: int, *, up_to_revision: int | None) -> None:
         self.report(RoutesCompared(version > self.routes_version))
         self.routes_version = max(self.routes_version, version)
-        self.sharing.on_routes_read(route_table(version=version), is_newest=is_newest)
+        self.sharing.on_routes_read(route_table(version=version), up_to_revision=up_to_revision)
 
     def take_list(self, state: StoreState) -> None:
-        self.sharing.on_routes_read(route_table(version=state.routes_version), is_newest=False)
+        routes = route_table(version=state.routes_version)
         self.routes_version = max(self.routes_version, state.routes_version)
-        if not self.sharing.is_outdated(state.revision):
+        if self.sharing.is_outdated(state.revision):
+            self.sharing.on_routes_read(routes, up_to_revision=state.revision)
+        else:
             self.listed = set(state.listed)
-            self.sharing.on_list_read(state.revision, self.now_ms)
+            self.sharing.on_list_read(state.revision, self.now_ms, routes=routes)
         self.sharing.on_reader_registered(state.record, self.now_ms)
 
     def take_changes(self, answer: Answer) -> None:
+        version, revision = answer.changed_version, answer.state.revision
+        self.report(RoutesCompared(version is not None and version > self.routes_version))
+        routes = None if version is None else route_table(version=version)
+        self.routes_version = max(self.routes_version, version or 0)
+        if self.sharing.is_outdated(revision):
+            self.sharing.on_routes_read(routes, up_to_revision=revision)
+        else:
+            self.apply(answer.changes)
+            self.sharing.on_changes_read(answer.changes, revision, self.now_ms, routes=routes)
+
+    def take_server_changes(self, answer: Answer) -> None:
         if not self.sharing.is_outdated(answer.state.revision):
             self.apply(answer.changes)
-            self.sharing.on_changes_read(answer.changes, answer.state.revision, self.now_ms)
+            self.sharing.on_servers_read(answer.changes, answer.state.revision, self.now_ms)
 
     def apply(self, changes: Iterable[ServerChange]) -> None:
         for each in changes:
@@ -243,28 +309,40 @@
                 self.sharing.claim_at(self.now_ms)
         elif not answer.is_continued:
             self.report(HistoryLost("dropped"))
-        elif call.read is NextRead.WATCH or (
-            call.read is NextRead.CATCH_UP
-            and self.role is ListSharingRole.SERVING
-            and not self.knowledge.must_read_parts()
-        ):
+        elif not call.is_in_parts:
             self.report(ChangesRead(call.began_ms, call.made_ms, revision))
-            self.take_routes(answer.state.routes_version)
             self.take_changes(answer)
             self.sharing.on_reader_registered(answer.state.record, self.now_ms)
         else:
             self.report(ServersRead(call.began_ms, revision))
-            self.take_changes(answer)
-            if self.is_refused_routes and self.random.random() < 0.5:
-                self.fail()
-                return
-            # The routes are read alone, after the servers.
-            self.report(RoutesRead())
-            self.take_routes(store.routes_version, is_newest=True)
-            self.sharing.on_reader_registered(store.record, self.now_ms)
+            self.take_server_changes(answer)
+            # The routes are read alone, after the servers; updates may come in between.
+            up_to_revision = self.sharing.latest_revision
+            arrival_ms = self.now_ms + TICK_MS * self.random.randint(0, 2)
+            self.routes_call = RoutesCall(call.read, up_to_revision, arrival_ms)
+            self.end_routes_read(store)
+            return
         if call.read is NextRead.CATCH_UP and answer.is_continued:
-            self.report(CaughtUp())
-            self.has_lost_reader = False
+            self.end_catch_up()
+
+    def end_routes_read(self, store: VersionedStore) -> None:
+        """Apply the routes that are read alone once they have arrived."""
+        call = self.routes_call
+        if call is None or self.now_ms < call.arrival_ms:
+            return
+        self.routes_call = None
+        if self.is_refused_routes and self.random.random() < 0.5:
+            self.fail()
+            return
+        self.report(RoutesRead())
+        self.take_routes(store.routes_version, up_to_revision=call.up_to_revision)
+        self.sharing.on_reader_registered(store.record, self.now_ms)
+        if call.read is NextRead.CATCH_UP:
+            self.end_catch_up()
+
+    def end_catch_up(self) -> None:
+        self.report(CaughtUp())
+        self.has_lost_reader = False
 
 
 class KnowledgeMachine(ListMachine):
@@ -274,6 +352,7 @@
     def start(self) -> None:
         self.begin(VersionedStore())
         self.newest_version = 1
+        self.delays_routes = True
         self.hosts = [self._new_host(number, now_ms=0) for number in range(HOST_COUNT)]
 
     def _new_host(self, number: int, *, now_ms: int) -> Host:
@@ -287,8 +366,10 @@
             for host in self.hosts:
                 host.now_ms += TICK_MS
             for host in self.hosts:
+                self._execute_claim(host)
                 if not host.is_paused:
                     self._tick(host)
+                self._check_revisions()
             self._check_ages()
 
     @rule()
@@ -296,6 +377,11 @@
         self.newest_version += 1
         self.store.write_routes(self.newest_version, self.now_ms)
 
+    @rule(delays=st.booleans())
+    def delay_routes_of_readers(self, delays: bool) -> None:
+        """Let the routes that a reader announces come later than its changes of servers."""
+        self.delays_routes = delays
+
     @rule()
     def drop_the_history(self) -> None:
         self.store.drop_history()
@@ -343,7 +429,7 @@
 
     def check_recovery(self) -> None:
         """Check that, once all faults end, all hosts know the store's state and say so."""
-        self.loses_datagrams = False
+        self.loses_datagrams = self.delays_routes = False
         self.max_latency_ticks = 1
         for host in self.hosts:
             host.is_paused = host.is_watch_silent = host.is_refused_routes = False
@@ -374,12 +460,23 @@
                 assert any((number in host.listed) == (number in listed) for listed in states)
             if not host.sharing.needs_routes:
                 assert host.routes_version >= min(_since(self.store.past_versions, confirmed_ms))
+            routes_ms = host.knowledge.routes_confirmed_ms()
+            if routes_ms is not None:
+                since_ms = self.now_ms - (host.now_ms - routes_ms)
+                assert host.routes_version >= min(_since(self.store.past_versions, since_ms))
+
+    def _check_revisions(self) -> None:
+        """Check that no host's revision is past routes that it never got, as in review/6."""
+        for host in self.hosts:
+            assert host.routes_version >= self.store.version_at(host.sharing.revision)
 
     def _tick(self, host: Host) -> None:
         host.knowledge.is_outdated_by_pause(host.now_ms)
         self._go_on_with_call(host)
+        host.end_routes_read(self.store)
+        self._end_claim(host)
         host.update_role()
-        if host.call is None and host.now_ms >= host.next_call_ms:
+        if host.is_idle and host.now_ms >= host.next_call_ms:
             self._begin_call(host)
         if host.now_ms >= host.next_request_ms:
             host.next_request_ms = host.now_ms + REQUEST_INTERVAL_MS
@@ -389,27 +486,59 @@
     def _begin_call(self, host: Host) -> None:
         read = host.knowledge.next_read(host.now_ms)
         if read is NextRead.FOLLOW:
+            if host.sharing.is_reader_silent(host.now_ms):
+                host.sharing.on_reader_silent(host.now_ms)
+                self._claim_if_due(host)
             return
         if host.has_lost_reader and read in (NextRead.WATCH, NextRead.PARTS):
             read = NextRead.CATCH_UP
         if not host.reaches_store:
             host.fail()
             return
-        deadline_ms = host.sharing.claim_deadline_ms(host.now_ms)
-        if read is NextRead.WATCH and deadline_ms is not None and host.now_ms >= deadline_ms:
-            host.sharing.on_claim_attempt()
-            self.store.register(host.local, host.sharing.registered_reader.revision)
-            host.sharing.on_reader_registered(self.store.record, host.now_ms, is_newest=True)
-            host.report(StoreAnswered())
+        if read is NextRead.WATCH and self._claim_if_due(host):
             return
         made_ticks = self.random.randint(0, self.max_latency_ticks)
         ticks = self.random.randint(max(1, made_ticks), self.max_latency_ticks)
         made_ms = host.now_ms + made_ticks * TICK_MS
-        host.call = Call(read, host.now_ms, made_ms, host.now_ms + ticks * TICK_MS)
-        host.known_at_call = host.sharing.revision
+        is_in_parts = host.reads_parts(read)
+        host.call = Call(read, is_in_parts, host.now_ms, made_ms, host.now_ms + ticks * TICK_MS)
+        host.known_at_call = host.sharing.servers_revision if is_in_parts else host.sharing.revision
         host.next_probe_ms = host.now_ms + PROBE_INTERVAL_MS
         self._make_answer(host)
 
+    def _claim_if_due(self, host: Host) -> bool:
+        """Let a host claim the role if it may; updates and routes may come before the answer."""
+        deadline_ms = host.sharing.claim_deadline_ms(host.now_ms)
+        if deadline_ms is None or host.now_ms < deadline_ms:
+            return False
+        host.sharing.on_claim_attempt()
+        made_ms = self.now_ms + self.random.randint(0, self.max_latency_ticks) * TICK_MS
+        arrival_ms = made_ms + self.random.randint(0, self.max_latency_ticks) * TICK_MS
+        is_lost = self.loses_datagrams and self.random.random() < 0.5
+        host.claim = Claim(
+            host.sharing.registered_reader.revision, made_ms, None if is_lost else arrival_ms
+        )
+        return True
+
+    def _execute_claim(self, host: Host) -> None:
+        """Let the store execute a claim that has reached it, whatever its host does meanwhile."""
+        claim = host.claim
+        if claim is not None and host.claimed is None and self.now_ms >= claim.made_ms:
+            self.store.register(host.local, claim.expected)
+            host.claimed = self.store.record
+
+    def _end_claim(self, host: Host) -> None:
+        claim = host.claim
+        if claim is None or host.claimed is None:
+            return
+        if claim.arrival_ms is None:
+            host.claim = host.claimed = None
+            host.fail()
+        elif self.now_ms >= claim.arrival_ms:
+            host.sharing.on_reader_registered(host.claimed, host.now_ms, is_newest=True)
+            host.report(StoreAnswered())
+            host.claim = host.claimed = None
+
     def _make_answer(self, host: Host) -> None:
         call = host.call
         if call is None or host.answer is not None or host.now_ms < call.made_ms:
@@ -417,10 +546,12 @@
         state = self.store.state()
         if call.read is NextRead.STALE_LIST:
             state = self.random.choice(self.store.states[-3:])
+        have_routes_changed = self.store.routes_revision > host.known_at_call
         host.answer = Answer(
             state,
             self.store.changes_after(host.known_at_call),
             self.store.knows_changes_after(host.known_at_call),
+            self.store.routes_version if have_routes_changed else None,
         )
 
     def _go_on_with_call(self, host: Host) -> None:
@@ -470,13 +601,20 @@
             request = host.sharing.build_request(host.now_ms)
             assert request is not None
             list_age_ms = reader.knowledge.list_age_ms(reader.now_ms)
-            update = reader.sharing.build_update(request[1], list_age_ms=list_age_ms)
+            routes_ms = reader.knowledge.routes_confirmed_ms()
+            update = reader.sharing.build_update(
+                request[1],
+                list_age_ms=list_age_ms,
+                routes_age_ms=None if routes_ms is None else reader.now_ms - routes_ms,
+            )
             if update is None:
                 return
             taken = host.sharing.on_update(update, host.now_ms)
             host.apply(taken.changes)
-            if host.sharing.needs_routes:
-                host.take_routes(reader.routes_version)
+            if host.sharing.needs_routes and not (
+                self.delays_routes and self.random.random() < 0.5
+            ):
+                host.take_routes(reader.routes_version, up_to_revision=None)
             if not taken.has_gap:
                 return
 
--- a/tests/unit/network/test_list_messages.py
+++ b/tests/unit/network/test_list_messages.py
@@ -77,6 +77,7 @@
     out_of_service=OutOfService(frozenset({"hakata-depot"}), 2**40),
     neighbour=Neighbour("10.200.100.100", 7720),
     routes_age_ms=900,
+    routes_revision=2**40,
 )
 # As it is sent: the receiver takes the feed from the sender's incarnation.
 SENT_UPDATE = UPDATE._replace(feed=0)
@@ -262,6 +263,7 @@
     [
         pytest.param({"list_age_ms": -1}, id="a list from the future"),
         pytest.param({"routes_age_ms": -1}, id="routes from the future"),
+        pytest.param({"routes_revision": -1}, id="routes of no revision"),
         pytest.param({"first_position": -1}, id="a position before the first"),
         pytest.param({"out_of_service": OutOfService(frozenset(), -1)}, id="negative revision"),
         pytest.param({"out_of_service": OutOfService(frozenset({"a\nb"}), 1)}, id="odd domain"),
