Hold late opening packets without a known route until the routes are confirmed

Cause: a host believed that no server has the flow of an opening packet. That holds for the first copy when it arrives. A copy, or a packet that was held while this host had no routes or had been paused, may come after another host has opened the flow by newer routes.

Change: these packets are held until the routes are confirmed as of a time after their arrival, like the packets of open flows. The reset of the first copy comes at once, as before.

Tests: test_a_late_opening_packet_is_reset_only_by_routes_confirmed_after_its_arrival, whose four cases fail without the change.

--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -243,7 +243,7 @@
             return DiscardPacket(packet, Verdict.HELD_OUTDATED_LIST)
         self.flows.remove_idle(now_ms)
         route = self._routes.routes.get(packet.flow.destination)
-        if packet.opens:
+        if _is_first_copy(packet, now_ms, arrived_ms):
             self._unrouted_flows.remove(packet.flow)
         if route is None:
             return self._handle_unrouted_packet(packet, now_ms, arrived_ms)
@@ -256,14 +256,18 @@
     def _handle_unrouted_packet(
         self, packet: FlowPacket, now_ms: int, arrived_ms: int
     ) -> SteeringAction:
-        """Hold an open flow's packet until the routes are confirmed; reset other flows.
+        """Hold a packet of a flow that may be open until the routes are confirmed; else reset it.
 
         Another host may have newer routes and have opened the flow by them, to a server that this
-        host has not heard of either. It has then written a cookie into the flow's packets.
+        host has not heard of either. It has then written a cookie into the flow's packets, except
+        for the copies of the opening packet.
         """
         state = self.flows.get(packet.flow)
         is_ended = state is not None and self._unrouted_flows.was_ended_by_removal(state)
-        may_be_open = not packet.opens and packet.cookie != NO_COOKIE and not is_ended
+        if packet.opens:
+            may_be_open = not _is_first_copy(packet, now_ms, arrived_ms)
+        else:
+            may_be_open = packet.cookie != NO_COOKIE and not is_ended
         if may_be_open and not self._unrouted_flows.is_route_gone(
             packet.flow, self._routes_confirmed_ms, now_ms, arrived_ms=arrived_ms
         ):
@@ -301,8 +305,7 @@
             refused = self.admission.refuse(packet, route, now_ms, arrived_ms)
             if refused is not None:
                 return refused
-        # Later, the caller may have sent a copy that another host has taken.
-        may_reject = may_refuse and packet.copy_number == 0 and arrived_ms == now_ms
+        may_reject = may_refuse and _is_first_copy(packet, now_ms, arrived_ms)
         return self._open_flow(packet, route, state, verdict, now_ms, may_reject=may_reject)
 
     def _open_flow(
@@ -362,3 +365,11 @@
         if packet.resets:
             self.flows.remove(packet.flow)
         return ForwardPacket(known.server, packet.cookie, packet, Verdict.STEERED)
+
+
+def _is_first_copy(packet: FlowPacket, now_ms: int, arrived_ms: int) -> bool:
+    """Return whether a packet shows that no host can have opened its flow yet.
+
+    Later, the caller may have sent a copy that another host has taken.
+    """
+    return packet.opens and packet.copy_number == 0 and arrived_ms == now_ms
--- a/tests/unit/cookies/test_unknown_routes.py
+++ b/tests/unit/cookies/test_unknown_routes.py
@@ -8,7 +8,7 @@
     CONFIRMATION_MARGIN_MS,
     FIRST_ARRIVAL_RETENTION_MS,
 )
-from redwingswitch._internal.models.cookie_flows import FlowPacket, Verdict
+from redwingswitch._internal.models.cookie_flows import FlowPacket, RouteTable, Verdict
 from tests.lib.cookie_flows import (
     JOB_BOARD,
     UNROUTED,
@@ -156,6 +156,37 @@
     assert later.verdict is Verdict.HELD_UNKNOWN_ROUTE
 
 
+@pytest.mark.parametrize(
+    ("learns", "expected"),
+    [
+        pytest.param(NEW_ROUTES, [Verdict.OPENED], id="route"),
+        pytest.param(None, [Verdict.RESET_NO_ROUTE], id="confirmed without the route"),
+    ],
+)
+@pytest.mark.parametrize(
+    ("copy_number", "is_held_before"),
+    [
+        pytest.param(1, False, id="copy of an opening packet that another host may have taken"),
+        pytest.param(0, True, id="opening packet held before any routes were known"),
+    ],
+)
+def test_a_late_opening_packet_is_reset_only_by_routes_confirmed_after_its_arrival(
+    copy_number: int, is_held_before: bool, learns: RouteTable | None, expected: list[Verdict]
+) -> None:
+    host = outdated_host()
+    host.is_list_outdated = is_held_before
+    host.on_packet(opening_packet(FLOW, copy_number=copy_number), NOW_MS)
+    host.is_list_outdated = False
+    host.routes_confirmed_ms = NOW_MS
+    assert verdicts_after(host, NOW_MS + 10) == []
+    if learns is not None:
+        host.apply_routes(learns)
+    host.routes_confirmed_ms = CONFIRMING_MS
+    opened = Verdict.OPENED_AGAIN if copy_number else Verdict.OPENED
+    verdicts = [opened if each is Verdict.OPENED else each for each in expected]
+    assert verdicts_after(host, NOW_MS + 900) == verdicts
+
+
 FIRST_ROUTES = NEW_ROUTES._replace(version=1)
 REMOVED_ROUTES = OLD_ROUTES._replace(version=2)
 RETURNED_ROUTES = NEW_ROUTES._replace(version=3)
