Take the routes of a restored store for the newest only after a newer version

Cause: a host that starts after a restore, or was behind at it, believed that routes which the store lacks never were in it. The store may have lost the version by which another host opened a flow.

Change: in an era of the store after the first, a host's own answers confirm no routes until it has read a version newer than the first one of that era, which is therefore written in it. A reader that knows this confirms the routes of its followers as before.

--- a/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from redwingswitch._internal.models.list_sharing import NewestRoutes
+from redwingswitch._internal.models.store_revisions import era_of
+
+FIRST_ERA = 0
+NO_VERSION = 0
 
 
 class HeldRoutes:
@@ -18,6 +22,19 @@
         self._revision = 0
         self._confirmed_ms: int | None = None
         self._announced: NewestRoutes | None = None
+        # The latest era of the store that this host has read, and, unless that is the first one or
+        # a newer version was written in it, the version at the first read.
+        self._era = FIRST_ERA
+        self._restored_version: int | None = None
+
+    @property
+    def may_lack_lost_version(self) -> bool:
+        """Return whether the store may have lost later routes than it has, in a restore.
+
+        Another host may then have opened flows by them, so that the store's answers do not show
+        that no such flow exists. They do again once operators have written a newer version.
+        """
+        return self._restored_version is not None
 
     @property
     def version(self) -> int:
@@ -54,6 +71,7 @@
         if version is not None:
             self._version = max(self._version, version)
         if up_to_revision is not None:
+            self._note_era(version or NO_VERSION, era_of(up_to_revision))
             self._revision = max(self._revision, up_to_revision)
         announced = self._announced
         if announced is None:
@@ -65,6 +83,13 @@
             # The store was restored from a copy that lacks these routes.
             self._announced = None
 
+    def _note_era(self, version: int, era: int) -> None:
+        if era > self._era:
+            self._era = era
+            self._restored_version = version
+        elif self._restored_version is not None and version > self._restored_version:
+            self._restored_version = None
+
     def _take_over(self, newest: NewestRoutes) -> None:
         self._revision = max(self._revision, newest.revision)
         if newest.as_of_ms is not None:
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -129,6 +129,11 @@
         """Return the latest time at which a reader knew no routes newer than this host's."""
         return self._routes.confirmed_ms
 
+    @property
+    def may_lack_lost_routes(self) -> bool:
+        """Return whether the store may have lost later routes than this host's in a restore."""
+        return self._routes.may_lack_lost_version
+
     @property
     def is_reader(self) -> bool:
         """Return whether this host is recorded as the reader."""
--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -15,6 +15,7 @@
 from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
 from redwingswitch._internal.models.server_list import ServerListChanges, StoredRoutes
 from redwingswitch._internal.models.store_knowledge import CaughtUp
+from redwingswitch._internal.models.store_revisions import make_revision
 from tests.lib.cookie_flows import (
     JOB_BOARD,
     UNROUTED,
@@ -174,6 +175,19 @@
         await host.sync._watch.watch_changes()
 
 
+async def reads_a_restored_store(host: Host) -> None:
+    revision = make_revision(era=1, number=9)
+    host.store.results.put_nowait(changes(None, revision))
+    await host.sync._watch.watch_changes()
+
+
+async def reads_a_restored_store_and_newer_routes(host: Host) -> None:
+    await reads_a_restored_store(host)
+    revision = make_revision(era=1, number=10)
+    host.store.results.put_nowait(changes(NEWER_ROUTES, revision))
+    await host.sync._watch.watch_changes()
+
+
 async def reads_in_parts(host: Host) -> None:
     host.store.call_ms = 300
     await host.sync._reads.read_parts()
@@ -219,6 +233,13 @@
         ),
         pytest.param(LOCAL_RECORD, handles_an_answer_late, NOW_MS, id="answer handled late"),
         pytest.param(LOCAL_RECORD, probes_in_vain, START_MS, id="store out of reach"),
+        pytest.param(LOCAL_RECORD, reads_a_restored_store, None, id="restored store"),
+        pytest.param(
+            LOCAL_RECORD,
+            reads_a_restored_store_and_newer_routes,
+            NOW_MS,
+            id="routes written after the restore",
+        ),
         pytest.param(LOCAL_RECORD, reads_in_parts, NOW_MS, id="servers and routes read apart"),
         pytest.param(LOCAL_RECORD, reads_servers_but_no_routes, START_MS, id="servers only"),
         pytest.param(
