Confirm no routes while the newest version could not be decoded

Cause: a host that could not decode the newest routes kept the ones before and took them for the newest: the revision of the unreadable version was dropped where it came with other items. Another host, of a later release, may have opened flows by it.

Change: reads say that a later version could not be decoded. Until a readable newer version is read, such a host's answers confirm no routes, as those of a restored store.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -91,7 +91,7 @@
         changed = self._steering.directory.replace(fleet.servers, self._clock.now_ms())
         self._sharing.on_list_read(fleet.revision, self._age_clock.now_ms(), routes=fleet.routes)
         self._log_servers(changed)
-        self._unconfirmed_routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        self._unconfirmed_routes = _routes_of(fleet)
         self._apply_out_of_service(fleet.out_of_service)
         self.apply_reader(fleet.reader)
 
@@ -220,7 +220,7 @@
         """Apply what has its own order; return the routes, or None if the servers are outdated."""
         self._apply_out_of_service(fleet.out_of_service)
         self.other_readers.apply(fleet.other_readers)
-        routes = StoredRoutes(fleet.routes, fleet.routes_revision)
+        routes = _routes_of(fleet)
         if self._sharing.is_outdated(fleet.revision):
             self._apply_outdated(routes, fleet)
             return None
@@ -281,6 +281,8 @@
     def _put_in_force(self, routes: StoredRoutes) -> None:
         """Put routes in force, and unconfirmed ones in place of those that are missing."""
         usable = self._unconfirmed_routes if routes.routes is None else routes
+        if routes.has_unreadable or usable.has_unreadable:
+            self._sharing.on_unreadable_routes()
         self._unconfirmed_routes = NO_ROUTES
         if usable.routes is not None and self._steering.apply_routes(usable.routes):
             self._log_routes(usable.routes, usable.revision)
@@ -309,3 +311,7 @@
                 presence=known.presence(self._clock.now_ms()),
                 store_revision=format_revision(self._sharing.revision),
             )
+
+
+def _routes_of(fleet: ServerList | ServerListChanges) -> StoredRoutes:
+    return StoredRoutes(fleet.routes, fleet.routes_revision, fleet.has_unreadable_routes)
--- a/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/held_routes.py
@@ -26,15 +26,18 @@
         # a newer version was written in it, the version at the first read.
         self._era = FIRST_ERA
         self._restored_version: int | None = None
+        # Whether the newest version that this host has read could not be decoded.
+        self._has_unreadable_version = False
 
     @property
-    def may_lack_lost_version(self) -> bool:
-        """Return whether the store may have lost later routes than it has, in a restore.
+    def may_miss_version(self) -> bool:
+        """Return whether other hosts may have later routes than the store's answers gave this one.
 
-        Another host may then have opened flows by them, so that the store's answers do not show
-        that no such flow exists. They do again once operators have written a newer version.
+        The store may have lost them in a restore, or this host could not decode them. They may have
+        opened flows by them, so that its answers do not show that no such flow exists. They do
+        again once operators have written a newer version.
         """
-        return self._restored_version is not None
+        return self._restored_version is not None or self._has_unreadable_version
 
     @property
     def version(self) -> int:
@@ -69,6 +72,7 @@
         The store has no later ones up to ``up_to_revision``, which is None if that is not known.
         """
         if version is not None:
+            self._has_unreadable_version &= version <= self._version
             self._version = max(self._version, version)
         if up_to_revision is not None:
             self._note_era(version or NO_VERSION, era_of(up_to_revision))
@@ -83,6 +87,10 @@
             # The store was restored from a copy that lacks these routes.
             self._announced = None
 
+    def on_unreadable(self) -> None:
+        """Record that the newest version in the store could not be decoded."""
+        self._has_unreadable_version = True
+
     def _note_era(self, version: int, era: int) -> None:
         if era > self._era:
             self._era = era
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -130,9 +130,12 @@
         return self._routes.confirmed_ms
 
     @property
-    def may_lack_lost_routes(self) -> bool:
-        """Return whether the store may have lost later routes than this host's in a restore."""
-        return self._routes.may_lack_lost_version
+    def may_miss_routes(self) -> bool:
+        """Return whether other hosts may have later routes than the store's answers gave this one.
+
+        A restored store may have lost them, or this host could not decode them.
+        """
+        return self._routes.may_miss_version
 
     @property
     def is_reader(self) -> bool:
@@ -244,6 +247,10 @@
         version = None if routes is None else routes.version
         self._routes.on_read(version, up_to_revision=up_to_revision)
 
+    def on_unreadable_routes(self) -> None:
+        """Record that the newest routes in the store could not be decoded."""
+        self._routes.on_unreadable()
+
     def on_out_of_service_read(self, found: OutOfService) -> None:
         """Record the failure domains out of service; ignore a set that is not newer."""
         if found.revision > self._out_of_service.revision:
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -134,12 +134,12 @@
 
         That is when a call to the store began, of this host or of a reader. An answer may have been
         made long before it is handled, so its arrival shows nothing of that kind. None while newer
-        routes are known to exist, and before the first answer. The answers of a store that may have
-        lost newer routes do not count.
+        routes are known to exist, and before the first answer. Answers without routes that other
+        hosts may have do not count.
         """
         if self._sharing.needs_routes:
             return None
-        own_ms = None if self._sharing.may_lack_lost_routes else self._list_age.proven_ms
+        own_ms = None if self._sharing.may_miss_routes else self._list_age.proven_ms
         times_ms = (own_ms, self._sharing.routes_confirmed_ms)
         return max((each for each in times_ms if each is not None), default=None)
 
--- a/src/redwingswitch/_internal/models/server_list.py
+++ b/src/redwingswitch/_internal/models/server_list.py
@@ -39,6 +39,7 @@
     ``reader`` is the record of the host that reads the list on behalf of this failure domain.
     ``routes_revision`` is the store revision at which the routes were written, 0 without routes.
     ``other_readers`` are the records of the readers of other failure domains.
+    ``has_unreadable_routes`` says that the newest routes could not be decoded.
     """
 
     routes: RouteTable | None
@@ -48,6 +49,7 @@
     routes_revision: int = 0
     out_of_service: OutOfService = NONE_OUT_OF_SERVICE
     other_readers: tuple[DomainReader, ...] = ()
+    has_unreadable_routes: bool = False
 
 
 class ServerListChanges(NamedTuple):
@@ -57,6 +59,7 @@
     ``transfer_ms`` is the time from the start of the store's response to its end.
     ``out_of_service`` is the whole set, not a change of it; None when it was not read.
     ``other_readers`` are the changed records of the readers of other failure domains.
+    ``has_unreadable_routes`` says that the newest routes could not be decoded.
     """
 
     routes: RouteTable | None
@@ -67,14 +70,16 @@
     transfer_ms: int = 0
     out_of_service: OutOfService | None = None
     other_readers: tuple[DomainReader, ...] = ()
+    has_unreadable_routes: bool = False
 
 
 class StoredRoutes(NamedTuple):
     """The newest routes and the store revision at which they were written.
 
     ``routes`` is None, and ``revision`` 0, when there are none; routes that cannot be decoded have
-    a revision only.
+    a revision only. ``has_unreadable`` says that these, or later ones, could not be decoded.
     """
 
     routes: RouteTable | None
     revision: int
+    has_unreadable: bool = False
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -63,6 +63,7 @@
             revision=revision,
             reader=find_reader(items, reader_key=self._reader_key) or NO_READER,
             routes_revision=routes.revision,
+            has_unreadable_routes=routes.has_unreadable,
             out_of_service=out_of_service,
             other_readers=find_other_readers(items, reader_key=self._reader_key),
         )
@@ -81,6 +82,7 @@
             revision=revision,
             reader=find_reader(watched.events, reader_key=self._reader_key),
             routes_revision=routes.revision,
+            has_unreadable_routes=routes.has_unreadable,
             transfer_ms=watched.transfer_ms,
             out_of_service=out_of_service,
             other_readers=find_other_readers(watched.events, reader_key=self._reader_key),
--- a/src/redwingswitch/_internal/platform/store_items.py
+++ b/src/redwingswitch/_internal/platform/store_items.py
@@ -50,13 +50,17 @@
 
 
 def translate_items(items: Iterable[Item]) -> tuple[StoredRoutes, list[ServerChange]]:
-    """Return the newest usable routes and the last state of each server among the items."""
+    """Return the newest usable routes and the last state of each server among the items.
+
+    Routes that are followed by a version that cannot be decoded say so.
+    """
     routes = NO_ROUTES
     servers: dict[str, Item] = {}
     for item in items:
         if item.key == CONFIGURATION_KEY and not item.deleted:
             found = routes_from_item(item)
-            routes = routes if found.routes is None else found
+            is_usable = found.routes is not None
+            routes = found if is_usable else routes._replace(has_unreadable=True)
         elif item.key.startswith(SERVER_PREFIX):
             server_id = item.key.removeprefix(SERVER_PREFIX)
             if problem := find_id_problem(server_id):
@@ -73,7 +77,7 @@
     except DecodeError as error:
         revision = format_revision(item.revision)
         log.error(f"configuration ignored revision={revision} reason={error}")
-        return StoredRoutes(None, item.revision)
+        return StoredRoutes(None, item.revision, has_unreadable=True)
 
 
 def reader_from_item(item: Item) -> RegisteredReader:
--- a/tests/unit/daemon/test_routes_confirmation.py
+++ b/tests/unit/daemon/test_routes_confirmation.py
@@ -134,7 +134,10 @@
 
 
 def changes(routes: RouteTable | None, revision: int) -> ServerListChanges:
-    return ServerListChanges(routes=routes, servers=(), revision=revision, routes_revision=revision)
+    routes_revision = 0 if routes is None else revision
+    return ServerListChanges(
+        routes=routes, servers=(), revision=revision, routes_revision=routes_revision
+    )
 
 
 async def hears_its_reader(host: Host) -> None:
@@ -175,6 +178,11 @@
         await host.sync._watch.watch_changes()
 
 
+async def reads_routes_that_it_cannot_decode(host: Host) -> None:
+    host.store.results.put_nowait(changes(ROUTES, 9)._replace(has_unreadable_routes=True))
+    await host.sync._watch.watch_changes()
+
+
 async def reads_a_restored_store(host: Host) -> None:
     revision = make_revision(era=1, number=9)
     host.store.results.put_nowait(changes(None, revision))
@@ -233,6 +241,9 @@
         ),
         pytest.param(LOCAL_RECORD, handles_an_answer_late, NOW_MS, id="answer handled late"),
         pytest.param(LOCAL_RECORD, probes_in_vain, START_MS, id="store out of reach"),
+        pytest.param(
+            LOCAL_RECORD, reads_routes_that_it_cannot_decode, None, id="routes cannot be decoded"
+        ),
         pytest.param(LOCAL_RECORD, reads_a_restored_store, None, id="restored store"),
         pytest.param(
             LOCAL_RECORD,
--- a/tests/unit/list_sharing/test_held_routes.py
+++ b/tests/unit/list_sharing/test_held_routes.py
@@ -1,4 +1,4 @@
-"""Guards against taking the routes of a restored store for the newest ones that ever were."""
+"""Guards against taking routes for the newest ones while other hosts may have later ones."""
 
 import pytest
 
@@ -7,6 +7,7 @@
 from redwingswitch._internal.models.store_revisions import make_revision
 
 Read = tuple[int | None, int | None]
+UNREADABLE = None
 
 
 def read(version: int | None, *, era: int, number: int) -> Read:
@@ -17,6 +18,16 @@
     ("reads", "expected"),
     [
         pytest.param([read(11, era=0, number=5)], False, id="never restored"),
+        pytest.param(
+            [read(11, era=0, number=5), UNREADABLE, read(None, era=0, number=6)],
+            True,
+            id="a version that cannot be decoded",
+        ),
+        pytest.param(
+            [read(11, era=0, number=5), UNREADABLE, read(13, era=0, number=7)],
+            False,
+            id="and a later one",
+        ),
         pytest.param([read(11, era=1, number=5)], True, id="started after a restore"),
         pytest.param(
             [read(11, era=0, number=5), read(11, era=1, number=5)], True, id="ran through a restore"
@@ -42,13 +53,17 @@
         ),
     ],
 )
-def test_a_restored_store_may_lack_routes_until_a_newer_version_is_written(
-    reads: list[Read], expected: bool
+def test_answers_prove_nothing_while_other_hosts_may_have_routes_that_they_lack(
+    reads: list[Read | None], expected: bool
 ) -> None:
     held = HeldRoutes()
-    for version, up_to_revision in reads:
-        held.on_read(version, up_to_revision=up_to_revision)
-    assert held.may_lack_lost_version is expected
+    for each in reads:
+        if each is UNREADABLE:
+            held.on_unreadable()
+        else:
+            version, up_to_revision = each
+            held.on_read(version, up_to_revision=up_to_revision)
+    assert held.may_miss_version is expected
 
 
 @pytest.mark.parametrize(
--- a/tests/unit/platform/test_store.py
+++ b/tests/unit/platform/test_store.py
@@ -14,6 +14,7 @@
     ListReader,
     RegisteredReader,
 )
+from redwingswitch._internal.models.server_list import StoredRoutes
 from redwingswitch._internal.models.store_revisions import era_of, number_of
 from redwingswitch._internal.platform.http_connection import HttpConnection
 from redwingswitch._internal.platform.standins.documents import (
@@ -23,6 +24,7 @@
 )
 from redwingswitch._internal.platform.standins.store import LOOPBACK, Fault, PlatformStoreStandin
 from redwingswitch._internal.platform.store import PlatformStore
+from redwingswitch._internal.platform.store_items import NO_ROUTES
 from tests.lib.loops import run
 
 TIMEOUT_MS = 300
@@ -227,7 +229,7 @@
 def test_the_newest_routes_are_read_alone(may_be_stale: bool) -> None:
     async def scenario() -> None:
         async with StoreFixture() as fixture:
-            assert await fixture.store.read_routes(may_be_stale=may_be_stale) == (None, 0)
+            assert await fixture.store.read_routes(may_be_stale=may_be_stale) == NO_ROUTES
             fixture.standin.put("op/config", routes(1))
             revision = fixture.standin.put("op/config", routes(2))
             fixture.standin.put("servers/i-1", entry())
@@ -247,7 +249,8 @@
     async def scenario() -> None:
         async with StoreFixture() as fixture:
             revision = fixture.standin.put("op/config", b"{")
-            assert await fixture.store.read_routes() == (None, revision)
+            expected = StoredRoutes(None, revision, has_unreadable=True)
+            assert await fixture.store.read_routes() == expected
 
     run(scenario())
 
