--- a/src/redwingswitch/_internal/daemon/packet_path.py
+++ b/src/redwingswitch/_internal/daemon/packet_path.py
@@ -42,6 +42,12 @@
     def is_outdated_by_pause(self) -> bool:
         """Return whether this host was paused and the list has not been confirmed since."""
 
+    def may_handle_late_packets(self) -> bool:
+        """Return whether packets may have waited in the socket while this host stood still.
+
+        ``is_outdated_by_pause`` must be called before.
+        """
+
     def list_age_ms(self) -> int:
         """Return milliseconds since the list was last known to be up to date."""
 
@@ -109,6 +115,7 @@
     def _check_list(self) -> None:
         # Packets that arrived during a pause are handled before any timer can detect the pause.
         self._steering.is_list_outdated = self._list_age_source.is_outdated_by_pause()
+        self._steering.may_handle_late_packets = self._list_age_source.may_handle_late_packets()
         self._steering.routes_confirmed_ms = self._list_age_source.routes_confirmed_ms()
         self._steering.slow_start.entitlement.on_list_checked(
             confirmed_ms=self._clock.now_ms() - self._list_age_source.list_age_ms(),
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -45,6 +45,9 @@
 from redwingswitch._internal.utils.event_log import EventLog
 
 MS_PER_S = 1_000
+# A host that runs notices it this often, also without packets. It must be clearly less than
+# ``LATE_PACKET_GAP_MS``, and a part of the interval of requests to the reader.
+RUNNING_CHECK_INTERVAL_MS = 125
 # A change is read immediately after a period without changes. While changes continue, the list is
 # read this many times within the time limit for noticing a leaving server.
 READS_PER_AGE_LIMIT = 3
@@ -203,6 +206,10 @@
         """
         return self._knowledge.is_outdated_by_pause(self._age_clock.now_ms())
 
+    def may_handle_late_packets(self) -> bool:
+        """Return whether packets may have waited in the socket while this host stood still."""
+        return self._knowledge.may_handle_late_packets(self._age_clock.now_ms())
+
     async def run(self) -> None:
         """Keep the list up to date; a failing store only delays this."""
         request_task = asyncio.create_task(self._send_due_requests())
@@ -282,7 +289,7 @@
             else:
                 self.peers.send_due_messages()
             was_outdated = is_outdated
-            await asyncio.sleep(FOLLOW_CHECK_INTERVAL_MS / MS_PER_S)
+            await asyncio.sleep(RUNNING_CHECK_INTERVAL_MS / MS_PER_S)
 
     async def _follow_reader(self) -> None:
         """Follow the reader until it is lost, and then read what it did not send."""
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -90,6 +90,8 @@
         # Set while the routes and servers may have changed during a pause of this host. It then
         # opens and resets no flow, and only passes on the packets of open flows.
         self.is_list_outdated = False
+        # Set while packets may have waited in the socket of this host because it stood still.
+        self.may_handle_late_packets = False
         self.admission: OpeningAdmission | None = None
 
     def use_admission(self, demand_source: DemandSource) -> None:
@@ -243,7 +245,7 @@
             return DiscardPacket(packet, Verdict.HELD_OUTDATED_LIST)
         self.flows.remove_idle(now_ms)
         route = self._routes.routes.get(packet.flow.destination)
-        if _is_first_copy(packet, now_ms, arrived_ms):
+        if self._is_first_copy(packet, now_ms, arrived_ms):
             self._unrouted_flows.remove(packet.flow)
         if route is None:
             return self._handle_unrouted_packet(packet, now_ms, arrived_ms)
@@ -265,7 +267,7 @@
         state = self.flows.get(packet.flow)
         is_ended = state is not None and self._unrouted_flows.was_ended_by_removal(state)
         if packet.opens:
-            may_be_open = not _is_first_copy(packet, now_ms, arrived_ms)
+            may_be_open = not self._is_first_copy(packet, now_ms, arrived_ms)
         else:
             may_be_open = packet.cookie != NO_COOKIE and not is_ended
         if may_be_open and not self._unrouted_flows.is_route_gone(
@@ -275,6 +277,14 @@
         self.flows.remove(packet.flow)
         return ResetFlow(packet, Verdict.RESET_NO_ROUTE)
 
+    def _is_first_copy(self, packet: FlowPacket, now_ms: int, arrived_ms: int) -> bool:
+        """Return whether a packet shows that no host can have opened its flow yet.
+
+        Later, the caller may have sent a copy that another host has taken.
+        """
+        is_on_time = arrived_ms == now_ms and not self.may_handle_late_packets
+        return packet.opens and packet.copy_number == 0 and is_on_time
+
     def _names_listed_server(self, packet: FlowPacket) -> bool:
         """Return whether an open flow's packet can be passed on even by an outdated list."""
         known = self.directory.by_cookie(packet.cookie, packet.flow.destination)
@@ -305,7 +315,7 @@
             refused = self.admission.refuse(packet, route, now_ms, arrived_ms)
             if refused is not None:
                 return refused
-        may_reject = may_refuse and _is_first_copy(packet, now_ms, arrived_ms)
+        may_reject = may_refuse and self._is_first_copy(packet, now_ms, arrived_ms)
         return self._open_flow(packet, route, state, verdict, now_ms, may_reject=may_reject)
 
     def _open_flow(
@@ -365,11 +375,3 @@
         if packet.resets:
             self.flows.remove(packet.flow)
         return ForwardPacket(known.server, packet.cookie, packet, Verdict.STEERED)
-
-
-def _is_first_copy(packet: FlowPacket, now_ms: int, arrived_ms: int) -> bool:
-    """Return whether a packet shows that no host can have opened its flow yet.
-
-    Later, the caller may have sent a copy that another host has taken.
-    """
-    return packet.opens and packet.copy_number == 0 and arrived_ms == now_ms
--- a/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/list_age.py
@@ -6,6 +6,11 @@
 
 # A longer gap between two timer calls means that the host was paused.
 PAUSE_THRESHOLD_MS = 1_000
+# Callers send the first copy of an opening packet 200 ms after it. No packet has waited that long
+# in the socket of a host that was running within this time.
+LATE_PACKET_GAP_MS = 190
+# Packets that waited in the socket of a host that stood still are handled within this time.
+LATE_PACKET_DRAIN_MS = 100
 
 
 class _Probe(NamedTuple):
@@ -30,6 +35,7 @@
         self._resumed_ms: int | None = None
         self._unmet_probe: _Probe | None = None
         self._proven_ms: int | None = None
+        self._late_packets_deadline_ms = now_ms
 
     @property
     def proven_ms(self) -> int | None:
@@ -45,8 +51,14 @@
         """Return when this host last resumed after a pause, or None if it was never paused."""
         return self._resumed_ms
 
+    def may_handle_late_packets(self, now_ms: int) -> bool:
+        """Return whether packets may have waited until now for this host to run again."""
+        return now_ms < self._late_packets_deadline_ms
+
     def on_tick(self, now_ms: int) -> None:
         """Record that the host is running; detect a pause since the last call."""
+        if now_ms - self._tick_ms > LATE_PACKET_GAP_MS:
+            self._late_packets_deadline_ms = now_ms + LATE_PACKET_DRAIN_MS
         if now_ms - self._tick_ms > PAUSE_THRESHOLD_MS:
             self._resumed_ms = now_ms
             self._confirmed_ms = min(self._confirmed_ms, self._tick_ms)
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -147,7 +147,7 @@
         """Return whether this host was paused and the list has not been confirmed since.
 
         Ends after ``PAUSE_CONFIRMATION_LIMIT_MS``. Detects a pause by itself, so it may be called
-        before the timers of a resumed host have run; must be called several times a second.
+        before the timers of a resumed host have run; must be called every 125 ms.
         """
         self._list_age.on_tick(now_ms)
         resumed_ms = self._list_age.resumed_ms
@@ -158,6 +158,13 @@
         has_answer = self._sharing.reader_silence_ms(now_ms) <= now_ms - resumed_ms
         return not has_answer or self._sharing.needs_routes
 
+    def may_handle_late_packets(self, now_ms: int) -> bool:
+        """Return whether this host stood still, so that packets may have waited in its socket.
+
+        ``is_outdated_by_pause`` must be called before.
+        """
+        return self._list_age.may_handle_late_packets(now_ms)
+
     def wants_neighbours_list(self, offer: ListOffer, now_ms: int) -> bool:
         """Return whether to take a neighbour's list: this host gets none from reader and store."""
         if self._sharing.role(now_ms) is not ListSharingRole.READING:
--- a/tests/unit/cookies/test_unknown_routes.py
+++ b/tests/unit/cookies/test_unknown_routes.py
@@ -164,19 +164,26 @@
     ],
 )
 @pytest.mark.parametrize(
-    ("copy_number", "is_held_before"),
+    ("copy_number", "is_held_before", "stood_still"),
     [
-        pytest.param(1, False, id="copy of an opening packet that another host may have taken"),
-        pytest.param(0, True, id="opening packet held before any routes were known"),
+        pytest.param(1, False, False, id="copy of one that another host may have taken"),
+        pytest.param(0, True, False, id="held by a host that was paused"),
+        pytest.param(0, False, True, id="waited in the socket of a host that stood still"),
     ],
 )
 def test_a_late_opening_packet_is_reset_only_by_routes_confirmed_after_its_arrival(
-    copy_number: int, is_held_before: bool, learns: RouteTable | None, expected: list[Verdict]
+    copy_number: int,
+    is_held_before: bool,
+    stood_still: bool,
+    learns: RouteTable | None,
+    expected: list[Verdict],
 ) -> None:
+    # Guards against review/3: a reset for such a packet reaches the flow that a later copy opened.
     host = outdated_host()
     host.is_list_outdated = is_held_before
+    host.may_handle_late_packets = stood_still
     host.on_packet(opening_packet(FLOW, copy_number=copy_number), NOW_MS)
-    host.is_list_outdated = False
+    host.is_list_outdated = host.may_handle_late_packets = False
     host.routes_confirmed_ms = NOW_MS
     assert verdicts_after(host, NOW_MS + 10) == []
     if learns is not None:
--- a/tests/unit/daemon/test_packet_path.py
+++ b/tests/unit/daemon/test_packet_path.py
@@ -75,6 +75,9 @@
     def is_outdated_by_pause(self) -> bool:
         return False
 
+    def may_handle_late_packets(self) -> bool:
+        return False
+
     def list_age_ms(self) -> int:
         return 0
 
--- a/tests/unit/list_sharing/test_list_age.py
+++ b/tests/unit/list_sharing/test_list_age.py
@@ -154,3 +154,23 @@
     # The response to a watch that began before the pause.
     age.on_list_read(TICK_MS, TICK_MS + 3_000, revision=9)
     assert age.age_ms(TICK_MS + 3_000) == expected_ms
+
+
+@pytest.mark.parametrize(
+    ("ticks_ms", "expected"),
+    [
+        pytest.param([125, 250], False, id="running"),
+        pytest.param([125, 315], False, id="a late timer"),
+        pytest.param([125, 316], True, id="stood still"),
+        pytest.param([125, 316, 330], True, id="further packets"),
+        pytest.param([125, 316, 416], False, id="all that waited are handled"),
+        pytest.param([125, 5_000], True, id="paused"),
+    ],
+)
+def test_packets_may_be_late_while_a_host_that_stood_still_handles_what_has_waited(
+    ticks_ms: list[int], expected: bool
+) -> None:
+    age = ListAge(now_ms=0)
+    for tick_ms in ticks_ms:
+        age.on_tick(tick_ms)
+    assert age.may_handle_late_packets(ticks_ms[-1]) is expected
