Remember the first packets of 4,096 flows without a known route

Cause: since flows on removed routes are held, thousands of them may come to a host at once when the rotation changes.

Change: 4,096 flows are remembered, 1.1 MB.

Test: test_all_flows_of_a_removed_route_are_reset_in_time, which fails with the former number.

--- a/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
+++ b/src/redwingswitch/_internal/decisions/cookies/unrouted_flows.py
@@ -9,7 +9,9 @@
 CONFIRMATION_MARGIN_MS = 3
 # The first four retransmissions of a caller come within 3 s; by then the routes are confirmed.
 FIRST_ARRIVAL_RETENTION_MS = 5_000
-MAX_UNROUTED_FLOWS = 1_024
+# More than half of the flows of a host at the growth target, 1.1 MB. So many may move here at once,
+# when the rotation changes just after the removal of their route.
+MAX_UNROUTED_FLOWS = 4_096
 # Flows that were open with a removed route are reset at once; flows of a forgotten one wait for the
 # next confirmation of the routes. The deployment has 130 routes.
 MAX_REMOVED_ROUTES = 4_096
--- a/tests/unit/cookies/test_unknown_routes.py
+++ b/tests/unit/cookies/test_unknown_routes.py
@@ -194,6 +194,31 @@
     assert verdicts_after(host, NOW_MS + 900) == verdicts
 
 
+@pytest.mark.parametrize("flow_count", [1, 1_000, 3_000])
+def test_all_flows_of_a_removed_route_are_reset_in_time(flow_count: int) -> None:
+    # Guards against flows whose packets are held again and again because too many are held.
+    host = outdated_host()
+    sent_ms = sorted(
+        (NOW_MS + flow * 500 // flow_count + after_ms, flow)
+        for flow in range(flow_count)
+        for after_ms in (0, 200, 600, 1_400)
+    )
+    reset_ms: dict[int, int] = {}
+    confirmations_ms = [NOW_MS + 300, NOW_MS + 1_300]
+    for now_ms, flow in sent_ms:
+        while confirmations_ms and confirmations_ms[0] <= now_ms:
+            # The routes of a reader and its answer may be this old together.
+            host.routes_confirmed_ms = confirmations_ms[0] - 300
+            for action in host.on_list_changed(confirmations_ms.pop(0)):
+                reset_ms.setdefault(action.packet.flow.caller_port, now_ms)
+        if flow not in reset_ms:
+            action = host.on_packet(request_packet(flow_id(flow, UNROUTED), "i-1"), now_ms)
+            if action.verdict is Verdict.RESET_NO_ROUTE:
+                reset_ms[flow] = now_ms
+    assert len(reset_ms) == flow_count
+    assert max(ms - NOW_MS - flow * 500 // flow_count for flow, ms in reset_ms.items()) <= 1_900
+
+
 FIRST_ROUTES = NEW_ROUTES._replace(version=1)
 REMOVED_ROUTES = OLD_ROUTES._replace(version=2)
 RETURNED_ROUTES = NEW_ROUTES._replace(version=3)
