--- a/review/tools-3/deployment.py
+++ b/review/tools-3/deployment.py
@@ -29,9 +29,7 @@
 SYN, ACK, FIN, RST = 64, 4, 128, 1
 STORE_ANSWER_S = 0.004
 HEARTBEAT_S = 1.2
-ENTRY_LIFE_S = 3 * HEARTBEAT_S
 SYN_COPIES_S = (0.2, 0.4, 0.8)
-READY_INTERVAL_S = 0.5
 SEQUENCE_RANGE = 1 << 32
 RESET_RANGE = 76_800
 TEMPLATE = ROOT / "deploy/settings.toml.template"
@@ -169,8 +167,6 @@
         self.address = ""
         self.port = 0
         self.server: asyncio.Server | None = None
-        # Called with the method, the path and the query of each call; may raise or wait.
-        self.on_call = None
 
     async def start(self, address: str) -> None:
         self.address = address
@@ -234,8 +230,6 @@
                 body = await reader.readexactly(length)
                 url = urllib.parse.urlsplit(target)
                 query = dict(urllib.parse.parse_qsl(url.query, keep_blank_values=True))
-                if self.on_call is not None:
-                    await self.on_call(method, url.path, query)
                 await asyncio.sleep(STORE_ANSWER_S)
                 status, answer = 503, {}
                 if not self.is_down:
@@ -371,7 +365,6 @@
         self.transport = None
         self.port = 0
         self.work_s = 0.02
-        self.is_dark = False
         # Machines whose packets do not arrive, because the network between them is cut.
         self.cut_off: set[str] = set()
         self.heartbeat_task: asyncio.Task | None = None
@@ -417,30 +410,9 @@
         await self.report()
         return self.site.record.now()
 
-    def crash(self) -> None:
-        """Stop without a word: all flows are lost."""
-        self.is_dark = True
-        self.flows.clear()
-        self.site.record.add(f"{self.server_id}: has crashed")
-
-    async def start_again(self) -> None:
-        """Start again under the same id; nothing of before is known."""
-        self.is_dark = False
-        self.seq = 0
-        self.born = int(time.time() * 1000)
-        self.site.record.add(f"{self.server_id}: has started again")
-        await self.report()
-
-    async def end(self) -> None:
-        """Leave the list and stop."""
-        self.heartbeat_task.cancel()
-        self.transport.close()
-        await self.site.store.remove(f"servers/{self.server_id}")
-        self.site.record.add(f"store: {self.server_id} removed, it has ended")
-
     def datagram_received(self, data: bytes, addr) -> None:
         intended = int.from_bytes(data[:8], "big")
-        if self.is_dark or self.site.machine_of(addr[0]) in self.cut_off:
+        if self.site.machine_of(addr[0]) in self.cut_off:
             return
         if intended not in (0, self.number):
             return
@@ -509,8 +481,6 @@
     def _send(
         self, packet: Packet, flow: dict, flags: int, *, ack: int, seq: int | None = None, data=b""
     ) -> None:
-        if self.is_dark:
-            return
         datagram = pack(
             echo=flow["echo"], seq=(flow["sent"] if seq is None else seq) % SEQUENCE_RANGE,
             ack=ack % SEQUENCE_RANGE, sport=packet.dport, dport=packet.sport,
