--- a/src/redwingswitch/_internal/daemon/packet_path.py
+++ b/src/redwingswitch/_internal/daemon/packet_path.py
@@ -232,7 +232,7 @@
             server=server.server_id,
             failure_domain=server.failure_domain,
             level=level,
-            flow=format_flow(change.flow),
+            flow="none" if change.flow is None else format_flow(change.flow),
         )
 
 
--- a/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
+++ b/src/redwingswitch/_internal/decisions/cookies/cookie_steering.py
@@ -172,6 +172,7 @@
         The caller accepts the first answer, so a late answer of the former server is harmless.
         Flows whose wait for room ends are offered or reset too.
         """
+        self._observer.expire_suspicions(now_ms)
         actions: list[SteeringAction] = []
         for pending in self._offers.take_overdue(now_ms):
             route = self._route_of_new_flow(pending.flow.destination)
@@ -219,6 +220,7 @@
 
     def on_list_changed(self, now_ms: int) -> list[SteeringAction]:
         """Decide again on the held packets after the routes or the servers have changed."""
+        self._observer.expire_suspicions(now_ms)
         self.failure_detector.retain(self.directory.known_servers())
         actions: list[SteeringAction] = []
         for deadline_ms, packet in self._held.unresolved.take_unexpired(now_ms):
@@ -241,6 +243,7 @@
         if self._routes is None:
             # Other hosts may know the route, so a reset could break a working flow.
             return DiscardPacket(packet, Verdict.HELD_NOT_CONFIGURED)
+        self._observer.expire_suspicions(now_ms)
         if self.is_list_outdated and not self._names_listed_server(packet):
             return DiscardPacket(packet, Verdict.HELD_OUTDATED_LIST)
         self.flows.remove_idle(now_ms)
--- a/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
+++ b/src/redwingswitch/_internal/decisions/cookies/failure_detector.py
@@ -5,7 +5,7 @@
 from collections.abc import Container
 
 from redwingswitch._internal.decisions.cookies.stall_tracker import (
-    STALL_WINDOW_MS,
+    NEVER_EXPIRES_MS,
     Stall,
     StallTracker,
 )
@@ -35,8 +35,10 @@
 
     A flow stalls when its opening packet or its data gets no answer in time. A server is suspected
     after a few stalls and condemned, that is, taken to be unresponsive, after more stalls that are
-    all confirmed. A single answer clears the server and its failure domain. Only the path from
-    this host is observed, so a network partition is detected in the same way as a failed server.
+    all confirmed. A single answer clears the server and its failure domain. So does ``expire`` when
+    there was no stall for ``SUSPICION_LIFETIME_MS``: a server that gets no flow cannot answer. Only
+    the path from this host is observed, so a network partition is detected in the same way as a
+    failed server.
 
     This host's own link is in doubt from the time when servers of several failure domains stall,
     until a server answers a packet that was sent after those that stalled.
@@ -52,6 +54,8 @@
         self._trusted_since_ms = NEVER_MS
         self._servers: dict[str, StallTracker] = {}
         self._domains: dict[str, StallTracker] = {}
+        # When the first suspicion ends, or earlier.
+        self._next_expiry_ms = NEVER_EXPIRES_MS
 
     def on_answer(self, server: ListedServer, now_ms: int) -> bool:
         """Record an answer from a server; return whether the server was suspected."""
@@ -91,8 +95,8 @@
         The stall is confirmed when the caller accepted another server's answer. Otherwise the
         server may have refused the flow, or the caller's packets may now go to another host.
         """
-        stall = Stall(server.server_id, flow, is_confirmed)
-        return self._on_stall(server, stall, sent_ms=sent_ms, now_ms=now_ms)
+        stall = Stall(server.server_id, flow, is_confirmed, is_open=False)
+        return self._on_stall(server, stall, sent_ms=sent_ms, unanswered_ms=sent_ms, now_ms=now_ms)
 
     def on_retransmission(
         self,
@@ -102,18 +106,34 @@
         now_ms: int,
         *,
         sent_ms: int,
+        previous_copy_ms: int,
     ) -> bool:
         """Record a retransmission; return whether the suspicion rises.
 
-        ``retransmissions`` counts those of the flow since its last progress, and ``sent_ms`` is the
-        time of the first transmission.
+        ``retransmissions`` counts those of the flow since its last progress. The first transmission
+        was at ``sent_ms``, and the latest one before this at ``previous_copy_ms``.
         """
         if retransmissions < RETRANSMISSIONS_TO_STALL:
             return False
-        stall = Stall(server.server_id, flow, is_confirmed=True)
+        stall = Stall(server.server_id, flow, is_confirmed=True, is_open=True)
         # Transmissions before this host's link was trusted again are not counted.
         counted_from_ms = max(sent_ms, self._trusted_since_ms)
-        return self._on_stall(server, stall, sent_ms=counted_from_ms, now_ms=now_ms)
+        return self._on_stall(
+            server, stall, sent_ms=counted_from_ms, unanswered_ms=previous_copy_ms, now_ms=now_ms
+        )
+
+    def expire(self, now_ms: int) -> list[str]:
+        """End the suspicions that no stall has prolonged; return the ids of these servers.
+
+        Must be called before a decision that depends on a suspicion.
+        """
+        if now_ms < self._next_expiry_ms:
+            return []
+        ended = [name for name, tracker in self._servers.items() if tracker.expire(now_ms)]
+        for tracker in self._domains.values():
+            tracker.expire(now_ms)
+        self._update_next_expiry()
+        return ended
 
     @property
     def is_link_doubted(self) -> bool:
@@ -127,31 +147,31 @@
         """
         return max(tracker.suspicion for tracker in self._trackers(server))
 
-    def silence(self, server: ListedServer) -> Suspicion:
-        """Return the suspicion by which the server's open flows may be reset.
+    def silence(self, server: ListedServer, now_ms: int) -> Suspicion:
+        """Return the suspicion by which the server's open flows may be reset at ``now_ms``.
 
-        Stalls at other servers of the failure domain do not show that this one is silent: it may be
-        working on a request. The domain's suspicion counts here only with a confirmed stall of the
-        server itself since shortly before the domain was suspected.
+        Only open flows of the server itself count whose data it has left unanswered just now: a
+        full server answers no opening packets, and an earlier silence may have been that of a path
+        which works again. A condemned failure domain condemns a server with one such flow.
 
         Stalls may also come from this host's own link, which delays or drops packets while it is
         congested. They count only once a server has answered a packet that was sent later, not
         while the link is in doubt, and without the packets that were sent before that doubt ended.
         """
-        own, domain = self._trackers(server)
-        if (
-            max(own.suspicion, domain.suspicion) is Suspicion.NONE
-            or self._doubted_packet_ms is not None
-        ):
+        if self._doubted_packet_ms is not None:
+            return Suspicion.NONE
+        trackers = own, domain = self._trackers(server)
+        since_ms = self._trusted_since_ms
+        suspicion = max(tracker.suspicion_by_packets_since(since_ms) for tracker in trackers)
+        stalls = own.silent_flows(now_ms, sent_since_ms=since_ms)
+        if suspicion is Suspicion.NONE or not stalls:
             return Suspicion.NONE
-        suspicion = own.suspicion_by_packets_since(self._trusted_since_ms)
-        domain_suspicion = domain.suspicion_by_packets_since(self._trusted_since_ms)
-        if domain_suspicion > suspicion and own.has_confirmed_stall_since(
-            domain.suspected_ms - STALL_WINDOW_MS
-        ):
-            suspicion = domain_suspicion
-        is_answered_since = self._answered_packet_ms >= own.unanswered_since_ms
-        return suspicion if is_answered_since else Suspicion.NONE
+        if self._answered_packet_ms < min(times.sent_ms for times in stalls.values()):
+            return Suspicion.NONE
+        domain_stalls = domain.silent_flows(now_ms, sent_since_ms=since_ms)
+        if own.are_condemning(stalls) or domain.are_condemning(domain_stalls):
+            return Suspicion.CONDEMNED
+        return Suspicion.SUSPECTED
 
     def is_suspected(self, server: ListedServer) -> bool:
         """Return whether a server or its failure domain is suspected."""
@@ -172,18 +192,6 @@
         _, domain = self._trackers(server)
         return domain.suspicion is not Suspicion.NONE and self.is_probe_due(server, now_ms)
 
-    def needs_probe(self, server: ListedServer) -> bool:
-        """Return whether only stalls at other servers of its failure domain speak against a server.
-
-        One opening packet then shows whether it is silent too. It is needed once in a suspicion.
-        """
-        own, domain = self._trackers(server)
-        if domain.suspicion is Suspicion.NONE or own.suspicion is not Suspicion.NONE:
-            return False
-        since_ms = domain.suspected_ms
-        is_probed = own.probed_ms is not None and own.probed_ms >= since_ms
-        return not is_probed and not own.has_confirmed_stall_since(since_ms - STALL_WINDOW_MS)
-
     def answered_since(self, server: ListedServer, since_ms: int) -> bool:
         """Return whether a server answered at ``since_ms`` or later."""
         tracker = self._servers.get(server.server_id)
@@ -202,7 +210,6 @@
 
     def on_probe(self, server: ListedServer, now_ms: int) -> None:
         """Record a probe of a suspected server, which counts as failed until the server answers."""
-        self._trackers(server)[0].probed_ms = now_ms
         for tracker in self._trackers(server):
             if tracker.suspicion is not Suspicion.NONE:
                 tracker.failed_probes += 1
@@ -225,17 +232,32 @@
         if len(stalled) >= MIN_STALLED_DOMAINS_OF_OWN_LINK:
             self._doubted_packet_ms = max(self._doubted_packet_ms or NEVER_MS, sent_ms)
 
-    def _on_stall(self, server: ListedServer, stall: Stall, *, sent_ms: int, now_ms: int) -> bool:
+    def _on_stall(
+        self,
+        server: ListedServer,
+        stall: Stall,
+        *,
+        sent_ms: int,
+        unanswered_ms: int,
+        now_ms: int,
+    ) -> bool:
         rises = False
         for tracker in self._trackers(server):
             was_clear = tracker.suspicion is Suspicion.NONE
-            if tracker.on_stall(stall, sent_ms, now_ms):
+            if tracker.on_stall(stall, sent_ms=sent_ms, unanswered_ms=unanswered_ms, now_ms=now_ms):
                 rises = True
                 if was_clear:
                     tracker.next_probe_ms = now_ms + self._probe_delay_ms(1)
+            self._next_expiry_ms = min(self._next_expiry_ms, tracker.suspicion_expires_ms)
         self._doubt_link_if_domains_stall(sent_ms)
         return rises
 
+    def _update_next_expiry(self) -> None:
+        trackers = (*self._servers.values(), *self._domains.values())
+        self._next_expiry_ms = min(
+            (tracker.suspicion_expires_ms for tracker in trackers), default=NEVER_EXPIRES_MS
+        )
+
     def _trackers(self, server: ListedServer) -> tuple[StallTracker, StallTracker]:
         server_tracker = self._servers.get(server.server_id)
         if server_tracker is None:
--- a/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_observer.py
@@ -139,7 +139,14 @@
                     server_id, sent_ms=state.created_ms, is_confirmed=True
                 )
 
-    def _note_suspicion(self, flow: FlowEndpoints, server: ListedServer) -> None:
+    def expire_suspicions(self, now_ms: int) -> None:
+        """End the suspicions of servers that got no packets, and so could not answer."""
+        for server_id in self._failure_detector.expire(now_ms):
+            known = self._directory.get(server_id)
+            if known is not None:
+                self._note_suspicion(None, known.server)
+
+    def _note_suspicion(self, flow: FlowEndpoints | None, server: ListedServer) -> None:
         suspicion = self._failure_detector.suspicion(server)
         self._observations.append(SuspicionChanged(flow, server, suspicion))
 
@@ -155,13 +162,14 @@
             if now_ms - state.last_data_ms >= MIN_RETRANSMISSION_MS:
                 is_counted = self._failure_detector.was_link_trusted(state.last_data_ms)
                 state.retransmissions = state.retransmissions + 1 if is_counted else 0
-                state.last_data_ms = now_ms
+                previous_copy_ms, state.last_data_ms = state.last_data_ms, now_ms
                 if self._failure_detector.on_retransmission(
                     server,
                     packet.flow,
                     state.retransmissions,
                     now_ms,
                     sent_ms=state.request_start_ms,
+                    previous_copy_ms=previous_copy_ms,
                 ):
                     self._note_suspicion(packet.flow, server)
         elif packet.data_bytes or packet.closes:
--- a/src/redwingswitch/_internal/decisions/cookies/flow_resets.py
+++ b/src/redwingswitch/_internal/decisions/cookies/flow_resets.py
@@ -56,7 +56,7 @@
         """
         if route.kind is RouteKind.NON_IDEMPOTENT or not packet.data_bytes:
             return False
-        suspicion = self._failure_detector.silence(server)
+        suspicion = self._failure_detector.silence(server, now_ms)
         if suspicion is Suspicion.NONE:
             return False
         if suspicion is Suspicion.SUSPECTED:
--- a/src/redwingswitch/_internal/decisions/cookies/server_offers.py
+++ b/src/redwingswitch/_internal/decisions/cookies/server_offers.py
@@ -157,8 +157,6 @@
             if k.may_be_offered(now_ms) and self._is_within_slow_start_limit(k, now_ms)
         ]
         not_excluded = [k for k in known if k.server.server_id not in excluded]
-        if is_first and (awaited := [k for k in not_excluded if self._needs_probe(k.server)]):
-            return self._selector.select_server(_candidates(awaited, now_ms))
         if is_first and self.load_sharing is not None:
             probed = self.load_sharing.find_due_probe(not_excluded, route, now_ms)
             if probed is not None:
@@ -261,15 +259,6 @@
         limit = self._slow_start.limit(server.server_id, server.service)
         self._observations.append(SlowStartOpening(flow, server, sent, limit))
 
-    def _needs_probe(self, server: ListedServer) -> bool:
-        """Return whether callers wait for a server that may share the fate of its failure domain.
-
-        The probe takes its caller 40 ms. Without it, the others wait until their data was sent
-        three times.
-        """
-        is_awaited = self._flows.busy_flow_count(server.server_id) > 0
-        return is_awaited and self._failure_detector.needs_probe(server)
-
     def _may_offer(self, server: ListedServer, now_ms: int, *, is_first: bool) -> bool:
         if self.load_sharing is not None and self.load_sharing.is_silent(server, now_ms):
             # It gets a flow only as a probe, see ``find_due_probe``.
--- a/src/redwingswitch/_internal/models/cookie_flows.py
+++ b/src/redwingswitch/_internal/models/cookie_flows.py
@@ -232,9 +232,12 @@
 
 
 class SuspicionChanged(NamedTuple):
-    """A host's suspicion of a server changed; ``flow`` provided the latest evidence."""
+    """A host's suspicion of a server changed.
 
-    flow: FlowEndpoints
+    ``flow`` provided the latest evidence; it is None if the suspicion ended for lack of any.
+    """
+
+    flow: FlowEndpoints | None
     server: ListedServer
     suspicion: Suspicion
 
