--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -29,7 +29,7 @@
     ServerListChanges,
     StoredRoutes,
 )
-from redwingswitch._internal.models.store_knowledge import ListSource, ListTaken
+from redwingswitch._internal.models.store_knowledge import FeedReceived, ListSource, ListTaken
 from redwingswitch._internal.models.store_revisions import format_revision
 from redwingswitch._internal.ports import Clock, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
@@ -235,6 +235,7 @@
         self._on_change()
 
     def _apply_feed_changes(self, received: ReceivedChanges) -> None:
+        self._contact.report(FeedReceived())
         directory = self._steering.directory
         now_ms = self._clock.now_ms()
         has_changed_domains = self._put_out_of_service_in_force()
--- a/src/redwingswitch/_internal/decisions/list_sharing/follower.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/follower.py
@@ -89,6 +89,10 @@
         """Return the milliseconds since this host's list was last known to be up to date."""
         return now_ms if self._list_fresh_ms is None else now_ms - self._list_fresh_ms
 
+    def was_fresh_after(self, since_ms: int) -> bool:
+        """Return whether the list was known to be up to date later than ``since_ms``."""
+        return self._list_fresh_ms is not None and self._list_fresh_ms > since_ms
+
     def silence_ms(self, now_ms: int) -> int:
         """Return the milliseconds since the latest request that the reader answered."""
         return now_ms if self._answered_request_ms is None else now_ms - self._answered_request_ms
--- a/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/sharing.py
@@ -176,6 +176,10 @@
         """Return the age of the followed list."""
         return self._follower.list_age_ms(now_ms)
 
+    def was_followed_list_fresh_after(self, since_ms: int) -> bool:
+        """Return whether a call of the reader that began later brought this host's list."""
+        return self._follower.was_fresh_after(since_ms)
+
     def on_reader_registered(
         self, registered: RegisteredReader, now_ms: int, *, is_newest: bool = False
     ) -> None:
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -12,6 +12,7 @@
     CallFailed,
     CaughtUp,
     ChangesRead,
+    FeedReceived,
     HistoryLost,
     ListSource,
     ListTaken,
@@ -67,6 +68,7 @@
         self._start_ms = now_ms
         self._list_age = ListAge(now_ms=now_ms)
         self._consecutive_failures = 0
+        self._failed_ms = now_ms
         self._is_list_known = False
         self._may_load_stale_list = True
         self._era: int | None = None
@@ -92,8 +94,13 @@
 
     @property
     def is_store_lost(self) -> bool:
-        """Return whether the latest call to the store failed."""
-        return self._consecutive_failures > 0
+        """Return whether the latest call to the store failed, as far as this host knows.
+
+        A host that follows a reader makes no calls. It knows from the reader's list that the store
+        has answered a later call.
+        """
+        has_failed = self._consecutive_failures > 0
+        return has_failed and not self._sharing.was_followed_list_fresh_after(self._failed_ms)
 
     @property
     def has_abandoned_watch(self) -> bool:
@@ -206,6 +213,10 @@
         match event:
             case StoreAnswered():
                 return self._on_answer()
+            case FeedReceived():
+                # Routes that the reader has announced may still have to come from the store.
+                is_missing = self.is_store_lost or self._sharing.needs_routes
+                return [] if is_missing else self._on_answer()
             case StaleListRead():
                 self._may_load_stale_list = False
                 return self._on_answer()
@@ -297,6 +308,7 @@
 
     def _on_failure(self, reason: str, now_ms: int) -> list[StoreAction]:
         self._consecutive_failures += 1
+        self._failed_ms = now_ms
         actions: list[StoreAction] = []
         if self._sharing.role(now_ms) is not ListSharingRole.FOLLOWING:
             self._sharing.on_store_lost()
--- a/src/redwingswitch/_internal/models/store_knowledge.py
+++ b/src/redwingswitch/_internal/models/store_knowledge.py
@@ -39,6 +39,10 @@
     """The store answered a call that brings no list."""
 
 
+class FeedReceived(NamedTuple):
+    """The reader sent an update, which may show that the store has answered it."""
+
+
 class StaleListRead(NamedTuple):
     """The store answered with a whole list that may be stale."""
 
@@ -126,6 +130,7 @@
 
 StoreEvent = (
     StoreAnswered
+    | FeedReceived
     | StaleListRead
     | WholeListRead
     | ChangesRead
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -341,6 +341,7 @@
     out_of_service: OutOfService = NONE_OUT_OF_SERVICE,
     routes_age_ms: int | None = 0,
     routes_revision: int | None = None,
+    list_age_ms: int = 0,
 ) -> bytes:
     """Return an encoded update from a reader; ``later_changes`` do not fit into it.
 
@@ -355,7 +356,7 @@
         end_position=position + len(changes) + later_changes,
         revision=revision,
         outages=outages,
-        list_age_ms=0,
+        list_age_ms=list_age_ms,
         request_sent_ms=BootClock().now_ms() if request_sent_ms is None else request_sent_ms,
         routes_version=routes_version,
         out_of_service=out_of_service,
@@ -1046,6 +1047,30 @@
     run(scenario())
 
 
+def test_a_follower_of_a_reader_that_loses_the_store_after_an_outage_reads_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # It waited for the reader to reach the store again, as at the end of the outage (review/12).
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            peers = running.reader.peers
+            peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            running.store.is_down = True
+            await wait_until(lambda: not running.reader.is_store_reachable)
+            peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            assert running.reader.is_store_reachable
+            running.store.is_down = False
+            # The reader answers, but its list has become too old.
+            await wait_until(lambda: running.reader.role is ListSharingRole.READING)
+            peers.on_datagram(update(revision=9, list_age_ms=300), PEER_ADDRESS)
+            await wait_until(lambda: "servers after 9" in running.store.calls)
+
+    monkeypatch.setattr(list_reads, "READER_RECOVERY_WAIT_MS", 60_000)
+    run(scenario())
+
+
 def test_hosts_that_lost_reader_and_store_repeat_only_the_cheapest_call() -> None:
     # In an outage of the store, 227 hosts repeated a call of full price 6 to 7 times each.
     async def scenario() -> None:
--- a/tests/unit/list_sharing/test_store_knowledge.py
+++ b/tests/unit/list_sharing/test_store_knowledge.py
@@ -13,6 +13,7 @@
     MAX_RELOAD_JITTER_MS,
     MAX_RETRY_MS,
     MIN_FOLLOWER_RETRY_MS,
+    MIN_RETRY_MS,
     PAUSE_CONFIRMATION_LIMIT_MS,
     SNAPSHOT_DELAY_MS,
     StoreKnowledge,
@@ -31,6 +32,7 @@
     CallFailed,
     CaughtUp,
     ChangesRead,
+    FeedReceived,
     HistoryLost,
     ListSource,
     ListTaken,
@@ -91,7 +93,12 @@
         self.sharing.on_reader_registered(RegisteredReader(PEER, 4), self.now_ms)
 
     def hear_reader(
-        self, *, sent_ms: int = NOW_MS, later_changes: int = 0, routes_version: int = 0
+        self,
+        *,
+        sent_ms: int = NOW_MS,
+        list_age_ms: int = 0,
+        later_changes: int = 0,
+        routes_version: int = 0,
     ) -> None:
         self.know_reader()
         update = FeedUpdate(
@@ -102,7 +109,7 @@
             end_position=later_changes,
             revision=9,
             outages=0,
-            list_age_ms=0,
+            list_age_ms=list_age_ms,
             request_sent_ms=sent_ms,
             routes_version=routes_version,
             out_of_service=NONE_OUT_OF_SERVICE,
@@ -415,6 +422,47 @@
     assert host.knowledge.is_store_lost
 
 
+@pytest.mark.parametrize(
+    ("list_age_ms", "later_changes", "routes_version", "is_lost", "actions"),
+    [
+        pytest.param(99, 0, 0, False, [ReportStoreRegained(2)], id="answered since the failure"),
+        pytest.param(100, 0, 0, True, [], id="answered before the failure"),
+        pytest.param(99, 1, 0, True, [], id="a part of the changes"),
+        pytest.param(99, 0, 7, False, [], id="routes that this host still has to get"),
+    ],
+)
+def test_the_list_of_a_reader_shows_that_the_store_is_back(
+    list_age_ms: int, later_changes: int, routes_version: int, is_lost: bool, actions: list[object]
+) -> None:
+    # Long after an outage, followers still counted the store as lost. When their reader lost it,
+    # they waited 1.1 s for the reader to reach it again (review/12).
+    host = Host(WHOLE, FAILED, FAILED)
+    host.now_ms += 100
+    host.hear_reader(
+        sent_ms=host.now_ms,
+        list_age_ms=list_age_ms,
+        later_changes=later_changes,
+        routes_version=routes_version,
+    )
+    assert host.knowledge.is_store_lost is is_lost
+    assert host.report(FeedReceived()) == actions
+    host.now_ms += 10 * AGE_LIMIT_MS
+    assert host.knowledge.is_store_lost is is_lost
+
+
+def test_a_failure_after_an_outage_begins_a_new_one() -> None:
+    host = Host(WHOLE, *([FAILED] * 9))
+    host.now_ms += 100
+    host.hear_reader(sent_ms=host.now_ms)
+    host.report(FeedReceived())
+    host.now_ms += AGE_LIMIT_MS + 1
+    lost, report, again = host.report(FAILED)
+    assert isinstance(lost, NoteListLost)
+    assert isinstance(report, ReportStoreLost)
+    assert isinstance(again, CallAgain)
+    assert again.delay_ms <= MIN_RETRY_MS
+
+
 def test_a_reader_that_lost_the_store_counts_an_outage_for_its_followers() -> None:
     host = Host(WHOLE)
     host.serve()
