--- a/src/redwingswitch/_internal/daemon/list_reads.py
+++ b/src/redwingswitch/_internal/daemon/list_reads.py
@@ -4,11 +4,9 @@
 
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
-from redwingswitch._internal.daemon.reader_following import (
-    READER_ANSWER_TIMEOUT_MS,
-    ReaderFollowing,
-)
+from redwingswitch._internal.daemon.reader_following import ReaderFollowing
 from redwingswitch._internal.daemon.store_contact import StoreContact
+from redwingswitch._internal.decisions.list_sharing.age_budget import READER_ANSWER_TIMEOUT_MS
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.models.list_sharing import ListSharingRole
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -61,9 +61,7 @@
         call = self._store.read_changes(after_revision=after_revision, wait_ms=wait_ms)
         began_ms = self._clock.now_ms()
         changes = await self._call("changes", call)
-        # The store waits for a change before it answers, but not while it sends the answer.
-        answered_ms = max(began_ms, self._clock.now_ms() - changes.transfer_ms)
-        self._report(ChangesRead(began_ms, answered_ms, changes.revision))
+        self._report(ChangesRead(began_ms, changes.revision))
         return changes
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
--- a/src/redwingswitch/_internal/daemon/reader_following.py
+++ b/src/redwingswitch/_internal/daemon/reader_following.py
@@ -10,19 +10,18 @@
 
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.metered_store import MeteredStore
+from redwingswitch._internal.decisions.list_sharing.age_budget import (
+    FOLLOW_CHECK_INTERVAL_MS,
+    READER_ANSWER_TIMEOUT_MS,
+    ROUTES_ANSWER_TIMEOUT_MS,
+    ROUTES_REQUESTS,
+)
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.models.list_sharing import ListSharingRole
 from redwingswitch._internal.ports import Clock
 
 MS_PER_S = 1_000
-# How often a host checks whether its reader is silent and whether a request is due.
-FOLLOW_CHECK_INTERVAL_MS = 250
-# Hosts of a failure domain answer each other within a few ms; more than that only delays a start.
-READER_ANSWER_TIMEOUT_MS = 60
-# The reader answers a request for routes within a few ms; a part of the answer may be lost once.
-ROUTES_ANSWER_TIMEOUT_MS = 100
-ROUTES_REQUESTS = 2
 # How often a host without a working reader looks for the record of a new one.
 READER_LOOKUP_INTERVAL_MS = 500
 
--- a/src/redwingswitch/_internal/daemon/server_list_exchange.py
+++ b/src/redwingswitch/_internal/daemon/server_list_exchange.py
@@ -35,8 +35,8 @@
 if TYPE_CHECKING:
     from redwingswitch._internal.daemon.load_exchange import LoadExchange
 
-# With the default settings, a follower abandons a silent reader after 2,000 ms; see
-# ``server_list_sync.reader_age_limit_ms``. Three requests fit into that time.
+# With the default settings, a follower abandons a silent reader after 2,000 ms; see ``age_budget``.
+# Three requests fit into that time.
 REQUEST_INTERVAL_MS = 500
 # A reader sends a change immediately to each follower whose last request is not older than this.
 FOLLOWER_RETENTION_MS = 2_000
--- a/src/redwingswitch/_internal/daemon/server_list_sync.py
+++ b/src/redwingswitch/_internal/daemon/server_list_sync.py
@@ -19,15 +19,16 @@
 from redwingswitch._internal.daemon.list_updates import ListUpdates
 from redwingswitch._internal.daemon.list_watch import ListWatch
 from redwingswitch._internal.daemon.metered_store import MeteredStore
-from redwingswitch._internal.daemon.reader_following import (
-    FOLLOW_CHECK_INTERVAL_MS,
-    ReaderFollowing,
-)
+from redwingswitch._internal.daemon.reader_following import ReaderFollowing
 from redwingswitch._internal.daemon.server_list_exchange import ServerListExchange
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
 from redwingswitch._internal.daemon.store_contact import StoreContact
 from redwingswitch._internal.daemon.whole_list import WholeList
 from redwingswitch._internal.decisions.cookies.cookie_steering import CookieSteering
+from redwingswitch._internal.decisions.list_sharing.age_budget import (
+    FOLLOW_CHECK_INTERVAL_MS,
+    age_budget,
+)
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.decisions.load_sharing.other_readers import OtherReaders
@@ -48,18 +49,6 @@
 # A host that runs notices it this often, also without packets. It must be clearly less than
 # ``LATE_PACKET_GAP_MS``, and a part of the interval of requests to the reader.
 RUNNING_CHECK_INTERVAL_MS = 125
-# A change is read immediately after a period without changes. While changes continue, the list is
-# read this many times within the time limit for noticing a leaving server.
-READS_PER_AGE_LIMIT = 3
-# A follower abandons a reader whose list is older than this part of that limit. This is longer than
-# one read interval and a lost datagram, and leaves a third of the limit for the follower to read
-# the store itself.
-READER_AGE_LIMIT_RATIO = 2 / 3
-
-
-def reader_age_limit_ms(list_age_limit_ms: int) -> int:
-    """Return the age of a reader's list at which its followers read the store themselves."""
-    return int(list_age_limit_ms * READER_AGE_LIMIT_RATIO)
 
 
 class ServerListSynchronizer:
@@ -87,7 +76,7 @@
         self._clock = clock
         self._age_clock = age_clock
         self._event_log = EventLog(part="fleet", clock=clock)
-        self._read_interval_ms = list_age_limit_ms // READS_PER_AGE_LIMIT
+        self._read_interval_ms = age_budget(list_age_limit_ms).read_interval_ms
         self._role = ListSharingRole.READING
         self._knowledge = StoreKnowledge(
             sharing=sharing, random_source=random_source, now_ms=age_clock.now_ms()
@@ -266,8 +255,13 @@
                     await self._watch.watch_changes()
 
     async def _pause_after_read(self) -> None:
-        """Wait until the next read is due; meanwhile look for a reader if there is none."""
-        deadline_ms = self._age_clock.now_ms() + self._read_interval_ms
+        """Wait until the next read is due; meanwhile look for a reader if there is none.
+
+        An answer that comes after a long wait shows little of the present, so the next read is due
+        when the list reaches the age of a read interval.
+        """
+        now_ms = self._age_clock.now_ms()
+        deadline_ms = now_ms + self._read_interval_ms - self._knowledge.own_list_age_ms(now_ms)
         while (left_ms := deadline_ms - self._age_clock.now_ms()) > 0:
             if self.role is not self._role or self.role is ListSharingRole.FOLLOWING:
                 return
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -15,10 +15,7 @@
 from tornado.ioloop import PeriodicCallback
 
 from redwingswitch._internal.daemon.packet_path import PacketPath
-from redwingswitch._internal.daemon.server_list_sync import (
-    ServerListSynchronizer,
-    reader_age_limit_ms,
-)
+from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
 from redwingswitch._internal.daemon.settings_reload import SettingsReload
 from redwingswitch._internal.daemon.single_path_server import HttpResponse, SinglePathServer
 from redwingswitch._internal.daemon.steering_gauges import SteeringGauges
@@ -28,6 +25,7 @@
 from redwingswitch._internal.decisions.cookies.slow_start_limits import (
     SlowStartLimits,
 )
+from redwingswitch._internal.decisions.list_sharing.age_budget import age_budget
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.models.list_readers import ListReader
 from redwingswitch._internal.models.list_sharing import ListSharingRole
@@ -94,7 +92,7 @@
         self._incarnation = 1 + int(random_source.random() * (INCARNATION_RANGE - 1))
         self._sharing = ListSharing(
             local_reader=_local_reader_record(settings, self._incarnation),
-            age_limit_ms=reader_age_limit_ms(settings.strictest_age_limit_ms),
+            age_limit_ms=age_budget(settings.strictest_age_limit_ms).reader_age_ms,
             link_mbps=settings.link_mbps,
             random_source=random_source,
         )
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -129,7 +129,9 @@
         """Return milliseconds since the list was last known to be up to date."""
         role = self._sharing.role(now_ms)
         if role is ListSharingRole.SERVING:
-            return self.own_list_age_ms(now_ms)
+            # Followers must not trust a list of which the store has shown nothing yet.
+            is_confirmed = self._list_age.confirmed_ms is not None
+            return self.own_list_age_ms(now_ms) if is_confirmed else now_ms
         feed_age_ms = self._sharing.list_age_ms(now_ms)
         if role is ListSharingRole.FOLLOWING:
             return feed_age_ms
@@ -146,7 +148,7 @@
         """
         if self._sharing.needs_routes:
             return None
-        own_ms = None if self._sharing.may_miss_routes else self._list_age.proven_ms
+        own_ms = None if self._sharing.may_miss_routes else self._list_age.confirmed_ms
         times_ms = (own_ms, self._sharing.routes_confirmed_ms)
         return max((each for each in times_ms if each is not None), default=None)
 
@@ -273,14 +275,12 @@
                 self._is_list_known = True
                 self._may_load_stale_list = False
                 self._unpaired_read = None
-                self._list_age.on_list_read(event.began_ms, event.began_ms, revision=event.revision)
+                self._list_age.on_list_read(event.began_ms, revision=event.revision)
                 # Before the list counts as read: the grace period of missing servers begins anew.
                 actions = self._begin_era_if_newer(ListSource.STORE, event.revision, now_ms)
             case ChangesRead():
                 if self._unpaired_read is None:
-                    self._list_age.on_list_read(
-                        event.began_ms, event.answered_ms, revision=event.revision
-                    )
+                    self._list_age.on_list_read(event.began_ms, revision=event.revision)
             case ServersRead():
                 self._unpaired_read = event
         return [*actions, *self._on_answer(), NoteListRead()]
@@ -291,9 +291,7 @@
             case RoutesRead():
                 if unpaired is not None:
                     self._unpaired_read = None
-                    self._list_age.on_list_read(
-                        unpaired.began_ms, unpaired.began_ms, revision=unpaired.revision
-                    )
+                    self._list_age.on_list_read(unpaired.began_ms, revision=unpaired.revision)
             case ProbeAnswered():
                 if unpaired is None:
                     self._list_age.on_probe(
--- a/src/redwingswitch/_internal/platform/http_connection.py
+++ b/src/redwingswitch/_internal/platform/http_connection.py
@@ -5,7 +5,6 @@
 import asyncio
 import re
 import socket
-import time
 from typing import NamedTuple
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
@@ -36,12 +35,11 @@
 
 
 class Response(NamedTuple):
-    """A complete response; ``transfer_ms`` is the time from its headers to its end."""
+    """A complete response."""
 
     status: int
     headers: HTTPHeaders
     body: bytes
-    transfer_ms: int
 
 
 class _ResponseCollector(HTTPMessageDelegate):
@@ -51,15 +49,12 @@
         self.chunks: list[bytes] = []
         self.is_complete = False
         self.closes_connection = False
-        self._headers_s = 0.0
-        self.transfer_ms = 0
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         if isinstance(start_line, ResponseStartLine):
             self.status = start_line.code
-        self._headers_s = time.monotonic()
         self.headers = headers
         self.closes_connection = headers.get("Connection", "").lower() == "close"
 
@@ -68,7 +63,6 @@
 
     def finish(self) -> None:
         self.is_complete = True
-        self.transfer_ms = round((time.monotonic() - self._headers_s) * MS_PER_S)
 
 
 class _Stream(IOStream):
@@ -148,7 +142,6 @@
             status=collector.status,
             headers=collector.headers,
             body=b"".join(collector.chunks),
-            transfer_ms=collector.transfer_ms,
         )
 
     async def _open_stream(self) -> IOStream:
--- a/src/redwingswitch/_internal/platform/store.py
+++ b/src/redwingswitch/_internal/platform/store.py
@@ -83,7 +83,6 @@
             reader=find_reader(watched.events, reader_key=self._reader_key),
             routes_revision=routes.revision,
             has_unreadable_routes=routes.has_unreadable,
-            transfer_ms=watched.transfer_ms,
             out_of_service=out_of_service,
             other_readers=find_other_readers(watched.events, reader_key=self._reader_key),
         )
@@ -107,7 +106,6 @@
             routes=None,
             servers=tuple(changes),
             revision=max(after_revision, watched.store_revision),
-            transfer_ms=watched.transfer_ms,
             out_of_service=out_of_service,
         )
 
--- a/src/redwingswitch/_internal/platform/store_calls.py
+++ b/src/redwingswitch/_internal/platform/store_calls.py
@@ -53,7 +53,6 @@
 
     events: list[Item]
     store_revision: int
-    transfer_ms: int
 
 
 class _WriteResult(msgspec.Struct):
@@ -150,7 +149,6 @@
         return Watched(
             events=_in_era(decoded.events, era),
             store_revision=_make_revision(era, decoded.store_revision),
-            transfer_ms=response.transfer_ms,
         )
 
     async def write_if_unchanged(
