--- a/src/redwingswitch/_internal/daemon/settings_reload.py
+++ b/src/redwingswitch/_internal/daemon/settings_reload.py
@@ -23,6 +23,8 @@
     def __init__(self, *, settings: SteeringSettings, settings_file: Path | None) -> None:
         self._settings = settings
         self._settings_file = settings_file
+        # Whether the file has settings with which the next start would fail.
+        self.is_refused = False
 
     @property
     def grace_period_ms(self) -> int:
@@ -47,8 +49,10 @@
             settings = read_steering_settings(self._settings_file)
         except InvalidInputGroup as group:
             findings = "; ".join(str(error) for error in group.exceptions)
-            log.error(f"reload refused reason={findings}")
+            self.is_refused = True
+            log.error(f"reload refused next_start=fails reason={findings}")
             return
+        self.is_refused = False
         changed = [
             name
             for name, old, new in zip(settings._fields, self._settings, settings, strict=True)
--- a/src/redwingswitch/_internal/daemon/steering_daemon.py
+++ b/src/redwingswitch/_internal/daemon/steering_daemon.py
@@ -325,7 +325,10 @@
         return self._render_metrics()[0].decode()
 
     def _render_metrics(self) -> tuple[bytes, str]:
-        return self._gauges.render(is_ready=self.readiness is Readiness.READY)
+        return self._gauges.render(
+            is_ready=self.readiness is Readiness.READY,
+            are_settings_refused=self._reload.is_refused,
+        )
 
 
 def _local_reader_record(settings: SteeringSettings, incarnation: int) -> ListReader | None:
--- a/src/redwingswitch/_internal/daemon/steering_gauges.py
+++ b/src/redwingswitch/_internal/daemon/steering_gauges.py
@@ -40,7 +40,7 @@
         self._clock = clock
         self._log_stream = log_stream
 
-    def render(self, *, is_ready: bool) -> tuple[bytes, str]:
+    def render(self, *, is_ready: bool, are_settings_refused: bool) -> tuple[bytes, str]:
         """Return the metrics in the Prometheus text format and their content type."""
         directory = self._steering.directory
         routes = self._steering.routes
@@ -60,6 +60,7 @@
                 1,
             ),
             "ready": ((), float(is_ready)),
+            "settings_refused": ((), float(are_settings_refused)),
             "routes_version": ((), float(routes.version if routes else 0)),
             "list_age_ms": ((), float(self._server_list.list_age_ms())),
             "store_era": ((), float(era_of(self._server_list.revision))),
--- a/src/redwingswitch/_internal/daemon/steering_metrics.py
+++ b/src/redwingswitch/_internal/daemon/steering_metrics.py
@@ -49,6 +49,7 @@
 GAUGES = {
     "host_info": ("1; the labels name this run.", ("host", "failure_domain", "incarnation")),
     "ready": ("1 when routers may send packets.", ()),
+    "settings_refused": ("1 when the settings file has findings; the next start fails.", ()),
     "routes_version": ("Version of the routes in force.", ()),
     "list_age_ms": ("Milliseconds since the list was last known to be up to date.", ()),
     "store_era": ("Times that the store was restored, in the state that the list follows.", ()),
--- a/src/redwingswitch/_internal/platform/entries.py
+++ b/src/redwingswitch/_internal/platform/entries.py
@@ -51,7 +51,11 @@
 _NON_HEX_DIGIT = re.compile(r"[^0-9a-fA-F]")
 
 
-_Integer = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+# A whole number, which other writers may write with a fraction of 0; see ``_whole``.
+_Whole = (
+    Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+    | Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+)
 _SlowStartRate = Annotated[float, msgspec.Meta(ge=0, le=MAX_SLOW_START_PER_S)]
 # Numbers that are used as integers.
 _Number = Annotated[float, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
@@ -71,7 +75,7 @@
     kind: Literal["idempotent", "non_idempotent", "download"] = msgspec.field(name="Type")
     timeout_ms: _Number = msgspec.field(name="TimeoutMs", default=0)
     latency_goal_ms: _Number = msgspec.field(name="TargetLatencyMs", default=0)
-    priority: _Integer = msgspec.field(name="Priority", default=0)
+    priority: _Whole = msgspec.field(name="Priority", default=0)
     service: str = msgspec.field(name="Service", default="")
     split: list[_ShareEntry] = msgspec.field(name="Split", default_factory=list)
 
@@ -83,11 +87,11 @@
 
 
 class _Limits(msgspec.Struct):
-    idle_ms: _Integer = msgspec.field(name="IdleTimeoutMs", default=0)
+    idle_ms: _Number = msgspec.field(name="IdleTimeoutMs", default=0)
 
 
 class _Configuration(msgspec.Struct):
-    version: _Integer = msgspec.field(name="Version")
+    version: _Whole = msgspec.field(name="Version")
     routes: list[_RouteEntry] = msgspec.field(name="Routes")
     limits: _Limits = msgspec.field(name="Limits", default_factory=_Limits)
     # Decoded one by one, so that an odd service does not cost the routes.
@@ -100,23 +104,23 @@
     zone: str = msgspec.field(name="Zone")
     # Not used; an entry without it comes from another writer.
     software_version: str = msgspec.field(name="Version")
-    slots: _Integer = msgspec.field(name="Slots")
+    slots: _Whole = msgspec.field(name="Slots")
     state: Literal["ready", "draining"] = msgspec.field(name="State")
     # Remaining duration of the slow start.
     slow_start_left_ms: Annotated[float, msgspec.Meta(le=MAX_INTEGER)] = msgspec.field(
         name="RampLeftMs"
     )
     # Counts the server's reports since its start.
-    report_number: int = msgspec.field(name="Seq")
+    report_number: int | float = msgspec.field(name="Seq")
     # Start time in Unix milliseconds; distinguishes two starts under the same id.
-    born: int = 0
+    born: int | float = 0
 
 
 class _ReaderRecord(msgspec.Struct):
     host: str
     address: str
     port: int
-    incarnation: _Integer
+    incarnation: Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
@@ -131,14 +135,15 @@
     try:
         decoded = _configuration_decoder.decode(value)
         routes = [_build_route(route) for route in decoded.routes]
+        version = _whole(decoded.version, name="Version")
     except DECODING_ERRORS as error:
         raise DecodeError(
             f"the configuration cannot be decoded: {describe_error(error)}"
         ) from error
     return RouteTable(
-        version=decoded.version,
+        version=version,
         routes={route.destination: route for route in routes},
-        idle_limit_ms=decoded.limits.idle_ms,
+        idle_limit_ms=int(decoded.limits.idle_ms),
         slow_starts=_build_slow_starts(decoded.services or ()),
     )
 
@@ -169,7 +174,7 @@
         kind=RouteKind(route.kind),
         timeout_ms=int(route.timeout_ms),
         latency_goal_ms=int(route.latency_goal_ms),
-        priority=route.priority,
+        priority=_whole(route.priority, name=f"Priority of route {route.name!r}"),
     )
 
 
@@ -186,23 +191,26 @@
         entry = _server_decoder.decode(value)
         address, port = _parse_endpoint(entry.address)
         tunnel_prefix = _build_tunnel_prefix(server_id)
+        slots = _whole(entry.slots, name="Slots")
+        report_number = _whole(entry.report_number, name="Seq")
+        instance = _whole(entry.born, name="born")
     except DECODING_ERRORS as error:
         raise DecodeError(
             f"the entry of {server_id!r} cannot be decoded: {describe_error(error)}"
         ) from error
     server = ListedServer(
         server_id=server_id,
-        instance=entry.born,
+        instance=instance,
         service=entry.service,
         address=address,
         port=port,
         failure_domain=entry.zone,
-        slots=max(1, entry.slots),
+        slots=max(1, slots),
         state=_SERVER_STATES[entry.state],
         # A server in a longer slow start reports again long before this one ends.
         slow_start_left_ms=min(MAX_SLOW_START_MS, max(0, int(entry.slow_start_left_ms))),
         tunnel_prefix=tunnel_prefix,
-        report_number=entry.report_number,
+        report_number=report_number,
     )
     if problem := find_server_problem(server):
         raise DecodeError(f"the entry of {server_id!r} cannot be used: {problem}")
@@ -230,6 +238,13 @@
     return ListReader(record.host, record.address, record.port, record.incarnation)
 
 
+def _whole(value: float, *, name: str) -> int:
+    """Return a whole number as an integer; raise ValueError for one with a fraction."""
+    if value != int(value):
+        raise ValueError(f"{name} is no whole number: {value!r}")
+    return int(value)
+
+
 def _parse_endpoint(text: str) -> tuple[str, int]:
     address, _, port = text.partition(":")
     try:
--- a/src/redwingswitch/_internal/steering_settings.py
+++ b/src/redwingswitch/_internal/steering_settings.py
@@ -30,7 +30,8 @@
 MAX_LOCATED_CHARS = 8_000
 # The store normally answers in milliseconds; a call tolerates a store that is 100 times slower.
 DEFAULT_STORE_TIMEOUT_MS = 1_500
-MAX_GRACE_PERIOD_S = 3_600
+MIN_GRACE_PERIOD_S = 0.1
+MAX_GRACE_PERIOD_S = 3_600.0
 # The limit in the README for how long a leaving backend server may still get new work.
 DEFAULT_LIST_AGE_LIMIT_MS = 3_000
 # With a lower limit, a host would call the store more than 30 times a second.
@@ -131,8 +132,11 @@
             maximum=MAX_STORE_TIMEOUT_MS,
             default=DEFAULT_STORE_TIMEOUT_MS,
         ),
-        grace_period_ms=MS_PER_S
-        * root.integer("grace_period_s", minimum=1, maximum=MAX_GRACE_PERIOD_S),
+        # A stop must not take longer than the platform allows, so no duration is rounded up.
+        grace_period_ms=int(
+            MS_PER_S
+            * root.number("grace_period_s", minimum=MIN_GRACE_PERIOD_S, maximum=MAX_GRACE_PERIOD_S)
+        ),
         list_age_limit_ms=int(
             root.number(
                 "list_age_limit_ms",
--- a/src/redwingswitch/_internal/utils/toml_reader.py
+++ b/src/redwingswitch/_internal/utils/toml_reader.py
@@ -143,15 +143,18 @@
         self.add_finding(key, f"{value} is out of bounds", f"use {minimum} to {maximum}")
         return fallback
 
-    def number(self, key: str, *, minimum: float, maximum: float, default: float) -> float:
+    def number(
+        self, key: str, *, minimum: float, maximum: float, default: float | None = None
+    ) -> float:
         """Return a number from ``minimum`` to ``maximum``."""
-        value = self._typed_value(key, float, required=False)
+        fallback = minimum if default is None else default
+        value = self._typed_value(key, float, required=default is None)
         if not isinstance(value, int | float):
-            return default
+            return fallback
         if minimum <= value <= maximum:
             return float(value)
         self.add_finding(key, f"{value:g} is out of bounds", f"use {minimum:g} to {maximum:g}")
-        return default
+        return fallback
 
     def boolean(self, key: str, *, default: bool) -> bool:
         """Return a Boolean."""
--- a/tests/functional/test_steering_daemon.py
+++ b/tests/functional/test_steering_daemon.py
@@ -345,6 +345,8 @@
             refused = [r.message for r in handler.records if "reload refused" in r.message]
             assert len(refused) == 1
             assert f"{settings_file}:8: " in refused[0]
+            assert "\n" not in refused[0]
+            assert "settings_refused 1" in host.daemon.metrics_text()
             assert await check(host, "/ready") == 200
             host.daemon.request_stop()
             await host.task
--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -178,6 +178,9 @@
         pytest.param('"Slots": 2', '"Slots": 1' + "0" * 30, id="slots beyond 64 bits"),
         pytest.param('"Slots": 2', '"Slots": 1' + "0" * 5_000, id="slots of 5,000 digits"),
         pytest.param('"Slots": 2', '"Slots": -2', id="negative slots"),
+        pytest.param('"Slots": 2', '"Slots": 2.5', id="a part of a slot"),
+        pytest.param('"Seq": 1', '"Seq": 1.5', id="a part of a report"),
+        pytest.param('"born": 1', '"born": 1.5', id="a part of a start time"),
         pytest.param('"Seq": 1', '"Seq": 1' + "0" * 30, id="report number beyond 64 bits"),
         pytest.param('"Seq": 1', '"Seq": -1', id="negative report number"),
         pytest.param('"born": 1', '"born": 1' + "0" * 30, id="start time beyond 64 bits"),
@@ -219,6 +222,8 @@
     [
         pytest.param('"Version": 1', '"Version": 1' + "0" * 30, id="version beyond 64 bits"),
         pytest.param('"Version": 1', '"Version": -1', id="negative version"),
+        pytest.param('"Version": 1', '"Version": 1.5', id="a part of a version"),
+        pytest.param('"Priority": 2', '"Priority": 2.5', id="a part of a priority"),
         pytest.param('"TimeoutMs": 2000', '"TimeoutMs": 1e300', id="timeout without end"),
         pytest.param('"Priority": 2', '"Priority": 1' + "0" * 30, id="priority beyond 64 bits"),
         pytest.param('"Limits"', '"X": ' + "[" * DEEP + "]" * DEEP + ', "Limits"', id="nested"),
@@ -249,6 +254,42 @@
         decode_reader((value % fields).encode())
 
 
+@pytest.mark.parametrize(
+    ("text", "replacement"),
+    [
+        pytest.param('"Slots": 2', '"Slots": 2.0', id="slots"),
+        pytest.param('"Seq": 1', '"Seq": 1.0', id="report number"),
+        pytest.param('"born": 1', '"born": 1.0', id="start time"),
+        pytest.param('"RampLeftMs": 300', '"RampLeftMs": 300.4', id="slow start"),
+    ],
+)
+def test_figures_of_an_entry_may_be_written_with_a_fraction(text: str, replacement: str) -> None:
+    # A server whose entry cannot be decoded gets no flows.
+    value = json.dumps(ENTRY)
+    assert text in value
+    read = decode_server("i-1", value.replace(text, replacement).encode())
+    assert read == decode_server("i-1", value.encode())
+    assert type(read.slots) is type(read.report_number) is type(read.instance) is int
+
+
+@pytest.mark.parametrize(
+    ("text", "replacement"),
+    [
+        pytest.param('"Version": 1', '"Version": 1.0', id="version"),
+        pytest.param('"Priority": 2', '"Priority": 2.0', id="priority"),
+        pytest.param('"TimeoutMs": 2000', '"TimeoutMs": 2000.5', id="timeout"),
+        pytest.param('"IdleTimeoutMs": 15000', '"IdleTimeoutMs": 15000.5', id="idle limit"),
+    ],
+)
+def test_figures_of_a_configuration_may_have_a_fraction(text: str, replacement: str) -> None:
+    document = build_configuration(version=1, routes=[StandinRoute("198.18.0.1", 1, "job-board")])
+    value = json.dumps(document)
+    assert text in value
+    read = decode_routes(value.replace(text, replacement).encode())
+    assert read == decode_routes(value.encode())
+    assert type(read.version) is type(read.idle_limit_ms) is int
+
+
 JSON_VALUES = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner, max_size=3),
--- a/tests/unit/test_steering_settings.py
+++ b/tests/unit/test_steering_settings.py
@@ -105,6 +105,29 @@
     assert settings.admission
 
 
+@pytest.mark.parametrize("value", [5.5, 6.0, 6])
+@pytest.mark.parametrize(
+    "name", [name for name in TEMPLATE_VALUES if name.startswith(("Bounds.", "Limits."))]
+)
+def test_each_figure_of_the_platform_may_have_a_fraction(name: str, value: float) -> None:
+    # After a planned stop no daemon started again, as the grace period was 5.5 s (review/14).
+    scale = 1_000 if name.endswith("Ms") else 1
+    fields = {**TEMPLATE_VALUES, name: scale * value}
+    settings = parse_steering_settings(
+        text=fill_template(TEMPLATE.read_text(), fields), file="settings.toml"
+    )
+    if name == "Bounds.GraceS":
+        assert settings.grace_period_ms == 1_000 * value
+
+
+@pytest.mark.parametrize("value", [0, -1, 0.05, 3_601, "nan", "inf", "true", '"6"'])
+def test_a_grace_period_that_cannot_be_kept_has_a_finding(value: object) -> None:
+    text = VALID_SETTINGS.replace("grace_period_s = 6", f"grace_period_s = {value}")
+    with pytest.raises(InvalidInputGroup) as caught:
+        parse_steering_settings(text=text, file="settings.toml")
+    assert [str(error).split(" ")[0] for error in caught.value.exceptions] == ["settings.toml:9:"]
+
+
 def test_omitted_list_age_limit_and_link_speed_take_their_defaults() -> None:
     omitted = ("Bounds.DrainMs", "Limits.LinkMbps")
     fields = {name: value for name, value in TEMPLATE_VALUES.items() if name not in omitted}
