Bound the age of routes by a limit of their own

Cause: the age limit of the shared list followed the limit for leaving servers, and that for failure domains out of service.

--- a/src/redwingswitch/_internal/steering_settings.py
+++ b/src/redwingswitch/_internal/steering_settings.py
@@ -38,8 +38,6 @@
 MIN_LIST_AGE_LIMIT_MS = 100
 MAX_LIST_AGE_LIMIT_MS = 60_000
 MAX_LINK_MBPS = 1_000_000.0
-MIN_OUT_OF_SERVICE_LIMIT_MS = 100
-MAX_OUT_OF_SERVICE_LIMIT_MS = 60_000
 MAX_SLOW_START_OVERSHOOT = 100.0
 MAX_SLOW_START_SLACK = 100_000.0
 
@@ -59,8 +57,10 @@
     Hosts of one failure domain share the list of backend servers by datagrams between their
     ``peers`` addresses, unless that is None. A leaving server gets no new flow after
     ``list_age_limit_ms``, and a server of a failure domain that is taken out of service none after
-    ``out_of_service_limit_ms``. ``link_mbps`` is None when the bandwidth of the host's link is not
-    known. ``failure_domains`` names those of the deployment; it is empty when they are not known.
+    ``out_of_service_limit_ms``. Routes are in force ``configuration_limit_ms`` after they were
+    written. The latter two are None without a limit of their own. ``link_mbps`` is None when the
+    bandwidth of the host's link is not known. ``failure_domains`` names those of the deployment; it
+    is empty when they are not known.
 
     A server in its slow start gets at most its service's rate times ``slow_start_overshoot`` plus
     ``slow_start_slack`` flows in a second. With ``load_sharing``, hosts tell each other the load
@@ -82,6 +82,7 @@
     log_level: LogLevel
     failure_domains: tuple[str, ...] = ()
     out_of_service_limit_ms: int | None = None
+    configuration_limit_ms: int | None = None
     slow_start_overshoot: float = 1.0
     slow_start_slack: float = 0.0
     load_sharing: bool = False
@@ -89,10 +90,13 @@
 
     @property
     def strictest_age_limit_ms(self) -> int:
-        """Return the age of a list at which a host could break one of the two limits."""
-        if self.out_of_service_limit_ms is None:
-            return self.list_age_limit_ms
-        return min(self.list_age_limit_ms, self.out_of_service_limit_ms)
+        """Return the age of a list at which a host could break one of its limits."""
+        limits_ms = (
+            self.list_age_limit_ms,
+            self.out_of_service_limit_ms,
+            self.configuration_limit_ms,
+        )
+        return min(limit_ms for limit_ms in limits_ms if limit_ms is not None)
 
 
 def read_steering_settings(path: Path) -> SteeringSettings:
@@ -137,14 +141,7 @@
             MS_PER_S
             * root.number("grace_period_s", minimum=MIN_GRACE_PERIOD_S, maximum=MAX_GRACE_PERIOD_S)
         ),
-        list_age_limit_ms=int(
-            root.number(
-                "list_age_limit_ms",
-                minimum=MIN_LIST_AGE_LIMIT_MS,
-                maximum=MAX_LIST_AGE_LIMIT_MS,
-                default=DEFAULT_LIST_AGE_LIMIT_MS,
-            )
-        ),
+        list_age_limit_ms=_read_age_limit_ms(root, "list_age_limit_ms"),
         link_mbps=(
             root.number("link_mbps", minimum=0.0, maximum=MAX_LINK_MBPS, default=0.0)
             if root.has("link_mbps")
@@ -152,18 +149,8 @@
         ),
         log_level=root.choice("log_level", choices=tuple(LogLevel), default=LogLevel.INFO),
         failure_domains=tuple(root.strings("failure_domains")),
-        out_of_service_limit_ms=(
-            int(
-                root.number(
-                    "out_of_service_limit_ms",
-                    minimum=MIN_OUT_OF_SERVICE_LIMIT_MS,
-                    maximum=MAX_OUT_OF_SERVICE_LIMIT_MS,
-                    default=DEFAULT_LIST_AGE_LIMIT_MS,
-                )
-            )
-            if root.has("out_of_service_limit_ms")
-            else None
-        ),
+        out_of_service_limit_ms=_read_optional_limit_ms(root, "out_of_service_limit_ms"),
+        configuration_limit_ms=_read_optional_limit_ms(root, "configuration_limit_ms"),
         slow_start_overshoot=root.number(
             "slow_start_overshoot", minimum=1.0, maximum=MAX_SLOW_START_OVERSHOOT, default=1.0
         ),
@@ -175,3 +162,18 @@
     )
     root.check_unknown_keys()
     return settings
+
+
+def _read_optional_limit_ms(root: TableReader, key: str) -> int | None:
+    return _read_age_limit_ms(root, key) if root.has(key) else None
+
+
+def _read_age_limit_ms(root: TableReader, key: str) -> int:
+    return int(
+        root.number(
+            key,
+            minimum=MIN_LIST_AGE_LIMIT_MS,
+            maximum=MAX_LIST_AGE_LIMIT_MS,
+            default=DEFAULT_LIST_AGE_LIMIT_MS,
+        )
+    )
