--- a/tests/unit/list_sharing/test_store_knowledge_machine.py
+++ b/tests/unit/list_sharing/test_store_knowledge_machine.py
@@ -1,4 +1,4 @@
-"""Guards against a host that takes its list for newer than the store's answers have shown."""
+"""Guards against a host that takes its list for too new, or keeps an old one for too long."""
 
 import random
 from collections.abc import Iterable
@@ -8,6 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import initialize, rule
 
+from redwingswitch._internal.daemon.list_reads import READER_RECOVERY_WAIT_MS
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.list_sharing.store_knowledge import StoreKnowledge
 from redwingswitch._internal.models.list_readers import ListReader, RegisteredReader
@@ -18,6 +19,7 @@
     CallFailed,
     CaughtUp,
     ChangesRead,
+    FeedReceived,
     HistoryLost,
     ListSource,
     ListTaken,
@@ -39,6 +41,7 @@
     AGE_LIMIT_MS,
     HOST_COUNT,
     MAX_HISTORY_CHANGES,
+    MAX_LATENCY_TICKS,
     READ_INTERVAL_MS,
     REQUEST_INTERVAL_MS,
     SERVER_COUNT,
@@ -51,6 +54,12 @@
 
 PROBE_INTERVAL_MS = 1_000
 WATCH_LAG_LIMIT_MS = 500
+CALL_TIMEOUT_MS = 1_500
+# A host that neither it nor the store was disturbed for is in touch.
+CALM_MS = 4_000
+CALM_LATENCY_TICKS = 1
+# The limit of which ``AGE_LIMIT_MS`` is the part for the age of a reader's list.
+LIMIT_MS = 3_000
 # Its link is narrow, so that it reads changes and routes apart.
 NARROW_HOST = 3
 NARROW_LINK_MBPS = 10.0
@@ -75,6 +84,8 @@
         # The version at each revision at which it changed, in the order of the revisions.
         self.versions = [(1, 1)]
         super().__init__()
+        # Whether a restore or a lost history has yet to be noticed by ``is_disturbed``.
+        self.is_changed = False
         # The states since the last restore; a read that may be stale returns one of the last.
         self.states = [self.state()]
 
@@ -92,6 +103,7 @@
         self.versions.append((self.revision, self.routes_version))
         self.past_versions.append((now_ms, self.routes_version))
         self.states = [self.state()]
+        self.is_changed = True
 
     def toggle(self, number: int, now_ms: int) -> None:
         super().toggle(number, now_ms)
@@ -114,6 +126,12 @@
     def drop_history(self) -> None:
         self.history.clear()
         self.begin = self.revision + 1
+        self.is_changed = True
+
+    def is_disturbed(self) -> bool:
+        """Return whether the store was restored, or lost its history, since the last call."""
+        was_changed, self.is_changed = self.is_changed, False
+        return was_changed
 
     def state(self) -> StoreState:
         return StoreState(self.revision, self.listed, self.record, self.routes_version)
@@ -214,6 +232,29 @@
         self.is_refused_routes = number % 2 == 1
         self.random = random.Random(incarnation)
         self.is_watch_silent = False
+        # Whether the network holds answers up, until it no longer does or the call times out.
+        self.holds_answers = False
+        self.is_store_down = False
+        # When a host that waits for its reader reads without it.
+        self.wait_deadline_ms: int | None = None
+        self.calm_since_ms = world_ms
+
+    @property
+    def is_disturbed(self) -> bool:
+        """Return whether a fault of this host lasts."""
+        reaches_all = self.reaches_store and self.reaches_peers and not self.is_store_down
+        is_hindered = self.is_refused_routes or self.is_watch_silent or self.holds_answers
+        return self.is_paused or is_hindered or not reaches_all
+
+    def waits_for_reader(self) -> bool:
+        """Return whether the host waits for its reader before it reads, as in ``ListReads``."""
+        is_lost = self.knowledge.is_store_lost and self.role is ListSharingRole.READING
+        if not is_lost or not self.knowledge.has_answering_reader(self.now_ms):
+            self.wait_deadline_ms = None
+            return False
+        if self.wait_deadline_ms is None:
+            self.wait_deadline_ms = self.now_ms + READER_RECOVERY_WAIT_MS
+        return self.now_ms < self.wait_deadline_ms
 
     def report(self, event: StoreEvent) -> None:
         for action in self.knowledge.on_event(event, self.now_ms):
@@ -247,6 +288,7 @@
                 # A host that lost its reader catches up, whatever it reads afterwards.
                 self.has_lost_reader = True
             self.role = role
+            self.wait_deadline_ms = None
             self.report(RoleChanged(role))
             if role is ListSharingRole.FOLLOWING:
                 self.end_call()
@@ -371,6 +413,52 @@
                     self._tick(host)
                 self._check_revisions()
             self._check_ages()
+            self._check_limit()
+
+    @rule()
+    def stay_calm(self) -> None:
+        """Let all faults end, so that a later one strikes hosts that have forgotten the former."""
+        self._end_faults()
+        self.pass_time(24)
+
+    @rule(ticks=st.integers(6, 20), number=st.integers(0, SERVER_COUNT - 1))
+    def cut_off_a_reader_after_an_outage(self, ticks: int, number: int) -> None:
+        """Let a second fault strike long after the first.
+
+        Readers reach the store first after the outage, so that their followers make no call.
+        """
+        self._end_faults()
+        self.take_the_store_down_or_up(True)
+        self.pass_time(ticks)
+        self.take_the_store_down_or_up(False)
+        self.pass_time(24)
+        self.change_a_server_while_a_reader_is_cut_off(number, 18, True)
+
+    @rule(is_down=st.booleans())
+    def take_the_store_down_or_up(self, is_down: bool) -> None:
+        for host in self.hosts:
+            host.is_store_down = is_down
+
+    @rule(number=st.integers(0, HOST_COUNT - 1), holds=st.booleans())
+    def hold_up_or_deliver_answers(self, number: int, holds: bool) -> None:
+        self.hosts[number].holds_answers = holds
+
+    @rule(
+        number=st.integers(0, SERVER_COUNT - 1),
+        ticks=st.sampled_from([3, 6, 18]),
+        holds=st.booleans(),
+    )
+    def change_a_server_while_a_reader_is_cut_off(
+        self, number: int, ticks: int, holds: bool
+    ) -> None:
+        for host in self.hosts:
+            host.holds_answers = holds and host.sharing.is_reader
+        self.toggle_a_server(number)
+        self.pass_time(ticks)
+
+    @rule(is_long=st.booleans())
+    def let_answers_take_long(self, is_long: bool) -> None:
+        self.max_latency_ticks = MAX_LATENCY_TICKS if is_long else CALM_LATENCY_TICKS
 
     @rule()
     def write_routes(self) -> None:
@@ -429,11 +517,7 @@
 
     def check_recovery(self) -> None:
         """Check that, once all faults end, all hosts know the store's state and say so."""
-        self.loses_datagrams = self.delays_routes = False
-        self.max_latency_ticks = 1
-        for host in self.hosts:
-            host.is_paused = host.is_watch_silent = host.is_refused_routes = False
-            host.reaches_store = host.reaches_peers = True
+        self._end_faults()
         self.pass_time(400)
         roles = sorted(host.sharing.role(host.now_ms) for host in self.hosts)
         assert roles == [ListSharingRole.FOLLOWING] * (HOST_COUNT - 1) + [ListSharingRole.SERVING]
@@ -445,6 +529,24 @@
                 assert not host.knowledge.is_store_lost
                 assert not host.knowledge.has_abandoned_watch
 
+    def _end_faults(self) -> None:
+        self.loses_datagrams = self.delays_routes = False
+        self.max_latency_ticks = CALM_LATENCY_TICKS
+        for host in self.hosts:
+            host.is_paused = host.is_watch_silent = host.is_refused_routes = False
+            host.reaches_store = host.reaches_peers = True
+            host.is_store_down = host.holds_answers = False
+
+    def _check_limit(self) -> None:
+        """Check that a host in touch has a young list, whatever befalls the reader (review/12)."""
+        is_busy = self.loses_datagrams or self.delays_routes or self.store.is_disturbed()
+        is_busy = is_busy or self.max_latency_ticks > CALM_LATENCY_TICKS
+        for host in self.hosts:
+            if is_busy or host.is_disturbed:
+                host.calm_since_ms = self.now_ms
+            elif self.now_ms - host.calm_since_ms >= CALM_MS and host.knowledge.is_list_known:
+                self._check_state_since(host, self.now_ms - LIMIT_MS)
+
     def _check_ages(self) -> None:
         """Check that each host has what the store had when its list was last up to date."""
         for host in self.hosts:
@@ -455,16 +557,20 @@
             # A list that has not been confirmed since the start is not used.
             if confirmed_ms <= host.started_ms:
                 continue
-            states = _since(self.store.past, confirmed_ms)
-            for number in range(SERVER_COUNT):
-                assert any((number in host.listed) == (number in listed) for listed in states)
-            if not host.sharing.needs_routes:
-                assert host.routes_version >= min(_since(self.store.past_versions, confirmed_ms))
+            self._check_state_since(host, confirmed_ms)
             routes_ms = host.knowledge.routes_confirmed_ms()
             if routes_ms is not None:
                 since_ms = self.now_ms - (host.now_ms - routes_ms)
                 assert host.routes_version >= min(_since(self.store.past_versions, since_ms))
 
+    def _check_state_since(self, host: Host, since_ms: int) -> None:
+        """Check that a host has for each server, and of the routes, what the store had since."""
+        states = _since(self.store.past, since_ms)
+        for number in range(SERVER_COUNT):
+            assert any((number in host.listed) == (number in listed) for listed in states)
+        if not host.sharing.needs_routes:
+            assert host.routes_version >= min(_since(self.store.past_versions, since_ms))
+
     def _check_revisions(self) -> None:
         """Check that no host's revision is past routes that it never got, as in review/6."""
         for host in self.hosts:
@@ -492,9 +598,11 @@
             return
         if host.has_lost_reader and read in (NextRead.WATCH, NextRead.PARTS):
             read = NextRead.CATCH_UP
-        if not host.reaches_store:
+        if not host.reaches_store or host.is_store_down:
             host.fail()
             return
+        if read is NextRead.CATCH_UP and host.waits_for_reader():
+            return
         if read is NextRead.WATCH and self._claim_if_due(host):
             return
         made_ticks = self.random.randint(0, self.max_latency_ticks)
@@ -557,12 +665,21 @@
     def _go_on_with_call(self, host: Host) -> None:
         if host.call is None:
             return
-        if not host.reaches_store:
+        if not host.reaches_store or host.is_store_down:
             host.fail()
             return
         self._make_answer(host)
-        is_silent = host.is_watch_silent and host.call.read is NextRead.WATCH
-        if host.now_ms >= host.call.arrival_ms and not is_silent:
+        is_watch = host.call.read is NextRead.WATCH
+        is_silent = host.is_watch_silent and is_watch
+        if host.holds_answers:
+            began_ms = host.call.began_ms
+            if is_watch:
+                began_ms = host.now_ms if host.probe is None else host.probe[0]
+            if host.now_ms - began_ms >= CALL_TIMEOUT_MS:
+                host.fail()
+            elif is_watch and host.probe is None:
+                self._probe(host)
+        elif host.now_ms >= host.call.arrival_ms and not is_silent:
             host.end_read(self.store)
         elif host.call.read is NextRead.WATCH:
             self._probe(host)
@@ -610,6 +727,7 @@
             if update is None:
                 return
             taken = host.sharing.on_update(update, host.now_ms)
+            host.report(FeedReceived())
             host.apply(taken.changes)
             if host.sharing.needs_routes and not (
                 self.delays_routes and self.random.random() < 0.5
