Refuse routes of a restored store that would complete an earlier read

Cause: a read in parts brings the servers, then the routes. If the store was restored in between, the host took the routes of the copy for the newest at a revision of the former era, until its next call.

Change: such routes raise StoreHistoryLostError, so that the whole list is read, and confirm no list.

The daemon's test failed before. No run of real processes has shown the fault.

--- a/src/redwingswitch/_internal/daemon/list_updates.py
+++ b/src/redwingswitch/_internal/daemon/list_updates.py
@@ -15,6 +15,7 @@
 from redwingswitch._internal.decisions.list_sharing.routes_history import RoutesHistory
 from redwingswitch._internal.decisions.list_sharing.sharing import ListSharing
 from redwingswitch._internal.decisions.load_sharing.other_readers import OtherReaders
+from redwingswitch._internal.exceptions import StoreHistoryLostError
 from redwingswitch._internal.models.cookie_flows import RouteTable
 from redwingswitch._internal.models.list_readers import RegisteredReader
 from redwingswitch._internal.models.list_sharing import (
@@ -30,7 +31,7 @@
     StoredRoutes,
 )
 from redwingswitch._internal.models.store_knowledge import FeedReceived, ListSource, ListTaken
-from redwingswitch._internal.models.store_revisions import format_revision
+from redwingswitch._internal.models.store_revisions import era_of, format_revision
 from redwingswitch._internal.ports import Clock, RandomSource
 from redwingswitch._internal.utils.event_log import EventLog
 
@@ -132,7 +133,12 @@
         """Apply routes that were read alone.
 
         The store has no later ones up to ``up_to_revision``, which is None if that is not known.
+        Raises StoreHistoryLostError if it was restored since it had that revision.
         """
+        if up_to_revision is not None and era_of(routes.revision) > era_of(up_to_revision):
+            raise StoreHistoryLostError(
+                "the store was restored during a read of the routes; read the full list"
+            )
         self._sharing.on_routes_read(routes.routes, up_to_revision=up_to_revision)
         self._put_in_force(routes)
         self.peers.notify_followers()
--- a/src/redwingswitch/_internal/daemon/metered_store.py
+++ b/src/redwingswitch/_internal/daemon/metered_store.py
@@ -77,7 +77,7 @@
         operation = "stale_routes" if may_be_stale else "routes"
         routes = await self._call(operation, self._store.read_routes(may_be_stale=may_be_stale))
         if not may_be_stale:
-            self._report(RoutesRead())
+            self._report(RoutesRead(routes.revision))
         return routes
 
     async def read_reader(self) -> RegisteredReader:
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -289,7 +289,9 @@
         unpaired = self._unpaired_read
         match event:
             case RoutesRead():
-                if unpaired is not None:
+                # Routes of a later era do not belong to the servers of the former one.
+                is_restored = unpaired and era_of(event.revision) > era_of(unpaired.revision)
+                if unpaired is not None and not is_restored:
                     self._unpaired_read = None
                     self._list_age.on_list_read(unpaired.began_ms, revision=unpaired.revision)
             case ProbeAnswered():
--- a/src/redwingswitch/_internal/models/store_knowledge.py
+++ b/src/redwingswitch/_internal/models/store_knowledge.py
@@ -69,7 +69,9 @@
 
 
 class RoutesRead(NamedTuple):
-    """The store answered with the newest routes."""
+    """The store answered with the newest routes; ``revision`` is 0 if it has none."""
+
+    revision: int = 0
 
 
 class ProbeAnswered(NamedTuple):
--- a/tests/unit/daemon/test_server_list_sync.py
+++ b/tests/unit/daemon/test_server_list_sync.py
@@ -56,6 +56,7 @@
     ServerListChanges,
     StoredRoutes,
 )
+from redwingswitch._internal.models.store_revisions import make_revision
 from redwingswitch._internal.network.list_messages import (
     decode_list_message,
     encode_list_message,
@@ -1096,6 +1097,22 @@
     run(scenario())
 
 
+def test_routes_of_a_restored_store_complete_no_read_of_before() -> None:
+    # The store was restored between the two calls of a read in parts. The host took routes of the
+    # copy for the newest ones at a revision from before. Found by the state machine of the list.
+    async def scenario() -> None:
+        async with following(age_limit_ms=200) as running:
+            running.reader.peers.on_datagram(update(revision=9), PEER_ADDRESS)
+            await wait_until(lambda: running.reader.role is ListSharingRole.FOLLOWING)
+            restored = make_revision(era=1, number=3)
+            running.store.routes = StoredRoutes(route_table(version=7), restored)
+            await wait_until(lambda: "routes" in running.store.calls)
+            assert version_in_force(running) != 7
+            await wait_until(lambda: "all" in running.store.calls)
+
+    run(scenario())
+
+
 def test_hosts_that_lost_reader_and_store_repeat_only_the_cheapest_call() -> None:
     # In an outage of the store, 227 hosts repeated a call of full price 6 to 7 times each.
     async def scenario() -> None:
--- a/tests/unit/list_sharing/test_store_knowledge.py
+++ b/tests/unit/list_sharing/test_store_knowledge.py
@@ -219,6 +219,11 @@
         pytest.param([ServersRead(10_300, 5)], START_MS, id="servers only"),
         pytest.param([ServersRead(10_300, 5), RoutesRead()], 10_300, id="servers, then routes"),
         pytest.param([RoutesRead()], START_MS, id="routes only"),
+        pytest.param(
+            [ServersRead(10_300, 5), RoutesRead(make_revision(era=1, number=3))],
+            START_MS,
+            id="servers, then routes of a restored store",
+        ),
         pytest.param(
             [ServersRead(10_300, 5), ChangesRead(10_400, 7)],
             START_MS,
--- a/tests/unit/list_sharing/test_store_knowledge_machine.py
+++ b/tests/unit/list_sharing/test_store_knowledge_machine.py
@@ -376,7 +376,10 @@
         if self.is_refused_routes and self.random.random() < 0.5:
             self.fail()
             return
-        self.report(RoutesRead())
+        self.report(RoutesRead(store.routes_revision))
+        if era_of(store.routes_revision) > era_of(call.up_to_revision):
+            self.report(HistoryLost("restored"))
+            return
         self.take_routes(store.routes_version, up_to_revision=call.up_to_revision)
         self.sharing.on_reader_registered(store.record, self.now_ms)
         if call.read is NextRead.CATCH_UP:
