--- a/src/redwingswitch/_internal/decisions/list_sharing/age_budget.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/age_budget.py
@@ -56,7 +56,7 @@
     @property
     def fits(self) -> bool:
         """Return whether the parts fit the limit."""
-        return max(self.longest_ms, self.longest_routes_ms) <= self.limit_ms
+        return self.longest_routes_ms <= self.limit_ms
 
 
 def age_budget(limit_ms: int) -> AgeBudget:
--- a/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
+++ b/src/redwingswitch/_internal/decisions/list_sharing/store_knowledge.py
@@ -290,8 +290,7 @@
         match event:
             case RoutesRead():
                 # Routes of a later era do not belong to the servers of the former one.
-                is_restored = unpaired and era_of(event.revision) > era_of(unpaired.revision)
-                if unpaired is not None and not is_restored:
+                if unpaired is not None and era_of(event.revision) <= era_of(unpaired.revision):
                     self._unpaired_read = None
                     self._list_age.on_list_read(unpaired.began_ms, revision=unpaired.revision)
             case ProbeAnswered():
