Call listed_server in the benchmark of the shared list, and share set-ups of tests

Cause: the benchmark shared_list built its servers anew beside benchmarks.cookie_flows, kept names of calls that nothing read, and compared the history with a made-up pair. Four tests of entries replaced a part of a value in the same way, and a table of silent flows stood twice.

Change: one piece each. Behaviour, assertions and expectations are the same.

--- a/benchmarks/shared_list.py
+++ b/benchmarks/shared_list.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any, NamedTuple, TypeVar
 
+from benchmarks.cookie_flows import listed_server
 from benchmarks.tables import Table
 from redwingswitch._internal.daemon.server_list_sync import ServerListSynchronizer
 from redwingswitch._internal.daemon.steering_metrics import SteeringMetrics
@@ -93,8 +94,8 @@
         self.readers: dict[str, RegisteredReader] = {}
         self.is_down = False
         self.changed = asyncio.Event()
-        # The time and the name of each call that reached the store.
-        self.calls: list[tuple[float, str]] = []
+        # When each call reached the store.
+        self.calls_s: list[float] = []
 
     def put(self, server: ListedServer) -> None:
         self.revision += 1
@@ -119,6 +120,9 @@
             routes=None, servers=tuple(map(self._change, sorted(names))), revision=self.revision
         )
 
+    def has_changed_after(self, revision: int) -> bool:
+        return bool(self.history) and self.history[-1][0] > revision
+
     def whole(self, domain: str) -> ServerList:
         return ServerList(
             routes=ROUTES,
@@ -142,27 +146,27 @@
         self.connected.set()
 
     async def read_all(self, *, may_be_stale: bool = False) -> ServerList:
-        return await self._call("list", lambda: self._store.whole(self._domain))
+        return await self._call(lambda: self._store.whole(self._domain))
 
     async def read_changes(self, *, after_revision: int, wait_ms: int) -> ServerListChanges:
         if wait_ms:
-            await self._call("watch", lambda: None, answers=False)
+            await self._call(lambda: None, answers=False)
             await self._wait_for_change(after_revision, wait_ms / 1_000)
             return await self._answer(lambda: self._store.changes_after(after_revision))
-        return await self._call("changes", lambda: self._store.changes_after(after_revision))
+        return await self._call(lambda: self._store.changes_after(after_revision))
 
     async def read_server_changes(self, *, after_revision: int) -> ServerListChanges:
-        return await self._call("servers", lambda: self._store.changes_after(after_revision))
+        return await self._call(lambda: self._store.changes_after(after_revision))
 
     async def read_routes(self, *, may_be_stale: bool = False) -> StoredRoutes:
-        return await self._call("routes", lambda: StoredRoutes(ROUTES, 1))
+        return await self._call(lambda: StoredRoutes(ROUTES, 1))
 
     async def read_reader(self) -> RegisteredReader:
         readers = self._store.readers
-        return await self._call("reader", lambda: readers.get(self._domain, NO_READER))
+        return await self._call(lambda: readers.get(self._domain, NO_READER))
 
     async def read_other_readers(self) -> Sequence[DomainReader]:
-        return await self._call("other readers", tuple)
+        return await self._call(tuple)
 
     async def register_reader(self, reader: ListReader, *, expected: int) -> RegisteredReader:
         def register() -> RegisteredReader:
@@ -173,20 +177,19 @@
                 self._store.readers[self._domain] = known
             return known
 
-        return await self._call("claim", register)
+        return await self._call(register)
 
     async def probe(self, *, known_revision: int) -> int:
-        return await self._call("probe", lambda: self._store.revision)
+        return await self._call(lambda: self._store.revision)
 
     def close(self) -> None:
         """There is nothing to close."""
 
-    async def _call(self, name: str, make: Callable[[], T], *, answers: bool = True) -> T:
+    async def _call(self, make: Callable[[], T], *, answers: bool = True) -> T:
         try:
             async with asyncio.timeout(CALL_TIMEOUT_MS / 1_000):
                 await self._pass()
-                loop = asyncio.get_running_loop()
-                self._store.calls.append((loop.time(), name))
+                self._store.calls_s.append(asyncio.get_running_loop().time())
                 await asyncio.sleep(STORE_WORK_S)
                 return await self._answer(make) if answers else make()
         except TimeoutError as error:
@@ -207,7 +210,7 @@
         store = self._store
         try:
             async with asyncio.timeout(wait_s):
-                while store.history[-1:] <= [(after_revision, "~")] and not store.is_down:
+                while not store.has_changed_after(after_revision) and not store.is_down:
                     await store.changed.wait()
         except TimeoutError:
             return
@@ -287,7 +290,7 @@
 
     def calls_per_s(self, begin_s: float, end_s: float) -> float:
         """Return the calls in a second that reached the store in a time span."""
-        return sum(begin_s <= at_s < end_s for at_s, _ in self.store.calls) / (end_s - begin_s)
+        return sum(begin_s <= at_s < end_s for at_s in self.store.calls_s) / (end_s - begin_s)
 
     async def drain_and_measure(self, followers: Sequence[_Host]) -> Callable[[], int]:
         """Let a server leave; the result returns after how many ms the last follower knew."""
@@ -400,19 +403,13 @@
 
 
 def _server(number: int, *, report_number: int = 0) -> ListedServer:
-    return ListedServer(
-        server_id=f"i-{number}",
-        instance=1,
+    server = listed_server(
+        f"i-{number}",
         service="job-board",
-        address="10.9.0.1",
-        port=8_000 + number,
         failure_domain=f"domain-{number % DOMAINS}",
-        slots=2,
-        state=ServerState.ACTIVE,
-        slow_start_left_ms=0,
-        tunnel_prefix=b"\0" * 8,
-        report_number=report_number,
+        port=8_000 + number,
     )
+    return server._replace(report_number=report_number)
 
 
 def _format(value: float) -> str:
--- a/tests/unit/cookies/test_failure_detector.py
+++ b/tests/unit/cookies/test_failure_detector.py
@@ -181,10 +181,11 @@
 
 
 DOMAIN_CONDEMNED = [
-    Stall("i-2", 11, 0, retransmissions=2),
-    Stall("i-3", 12, 100, retransmissions=2),
+    Stall(server_id, port, at_ms, retransmissions=2)
+    for server_id, port, at_ms in (("i-2", 11, 0), ("i-3", 12, 100), ("i-3", 13, 200))
 ]
-DOMAIN_CONDEMNED.append(Stall("i-3", 13, 200, retransmissions=2))
+# The latest copy that the server had to answer was sent 400 ms before each stall.
+SILENT_FLOWS = [stall._replace(retransmissions=2) for stall in ONE_AFTER_ANOTHER]
 OWN_STALL = Stall("i-1", 1, 300, retransmissions=2)
 
 
@@ -243,7 +244,7 @@
             id="the server has answered since",
         ),
         pytest.param(
-            [stall._replace(retransmissions=2) for stall in ONE_AFTER_ANOTHER],
+            SILENT_FLOWS,
             Suspicion.CONDEMNED,
             id="the server alone",
         ),
@@ -269,10 +270,6 @@
     assert detector.silence(server("i-1", failure_domain=FAR_DOMAIN), now_ms) is expected
 
 
-# The latest copy that a server in ``SILENT_FLOWS`` had to answer was sent 400 ms before 300.
-SILENT_FLOWS = [stall._replace(retransmissions=2) for stall in ONE_AFTER_ANOTHER]
-
-
 @pytest.mark.parametrize(
     ("steps", "now_ms", "silence", "suspicion"),
     [
--- a/tests/unit/platform/test_entries.py
+++ b/tests/unit/platform/test_entries.py
@@ -37,6 +37,13 @@
     return json.dumps(value).encode()
 
 
+def replaced(value: object, text: str, replacement: str) -> bytes:
+    """Return a value as JSON with a replaced part, after asserting that it has this part."""
+    whole = json.dumps(value)
+    assert text in whole
+    return whole.replace(text, replacement).encode()
+
+
 def test_an_entry() -> None:
     server = decode_server("i-7f3a91c2", encoded(ENTRY))
     assert (server.address, server.port) == ("10.0.0.1", 8080)
@@ -201,10 +208,9 @@
     ],
 )
 def test_an_entry_that_no_later_step_can_use_is_refused(text: str, replacement: str) -> None:
-    value = json.dumps(ENTRY)
-    assert text in value
+    value = replaced(ENTRY, text, replacement)
     with pytest.raises(DecodeError) as caught:
-        decode_server("i-1", value.replace(text, replacement).encode())
+        decode_server("i-1", value)
     message = str(caught.value)
     assert "'i-1'" in message
     assert len(message) < 400
@@ -231,10 +237,9 @@
 )
 def test_a_configuration_that_no_later_step_can_use_is_refused(text: str, replacement: str) -> None:
     document = build_configuration(version=1, routes=[StandinRoute("198.18.0.1", 1, "job-board")])
-    value = json.dumps(document)
-    assert text in value
+    value = replaced(document, text, replacement)
     with pytest.raises(DecodeError):
-        decode_routes(value.replace(text, replacement).encode())
+        decode_routes(value)
 
 
 @pytest.mark.parametrize(
@@ -265,10 +270,8 @@
 )
 def test_figures_of_an_entry_may_be_written_with_a_fraction(text: str, replacement: str) -> None:
     # A server whose entry cannot be decoded gets no flows.
-    value = json.dumps(ENTRY)
-    assert text in value
-    read = decode_server("i-1", value.replace(text, replacement).encode())
-    assert read == decode_server("i-1", value.encode())
+    read = decode_server("i-1", replaced(ENTRY, text, replacement))
+    assert read == decode_server("i-1", encoded(ENTRY))
     assert type(read.slots) is type(read.report_number) is type(read.instance) is int
 
 
@@ -283,10 +286,8 @@
 )
 def test_figures_of_a_configuration_may_have_a_fraction(text: str, replacement: str) -> None:
     document = build_configuration(version=1, routes=[StandinRoute("198.18.0.1", 1, "job-board")])
-    value = json.dumps(document)
-    assert text in value
-    read = decode_routes(value.replace(text, replacement).encode())
-    assert read == decode_routes(value.encode())
+    read = decode_routes(replaced(document, text, replacement))
+    assert read == decode_routes(encoded(document))
     assert type(read.version) is type(read.idle_limit_ms) is int
 
 
